Lay out the workspace with the shared types of the core

Cause: every later part builds on the same names, times, verdicts, declaration and store calls, so they come first and alone. Ruled out: one crate with modules only, since the crate boundary keeps sockets and clocks out of the decisions; a bare verdict value, since the typed exchange makes `NotRun` unreachable after the first byte. Conclusion: parts can now be built side by side.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions of the serving system, free of input and output.
+//!
+//! Everything here is a function of its arguments: there is no clock, no thread and no
+//! randomness but a seeded generator held in the state.
+//!
+//! ```
+//! use guavausher_core::exchange;
+//! use guavausher_core::verdict;
+//! let exchange = exchange::Unsent::open();
+//! assert_eq!(exchange.fail(), verdict::Verdict::NotRun);
+//! let sent = exchange::Unsent::open().send();
+//! assert_eq!(sent.fail(), verdict::Verdict::MayHaveRun);
+//! ```
+
+pub mod declaration;
+pub mod exchange;
+pub mod fact;
+pub mod name;
+pub mod store;
+pub mod time;
+pub mod verdict;
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder replaced by the first real module.
