Add settings, logging, clock, store client and management address

Cause: every binary needs the same start-up and the same client of the platform. Calls for the instance list and the cloud notices are added to the core.

--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -1,8 +1,10 @@
-//! Calls to the platform's object API and their replies, as data.
+//! Calls to the platform's service and their replies, as data.
 
+use std::net;
 use std::sync;
 
 use crate::name;
+use crate::time;
 use crate::verdict;
 
 /// The largest object in bytes that the platform holds.
@@ -11,7 +13,7 @@
 /// A version of one object; it grows with every write of that object.
 pub type Version = u64;
 
-/// One call to the object API.
+/// One call to the platform's service.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Call {
     /// Reads an object.
@@ -40,6 +42,20 @@
         /// The revision that the caller has seen.
         since: u64,
     },
+    /// Lists the instances that the platform knows, with a lag.
+    Instances,
+    /// Waits for notices of the cloud API.
+    Notices {
+        /// The sequence number to start at.
+        since: u64,
+    },
+}
+
+impl Call {
+    /// Tells whether the call may wait at the platform for a change.
+    pub const fn waits(&self) -> bool {
+        matches!(self, Self::Notices { .. } | Self::Watch { .. })
+    }
 }
 
 /// The reply to a [`Call`].
@@ -60,6 +76,20 @@
         /// Objects without bodies.
         objects: Vec<Entry>,
     },
+    /// Instances at a revision of the list.
+    Instances {
+        /// Revision of the instance list.
+        revision: u64,
+        /// Known instances.
+        instances: Vec<Instance>,
+    },
+    /// Notices from the cloud API.
+    Notices {
+        /// The sequence number to go on at.
+        next: u64,
+        /// New notices.
+        notices: Vec<Notice>,
+    },
     /// The call failed; a write with [`verdict::Verdict::MayHaveRun`] must be read back.
     Failed(verdict::Verdict),
 }
@@ -81,3 +111,57 @@
     /// Current version.
     pub version: Version,
 }
+
+/// An instance in the platform's list.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Instance {
+    /// Unique name.
+    pub name: name::Name,
+    /// Address by IP number; the peer port of an entry.
+    pub address: net::SocketAddr,
+    /// The failure domain that holds it.
+    pub domain: name::Name,
+    /// What it is, for example `entry`.
+    pub kind: name::Name,
+    /// Whether it is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Grows with each start under the same name.
+    #[serde(default)]
+    pub incarnation: u64,
+}
+
+/// A notice that an instance is reclaimed.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Notice {
+    /// Sequence number.
+    pub seq: u64,
+    /// The instance that is reclaimed.
+    pub instance: name::Name,
+    /// When it is stopped.
+    #[serde(rename = "deadline_ms", with = "millis")]
+    pub deadline: time::Time,
+}
+
+mod millis {
+    //! A time as milliseconds since the Unix epoch.
+
+    use serde::{Deserialize, Serialize};
+
+    use crate::time;
+
+    const MICROS_IN_MILLI: u64 = 1_000;
+
+    pub fn serialize<S: serde::Serializer>(
+        at: &time::Time,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        (at.as_micros() / MICROS_IN_MILLI).serialize(serializer)
+    }
+
+    pub fn deserialize<'de, D: serde::Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<time::Time, D::Error> {
+        u64::deserialize(deserializer).map(time::Time::from_millis)
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder replaced by the first real module.
+//! The shell around the decisions of the core: sockets, threads, clock, logs and metrics.
+
+pub mod admin;
+pub mod clock;
+pub mod logging;
+pub mod settings;
+pub mod store;
