--- a/crates/node/src/settings/program.rs
+++ b/crates/node/src/settings/program.rs
@@ -118,15 +118,14 @@
     variable: impl Fn(&str) -> Option<ffi::OsString>,
 ) -> Result<String, Error> {
     let flag = setting.flag;
-    let given: Option<ffi::OsString> = arguments
-        .opt_value_from_os_str(flag, |text| Ok::<_, Error>(text.to_owned()))
+    let given: Option<String> = arguments
+        .opt_value_from_str(flag)
         .map_err(|_| Error::NoValue { flag })?;
-    let given = given.or_else(|| variable(&setting.variable()));
-    let text = match (given, setting.default) {
-        (Some(given), _) => given.to_string_lossy().into_owned(),
-        (None, Some(default)) => default.to_owned(),
-        (None, None) => return Err(missing(setting)),
-    };
+    let set = || variable(&setting.variable());
+    let text = given
+        .or_else(|| set().map(|text| text.to_string_lossy().into_owned()))
+        .or_else(|| setting.default.map(String::from))
+        .ok_or_else(|| missing(setting))?;
     if setting.kind.accepts(&text) {
         return Ok(text);
     }
--- a/crates/node/src/store/connection.rs
+++ b/crates/node/src/store/connection.rs
@@ -18,6 +18,8 @@
 /// Largest accepted body of a listing in bytes.
 const MAX_LISTING_BYTES: usize = 4 * store::MAX_BODY_BYTES;
 const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// A call with less time left is not sent, as its outcome would only be unclear.
+const MIN_LEFT: time::Duration = time::Duration::from_millis(20);
 
 const NOT_RUN: store::Reply = store::Reply::Failed(verdict::Verdict::NotRun);
 const UNCLEAR: store::Reply = store::Reply::Failed(verdict::Verdict::MayHaveRun);
@@ -38,7 +40,7 @@
         }
     }
 
-    /// Runs one call; one whose deadline has passed is not sent.
+    /// Runs one call; one whose deadline is too near is not sent.
     pub fn call(&self, call: &store::Call, deadline: time::Instant) -> store::Reply {
         if !key_of(call).is_none_or(is_key) {
             return NOT_RUN;
@@ -178,10 +180,10 @@
     key.len() <= name::MAX_BYTES && key.chars().all(plain)
 }
 
-/// Returns a client that gives up at the deadline, or `None` if that has passed.
+/// Returns a client that gives up at the deadline, or `None` if that is too near.
 fn client(deadline: time::Instant) -> Option<oxhttp::Client> {
     let left = deadline.saturating_duration_since(time::Instant::now());
-    let left = Some(left).filter(|left| !left.is_zero())?;
+    let left = Some(left).filter(|left| *left >= MIN_LEFT)?;
     Some(oxhttp::Client::new().with_global_timeout(left))
 }
 
--- /dev/null
+++ b/crates/node/tests/logging.rs
@@ -0,0 +1,20 @@
+//! Format of log lines.
+
+use guavausher_node::logging;
+
+#[test]
+fn line_escapes_control_and_quotes_values() {
+    let pairs = [("request", "a b"), ("attempt", "7")];
+    let line = logging::line(
+        &log::Record::builder()
+            .args(format_args!("two\nlines"))
+            .level(log::Level::Info)
+            .target("entry")
+            .key_values(&pairs)
+            .build(),
+    );
+    assert!(
+        line.ends_with(r#" INFO entry two\nlines request="a b" attempt=7"#),
+        "{line}"
+    );
+}
