Add the ledger that grants each idempotency key at most one run

Cause: a paid request must run at most once while entries die, pause and race and store answers get lost. Ruled out: a lease for each partition, since a paused holder must be stopped by the conditional write anyway and leases cost renewals at rest; an object for each key, since two writes for each order exceed several hundred writes a second at a thousand orders a second; one growing object for each partition, since every write would carry all kept answers. Change: a log of segments for each of 64 partitions, appended to by conditional update, claims that arrive during a write share the next one; an unclear write is settled by reading the log for the claim's own operation; claims are refused at once in an outage and given back after it. Before and after: seeded random sequences over three entries (400 cases, seed 1). Seen failing with the store's version check off (a key granted twice) and with an unclear write taken for a written one (same); passes with both in place. Conclusion: at most one run holds in the model; real processes follow.

--- /dev/null
+++ b/crates/core/src/ledger/segment.rs
@@ -0,0 +1,69 @@
+//! The stored form of a part of a partition's log.
+
+use crate::ledger::record;
+use crate::name;
+
+/// The format that this code writes; readers refuse a higher one.
+pub const FORMAT: u32 = 1;
+
+/// A part of a partition's log, one object of the store.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Segment {
+    /// Format version.
+    pub format: u32,
+    /// Whether the log goes on in the next segment and this one is final.
+    pub sealed: bool,
+    /// Records in the order of their writes.
+    pub records: Vec<record::Record>,
+}
+
+/// Why an object is not a segment.
+#[derive(Debug, displaydoc::Display)]
+pub enum Malformed {
+    /// ledger object is not valid JSON ({0}); restore it from the store's history
+    Syntax(String),
+    /// ledger object has format {0}, higher than this program reads; upgrade this program
+    Format(u32),
+}
+
+impl std::error::Error for Malformed {}
+
+impl Segment {
+    /// Decodes a stored object.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Malformed`] if the body is not JSON of a known format.
+    pub fn decode(body: &[u8]) -> Result<Self, Malformed> {
+        let segment: Self =
+            serde_json::from_slice(body).map_err(|e| Malformed::Syntax(e.to_string()))?;
+        if segment.format > FORMAT {
+            return Err(Malformed::Format(segment.format));
+        }
+        Ok(segment)
+    }
+
+    /// Encodes the segment as JSON.
+    pub fn encode(&self) -> Vec<u8> {
+        let current = Self {
+            format: FORMAT,
+            ..self.clone()
+        };
+        serde_json::to_vec(&current).unwrap_or_default()
+    }
+}
+
+/// Returns the object key of a segment.
+pub fn key(partition: u64, index: u64) -> name::Name {
+    name::Name::from(format!("ledger/{partition:03}/{index:010}"))
+}
+
+/// Returns the key prefix of a partition.
+pub fn prefix(partition: u64) -> name::Name {
+    name::Name::from(format!("ledger/{partition:03}/"))
+}
+
+/// Returns the index in a segment's object key.
+pub fn index(key: &str) -> Option<u64> {
+    key.rsplit('/').next()?.parse().ok()
+}
--- /dev/null
+++ b/crates/core/src/ledger/table.rs
@@ -0,0 +1,144 @@
+//! All partitions of the ledger at one entry.
+
+use std::collections;
+
+use crate::ledger::{self, input, kept, output, partition, record};
+use crate::name;
+use crate::time;
+
+/// The ledger as one entry sees it.
+///
+/// Invariant: for each operation at most one [`output::Output::Granted`] is ever returned, and
+/// only after the claim was seen in the store.
+#[derive(Debug)]
+pub struct Ledger {
+    writer: u64,
+    number: u64,
+    partitions: collections::BTreeMap<u64, partition::Partition>,
+    claims: collections::HashMap<record::Operation, Open>,
+}
+
+#[derive(Debug)]
+struct Open {
+    request: u64,
+    key: name::Name,
+    fingerprint: u64,
+}
+
+impl Ledger {
+    /// Returns a ledger whose operations carry the unique number of this process.
+    pub fn new(writer: u64) -> Self {
+        Self {
+            writer,
+            number: 0,
+            partitions: collections::BTreeMap::new(),
+            claims: collections::HashMap::new(),
+        }
+    }
+
+    /// Applies one event and returns what follows from it.
+    pub fn reduce(&mut self, now: time::Time, input: input::Input) -> Vec<output::Output> {
+        let mut out = Vec::new();
+        match input {
+            input::Input::Claim(claim) => self.claim(now, claim, &mut out),
+            input::Input::End { operation, kept } => {
+                self.close(now, operation, record::Step::Ended(bounded(kept)), &mut out);
+            }
+            input::Input::Unclear { operation } => {
+                self.close(now, operation, record::Step::Unclear, &mut out);
+            }
+            input::Input::Release { operation } => {
+                self.close(now, operation, record::Step::Released, &mut out);
+            }
+            input::Input::Reply { partition, reply } => {
+                self.partition(partition).reply(now, reply, &mut out);
+            }
+            input::Input::Tick => self
+                .partitions
+                .values_mut()
+                .for_each(|p| p.tick(now, &mut out)),
+        }
+        self.forget_denied(&out);
+        out
+    }
+
+    /// Returns when the next [`input::Input::Tick`] is due.
+    pub fn wake(&self) -> Option<time::Time> {
+        self.partitions
+            .values()
+            .filter_map(partition::Partition::wake)
+            .min()
+    }
+
+    fn claim(&mut self, now: time::Time, claim: ledger::Claim, out: &mut Vec<output::Output>) {
+        self.number += 1;
+        let operation = record::Operation {
+            writer: self.writer,
+            number: self.number,
+        };
+        let open = Open {
+            request: claim.request,
+            key: claim.key.clone(),
+            fingerprint: claim.fingerprint,
+        };
+        self.claims.insert(operation, open);
+        let id = partition_of(&claim.key);
+        self.partition(id).claim(now, claim, operation, out);
+    }
+
+    fn close(
+        &mut self,
+        now: time::Time,
+        operation: record::Operation,
+        step: record::Step,
+        out: &mut Vec<output::Output>,
+    ) {
+        let Some(open) = self.claims.remove(&operation) else {
+            return;
+        };
+        let id = partition_of(&open.key);
+        let expiry = now.after(ledger::RETENTION);
+        let Open {
+            key, fingerprint, ..
+        } = open;
+        let record = record::Record {
+            key,
+            fingerprint,
+            operation,
+            step,
+            expiry,
+        };
+        self.partition(id).close(now, record, out);
+    }
+
+    fn partition(&mut self, id: u64) -> &mut partition::Partition {
+        self.partitions
+            .entry(id)
+            .or_insert_with(|| partition::Partition::new(id))
+    }
+
+    fn forget_denied(&mut self, out: &[output::Output]) {
+        for answered in out.iter().filter_map(answered_request) {
+            self.claims.retain(|_, open| open.request != answered);
+        }
+    }
+}
+
+/// Returns the partition of a key.
+pub fn partition_of(key: &str) -> u64 {
+    twox_hash::XxHash64::oneshot(0, key.as_bytes()) % ledger::PARTITIONS
+}
+
+fn answered_request(output: &output::Output) -> Option<u64> {
+    match output {
+        output::Output::Answered { request, .. } | output::Output::Denied { request, .. } => {
+            Some(*request)
+        }
+        _ => None,
+    }
+}
+
+fn bounded(kept: kept::Kept) -> kept::Kept {
+    let body = kept.body.filter(|b| b.len() <= ledger::MAX_KEPT_BYTES);
+    kept::Kept { body, ..kept }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod declaration;
 pub mod exchange;
 pub mod fact;
+pub mod ledger;
 pub mod name;
 pub mod store;
 pub mod time;
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -28,6 +28,13 @@
         /// New content, at most [`MAX_BODY_BYTES`].
         body: sync::Arc<[u8]>,
     },
+    /// Deletes an object if its version is still the expected one.
+    Delete {
+        /// Object key.
+        key: name::Name,
+        /// The version that must be current.
+        expected: Version,
+    },
     /// Lists objects by key prefix.
     List {
         /// Key prefix.
--- /dev/null
+++ b/crates/core/tests/ledger.rs
@@ -0,0 +1,448 @@
+//! The ledger under store faults, races and pauses.
+
+use std::collections;
+use std::sync;
+use std::time::Duration;
+
+use guavausher_core::{ledger, name, store, time, verdict};
+use proptest::prelude::*;
+use proptest::test_runner;
+use rstest::rstest;
+
+const START: time::Time = time::Time::from_millis(1_000_000);
+
+/// What the store does with one call.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Served,
+    LostAnswer,
+    LostCall,
+    Refused,
+}
+
+#[derive(Debug, Default)]
+struct FakeStore {
+    objects: collections::BTreeMap<name::Name, store::Object>,
+    revision: u64,
+}
+
+impl FakeStore {
+    fn serve(&mut self, call: &store::Call, fate: Fate) -> store::Reply {
+        match fate {
+            Fate::Served => self.apply(call),
+            Fate::LostAnswer => {
+                self.apply(call);
+                store::Reply::Failed(verdict::Verdict::MayHaveRun)
+            }
+            Fate::LostCall => store::Reply::Failed(verdict::Verdict::MayHaveRun),
+            Fate::Refused => store::Reply::Failed(verdict::Verdict::NotRun),
+        }
+    }
+
+    fn apply(&mut self, call: &store::Call) -> store::Reply {
+        match call {
+            store::Call::Read { key } => self
+                .objects
+                .get(key)
+                .cloned()
+                .map_or(store::Reply::Missing, store::Reply::Found),
+            store::Call::Write {
+                key,
+                expected,
+                body,
+            } => {
+                let current = self.objects.get(key).map(|o| o.version);
+                if current != *expected {
+                    return store::Reply::Conflict;
+                }
+                self.revision += 1;
+                let version = self.revision;
+                self.objects.insert(
+                    key.clone(),
+                    store::Object {
+                        version,
+                        body: body.clone(),
+                    },
+                );
+                store::Reply::Written(version)
+            }
+            store::Call::Delete { key, expected } => {
+                if self.objects.get(key).map(|o| o.version) != Some(*expected) {
+                    return store::Reply::Conflict;
+                }
+                self.objects.remove(key);
+                store::Reply::Written(0)
+            }
+            store::Call::List { prefix } => {
+                let objects = self
+                    .objects
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(prefix.as_str()));
+                let objects = objects
+                    .map(|(k, o)| store::Entry {
+                        key: k.clone(),
+                        version: o.version,
+                    })
+                    .collect();
+                store::Reply::Listed {
+                    revision: self.revision,
+                    objects,
+                }
+            }
+            other => panic!("the ledger does not make this call: {other:?}"),
+        }
+    }
+}
+
+struct Entry {
+    ledger: ledger::Ledger,
+    calls: Vec<(u64, store::Call)>,
+    replies: Vec<(u64, store::Reply)>,
+    granted: collections::BTreeMap<u64, ledger::Operation>,
+    answered: collections::BTreeMap<u64, ledger::Kept>,
+    denied: collections::BTreeMap<u64, ledger::Reason>,
+    recorded: Vec<ledger::Operation>,
+}
+
+impl Entry {
+    fn new(writer: u64) -> Self {
+        Self {
+            ledger: ledger::Ledger::new(writer),
+            calls: Vec::new(),
+            replies: Vec::new(),
+            granted: collections::BTreeMap::new(),
+            answered: collections::BTreeMap::new(),
+            denied: collections::BTreeMap::new(),
+            recorded: Vec::new(),
+        }
+    }
+
+    fn reduce(&mut self, now: time::Time, input: ledger::Input) {
+        for output in self.ledger.reduce(now, input) {
+            match output {
+                ledger::Output::Granted { request, operation } => {
+                    assert_eq!(
+                        self.granted.insert(request, operation),
+                        None,
+                        "granted twice"
+                    );
+                }
+                ledger::Output::Answered { request, kept } => {
+                    self.answered.insert(request, kept);
+                }
+                ledger::Output::Denied { request, reason } => {
+                    assert!(
+                        !self.granted.contains_key(&request),
+                        "denied after the grant"
+                    );
+                    self.denied.insert(request, reason);
+                }
+                ledger::Output::Recorded { operation } => self.recorded.push(operation),
+                ledger::Output::Call { partition, call } => self.calls.push((partition, call)),
+            }
+        }
+    }
+
+    fn run(&mut self, now: time::Time, store: &mut FakeStore, fates: &mut Vec<Fate>) {
+        while let Some((partition, call)) = self.calls.pop() {
+            let reply = store.serve(&call, fates.pop().unwrap_or(Fate::Served));
+            self.reduce(now, ledger::Input::Reply { partition, reply });
+        }
+    }
+}
+
+fn claim(request: u64, key: &str) -> ledger::Claim {
+    ledger::Claim {
+        request,
+        key: name::Name::from(key),
+        fingerprint: 7,
+        deadline: START.after(Duration::from_secs(30)),
+        repeatable: false,
+    }
+}
+
+fn kept(text: &str) -> ledger::Kept {
+    ledger::Kept {
+        status: 200,
+        media: "text/plain".into(),
+        body: Some(text.into()),
+    }
+}
+
+#[rstest]
+#[case::served(vec![], true)]
+#[case::answer_of_write_lost(vec![Fate::LostAnswer, Fate::Served, Fate::Served], true)]
+#[case::write_lost(vec![Fate::LostCall, Fate::Served, Fate::Served], true)]
+#[case::list_refused(vec![Fate::Refused], false)]
+#[case::read_refused(vec![Fate::Refused, Fate::Served], false)]
+#[case::write_refused(vec![Fate::Refused, Fate::Served, Fate::Served], false)]
+#[case::answer_lost_then_outage(vec![Fate::Refused, Fate::LostAnswer, Fate::Served, Fate::Served], false)]
+fn claim_under_store_fault(#[case] mut fates: Vec<Fate>, #[case] granted: bool) {
+    let mut store = FakeStore::default();
+    let mut entry = Entry::new(1);
+    entry.reduce(START, ledger::Input::Claim(claim(1, "k")));
+    entry.run(START, &mut store, &mut fates);
+    assert_eq!(entry.granted.contains_key(&1), granted);
+    assert_eq!(
+        entry.denied.contains_key(&1),
+        !granted,
+        "every claim is answered at once"
+    );
+}
+
+#[test]
+fn claim_in_outage_is_given_back_after_it() {
+    let mut store = FakeStore::default();
+    let mut first = Entry::new(1);
+    first.reduce(START, ledger::Input::Claim(claim(1, "k")));
+    let mut fates = vec![Fate::Refused, Fate::LostAnswer, Fate::Served, Fate::Served];
+    first.run(START, &mut store, &mut fates);
+    assert!(first.denied.contains_key(&1));
+
+    let later = START.after(Duration::from_secs(6));
+    first.reduce(later, ledger::Input::Tick);
+    first.run(later, &mut store, &mut Vec::new());
+
+    let mut second = Entry::new(2);
+    second.reduce(later, ledger::Input::Claim(claim(2, "k")));
+    second.run(later, &mut store, &mut Vec::new());
+    assert!(
+        second.granted.contains_key(&2),
+        "a request said to be not run may be sent again"
+    );
+}
+
+#[rstest]
+#[case::ended(Some(true))]
+#[case::unclear(Some(false))]
+#[case::still_running(None)]
+fn claim_through_another_entry_does_not_run_again(#[case] end: Option<bool>) {
+    let mut store = FakeStore::default();
+    let mut first = Entry::new(1);
+    first.reduce(START, ledger::Input::Claim(claim(1, "k")));
+    first.run(START, &mut store, &mut Vec::new());
+    let operation = first.granted[&1];
+    match end {
+        Some(true) => first.reduce(
+            START,
+            ledger::Input::End {
+                operation,
+                kept: kept("receipt"),
+            },
+        ),
+        Some(false) => first.reduce(START, ledger::Input::Unclear { operation }),
+        None => {}
+    }
+    first.run(START, &mut store, &mut Vec::new());
+
+    let mut second = Entry::new(2);
+    second.reduce(START, ledger::Input::Claim(claim(9, "k")));
+    second.run(START, &mut store, &mut Vec::new());
+    assert!(second.granted.is_empty());
+    match end {
+        Some(true) => assert_eq!(second.answered[&9], kept("receipt")),
+        Some(false) => assert_eq!(second.denied[&9], ledger::Reason::Unclear),
+        None => assert!(matches!(second.denied[&9], ledger::Reason::Busy { .. })),
+    }
+}
+
+#[test]
+fn claim_by_holder_that_was_paused_past_its_deadline_is_not_granted() {
+    let mut store = FakeStore::default();
+    let mut paused = Entry::new(1);
+    paused.reduce(START, ledger::Input::Claim(claim(1, "k")));
+    while let Some((partition, call)) = paused.calls.pop() {
+        let reply = store.serve(&call, Fate::Served);
+        let write = matches!(call, store::Call::Write { .. });
+        let now = if write {
+            START.after(Duration::from_secs(31))
+        } else {
+            START
+        };
+        paused.reduce(now, ledger::Input::Reply { partition, reply });
+    }
+    assert!(paused.granted.is_empty());
+}
+
+#[test]
+fn claim_with_other_body_is_refused() {
+    let mut store = FakeStore::default();
+    let mut entry = Entry::new(1);
+    entry.reduce(START, ledger::Input::Claim(claim(1, "k")));
+    entry.run(START, &mut store, &mut Vec::new());
+    let other = ledger::Claim {
+        fingerprint: 8,
+        ..claim(2, "k")
+    };
+    entry.reduce(START, ledger::Input::Claim(other));
+    entry.run(START, &mut store, &mut Vec::new());
+    assert_eq!(entry.denied[&2], ledger::Reason::Mismatch);
+}
+
+#[test]
+fn close_seals_full_segments_and_a_new_entry_reads_them_all() {
+    let mut store = FakeStore::default();
+    let mut first = Entry::new(1);
+    for request in 0..300 {
+        first.reduce(
+            START,
+            ledger::Input::Claim(claim(request, &format!("k{request}"))),
+        );
+        first.run(START, &mut store, &mut Vec::new());
+        let operation = first.granted[&request];
+        let kept = kept(&"x".repeat(ledger::MAX_KEPT_BYTES));
+        first.reduce(START, ledger::Input::End { operation, kept });
+        first.run(START, &mut store, &mut Vec::new());
+    }
+    assert!(
+        store
+            .objects
+            .values()
+            .all(|o| o.body.len() < store::MAX_BODY_BYTES)
+    );
+    assert!(
+        store.objects.len() > 64,
+        "some partition went on in a second segment"
+    );
+
+    let mut second = Entry::new(2);
+    for request in 0..300 {
+        second.reduce(
+            START,
+            ledger::Input::Claim(claim(request, &format!("k{request}"))),
+        );
+        second.run(START, &mut store, &mut Vec::new());
+    }
+    assert_eq!(second.answered.len(), 300);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Claim { entry: usize, key: u8 },
+    Serve { entry: usize, fate: u8 },
+    Deliver { entry: usize },
+    Finish { entry: usize, how: u8 },
+    Wait { millis: u16 },
+    Restart { entry: usize },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let entry = 0..3usize;
+    prop_oneof![
+        4 => (entry.clone(), 0..3u8).prop_map(|(entry, key)| Step::Claim { entry, key }),
+        8 => (entry.clone(), 0..12u8).prop_map(|(entry, fate)| Step::Serve { entry, fate }),
+        8 => entry.clone().prop_map(|entry| Step::Deliver { entry }),
+        3 => (entry.clone(), 0..3u8).prop_map(|(entry, how)| Step::Finish { entry, how }),
+        2 => (0..4_000u16).prop_map(|millis| Step::Wait { millis }),
+        1 => entry.prop_map(|entry| Step::Restart { entry }),
+    ]
+}
+
+fn fate(number: u8) -> Fate {
+    match number {
+        0 => Fate::LostAnswer,
+        1 => Fate::LostCall,
+        2 => Fate::Refused,
+        _ => Fate::Served,
+    }
+}
+
+fn config() -> test_runner::Config {
+    let cases = std::env::var("SOAK_CASES")
+        .ok()
+        .and_then(|c| c.parse().ok())
+        .unwrap_or(400);
+    let seed = std::env::var("SOAK_SEED")
+        .ok()
+        .and_then(|c| c.parse().ok())
+        .unwrap_or(1);
+    test_runner::Config {
+        cases,
+        failure_persistence: None,
+        rng_seed: test_runner::RngSeed::Fixed(seed),
+        ..test_runner::Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Runs of one key, less the runs that were given back, never exceed one.
+    #[test]
+    fn reduce_grants_each_key_at_most_once(steps in prop::collection::vec(step(), 1..250)) {
+        let mut store = FakeStore::default();
+        let mut entries: Vec<Entry> = (1..=3).map(Entry::new).collect();
+        let mut runs: collections::BTreeMap<u8, u32> = collections::BTreeMap::new();
+        let mut keys = collections::BTreeMap::new();
+        let mut now = START;
+        let mut request = 0;
+        let mut writer = 3;
+        for step in steps {
+            match step {
+                Step::Claim { entry, key } => {
+                    request += 1;
+                    keys.insert(request, key);
+                    let claim = ledger::Claim {
+                        deadline: now.after(Duration::from_secs(20)),
+                        ..claim(request, &format!("key-{key}"))
+                    };
+                    entries[entry].reduce(now, ledger::Input::Claim(claim));
+                }
+                Step::Serve { entry, fate: number } => {
+                    if let Some((partition, call)) = entries[entry].calls.pop() {
+                        let reply = store.serve(&call, fate(number));
+                        entries[entry].replies.push((partition, reply));
+                    }
+                }
+                Step::Deliver { entry } => {
+                    if let Some((partition, reply)) = entries[entry].replies.pop() {
+                        entries[entry].reduce(now, ledger::Input::Reply { partition, reply });
+                    }
+                }
+                Step::Finish { entry, how } => {
+                    let Some((request, operation)) = entries[entry].granted.pop_first() else {
+                        continue;
+                    };
+                    let runs = runs.entry(keys[&request]).or_default();
+                    let input = match how {
+                        0 => ledger::Input::Release { operation },
+                        1 => ledger::Input::Unclear { operation },
+                        _ => ledger::Input::End { operation, kept: kept("done") },
+                    };
+                    *runs += u32::from(how != 0);
+                    prop_assert!(*runs <= 1, "key {} ran {} times", keys[&request], runs);
+                    entries[entry].reduce(now, input);
+                }
+                Step::Wait { millis } => {
+                    now = now.after(Duration::from_millis(millis.into()));
+                    entries.iter_mut().for_each(|e| e.reduce(now, ledger::Input::Tick));
+                }
+                Step::Restart { entry } => {
+                    writer += 1;
+                    let lost = std::mem::replace(&mut entries[entry], Entry::new(writer));
+                    for request in lost.granted.keys() {
+                        *runs.entry(keys[request]).or_default() += 1;
+                    }
+                }
+            }
+            for key in 0..3u8 {
+                let open = entries.iter().flat_map(|e| e.granted.keys()).filter(|r| keys[r] == key);
+                let total = open.count() as u32 + runs.get(&key).copied().unwrap_or(0);
+                prop_assert!(total <= 1, "key {key} ran or runs {total} times");
+            }
+        }
+    }
+}
+
+#[test]
+fn fake_store_bodies_are_shared() {
+    let body: sync::Arc<[u8]> = sync::Arc::from(&b"x"[..]);
+    let mut store = FakeStore::default();
+    let call = store::Call::Write {
+        key: name::Name::from("a"),
+        expected: None,
+        body,
+    };
+    assert_eq!(store.serve(&call, Fate::Served), store::Reply::Written(1));
+    assert_eq!(store.serve(&call, Fate::Served), store::Reply::Conflict);
+}
