Add rollouts: split, monitor, pooled evidence and steps by a deadline

Cause: a bad version must get its declared share at most and nothing soon after its fault shows, and each rollout must end by its deadline. Change: entries enforce the share by error diffusion and judge each request against the old version's recent 90th percentile; a cumulative-sum test (Page 1954, as an e-detector) runs on errors, first token and gap, by route and apart under load. The controller runs the same test on the sums of all entries, grows the share only on evidence, keeps a tenth on the old version until the end for a fair comparison, and decides 5 s before the deadline.

Seen failing with the mechanism off (each by one edit, then undone): no interval limit: faults_waits_out_burst; no reset of the score: faults_finds_bad slow_later, advance_ends_by_deadline bad_later; no expiry: expire_stops_undecided; no halts: halt_stops_version; credit not kept: choose_never_passes_share; no deadline: advance_ends_by_deadline no_traffic; no load label: drain_sums; no expected time: faults_spares_good cold_cache; no baseline: faults_spares_good both_fail.

--- /dev/null
+++ b/crates/bench/src/bin/rollout_runs/run.rs
@@ -0,0 +1,382 @@
+//! One rollout from its declaration to its deadline.
+
+use std::cmp;
+use std::collections;
+use std::fmt;
+
+use guavausher_core::declaration;
+use guavausher_core::name;
+use guavausher_core::rollout;
+use guavausher_core::time;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::fault;
+use crate::fleet;
+use crate::noise;
+
+const ENTRIES: usize = 9;
+const SECOND: u64 = 1_000_000;
+/// How often entries report and the controller decides.
+const TICK: u64 = SECOND / 2;
+/// Time that a fact or document takes to reach every entry.
+const SPREAD: u64 = SECOND / 2;
+const START: u64 = 1_000 * SECOND;
+
+/// How one rollout ended.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// The fault, if the version is bad.
+    pub fault: Option<fault::Fault>,
+    /// The phase at the deadline.
+    pub phase: rollout::Phase,
+    /// Why it is there.
+    pub reason: String,
+    /// Requests that met the fault, in all.
+    pub harmed: u64,
+    /// Time from the first request that met the fault to the halt, in microseconds.
+    pub noticed: u64,
+    /// Requests that one entry sent to the new version beyond the share.
+    pub excess: u64,
+    /// Time from the first halt to the last request on the new version, in microseconds.
+    pub lingered: u64,
+    /// Time left until the deadline at the end, in thousandths of the window.
+    pub spare: u64,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let fault = self.fault.map_or_else(
+            || String::from("good"),
+            |fault| format!("{:?} {:?}", fault.trigger, fault.effect),
+        );
+        write!(
+            f,
+            "{fault} | {} | {} | harmed {} noticed {:.1} spare {}",
+            self.phase,
+            self.reason,
+            self.harmed,
+            self.noticed as f64 / 1e6,
+            self.spare
+        )
+    }
+}
+
+/// State of one run.
+pub struct Run {
+    rng: SmallRng,
+    fleet: fleet::Fleet,
+    entries: Vec<Entry>,
+    controller: Option<rollout::Evidence>,
+    status: rollout::Status,
+    reports: Vec<rollout::Report>,
+    events: collections::BinaryHeap<cmp::Reverse<(u64, u64)>>,
+    pending: collections::BTreeMap<u64, Pending>,
+    serial: u64,
+    shown: Option<u64>,
+    window: u64,
+    rate: f64,
+    outage: noise::Stretch,
+    crash: noise::Stretch,
+    halt: Option<u64>,
+    ended: Option<u64>,
+    outcome: Outcome,
+}
+
+struct Entry {
+    split: rollout::Split,
+    monitor: rollout::Monitor,
+    requests: u64,
+    moved: u64,
+}
+
+enum Pending {
+    Arrival,
+    Tick,
+    Adopt(rollout::Status),
+    Halt,
+    Kill(usize),
+    End(End),
+}
+
+struct End {
+    entry: usize,
+    upstream: usize,
+    route: usize,
+    sample: rollout::Sample,
+}
+
+impl Run {
+    /// Draws a run.
+    pub fn new(seed: u64, index: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed.wrapping_mul(1_000_003).wrapping_add(index));
+        let fault = (index % 2 == 1).then(|| fault::Fault::draw(&mut rng, index / 2));
+        let window = rng.random_range(90..300) * SECOND;
+        let half = if rng.random_bool(0.5) { 10 } else { 20 };
+        let is_light = index / 2 % 5 == 4;
+        let load = rng.random_range(if is_light { 0.05..0.15 } else { 0.5..0.75 });
+        let status = rollout::start(
+            time::Time::from_micros(START),
+            &declare(&mut rng, window),
+            7,
+        );
+        let entry = |_| Entry {
+            split: rollout::Split::new(),
+            monitor: rollout::Monitor::new(),
+            requests: 0,
+            moved: 0,
+        };
+        let fleet = fleet::Fleet {
+            upstreams: (0..2 * half).map(|i| upstream(i >= half)).collect(),
+            fault,
+            onset: START + onset(fault, window),
+            congestion: noise::Stretch::draw(&mut rng, window),
+        };
+        let outcome = Outcome {
+            fault,
+            phase: status.phase,
+            reason: String::new(),
+            harmed: 0,
+            noticed: 0,
+            excess: 0,
+            lingered: 0,
+            spare: 0,
+        };
+        Self {
+            fleet,
+            entries: (0..ENTRIES).map(entry).collect(),
+            controller: None,
+            status,
+            reports: Vec::new(),
+            events: collections::BinaryHeap::new(),
+            pending: collections::BTreeMap::new(),
+            serial: 0,
+            shown: None,
+            window,
+            rate: load * (half * fleet::SLOTS) as f64 / 0.75,
+            outage: noise::Stretch::draw(&mut rng, window),
+            crash: noise::Stretch::draw(&mut rng, window),
+            halt: None,
+            ended: None,
+            outcome,
+            rng,
+        }
+    }
+
+    /// Plays the run until its deadline.
+    pub fn play(mut self) -> Outcome {
+        let mut now = START - 20 * SECOND;
+        self.schedule(now, Pending::Arrival);
+        self.schedule(START, Pending::Adopt(self.status.clone()));
+        self.schedule(START, Pending::Tick);
+        if self.rng.random_bool(0.5) {
+            let at = START + self.rng.random_range(0..self.window);
+            let index = self.rng.random_range(0..self.fleet.upstreams.len());
+            self.schedule(at, Pending::Kill(index));
+        }
+        while now < START + self.window {
+            let Some(cmp::Reverse((at, serial))) = self.events.pop() else {
+                break;
+            };
+            now = at;
+            if let Some(event) = self.pending.remove(&serial) {
+                self.handle(now, event);
+            }
+        }
+        self.finish()
+    }
+
+    fn handle(&mut self, now: u64, event: Pending) {
+        match event {
+            Pending::Arrival => self.arrive(now),
+            Pending::End(end) => self.end(now, &end),
+            Pending::Tick => self.tick(now),
+            Pending::Adopt(status) => self.adopt(&status),
+            Pending::Halt => self.spread_halt(),
+            Pending::Kill(index) => self.kill(now, index),
+        }
+    }
+
+    fn arrive(&mut self, now: u64) {
+        let next = now + noise::arrival(&mut self.rng, self.rate);
+        self.schedule(next, Pending::Arrival);
+        let index = self.rng.random_range(0..ENTRIES);
+        let route = pick_route(&mut self.rng);
+        let entry = &mut self.entries[index];
+        let is_new = entry.split.choose(&service(), &old()) == new();
+        entry.requests += 1;
+        entry.moved += u64::from(is_new);
+        if is_new && self.status.phase == rollout::Phase::Canary {
+            let allowed = entry.requests * u64::from(self.status.limit) / u64::from(rollout::WHOLE);
+            self.outcome.excess = self.outcome.excess.max(entry.moved.saturating_sub(allowed));
+        }
+        if let Some(halt) = self.halt.filter(|_| is_new) {
+            self.outcome.lingered = self.outcome.lingered.max(now - halt);
+        }
+        let upstream = self.fleet.choose(&mut self.rng, is_new);
+        let fate = self.fleet.begin(&mut self.rng, now, upstream, route);
+        if fate.is_harmed {
+            self.outcome.harmed += 1;
+            self.shown.get_or_insert(now);
+        }
+        let end = End {
+            entry: index,
+            upstream,
+            route,
+            sample: fate.sample,
+        };
+        self.schedule(now + fate.duration, Pending::End(end));
+    }
+
+    fn end(&mut self, now: u64, end: &End) {
+        let upstream = &mut self.fleet.upstreams[end.upstream];
+        upstream.running -= 1;
+        let version = if upstream.is_new { new() } else { old() };
+        let route = &fleet::route_names()[end.route];
+        let now = time::Time::from_micros(now);
+        self.entries[end.entry]
+            .monitor
+            .record(now, &service(), &version, route, end.sample);
+    }
+
+    fn kill(&mut self, now: u64, index: usize) {
+        let lost = |event: &Pending| matches!(event, Pending::End(end) if end.upstream == index);
+        let lost: Vec<_> = self
+            .pending
+            .extract_if(.., |_, event| lost(event))
+            .collect();
+        for (_, event) in lost {
+            if let Pending::End(mut end) = event {
+                end.sample.failed = true;
+                self.end(now, &end);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: u64) {
+        self.schedule(now + TICK, Pending::Tick);
+        let at = time::Time::from_micros(now);
+        for entry in &mut self.entries {
+            entry.split.expire(at);
+            if !entry.monitor.faults(at).is_empty() && self.halt.is_none() {
+                self.halt = Some(now);
+            }
+            self.reports.extend(entry.monitor.drain());
+        }
+        if self.halt == Some(now) {
+            self.schedule(now + SPREAD, Pending::Halt);
+        }
+        self.control(now);
+    }
+
+    fn control(&mut self, now: u64) {
+        let reports = std::mem::take(&mut self.reports);
+        if self.crash.has(now - START) {
+            self.controller = None;
+            return;
+        }
+        let fresh = || rollout::Evidence::new(&self.status);
+        let evidence = self.controller.get_or_insert_with(fresh);
+        let at = time::Time::from_micros(now);
+        evidence.add(at, reports.iter());
+        match rollout::advance(at, &self.status, evidence, self.halt.is_some()) {
+            rollout::Advance::Stay => {}
+            rollout::Advance::Step(status) => self.write(now, status),
+            rollout::Advance::Halt(status) => {
+                if self.halt.is_none() {
+                    self.halt = Some(now);
+                    self.schedule(now + SPREAD, Pending::Halt);
+                }
+                self.write(now, status);
+            }
+        }
+    }
+
+    fn write(&mut self, now: u64, status: rollout::Status) {
+        if self.outage.has(now - START) {
+            return;
+        }
+        if let Some(evidence) = &mut self.controller {
+            evidence.begin_step();
+        }
+        if status.phase.is_end() {
+            self.ended.get_or_insert(now);
+        }
+        self.status = status.clone();
+        self.schedule(now + SPREAD, Pending::Adopt(status));
+    }
+
+    fn adopt(&mut self, status: &rollout::Status) {
+        for entry in &mut self.entries {
+            entry.split.adopt(std::slice::from_ref(status));
+            entry.monitor.adopt(std::slice::from_ref(status));
+        }
+    }
+
+    fn spread_halt(&mut self) {
+        for entry in &mut self.entries {
+            entry.split.halt(&service(), &new(), self.status.generation);
+        }
+    }
+
+    fn finish(self) -> Outcome {
+        let deadline = START + self.window;
+        let left = self.ended.map_or(0, |ended| deadline.saturating_sub(ended));
+        let noticed = self.halt.zip(self.shown);
+        Outcome {
+            phase: self.status.phase,
+            reason: self.status.reason,
+            spare: left * 1_000 / self.window,
+            noticed: noticed.map_or(0, |(halt, shown)| halt.saturating_sub(shown)),
+            ..self.outcome
+        }
+    }
+
+    fn schedule(&mut self, at: u64, event: Pending) {
+        self.serial += 1;
+        self.events.push(cmp::Reverse((at, self.serial)));
+        self.pending.insert(self.serial, event);
+    }
+}
+
+fn declare(rng: &mut SmallRng, window: u64) -> declaration::Rollout {
+    let deadline = i64::try_from(START + window).unwrap_or(i64::MAX);
+    declaration::Rollout {
+        service: service(),
+        from: old(),
+        to: new(),
+        share: rng.random_range(40..=150),
+        deadline: jiff::Timestamp::from_microsecond(deadline).unwrap_or_default(),
+    }
+}
+
+fn onset(fault: Option<fault::Fault>, window: u64) -> u64 {
+    match fault.map(|fault| fault.trigger) {
+        Some(fault::Trigger::Later(part)) => window * part / 1_000,
+        _ => 0,
+    }
+}
+
+fn upstream(is_new: bool) -> fleet::Upstream {
+    fleet::Upstream { is_new, running: 0 }
+}
+
+fn pick_route(rng: &mut SmallRng) -> usize {
+    match rng.random_range(0..7) {
+        0..4 => 0,
+        4..6 => 1,
+        _ => 2,
+    }
+}
+
+fn service() -> name::Name {
+    name::Name::from("verse-scribe")
+}
+
+fn old() -> name::Name {
+    name::Name::from("v1")
+}
+
+fn new() -> name::Name {
+    name::Name::from("v2")
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fact;
 pub mod ledger;
 pub mod name;
+pub mod rollout;
 pub mod store;
 pub mod time;
 pub mod verdict;
--- /dev/null
+++ b/crates/core/src/rollout.rs
@@ -0,0 +1,43 @@
+//! Moves of a service from one version to another, on evidence and by a deadline.
+//!
+//! Each entry enforces the share by itself ([`Split`]) and tests the new version against the old
+//! one on its own requests ([`Monitor`]); a halt needs no agreement. The controller pools the
+//! sums of all entries ([`Evidence`]) and advances the rollout ([`advance`]).
+//!
+//! Both sides use the same sequential test, [`Detector`].
+
+mod advance;
+mod baseline;
+mod book;
+mod canary;
+mod detector;
+mod evidence;
+mod measure;
+mod monitor;
+mod phase;
+mod sample;
+mod series;
+mod split;
+mod status;
+
+pub use advance::{Advance, DECISION_MARGIN, advance, start};
+pub use baseline::Baseline;
+pub use book::{Book, Malformed, SCHEMA};
+pub use canary::rank;
+pub use detector::{ALARM, Detector};
+pub use evidence::{Count, Evidence, Fault};
+pub use measure::Measure;
+pub use monitor::Monitor;
+pub use phase::Phase;
+pub use report::Report;
+pub use sample::Sample;
+pub use split::Split;
+pub use status::Status;
+
+mod report;
+
+/// Key of the object that holds all rollouts.
+pub const KEY: &str = "rollouts/current";
+
+/// A whole share, in thousandths.
+pub const WHOLE: u32 = 1_000;
