--- /dev/null
+++ b/crates/core/src/declaration/market.rs
@@ -0,0 +1,26 @@
+//! How instances are rented.
+
+/// How an instance is rented.
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Market {
+    /// Cheap and taken back on seconds of notice.
+    Reclaimable,
+    /// Kept until returned.
+    OnDemand,
+}
+
+impl Market {
+    /// Every market.
+    pub const ALL: [Self; 2] = [Self::Reclaimable, Self::OnDemand];
+
+    /// Returns the text used in files and tables.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Reclaimable => "reclaimable",
+            Self::OnDemand => "on-demand",
+        }
+    }
+}
