Add first routing, admission and retry decisions

Cause: the entry's reducer needs the decisions behind a fixed interface. Ruled out: a scan of the whole fleet for each decision (cost grows with the fleet and nine entries pick the same upstream). Change: expected first token from lagged load corrected by own dispatches, a fixed-size prefix index, five samples and the holders of the deepest block; weighted fair queue with two classes; a retry budget of one in twelve.

--- /dev/null
+++ b/crates/core/src/admission/gate.rs
@@ -0,0 +1,217 @@
+//! Admission of one node.
+
+use std::collections;
+use std::time::Duration;
+
+use super::decision;
+use super::limits;
+use super::queue;
+use super::refusal;
+use super::ticket;
+use crate::declaration;
+use crate::name;
+use crate::time;
+
+/// Longest time after which a caller is asked to come back.
+const MAX_RETRY: Duration = Duration::from_secs(30);
+/// Shortest time after which a caller is asked to come back, in microseconds.
+const MIN_RETRY_MICROS: u64 = 50_000;
+/// Largest share of the retry time added as jitter.
+const JITTER: f64 = 0.5;
+
+/// Decides which requests run now, wait or are refused.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    queues: collections::BTreeMap<name::Name, queue::Queue>,
+    rng: rand::rngs::SmallRng,
+    tickets: collections::HashMap<u64, Held>,
+    workspaces: collections::BTreeMap<name::Name, limits::Limits>,
+}
+
+/// The outcome of one poll.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Turn {
+    /// Queued requests that may be dispatched now.
+    pub granted: Vec<u64>,
+    /// Queued requests that cannot be served in time; they have not run.
+    pub refused: Vec<refusal::Refusal>,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    ticket: ticket::Ticket,
+    granted: Option<time::Time>,
+}
+
+impl Admission {
+    /// Builds an admission without workspaces and capacity.
+    pub fn new(seed: u64) -> Self {
+        use rand::SeedableRng as _;
+        Self {
+            queues: collections::BTreeMap::new(),
+            rng: rand::rngs::SmallRng::seed_from_u64(seed),
+            tickets: collections::HashMap::new(),
+            workspaces: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes over a declaration; open requests keep their place.
+    ///
+    /// Until the first [`Admission::set_capacity`] a service has its declared slots.
+    pub fn declare(&mut self, _now: time::Time, declaration: &declaration::Declaration) {
+        let old = std::mem::take(&mut self.workspaces);
+        for workspace in &declaration.workspaces {
+            let mut limits = old.get(&workspace.name).copied().unwrap_or_default();
+            limits.weight = workspace.weight;
+            limits.rate = workspace.rate;
+            limits.concurrency = workspace.concurrency;
+            self.workspaces.insert(workspace.name.clone(), limits);
+        }
+        for service in &declaration.services {
+            if self.queues.contains_key(&service.name) {
+                continue;
+            }
+            let upstreams = declaration
+                .upstreams
+                .iter()
+                .filter(|u| u.service == service.name);
+            let queue = self.queues.entry(service.name.clone()).or_default();
+            queue.capacity = upstreams.map(|upstream| upstream.slots).sum();
+        }
+    }
+
+    /// Sets how many requests of a service this node may have in progress.
+    pub fn set_capacity(&mut self, _now: time::Time, service: &name::Name, slots: u32) {
+        self.queues.entry(service.clone()).or_default().capacity = slots;
+    }
+
+    /// Offers a request.
+    pub fn offer(&mut self, now: time::Time, ticket: ticket::Ticket) -> decision::Decision {
+        let Some(limits) = self.workspaces.get_mut(&ticket.workspace) else {
+            let reason = refusal::Reason::UnknownWorkspace;
+            return self.refuse(now, &ticket, reason, now.after(MAX_RETRY));
+        };
+        let queue = self.queues.entry(ticket.service.clone()).or_default();
+        let wait = queue.wait(&ticket);
+        if limits.open >= limits.concurrency {
+            return self.refuse(now, &ticket, refusal::Reason::Concurrency, now.after(wait));
+        }
+        if let Err(fits_at) = limits.bucket.take(now, limits.rate) {
+            return self.refuse(now, &ticket, refusal::Reason::Rate, fits_at);
+        }
+        let weight = limits.weight;
+        if queue.has_room(now, &ticket) {
+            limits.open += 1;
+            queue.run(now, &ticket, weight);
+            let held = Held {
+                ticket,
+                granted: Some(now),
+            };
+            self.tickets.insert(held.ticket.request, held);
+            return decision::Decision::Admit;
+        }
+        if queue.is_full(&ticket) {
+            return self.refuse(now, &ticket, refusal::Reason::QueueFull, now.after(wait));
+        }
+        if now.after(wait) > ticket.deadline {
+            return self.refuse(now, &ticket, refusal::Reason::Deadline, now.after(wait));
+        }
+        limits.open += 1;
+        queue.push(now, ticket.clone(), weight);
+        self.tickets.insert(
+            ticket.request,
+            Held {
+                ticket,
+                granted: None,
+            },
+        );
+        decision::Decision::Queue
+    }
+
+    /// Ends an admitted or queued request; only a completed one teaches the time in progress.
+    pub fn release(&mut self, now: time::Time, request: u64, completed: bool) {
+        let Some(held) = self.tickets.remove(&request) else {
+            return;
+        };
+        if let Some(limits) = self.workspaces.get_mut(&held.ticket.workspace) {
+            limits.open = limits.open.saturating_sub(1);
+        }
+        let Some(queue) = self.queues.get_mut(&held.ticket.service) else {
+            return;
+        };
+        match held.granted {
+            Some(granted) => {
+                let length = completed.then(|| granted.until(now));
+                queue.release(&held.ticket, length);
+            }
+            None => {
+                queue.remove(request);
+            }
+        }
+    }
+
+    /// Grants queued requests that fit now and refuses those past hope.
+    pub fn poll(&mut self, now: time::Time) -> Turn {
+        let mut turn = Turn::default();
+        let mut expired = Vec::new();
+        for queue in self.queues.values_mut() {
+            expired.extend(queue.expire(now));
+            while let Some(ticket) = queue.pop(now) {
+                turn.granted.push(ticket.request);
+            }
+        }
+        for request in &turn.granted {
+            if let Some(held) = self.tickets.get_mut(request) {
+                held.granted = Some(now);
+            }
+        }
+        for ticket in expired {
+            self.tickets.remove(&ticket.request);
+            if let Some(limits) = self.workspaces.get_mut(&ticket.workspace) {
+                limits.open = limits.open.saturating_sub(1);
+            }
+            let wait = self
+                .queues
+                .get(&ticket.service)
+                .map(|queue| queue.wait(&ticket));
+            let retry_at = now.after(wait.unwrap_or(MAX_RETRY));
+            let refusal = self.refusal(now, &ticket, refusal::Reason::Deadline, retry_at);
+            turn.refused.push(refusal);
+        }
+        turn
+    }
+
+    /// Returns the earliest deadline of a queued request.
+    pub fn wake(&self) -> Option<time::Time> {
+        self.queues.values().filter_map(queue::Queue::wake).min()
+    }
+
+    fn refuse(
+        &mut self,
+        now: time::Time,
+        ticket: &ticket::Ticket,
+        reason: refusal::Reason,
+        retry_at: time::Time,
+    ) -> decision::Decision {
+        decision::Decision::Refuse(self.refusal(now, ticket, reason, retry_at))
+    }
+
+    /// Spreads the time to come back, so that refused callers do not return together.
+    fn refusal(
+        &mut self,
+        now: time::Time,
+        ticket: &ticket::Ticket,
+        reason: refusal::Reason,
+        retry_at: time::Time,
+    ) -> refusal::Refusal {
+        use rand::Rng as _;
+        let wait = now.until(retry_at).min(MAX_RETRY).as_micros() as u64;
+        let wait = wait.max(MIN_RETRY_MICROS) as f64;
+        let spread = wait * (1.0 + self.rng.random_range(0.0..JITTER));
+        refusal::Refusal {
+            request: ticket.request,
+            reason,
+            retry_at: now.after(Duration::from_micros(spread as u64)),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,10 +12,13 @@
 //! assert_eq!(sent.fail(), verdict::Verdict::MayHaveRun);
 //! ```
 
+pub mod admission;
 pub mod declaration;
 pub mod exchange;
 pub mod fact;
 pub mod name;
+pub mod retry;
+pub mod routing;
 pub mod store;
 pub mod time;
 pub mod verdict;
--- /dev/null
+++ b/crates/core/src/routing.rs
@@ -0,0 +1,30 @@
+//! Choice of the upstream for one attempt by expected time to first token.
+
+mod attempt;
+mod cache_event;
+mod choice;
+mod estimate;
+mod exhausted;
+mod fleet;
+mod health;
+mod holders;
+mod load;
+mod outcome;
+mod prefix;
+mod query;
+mod region;
+mod tally;
+mod upstream;
+mod weights;
+
+pub use cache_event::CacheEvent;
+pub use choice::Choice;
+pub use exhausted::Exhausted;
+pub use fleet::Fleet;
+pub use load::Load;
+pub use outcome::Outcome;
+pub use query::Query;
+pub use weights::Weights;
+
+/// Prompt tokens that one hash of a block chain covers.
+pub const BLOCK_TOKENS: u32 = 16;
--- /dev/null
+++ b/crates/core/src/routing/holders.rs
@@ -0,0 +1,112 @@
+//! Which upstreams lately held a block.
+
+/// Sets of the table; a power of two.
+const SETS: usize = 8192;
+/// Entries of one set.
+const WAYS: usize = 4;
+/// Upstreams remembered for one block.
+const HOLDERS: usize = 4;
+/// Marks an unused holder.
+const NONE: u16 = u16::MAX;
+
+/// A fixed-size table from block fingerprint to the upstreams that last stored it.
+#[derive(Clone, Debug)]
+pub(super) struct Holders {
+    entries: Vec<Entry>,
+    clock: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    print: u32,
+    used: u32,
+    slots: [u16; HOLDERS],
+}
+
+impl Holders {
+    /// Builds an empty table.
+    pub fn new() -> Self {
+        let empty = Entry {
+            print: 0,
+            used: 0,
+            slots: [NONE; HOLDERS],
+        };
+        Self {
+            entries: vec![empty; SETS * WAYS],
+            clock: 0,
+        }
+    }
+
+    /// Notes that an upstream stored these blocks.
+    pub fn insert(&mut self, blocks: &[u64], slot: usize) {
+        let Ok(slot) = u16::try_from(slot) else {
+            return;
+        };
+        self.clock = self.clock.wrapping_add(1);
+        for &block in blocks {
+            self.insert_one(block, slot);
+        }
+    }
+
+    /// Returns the upstreams that lately held the deepest known block of a chain.
+    pub fn deepest(&self, blocks: &[u64]) -> impl Iterator<Item = usize> + '_ {
+        let depth = blocks.partition_point(|&block| self.find(block).is_some());
+        depth
+            .checked_sub(1)
+            .and_then(|last| self.find(blocks[last]))
+            .into_iter()
+            .flat_map(|entry| entry.slots)
+            .filter(|&slot| slot != NONE)
+            .map(usize::from)
+    }
+
+    /// Forgets everything, after indices changed.
+    pub fn clear(&mut self) {
+        *self = Self::new();
+    }
+
+    /// Returns the bytes on the heap.
+    pub fn heap_bytes(&self) -> usize {
+        self.entries.capacity() * size_of::<Entry>()
+    }
+
+    fn insert_one(&mut self, block: u64, slot: u16) {
+        let start = set(block) * WAYS;
+        let ways = &mut self.entries[start..start + WAYS];
+        let want = print(block);
+        let found = ways
+            .iter()
+            .position(|entry| entry.used != 0 && entry.print == want);
+        let way = found.unwrap_or_else(|| oldest(ways));
+        let entry = &mut ways[way];
+        if found.is_none() {
+            entry.print = want;
+            entry.slots = [NONE; HOLDERS];
+        }
+        entry.used = self.clock.max(1);
+        let place = entry.slots.iter().position(|&held| held == slot);
+        entry.slots[..=place.unwrap_or(HOLDERS - 1)].rotate_right(1);
+        entry.slots[0] = slot;
+    }
+
+    fn find(&self, block: u64) -> Option<&Entry> {
+        let start = set(block) * WAYS;
+        let want = print(block);
+        self.entries[start..start + WAYS]
+            .iter()
+            .find(|entry| entry.used != 0 && entry.print == want)
+    }
+}
+
+fn oldest(ways: &[Entry]) -> usize {
+    let by_age = ways.iter().enumerate().min_by_key(|(_, entry)| entry.used);
+    by_age.map_or(0, |(way, _)| way)
+}
+
+fn set(block: u64) -> usize {
+    (block as usize) & (SETS - 1)
+}
+
+fn print(block: u64) -> u32 {
+    (block >> 32) as u32
+}
--- /dev/null
+++ b/crates/core/src/routing/tally.rs
@@ -0,0 +1,97 @@
+//! Requests at one upstream: its lagged report corrected by own dispatches.
+
+use std::collections;
+use std::time::Duration;
+
+use super::load;
+use crate::time;
+
+/// Own changes remembered, to relate a lagged report to the present.
+const MAX_CHANGES: usize = 64;
+/// Age at which a report says nothing any more.
+const MAX_AGE: Duration = Duration::from_secs(10);
+
+/// What is known of the requests at one upstream.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Tally {
+    own: u32,
+    others: u32,
+    report: Option<load::Load>,
+    changes: collections::VecDeque<Change>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    at: time::Time,
+    delta: i32,
+}
+
+impl Tally {
+    /// Counts a dispatch.
+    pub fn start(&mut self, now: time::Time) {
+        self.own = self.own.saturating_add(1);
+        self.note(now, 1);
+    }
+
+    /// Counts an end.
+    pub fn end(&mut self, now: time::Time) {
+        self.own = self.own.saturating_sub(1);
+        self.note(now, -1);
+    }
+
+    /// Takes a report unless a newer one is known.
+    pub fn report(&mut self, load: load::Load) {
+        if self.report.is_some_and(|known| known.at > load.at) {
+            return;
+        }
+        let total = load.queue.saturating_add(load.running);
+        self.others = total.saturating_sub(self.own_at(load.at));
+        self.report = Some(load);
+    }
+
+    /// Returns requests that this node has there.
+    pub const fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Returns requests that other nodes are believed to have there.
+    pub fn others(&self, now: time::Time) -> u32 {
+        match self.report {
+            Some(load) if load.at.until(now) < MAX_AGE => self.others,
+            _ => 0,
+        }
+    }
+
+    /// Returns all requests believed to be there.
+    pub fn total(&self, now: time::Time) -> u32 {
+        self.own.saturating_add(self.others(now))
+    }
+
+    /// Returns the reported slots.
+    pub fn slots(&self) -> Option<u32> {
+        self.report.map(|load| load.slots)
+    }
+
+    /// Forgets the report, for a new incarnation.
+    pub fn clear_report(&mut self) {
+        self.report = None;
+        self.others = 0;
+    }
+
+    fn own_at(&self, at: time::Time) -> u32 {
+        let since = self
+            .changes
+            .iter()
+            .rev()
+            .take_while(|change| change.at > at);
+        let delta: i32 = since.map(|change| change.delta).sum();
+        u32::try_from(i64::from(self.own) - i64::from(delta)).unwrap_or(0)
+    }
+
+    fn note(&mut self, at: time::Time, delta: i32) {
+        if self.changes.len() == MAX_CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(Change { at, delta });
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/upstream.rs
@@ -0,0 +1,119 @@
+//! The state of one upstream as this node sees it.
+
+use std::time::Duration;
+
+use super::estimate;
+use super::health;
+use super::load;
+use super::prefix;
+use super::tally;
+use crate::declaration;
+use crate::time;
+
+/// How long a new upstream takes to get its full share.
+const SLOW_START: Duration = Duration::from_secs(10);
+/// Requests that may wait at an upstream, as a divisor of its slots.
+const QUEUE_DIVISOR: u32 = 4;
+
+/// One upstream with everything learned about it.
+#[derive(Clone, Debug)]
+pub(super) struct Upstream {
+    pub declared: declaration::Upstream,
+    pub incarnation: u64,
+    pub leaving: Option<u64>,
+    pub tally: tally::Tally,
+    pub prefix: prefix::Prefix,
+    pub health: health::Health,
+    pub estimate: estimate::Estimate,
+    pub pending: u32,
+    pub link: Duration,
+    pub price: u64,
+    warm_at: time::Time,
+}
+
+impl Upstream {
+    /// Builds an upstream that is at full share from `warm_at` on.
+    pub fn new(declared: declaration::Upstream, warm_at: time::Time) -> Self {
+        Self {
+            declared,
+            incarnation: 0,
+            leaving: None,
+            tally: tally::Tally::default(),
+            prefix: prefix::Prefix::default(),
+            health: health::Health::default(),
+            estimate: estimate::Estimate::default(),
+            pending: 0,
+            link: Duration::ZERO,
+            price: 0,
+            warm_at,
+        }
+    }
+
+    /// Returns when an upstream that starts now is at full share.
+    pub fn warm_after(now: time::Time) -> time::Time {
+        now.after(SLOW_START)
+    }
+
+    /// Returns whether the current incarnation may get new work.
+    pub fn is_open(&self) -> bool {
+        self.leaving
+            .is_none_or(|leaving| self.incarnation > leaving)
+    }
+
+    /// Latches an incarnation as leaving; returns whether that is news.
+    pub fn leave(&mut self, incarnation: u64) -> bool {
+        let news = self.leaving.is_none_or(|leaving| incarnation > leaving);
+        self.leaving = self.leaving.max(Some(incarnation));
+        news
+    }
+
+    /// Takes a higher incarnation into use with a slow start.
+    pub fn returned(&mut self, now: time::Time, incarnation: u64) {
+        if incarnation <= self.incarnation {
+            return;
+        }
+        self.incarnation = incarnation;
+        self.tally.clear_report();
+        self.prefix.clear();
+        self.health = health::Health::default();
+        self.estimate = estimate::Estimate::default();
+        self.warm_at = Self::warm_after(now);
+    }
+
+    /// Takes a load report; one of a newer incarnation implies the return.
+    pub fn report(&mut self, now: time::Time, load: load::Load) {
+        self.returned(now, load.incarnation);
+        if load.incarnation == self.incarnation {
+            self.tally.report(load);
+        }
+    }
+
+    /// Returns the slots usable now, fewer during slow start.
+    pub fn slots(&self, now: time::Time) -> u32 {
+        let slots = self.tally.slots().unwrap_or(self.declared.slots).max(1);
+        let left = now.until(self.warm_at).as_secs_f64() / SLOW_START.as_secs_f64();
+        let share = 1.0 - 0.75 * left.clamp(0.0, 1.0);
+        ((f64::from(slots) * share) as u32).max(1)
+    }
+
+    /// Returns how many more requests fit, waiting ones included.
+    pub fn room(&self, now: time::Time) -> u32 {
+        let slots = self.slots(now);
+        let limit = slots.saturating_add(slots.div_ceil(QUEUE_DIVISOR));
+        limit.saturating_sub(self.tally.total(now))
+    }
+
+    /// Returns how many requests wait for a slot before a new one.
+    pub fn ahead(&self, now: time::Time) -> u32 {
+        let after = self.tally.total(now).saturating_add(1);
+        after.saturating_sub(self.slots(now))
+    }
+
+    /// Returns the expected time to first token of a request with uncached prompt tokens.
+    pub fn expected(&self, now: time::Time, uncached: u32) -> Duration {
+        let wait = self.estimate.wait(self.ahead(now), self.slots(now));
+        let prefill = self.estimate.prefill(self.pending.saturating_add(uncached));
+        let link = self.link.saturating_mul(2);
+        wait + prefill + link + self.estimate.bias()
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/weights.rs
@@ -0,0 +1,21 @@
+//! How much time price and risk are worth.
+
+use std::time;
+
+/// Exchange rates between time to first token and the other aims.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// Delay accepted to run at half the price.
+    pub price: time::Duration,
+    /// Delay accepted to stay out of a failure domain that is being reclaimed.
+    pub reclaim: time::Duration,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self {
+            price: time::Duration::from_millis(20),
+            reclaim: time::Duration::from_millis(400),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,205 @@
+//! Admission of requests.
+
+use guavausher_core::admission;
+use guavausher_core::declaration;
+use guavausher_core::name;
+use guavausher_core::time;
+use rstest::rstest;
+
+const NOW: time::Time = time::Time::from_millis(1_000);
+
+fn name(text: &str) -> name::Name {
+    name::Name::from(text)
+}
+
+fn workspace(text: &str, weight: u32) -> declaration::Workspace {
+    declaration::Workspace {
+        name: name(text),
+        weight,
+        rate: 1_000,
+        concurrency: 200,
+    }
+}
+
+fn admission(slots: u32) -> admission::Admission {
+    let mut admission = admission::Admission::new(7);
+    let declaration = declaration::Declaration {
+        workspaces: vec![
+            workspace("large", 1),
+            workspace("small", 1),
+            workspace("heavy", 3),
+        ],
+        ..declaration::Declaration::default()
+    };
+    admission.declare(NOW, &declaration);
+    admission.set_capacity(NOW, &name("guava-model"), slots);
+    admission
+}
+
+fn ticket(request: u64, workspace: &str) -> admission::Ticket {
+    admission::Ticket {
+        request,
+        workspace: name(workspace),
+        service: name("guava-model"),
+        priority: declaration::Priority::Quick,
+        cost: 100,
+        deadline: time::Time::from_millis(60_000),
+    }
+}
+
+fn long(request: u64, workspace: &str) -> admission::Ticket {
+    admission::Ticket {
+        priority: declaration::Priority::Long,
+        ..ticket(request, workspace)
+    }
+}
+
+/// Runs a saturated gate for some turns and returns the order of grants.
+fn drain(admission: &mut admission::Admission, running: &mut Vec<u64>, turns: usize) -> Vec<u64> {
+    let mut order = Vec::new();
+    for _ in 0..turns {
+        if running.is_empty() {
+            break;
+        }
+        admission.release(NOW, running.remove(0), true);
+        let turn = admission.poll(NOW);
+        running.extend(&turn.granted);
+        order.extend(turn.granted);
+    }
+    order
+}
+
+/// Fills a gate of four slots with one workspace's requests and queues more of it.
+fn flooded() -> (admission::Admission, Vec<u64>) {
+    let mut admission = admission(4);
+    let mut running = Vec::new();
+    for request in 0..40 {
+        if admission.offer(NOW, ticket(request, "large")) == admission::Decision::Admit {
+            running.push(request);
+        }
+    }
+    (admission, running)
+}
+
+#[test]
+fn offer_admits_up_to_capacity() {
+    let (_, running) = flooded();
+    assert_eq!(running.len(), 4);
+}
+
+#[rstest]
+#[case::equal("small", 8)]
+#[case::weighted("heavy", 12)]
+fn poll_shares_by_weight(#[case] other: &str, #[case] least: usize) {
+    let (mut admission, mut running) = flooded();
+    for request in 100..140 {
+        assert_eq!(
+            admission.offer(NOW, ticket(request, other)),
+            admission::Decision::Queue
+        );
+    }
+    let order = drain(&mut admission, &mut running, 16);
+    let granted = order.iter().filter(|&&request| request >= 100).count();
+    assert!(granted >= least, "{granted} of {} grants", order.len());
+}
+
+#[test]
+fn poll_starves_neither_class() {
+    let (mut admission, mut running) = flooded();
+    for request in 200..210 {
+        admission.offer(NOW, long(request, "small"));
+    }
+    let order = drain(&mut admission, &mut running, 20);
+    let granted = order.iter().filter(|&&request| request >= 200).count();
+    assert!(
+        (3..=10).contains(&granted),
+        "{granted} long grants of {}",
+        order.len()
+    );
+}
+
+#[test]
+fn offer_refuses_hopeless_at_once() {
+    let (mut admission, _) = flooded();
+    let mut late = ticket(50, "small");
+    late.deadline = time::Time::from_millis(1_001);
+    let admission::Decision::Refuse(refusal) = admission.offer(NOW, late) else {
+        panic!("not refused");
+    };
+    assert_eq!(refusal.reason, admission::Reason::Deadline);
+    assert!(refusal.retry_at > NOW);
+}
+
+#[test]
+fn poll_refuses_past_deadline() {
+    let (mut admission, _) = flooded();
+    let mut short = ticket(50, "small");
+    short.deadline = time::Time::from_millis(10_000);
+    assert_eq!(admission.offer(NOW, short), admission::Decision::Queue);
+    assert_eq!(admission.wake(), Some(time::Time::from_millis(10_000)));
+    let turn = admission.poll(time::Time::from_millis(10_001));
+    assert_eq!(
+        turn.refused.first().map(|refusal| refusal.request),
+        Some(50)
+    );
+}
+
+#[test]
+fn offer_bounds_queue() {
+    let mut admission = admission(0);
+    let mut queued = 0;
+    for request in 0..200 {
+        if admission.offer(NOW, ticket(request, "large")) == admission::Decision::Queue {
+            queued += 1;
+        }
+    }
+    assert!(queued <= 64, "{queued} queued");
+}
+
+#[test]
+fn offer_limits_rate() {
+    let mut admission = admission(10_000);
+    let declaration = declaration::Declaration {
+        workspaces: vec![declaration::Workspace {
+            rate: 5,
+            ..workspace("large", 1)
+        }],
+        ..declaration::Declaration::default()
+    };
+    admission.declare(NOW, &declaration);
+    let decisions: Vec<_> = (0..10)
+        .map(|request| admission.offer(NOW, ticket(request, "large")))
+        .collect();
+    let admitted = decisions
+        .iter()
+        .filter(|d| **d == admission::Decision::Admit)
+        .count();
+    assert_eq!(admitted, 5);
+}
+
+#[test]
+fn offer_refuses_unknown_workspace() {
+    let mut admission = admission(4);
+    let decision = admission.offer(NOW, ticket(1, "nobody"));
+    assert!(matches!(decision, admission::Decision::Refuse(_)));
+}
+
+#[test]
+fn release_frees_concurrency() {
+    let mut admission = admission(1_000);
+    for request in 0..200 {
+        assert_eq!(
+            admission.offer(NOW, ticket(request, "large")),
+            admission::Decision::Admit
+        );
+    }
+    assert!(matches!(
+        admission.offer(NOW, ticket(200, "large")),
+        admission::Decision::Refuse(_)
+    ));
+    admission.release(NOW, 0, true);
+    assert_eq!(
+        admission.offer(NOW, ticket(201, "large")),
+        admission::Decision::Admit
+    );
+}
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,214 @@
+//! Choice of upstreams.
+
+use std::sync;
+
+use guavausher_core::declaration;
+use guavausher_core::name;
+use guavausher_core::routing;
+use guavausher_core::time;
+use rstest::rstest;
+
+const NOW: time::Time = time::Time::from_millis(1_000);
+
+fn name(text: &str) -> name::Name {
+    name::Name::from(text)
+}
+
+fn upstream(index: u32, version: &str) -> declaration::Upstream {
+    declaration::Upstream {
+        name: name::Name::from(format!("engine-{index}")),
+        service: name("verse-scribe"),
+        version: name(version),
+        address: ([127, 0, 0, 1], 9000 + index as u16).into(),
+        domain: name("tolgoit"),
+        class: name("gpu-small"),
+        market: declaration::Market::Reclaimable,
+        slots: 4,
+    }
+}
+
+fn declaration(count: u32) -> declaration::Declaration {
+    declaration::Declaration {
+        domains: vec![declaration::Domain {
+            name: name("tolgoit"),
+            region: name("ulaanbaatar"),
+        }],
+        services: vec![declaration::Service {
+            name: name("verse-scribe"),
+            kind: declaration::Kind::Model,
+            version: name("v1"),
+            fencing: true,
+            deduplicates: false,
+        }],
+        upstreams: (0..count).map(|index| upstream(index, "v1")).collect(),
+        ..declaration::Declaration::default()
+    }
+}
+
+fn fleet(count: u32) -> routing::Fleet {
+    let mut fleet = routing::Fleet::new(name("tolgoit"), 7);
+    fleet.declare(NOW, &declaration(count));
+    fleet
+}
+
+fn query(blocks: &[u64]) -> routing::Query {
+    routing::Query {
+        service: name("verse-scribe"),
+        version: None,
+        workspace: name("monks"),
+        priority: declaration::Priority::Quick,
+        blocks: sync::Arc::from(blocks),
+        prompt: blocks.len() as u32 * routing::BLOCK_TOKENS,
+        output: 100,
+        excluded: Vec::new(),
+        sticky: None,
+    }
+}
+
+fn load(incarnation: u64, running: u32, at: time::Time) -> routing::Load {
+    routing::Load {
+        incarnation,
+        queue: 0,
+        running,
+        slots: 4,
+        at,
+    }
+}
+
+/// A hash chain whose members differ in all bits.
+fn chain(seed: u64, length: u64) -> Vec<u64> {
+    (0..length)
+        .map(|index| (seed * 1_000 + index + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15))
+        .collect()
+}
+
+#[test]
+fn choose_prefers_cached() {
+    let mut fleet = fleet(20);
+    let query = query(&chain(1, 64));
+    let first = fleet.choose(NOW, &query).expect("room");
+    fleet.start(NOW, 1, &first, &query);
+    fleet.first_token(NOW, 1);
+    fleet.end(
+        NOW,
+        1,
+        routing::Outcome::Finished {
+            prompt: 1024,
+            cached: 0,
+        },
+    );
+    for _ in 0..20 {
+        assert_eq!(
+            fleet.choose(NOW, &query).expect("room").upstream,
+            first.upstream
+        );
+    }
+}
+
+#[rstest]
+#[case::same_incarnation(0, false)]
+#[case::higher_incarnation(1, true)]
+fn leave_latches_incarnation(#[case] incarnation: u64, #[case] open: bool) {
+    let mut fleet = fleet(1);
+    fleet.leave(&name("engine-0"), 0);
+    fleet.returned(NOW, &name("engine-0"), incarnation);
+    fleet.report(NOW, &name("engine-0"), load(incarnation, 0, NOW));
+    assert_eq!(fleet.choose(NOW, &query(&[])).is_ok(), open);
+}
+
+#[test]
+fn choose_exhausted_when_full() {
+    let mut fleet = fleet(2);
+    let mut attempts = 0;
+    let exhausted = loop {
+        match fleet.choose(NOW, &query(&[])) {
+            Ok(choice) => fleet.start(NOW, attempts, &choice, &query(&[])),
+            Err(exhausted) => break exhausted,
+        }
+        attempts += 1;
+        assert!(attempts < 100, "unbounded dispatch");
+    };
+    assert!(attempts >= 8, "only {attempts} dispatched to 8 slots");
+    assert!(exhausted.retry_at > NOW);
+}
+
+#[test]
+fn choose_skips_excluded() {
+    let mut fleet = fleet(2);
+    let mut query = query(&[]);
+    query.excluded = vec![name("engine-0")];
+    for _ in 0..20 {
+        assert_eq!(
+            fleet.choose(NOW, &query).expect("room").upstream,
+            name("engine-1")
+        );
+    }
+}
+
+#[test]
+fn choose_panics_never_empties_pool() {
+    let mut fleet = fleet(3);
+    for attempt in 0..30 {
+        let Ok(choice) = fleet.choose(NOW, &query(&[])) else {
+            panic!("attempt {attempt} found an empty pool");
+        };
+        fleet.start(NOW, attempt, &choice, &query(&[]));
+        fleet.end(NOW, attempt, routing::Outcome::Failed);
+    }
+}
+
+#[test]
+fn choose_keeps_sticky() {
+    let mut fleet = fleet(20);
+    let mut query = query(&[]);
+    query.sticky = Some(name("engine-13"));
+    assert_eq!(
+        fleet.choose(NOW, &query).expect("room").upstream,
+        name("engine-13")
+    );
+}
+
+#[test]
+fn choose_unknown_service_exhausted() {
+    let mut fleet = fleet(2);
+    let mut query = query(&[]);
+    query.service = name("kiosk-desk");
+    assert!(fleet.choose(NOW, &query).is_err());
+}
+
+#[test]
+fn declare_keeps_state_of_unchanged() {
+    let mut fleet = fleet(20);
+    let query = query(&chain(2, 64));
+    let first = fleet.choose(NOW, &query).expect("room");
+    fleet.start(NOW, 1, &first, &query);
+    fleet.first_token(NOW, 1);
+    fleet.leave(&name("engine-3"), 0);
+    let mut smaller = declaration(20);
+    smaller
+        .upstreams
+        .retain(|upstream| upstream.name != name("engine-0"));
+    fleet.declare(NOW, &smaller);
+    let mut left = query.clone();
+    left.excluded = (0..20)
+        .filter(|&i| i != 3)
+        .map(|i| name(&format!("engine-{i}")))
+        .collect();
+    assert!(fleet.choose(NOW, &left).is_err(), "latch lost");
+    fleet.end(NOW, 1, routing::Outcome::Cancelled);
+}
+
+#[test]
+fn report_corrected_by_own_dispatches() {
+    let mut fleet = fleet(2);
+    let mut only = query(&[]);
+    only.excluded = vec![name("engine-1")];
+    let later = time::Time::from_millis(2_000);
+    for attempt in 0..4 {
+        let choice = fleet.choose(later, &only).expect("room");
+        fleet.start(later, attempt, &choice, &only);
+    }
+    fleet.report(later, &name("engine-0"), load(0, 0, NOW));
+    let choice = fleet.choose(later, &query(&[])).expect("room");
+    assert_eq!(choice.upstream, name("engine-1"));
+}
