Add stand-ins for engine, plain service and platform

Cause: the data path, the controller and their tests need outside parties that can fail on demand. Change: three hyper servers, each a library call with its own runtime thread and a binary, one set of faults, protocols in the crate's README.

--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,14 @@
+//! The stand-in for a model engine.
+
+mod batch;
+mod cache;
+mod config;
+mod kv;
+mod orders;
+mod prompt;
+mod server;
+mod stream;
+
+pub use config::Config;
+pub use prompt::{BLOCK_WORDS, blocks, token};
+pub use server::start;
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,12 @@
+//! The stand-in for the platform: object API, instance list, cloud API and weight store.
+
+mod calls;
+mod cloud;
+mod config;
+mod instances;
+mod objects;
+mod server;
+mod weights;
+
+pub use config::Config;
+pub use server::start;
