Add the peering reducer and the quarantine of crashing requests

Cause: facts and documents must reach every node without a full mesh or a poll of the store. Change: a reducer over links of bounded degree, a set of facts with digests, documents with patches, sums of reports towards their controller, and turns for suspect requests.

--- a/crates/core/src/fact.rs
+++ b/crates/core/src/fact.rs
@@ -36,5 +36,24 @@
     Blocked {
         /// Hash of service and body.
         fingerprint: u64,
+        /// The second upstream, whose death is no sign against other requests.
+        upstream: name::Name,
+    },
+    /// A suspect request ran alone to its end.
+    Cleared {
+        /// Hash of service and body.
+        fingerprint: u64,
+        /// The upstream whose death is no sign against the request any more.
+        upstream: name::Name,
+    },
+    /// A controller decides about the rollouts of a service; a higher fencing number replaces a
+    /// lower one.
+    Holder {
+        /// The service.
+        service: name::Name,
+        /// The entry beside the controller.
+        holder: name::Name,
+        /// Fencing number of the lease.
+        fencing: u64,
     },
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod exchange;
 pub mod fact;
 pub mod name;
+pub mod peering;
+pub mod poison;
 pub mod store;
 pub mod time;
 pub mod verdict;
--- /dev/null
+++ b/crates/core/src/peering.rs
@@ -0,0 +1,35 @@
+//! How the nodes act together: facts and documents spread over links of bounded degree.
+//!
+//! A *fact* ([`crate::fact::Fact`]) merges by set union and is pushed to every linked peer on
+//! first receipt. A *document* is versioned by the platform's store; a few watchers in each
+//! failure domain read it, and the links carry an announcement that a peer answers by a fetch.
+//! Heartbeats hold a digest of both, so a lost message is found and mended.
+
+mod body;
+mod document;
+mod documents;
+mod event;
+mod facts;
+mod heartbeat;
+mod links;
+mod member;
+mod message;
+mod patch;
+mod report;
+mod reports;
+mod routes;
+mod state;
+mod topic;
+mod topology;
+mod watch;
+
+pub use document::{Document, MAX_BODY_BYTES};
+pub use event::{Input, Output};
+pub use heartbeat::Heartbeat;
+pub use member::Member;
+pub use message::{Fetch, Forward, Hello, Known, MAX_FACTS_IN_MESSAGE, Message, Reports};
+pub use patch::{Patch, Step};
+pub use report::Report;
+pub use state::Peering;
+pub use topic::Topic;
+pub use topology::{Topology, WATCHERS_IN_DOMAIN};
--- /dev/null
+++ b/crates/core/src/peering/report.rs
@@ -0,0 +1,53 @@
+//! What happened to the requests of one version on one route.
+
+use crate::name;
+
+/// Sums over the requests of one service, version and route since the previous report.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Report {
+    /// The service.
+    pub service: name::Name,
+    /// The version that ran the requests.
+    pub version: name::Name,
+    /// The route that they came by.
+    pub route: name::Name,
+    /// Requests that ended.
+    pub requests: u64,
+    /// Of these, the ones that ended in an error of the upstream.
+    pub errors: u64,
+    /// Of these, the ones whose first token or answer was later than the target.
+    pub slow: u64,
+    /// Of these, the ones with a gap between tokens above the target.
+    pub stalls: u64,
+    /// Of these, the ones that ran while their upstream had no free slot left.
+    pub loaded: u64,
+    /// Sum of the times to the first token in microseconds.
+    pub waited: u64,
+}
+
+impl Report {
+    /// Builds a report that counts nothing yet.
+    pub fn empty(service: name::Name, version: name::Name, route: name::Name) -> Self {
+        Self {
+            service,
+            version,
+            route,
+            requests: 0,
+            errors: 0,
+            slow: 0,
+            stalls: 0,
+            loaded: 0,
+            waited: 0,
+        }
+    }
+
+    /// Adds the counts of another report about the same version and route.
+    pub fn add(&mut self, other: &Self) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.errors = self.errors.saturating_add(other.errors);
+        self.slow = self.slow.saturating_add(other.slow);
+        self.stalls = self.stalls.saturating_add(other.stalls);
+        self.loaded = self.loaded.saturating_add(other.loaded);
+        self.waited = self.waited.saturating_add(other.waited);
+    }
+}
--- /dev/null
+++ b/crates/core/src/peering/reports.rs
@@ -0,0 +1,79 @@
+//! Sums of reports that wait for the next message towards their controller.
+
+use std::collections;
+use std::time::Duration;
+
+use super::report;
+use crate::name;
+use crate::time;
+
+/// How long sums wait for others to join them.
+const DELAY: Duration = Duration::from_millis(200);
+/// Sums that a node holds at most; further ones are dropped and counted.
+pub const MAX_SUMS: usize = 1024;
+
+/// Sums of reports that wait for the next message.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    sums: collections::BTreeMap<Key, report::Report>,
+    due: Option<time::Time>,
+    dropped: u64,
+}
+
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Key {
+    service: name::Name,
+    version: name::Name,
+    route: name::Name,
+}
+
+impl Ledger {
+    /// Adds reports to the sums.
+    pub fn add(&mut self, now: time::Time, reports: &[report::Report]) {
+        self.hold(now.after(DELAY), reports);
+    }
+
+    /// Keeps sums that no link leads on with until a later time.
+    pub fn hold(&mut self, due: time::Time, reports: &[report::Report]) {
+        for report in reports {
+            self.add_one(report);
+        }
+        if !self.sums.is_empty() {
+            self.due = Some(self.due.map_or(due, |old| old.min(due)));
+        }
+    }
+
+    /// Returns when the sums are to be sent.
+    pub fn wake(&self) -> time::Time {
+        self.due.unwrap_or(time::Time::MAX)
+    }
+
+    /// Returns how many reports found no room.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Takes all sums once they are due.
+    pub fn take(&mut self, now: time::Time) -> Vec<report::Report> {
+        if self.due.is_none_or(|due| due > now) {
+            return Vec::new();
+        }
+        self.due = None;
+        std::mem::take(&mut self.sums).into_values().collect()
+    }
+
+    fn add_one(&mut self, report: &report::Report) {
+        let key = Key {
+            service: report.service.clone(),
+            version: report.version.clone(),
+            route: report.route.clone(),
+        };
+        if let Some(sum) = self.sums.get_mut(&key) {
+            sum.add(report);
+        } else if self.sums.len() < MAX_SUMS {
+            self.sums.insert(key, report.clone());
+        } else {
+            self.dropped += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/poison.rs
@@ -0,0 +1,15 @@
+//! Quarantine of request bodies under which upstreams die.
+//!
+//! When an upstream dies, every request that it was running becomes *suspect*. Suspects run alone
+//! and one at a time over the whole fleet: one entry, chosen by rendezvous hash, hands out the
+//! turns. A suspect that ends well is cleared; one that dies in its turn is blocked everywhere,
+//! and its death is no sign against the requests that ran beside it.
+
+mod effect;
+mod quarantine;
+mod suspicions;
+mod turns;
+
+pub use effect::{Admission, Effect, Note, Outcome, Pass, Turn};
+pub use quarantine::Quarantine;
+pub use suspicions::expiry;
--- /dev/null
+++ b/crates/core/src/poison/effect.rs
@@ -0,0 +1,88 @@
+//! What the quarantine answers and asks for.
+
+use crate::fact;
+use crate::name;
+
+/// Whether a request may be dispatched.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Pass {
+    /// It may be dispatched like any other.
+    Free,
+    /// It may be dispatched in its turn, to an upstream that runs as little else as possible.
+    Alone,
+    /// It waits for [`Effect::Start`], [`Effect::StartAlone`] or [`Effect::Refuse`].
+    Wait,
+    /// It has crashed two upstreams and is never dispatched again.
+    Blocked,
+    /// Too many requests wait; it was not run and may be sent again later.
+    Full,
+}
+
+/// The answer to a request with what has to be done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Admission {
+    /// Whether it may be dispatched.
+    pub pass: Pass,
+    /// What has to be done.
+    pub effects: Vec<Effect>,
+}
+
+/// Something to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Spread a fact; [`super::expiry`] says until when.
+    Learn(fact::Fact),
+    /// Send a note to another entry.
+    Send {
+        /// The entry.
+        to: name::Name,
+        /// The note.
+        note: Note,
+    },
+    /// Dispatch a waiting request like any other; it is not suspect any more.
+    Start(u64),
+    /// Dispatch a waiting request in its turn.
+    StartAlone(u64),
+    /// Answer a waiting request for good: it crashes upstreams.
+    Block(u64),
+    /// Answer a waiting request as not run; its turn did not come in time.
+    Refuse(u64),
+}
+
+/// A request's turn at one entry.
+#[derive(
+    Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+pub struct Turn {
+    /// Hash of service and body.
+    pub fingerprint: u64,
+    /// Number of the request, unique at its entry.
+    pub request: u64,
+}
+
+/// A note between two entries about a turn.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub enum Note {
+    /// Asks for a turn.
+    Ask(Turn),
+    /// Gives the turn.
+    Grant(Turn),
+    /// Says how the turn ended.
+    Done {
+        /// The turn.
+        turn: Turn,
+        /// How it ended.
+        outcome: Outcome,
+    },
+}
+
+/// How a turn ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub enum Outcome {
+    /// The request ran to its end.
+    Finished,
+    /// The upstream died under the request.
+    Died,
+    /// The request was given up; this says nothing about it.
+    Released,
+}
--- /dev/null
+++ b/crates/core/src/poison/quarantine.rs
@@ -0,0 +1,308 @@
+//! The quarantine at one entry.
+
+use std::collections;
+use std::time::Duration;
+
+use super::effect::{Admission, Effect, Note, Outcome, Pass, Turn};
+use super::{suspicions, turns};
+use crate::fact;
+use crate::name;
+use crate::time;
+
+/// Requests that wait at one entry at most.
+const MAX_WAITING: usize = 512;
+/// Time between two questions for the same turn.
+const ASK_AGAIN: Duration = Duration::from_secs(1);
+/// How long a request waits for its turn at most.
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// The quarantine at one entry.
+///
+/// ```
+/// use guavausher_core::name;
+/// use guavausher_core::poison;
+/// use guavausher_core::time;
+/// let mut quarantine = poison::Quarantine::new(name::Name::from("entry-1"));
+/// let now = time::Time::from_millis(1);
+/// assert_eq!(quarantine.admit(now, 7, 1).pass, poison::Pass::Free);
+/// quarantine.died(now, 7, 1, &name::Name::from("engine-1"));
+/// let later = time::Time::from_millis(1_000);
+/// assert_eq!(quarantine.admit(later, 7, 2).pass, poison::Pass::Alone);
+/// quarantine.died(later, 7, 2, &name::Name::from("engine-2"));
+/// assert_eq!(quarantine.admit(later, 7, 3).pass, poison::Pass::Blocked);
+/// ```
+#[derive(Debug)]
+pub struct Quarantine {
+    own: name::Name,
+    owner: name::Name,
+    suspicions: suspicions::Suspicions,
+    turns: turns::Turns,
+    waiting: collections::BTreeMap<u64, Waiting>,
+    running: collections::BTreeMap<u64, Running>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    fingerprint: u64,
+    ask: time::Time,
+    deadline: time::Time,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    fingerprint: u64,
+    owner: name::Name,
+    solo: time::Time,
+}
+
+impl Quarantine {
+    /// Builds an empty quarantine for an entry that knows of no other.
+    pub fn new(own: name::Name) -> Self {
+        Self {
+            owner: own.clone(),
+            own,
+            suspicions: suspicions::Suspicions::default(),
+            turns: turns::Turns::default(),
+            waiting: collections::BTreeMap::new(),
+            running: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes the names of all entries; one of them hands out the turns.
+    pub fn set_members<'a>(&mut self, entries: impl IntoIterator<Item = &'a name::Name>) {
+        let rank = |entry: &&name::Name| twox_hash::XxHash64::oneshot(0, entry.as_bytes());
+        let first = entries.into_iter().min_by_key(rank);
+        self.owner = first.unwrap_or(&self.own).clone();
+    }
+
+    /// Decides about a request before each of its dispatches.
+    pub fn admit(&mut self, now: time::Time, fingerprint: u64, request: u64) -> Admission {
+        let mut effects = self.tick(now);
+        let pass = match self.suspicions.standing(fingerprint) {
+            suspicions::Standing::Free => Pass::Free,
+            suspicions::Standing::Blocked => Pass::Blocked,
+            _ if self.waiting.len() >= MAX_WAITING => Pass::Full,
+            _ => {
+                let waiting = Waiting {
+                    fingerprint,
+                    ask: self.suspicions.ready(fingerprint).max(now),
+                    deadline: now.after(PATIENCE),
+                };
+                self.waiting.insert(request, waiting);
+                effects.extend(self.tick(now));
+                let started = Effect::StartAlone(request);
+                match effects.iter().position(|effect| *effect == started) {
+                    Some(at) => {
+                        effects.remove(at);
+                        Pass::Alone
+                    }
+                    None => Pass::Wait,
+                }
+            }
+        };
+        Admission { pass, effects }
+    }
+
+    /// Takes the death of an upstream under a request, which ends its turn.
+    pub fn died(
+        &mut self,
+        now: time::Time,
+        fingerprint: u64,
+        request: u64,
+        upstream: &name::Name,
+    ) -> Vec<Effect> {
+        let running = self.running.get(&request);
+        let alone = running.is_some_and(|running| running.solo > now);
+        let facts = self.suspicions.died(now, fingerprint, upstream, alone);
+        let mut effects: Vec<_> = facts.into_iter().map(Effect::Learn).collect();
+        let outcome = if alone {
+            Outcome::Died
+        } else {
+            Outcome::Released
+        };
+        effects.extend(self.end(request, outcome));
+        effects.extend(self.tick(now));
+        effects
+    }
+
+    /// Takes the whole answer to a request, which clears it if it ran in its turn.
+    pub fn finished(&mut self, now: time::Time, request: u64) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if let Some(running) = self.running.get(&request) {
+            let facts = self.suspicions.clear(now, running.fingerprint);
+            effects.extend(facts.into_iter().map(Effect::Learn));
+        }
+        effects.extend(self.end(request, Outcome::Finished));
+        effects.extend(self.tick(now));
+        effects
+    }
+
+    /// Takes the end of a request that says nothing about it.
+    pub fn released(&mut self, now: time::Time, request: u64) -> Vec<Effect> {
+        let mut effects = self.end(request, Outcome::Released);
+        effects.extend(self.tick(now));
+        effects
+    }
+
+    /// Takes a fact that is new here.
+    pub fn learn(&mut self, now: time::Time, fact: &fact::Fact) -> Vec<Effect> {
+        self.suspicions.learn(now, fact);
+        self.tick(now)
+    }
+
+    /// Takes a note from another entry.
+    pub fn receive(&mut self, now: time::Time, from: &name::Name, note: Note) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let entry = from.clone();
+        match note {
+            Note::Ask(turn) => effects.extend(self.asked(turns::Seat { entry, turn })),
+            Note::Grant(turn) => effects.extend(self.granted(now, entry, turn)),
+            Note::Done { turn, outcome } => {
+                if outcome == Outcome::Finished {
+                    self.suspicions.clear(now, turn.fingerprint);
+                }
+                if outcome == Outcome::Died {
+                    // The fact is on its way here, but it may come after the next turn.
+                    self.suspicions.block_early(now, turn.fingerprint);
+                }
+                self.turns.end(&turns::Seat { entry, turn });
+            }
+        }
+        effects.extend(self.tick(now));
+        effects
+    }
+
+    /// Takes the passing of time.
+    pub fn tick(&mut self, now: time::Time) -> Vec<Effect> {
+        let facts = self.suspicions.advance(now);
+        let mut effects: Vec<_> = facts.into_iter().map(Effect::Learn).collect();
+        let requests: Vec<_> = self.waiting.keys().copied().collect();
+        for request in requests {
+            effects.extend(self.settle(now, request));
+        }
+        while let Some(seat) = self.turns.next(now) {
+            effects.extend(self.grant(now, seat));
+        }
+        effects
+    }
+
+    /// Returns when the next `tick` is due at the latest.
+    pub fn wake(&self) -> time::Time {
+        let asks = self.waiting.values().map(|waiting| waiting.ask);
+        asks.chain([self.suspicions.wake(), self.turns.wake()])
+            .min()
+            .unwrap_or(time::Time::MAX)
+    }
+
+    fn settle(&mut self, now: time::Time, request: u64) -> Vec<Effect> {
+        let Some(waiting) = self.waiting.get_mut(&request) else {
+            return Vec::new();
+        };
+        let fingerprint = waiting.fingerprint;
+        let turn = Turn {
+            fingerprint,
+            request,
+        };
+        let asks = waiting.ask <= now;
+        if asks {
+            waiting.ask = now.after(ASK_AGAIN);
+        }
+        let end = match self.suspicions.standing(fingerprint) {
+            suspicions::Standing::Free => Effect::Start(request),
+            suspicions::Standing::Blocked => Effect::Block(request),
+            _ if waiting.deadline <= now => Effect::Refuse(request),
+            suspicions::Standing::Suspect if asks => return self.ask(turn),
+            _ => return Vec::new(),
+        };
+        self.waiting.remove(&request);
+        let owner = self.owner.clone();
+        let mut effects = self.done(owner, turn, Outcome::Released);
+        effects.push(end);
+        effects
+    }
+
+    fn ask(&mut self, turn: Turn) -> Vec<Effect> {
+        if self.owner == self.own {
+            let entry = self.own.clone();
+            self.turns.ask(turns::Seat { entry, turn });
+            return Vec::new();
+        }
+        let to = self.owner.clone();
+        let note = Note::Ask(turn);
+        vec![Effect::Send { to, note }]
+    }
+
+    fn asked(&mut self, seat: turns::Seat) -> Vec<Effect> {
+        if self.turns.runs(&seat) {
+            // The first grant may have been lost.
+            let turns::Seat { entry: to, turn } = seat;
+            let note = Note::Grant(turn);
+            return vec![Effect::Send { to, note }];
+        }
+        self.turns.ask(seat);
+        Vec::new()
+    }
+
+    fn grant(&mut self, now: time::Time, seat: turns::Seat) -> Vec<Effect> {
+        let standing = self.suspicions.standing(seat.turn.fingerprint);
+        if matches!(
+            standing,
+            suspicions::Standing::Blocked | suspicions::Standing::Held
+        ) {
+            self.turns.end(&seat);
+            return Vec::new();
+        }
+        if seat.entry == self.own {
+            return self.granted(now, seat.entry, seat.turn);
+        }
+        let to = seat.entry;
+        let note = Note::Grant(seat.turn);
+        vec![Effect::Send { to, note }]
+    }
+
+    fn granted(&mut self, now: time::Time, owner: name::Name, turn: Turn) -> Vec<Effect> {
+        if self.running.contains_key(&turn.request) {
+            return Vec::new();
+        }
+        let waits = self.waiting.get(&turn.request);
+        if waits.is_none_or(|waiting| waiting.fingerprint != turn.fingerprint) {
+            return self.done(owner, turn, Outcome::Released);
+        }
+        self.waiting.remove(&turn.request);
+        let running = Running {
+            fingerprint: turn.fingerprint,
+            owner,
+            solo: now.after(turns::SOLO),
+        };
+        self.running.insert(turn.request, running);
+        vec![Effect::StartAlone(turn.request)]
+    }
+
+    fn end(&mut self, request: u64, outcome: Outcome) -> Vec<Effect> {
+        if let Some(running) = self.running.remove(&request) {
+            let turn = Turn {
+                fingerprint: running.fingerprint,
+                request,
+            };
+            return self.done(running.owner, turn, outcome);
+        }
+        let Some(waiting) = self.waiting.remove(&request) else {
+            return Vec::new();
+        };
+        let turn = Turn {
+            fingerprint: waiting.fingerprint,
+            request,
+        };
+        self.done(self.owner.clone(), turn, outcome)
+    }
+
+    fn done(&mut self, owner: name::Name, turn: Turn, outcome: Outcome) -> Vec<Effect> {
+        if owner == self.own {
+            let entry = self.own.clone();
+            self.turns.end(&turns::Seat { entry, turn });
+            return Vec::new();
+        }
+        let note = Note::Done { turn, outcome };
+        vec![Effect::Send { to: owner, note }]
+    }
+}
--- /dev/null
+++ b/crates/core/src/poison/turns.rs
@@ -0,0 +1,89 @@
+//! The turns that one entry hands out to the whole fleet.
+
+use std::collections;
+use std::time::Duration;
+
+use super::effect;
+use crate::name;
+use crate::time;
+
+/// Requests that wait for a turn at most.
+const MAX_WAITING: usize = 1024;
+/// How long a turn keeps the others waiting at most.
+pub const SOLO: Duration = Duration::from_secs(2);
+/// How long a turn whose end is unknown keeps others with its fingerprint waiting.
+const OUTSTANDING: Duration = Duration::from_secs(60);
+
+/// A turn with the entry that has it.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Seat {
+    /// The entry.
+    pub entry: name::Name,
+    /// The turn.
+    pub turn: effect::Turn,
+}
+
+/// The turns that one entry hands out.
+#[derive(Debug, Default)]
+pub struct Turns {
+    waiting: collections::VecDeque<Seat>,
+    running: collections::BTreeMap<Seat, time::Time>,
+    solo: Option<time::Time>,
+}
+
+impl Turns {
+    /// Queues a request; returns whether it is known now.
+    pub fn ask(&mut self, seat: Seat) -> bool {
+        if self.running.contains_key(&seat) || self.waiting.contains(&seat) {
+            return true;
+        }
+        if self.waiting.len() >= MAX_WAITING {
+            return false;
+        }
+        self.waiting.push_back(seat);
+        true
+    }
+
+    /// Ends a turn, or takes a request that waits out of the queue.
+    pub fn end(&mut self, seat: &Seat) {
+        self.waiting.retain(|waiting| waiting != seat);
+        if self.running.remove(seat).is_some() {
+            self.solo = None;
+        }
+    }
+
+    /// Returns whether a turn has been given out and not ended.
+    pub fn runs(&self, seat: &Seat) -> bool {
+        self.running.contains_key(seat)
+    }
+
+    /// Gives out the next turn if none is running.
+    pub fn next(&mut self, now: time::Time) -> Option<Seat> {
+        self.running.retain(|_, deadline| *deadline > now);
+        if self.solo.is_some_and(|until| until > now) {
+            return None;
+        }
+        let runs = |fingerprint| {
+            let mut seats = self.running.keys();
+            seats.any(|seat| seat.turn.fingerprint == fingerprint)
+        };
+        let free = |seat: &Seat| !runs(seat.turn.fingerprint);
+        let at = self.waiting.iter().position(free)?;
+        let seat = self.waiting.remove(at)?;
+        self.solo = Some(now.after(SOLO));
+        self.running.insert(seat.clone(), now.after(OUTSTANDING));
+        Some(seat)
+    }
+
+    /// Returns when a turn may be given out without another event.
+    pub fn wake(&self) -> time::Time {
+        if self.waiting.is_empty() {
+            return time::Time::MAX;
+        }
+        let outstanding = self.running.values().min().copied();
+        let solo = self
+            .solo
+            .filter(|solo| outstanding.is_none_or(|first| *solo < first));
+        solo.or(outstanding).unwrap_or(time::Time::MAX)
+    }
+}
