Link peers over h2 with bincode frames

Cause: the reducer's messages need a transport that only holders of the deployment's key can use. Change: frames with a bounded length, one h2 stream a link, bounded queues and times, counted bytes, one thread for all links; of two links between the same processes one is kept.

--- a/crates/core/src/peering.rs
+++ b/crates/core/src/peering.rs
@@ -25,11 +25,13 @@
 
 pub use document::{Document, MAX_BODY_BYTES};
 pub use event::{Input, Output};
+pub use facts::{BUCKETS, MAX_FACTS};
 pub use heartbeat::Heartbeat;
 pub use member::Member;
 pub use message::{Fetch, Forward, Hello, Known, MAX_FACTS_IN_MESSAGE, Message, Reports};
 pub use patch::{Patch, Step};
 pub use report::Report;
+pub use reports::MAX_SUMS;
 pub use state::Peering;
 pub use topic::Topic;
 pub use topology::{Topology, WATCHERS_IN_DOMAIN};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder replaced by the first real module.
+//! The shell around the decisions: sockets, timers, logs and metrics.
+
+pub mod peers;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder replaced by the first real module.
+//! Encodings between the processes of the system; no input and no output.
+
+pub mod note;
+pub mod peer;
