Add guavactl, the operator's tool

Cause: a checked declaration had no way into the platform's service, and operators no view of it. Ruled out: a last-write-wins put, which loses a racing operator's change; trusting the answer of a write, since answers are lost after the write took effect; an audit record only afterwards, which leaves a change unrecorded when the platform goes down in between; an unbounded list of the audit trail. A write carries its operation's id, is read back after a lost answer or a conflict, and is repeated only while its expected version stands. Apply keeps the replaced generation in the history first, so that a write overtaken later is still told as accepted. The record is opened before the change and closed with its outcome.

--- a/crates/core/src/declaration/envelope.rs
+++ b/crates/core/src/declaration/envelope.rs
@@ -3,6 +3,7 @@
 use crate::declaration;
 use crate::declaration::stored;
 use crate::name;
+use crate::time;
 
 /// A declaration with who wrote it; its generation is the object's version.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -11,6 +12,9 @@
     pub operation: name::Name,
     /// The operator who wrote it.
     pub author: name::Name,
+    /// When the operator's tool wrote it.
+    #[serde(default)]
+    pub at: time::Time,
     /// The declared configuration.
     pub declaration: declaration::Declaration,
 }
--- a/crates/core/tests/declaration_stored.rs
+++ b/crates/core/tests/declaration_stored.rs
@@ -2,6 +2,7 @@
 
 use guavausher_core::declaration;
 use guavausher_core::name;
+use guavausher_core::time;
 use rstest::rstest;
 
 fn sample(upstreams: usize) -> declaration::Declaration {
@@ -74,6 +75,7 @@
     let want = declaration::Envelope {
         operation: name::Name::from("op-1"),
         author: name::Name::from("batu"),
+        at: time::Time::from_millis(5),
         declaration: sample(2),
     };
     let text = want.to_json().expect("encodes");
--- /dev/null
+++ b/crates/ctl/src/wait.rs
@@ -0,0 +1,117 @@
+//! The command `wait`.
+
+use std::time;
+
+use serde_json::json;
+
+use crate::client;
+use crate::error;
+use crate::exit;
+use crate::report;
+use crate::rollout;
+use crate::status;
+use crate::view;
+
+/// What to wait for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Goal {
+    /// The generation that every failure domain must report; the stored one if not given.
+    pub generation: Option<u64>,
+    /// The service whose rollout must end.
+    pub rollout: Option<String>,
+}
+
+/// How far the goal is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// Not there yet.
+    Waiting,
+    /// Reached.
+    Reached,
+    /// It will not be reached: the rollout was taken back.
+    Failed,
+}
+
+impl Goal {
+    /// Returns how far the state is from the goal.
+    pub fn progress(&self, view: &view::View) -> Progress {
+        let generation = self.generation.unwrap_or(view.generation);
+        if !view.is_in_force(generation) {
+            return Progress::Waiting;
+        }
+        let Some(service) = &self.rollout else {
+            return Progress::Reached;
+        };
+        match view.rollout(service) {
+            Some(rollout) if rollout.generation < generation => Progress::Waiting,
+            Some(rollout) if rollout.phase.as_str() == rollout::DONE => Progress::Reached,
+            Some(rollout) if rollout.is_final() => Progress::Failed,
+            _ => Progress::Waiting,
+        }
+    }
+
+    /// Says in one line how far the state is.
+    pub fn describe(&self, view: &view::View) -> String {
+        let generation = self.generation.unwrap_or(view.generation);
+        let domain = |domain: &view::Domain| {
+            let seen = domain.generation.map(|seen| seen.to_string());
+            format!("{} {}", domain.name, seen.unwrap_or_else(|| "-".to_owned()))
+        };
+        let domains: Vec<_> = view.domains.iter().map(domain).collect();
+        let mut text = format!("generation {generation}: {}", domains.join(", "));
+        if let Some(service) = &self.rollout {
+            let phase = match view.rollout(service) {
+                Some(rollout) => format!("{} at {} of 1000", rollout.phase, rollout.share),
+                None => "no rollout yet".to_owned(),
+            };
+            text.push_str(&format!("; {service}: {phase}"));
+        }
+        text
+    }
+}
+
+/// Waits until the goal is reached or failed, or the client's time is up.
+///
+/// Calls `show` with a line whenever the progress changes.
+///
+/// # Errors
+///
+/// Fails if the platform gives no answer or nothing is stored.
+pub fn wait(
+    client: &client::Client,
+    goal: &Goal,
+    mut show: impl FnMut(&str),
+) -> Result<report::Report, error::Error> {
+    let deadline = time::Instant::now() + client.timeout();
+    let mut viewer = view::Viewer::new(client);
+    let mut shown = String::new();
+    loop {
+        let revision = client.list(status::PREFIX)?.revision;
+        let view = viewer.view()?;
+        let line = goal.describe(&view);
+        if line != shown {
+            show(&line);
+            shown = line;
+        }
+        match goal.progress(&view) {
+            Progress::Waiting if time::Instant::now() < deadline => {
+                client.watch(status::PREFIX, revision)?;
+            }
+            progress => return Ok(ending(progress, goal, &view)),
+        }
+    }
+}
+
+fn ending(progress: Progress, goal: &Goal, view: &view::View) -> report::Report {
+    let (exit, outcome) = match progress {
+        Progress::Reached => (exit::Exit::Done, "reached"),
+        Progress::Failed => (exit::Exit::Refused, "taken-back"),
+        Progress::Waiting => (exit::Exit::Refused, "timeout"),
+    };
+    report::Report {
+        exit,
+        text: format!("{outcome}: {}\n", goal.describe(view)),
+        json: json!({ "outcome": outcome, "state": view }),
+        warnings: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/commands.rs
@@ -0,0 +1,203 @@
+//! The commands that read, wait and drain.
+
+mod support;
+
+use std::thread;
+
+use guavactl::exit;
+use guavactl::operation;
+use rstest::rstest;
+
+const DOMAINS: [&str; 3] = ["altan-ulgii", "bayanzurkh", "tolgoit"];
+
+fn report(session: &support::Session, domain: &str, generation: u64, age_seconds: u64) {
+    let at = operation::now().as_micros() - age_seconds * 1_000_000;
+    let body = format!(
+        "{{\"generation\":{generation},\"instance\":\"entry-1\",\"domain\":\"{domain}\",\
+         \"ready\":true,\"leaving\":[\"verse-3\"],\"at\":{at}}}"
+    );
+    session.store(&format!("status/{domain}/entry-1"), &body);
+}
+
+fn report_all(session: &support::Session, generation: u64) {
+    for domain in DOMAINS {
+        report(session, domain, generation, 0);
+    }
+}
+
+fn rollout(session: &support::Session, phase: &str) {
+    let body = format!(
+        "{{\"verse-scribe\":{{\"from\":\"v1\",\"to\":\"v2\",\"share\":50,\"phase\":\"{phase}\",\
+         \"deadline\":\"2026-12-04T11:00:00Z\",\"generation\":1}}}}"
+    );
+    session.store("rollouts/current", &body);
+}
+
+#[test]
+fn check_counts() {
+    let session = support::Session::start("check_counts");
+    let ran = session.run("batu", "check");
+    assert_eq!(ran.exit, exit::Exit::Done);
+    assert!(
+        ran.out
+            .starts_with("erdene: 3 domains, 2 services, 13 upstreams"),
+        "{ran:?}"
+    );
+}
+
+#[test]
+fn check_lists_faults() {
+    let session = support::Session::start("check_lists_faults");
+    let text = support::edited("erdene", "domain = \"tolgoit\"", "domain = \"solo-b\"");
+    let path = session.overlay("site.toml", &text);
+    let ran = session.run("batu", &format!("check --json --overlay {path}"));
+    assert_eq!(ran.exit, exit::Exit::Refused);
+    let json = ran.json();
+    assert_eq!(json["status"], 1);
+    assert_eq!(json["faults"][0]["line"], 29);
+}
+
+#[test]
+fn plan_shows_changes() {
+    let session = support::Session::start("plan_shows_changes");
+    session.run("batu", "apply");
+    let ran = session.run("batu", "plan");
+    assert_eq!(ran.out, "erdene against generation 1\nno changes\n");
+    let text = support::edited("erdene", "slots = 64", "slots = 32");
+    let text = text.replace("office = { weight = 1, rate = 20, concurrency = 20 }\n", "");
+    let path = session.overlay("site.toml", &text);
+    let ran = session.run("batu", &format!("plan --overlay {path}"));
+    assert!(
+        ran.out.contains("~ upstreams.kiosk-1.slots: 64 -> 32\n"),
+        "{ran:?}"
+    );
+    assert!(ran.out.contains("- workspaces.office: {"), "{ran:?}");
+    assert!(ran.out.ends_with("2 changes\n"), "{ran:?}");
+}
+
+#[test]
+fn history_lists_generations() {
+    let session = support::Session::start("history_lists_generations");
+    session.run("batu", "apply");
+    let text = support::edited("erdene", "slots = 64", "slots = 32");
+    let path = session.overlay("site.toml", &text);
+    session.run("saran", &format!("apply --overlay {path}"));
+    let json = session.run("batu", "history --json").json();
+    assert_eq!(json[0]["generation"], 2);
+    assert_eq!(json[0]["author"], "saran");
+    assert_eq!(json[0]["changes"], 1);
+    assert_eq!(json[1]["generation"], 1);
+    let ran = session.run("batu", "history 2");
+    assert!(
+        ran.out.contains("~ upstreams.kiosk-1.slots: 64 -> 32"),
+        "{ran:?}"
+    );
+    let ran = session.run("batu", "history 9");
+    assert_eq!(ran.exit, exit::Exit::Refused);
+}
+
+#[rstest]
+#[case::status("status")]
+#[case::wait("wait")]
+#[case::history("history")]
+#[case::drain("drain verse-1")]
+fn commands_need_configuration(#[case] line: &str) {
+    let session = support::Session::start("commands_need_configuration");
+    let ran = session.run("batu", line);
+    assert_eq!(ran.exit, exit::Exit::Refused);
+    assert!(ran.err.contains("no configuration is stored"), "{ran:?}");
+}
+
+#[test]
+fn status_shows_state() {
+    let session = support::Session::start("status_shows_state");
+    session.run("batu", "apply");
+    report(&session, "tolgoit", 1, 0);
+    report(&session, "bayanzurkh", 1, 3_600);
+    rollout(&session, "ramping");
+    session.run("batu", "drain kiosk-2");
+    let ran = session.run("batu", "status");
+    assert!(ran.out.contains("erdene: generation 1 by batu"), "{ran:?}");
+    assert!(
+        ran.out.contains("tolgoit      1         1          1\n"),
+        "{ran:?}"
+    );
+    assert!(
+        ran.out.contains("bayanzurkh   -         0          0\n"),
+        "{ran:?}"
+    );
+    assert!(
+        ran.out.contains("v2  5.0%   ramping  2026-12-04T11:00:00Z"),
+        "{ran:?}"
+    );
+    assert!(ran.out.contains("LEAVING  kiosk-2, verse-3"), "{ran:?}");
+    let json = session.run("batu", "status --json").json();
+    assert_eq!(json["domains"][2]["generation"], 1);
+}
+
+#[test]
+fn wait_follows_domains() {
+    let session = support::Session::start("wait_follows_domains");
+    let ran = thread::scope(|scope| {
+        let waiting = scope.spawn(|| session.run("batu", "apply --wait"));
+        while session.calls("watch") == 0 {
+            thread::yield_now();
+        }
+        report_all(&session, 1);
+        waiting.join().expect("waits")
+    });
+    assert_eq!(ran.exit, exit::Exit::Done, "{ran:?}");
+    assert!(ran.out.contains("accepted: generation 1"), "{ran:?}");
+    assert!(ran.out.contains("reached: generation 1"), "{ran:?}");
+    assert!(
+        ran.err.contains("altan-ulgii -, bayanzurkh -, tolgoit -"),
+        "{ran:?}"
+    );
+}
+
+#[rstest]
+#[case::done("done", exit::Exit::Done, "reached")]
+#[case::taken_back("taken-back", exit::Exit::Refused, "taken-back")]
+#[case::ramping("ramping", exit::Exit::Refused, "timeout")]
+fn wait_follows_rollout(#[case] phase: &str, #[case] want: exit::Exit, #[case] outcome: &str) {
+    let session = support::Session::start("wait_follows_rollout");
+    session.run("batu", "apply");
+    report_all(&session, 1);
+    rollout(&session, phase);
+    let ran = session.run("batu", "wait --rollout verse-scribe --timeout 1 --json");
+    assert_eq!(ran.exit, want, "{ran:?}");
+    assert_eq!(ran.json()["outcome"], outcome);
+}
+
+#[test]
+fn wait_ignores_older() {
+    let session = support::Session::start("wait_ignores_older");
+    session.run("batu", "apply");
+    report_all(&session, 0);
+    let ran = session.run("batu", "wait --timeout 1");
+    assert_eq!(ran.exit, exit::Exit::Refused, "{ran:?}");
+    assert!(ran.out.starts_with("timeout: generation 1"), "{ran:?}");
+}
+
+#[test]
+fn drain_orders_once() {
+    let session = support::Session::start("drain_orders_once");
+    session.run("batu", "apply");
+    session.fault("{\"lose_next\":3}");
+    let ran = session.run("saran", "drain verse-1");
+    assert_eq!(
+        (ran.exit, ran.out.as_str()),
+        (exit::Exit::Done, "verse-1 gets no new work\n")
+    );
+    assert!(session.read("drain/verse-1").is_some());
+    let ran = session.run("saran", "drain verse-1");
+    assert_eq!(ran.out, "verse-1 is drained already\n");
+    let ran = session.run("saran", "drain verse-99");
+    assert_eq!(ran.exit, exit::Exit::Refused);
+    let audit = session.run("batu", "audit --json --limit 3").json();
+    let outcomes: Vec<_> = (0..3).map(|i| audit[i]["outcome"].as_str()).collect();
+    assert_eq!(
+        outcomes,
+        [Some("refused"), Some("unchanged"), Some("accepted")]
+    );
+}
