--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod fact;
 pub mod ledger;
 pub mod name;
+pub mod peering;
+pub mod poison;
 pub mod retry;
 pub mod routing;
 pub mod store;
