--- a/crates/core/src/declaration.rs
+++ b/crates/core/src/declaration.rs
@@ -14,6 +14,7 @@
 mod node;
 mod place;
 mod policy;
+mod prices;
 mod priority;
 mod problem;
 mod read;
--- a/crates/core/src/declaration/read.rs
+++ b/crates/core/src/declaration/read.rs
@@ -6,6 +6,7 @@
 use crate::declaration::fault;
 use crate::declaration::fields;
 use crate::declaration::node;
+use crate::declaration::prices;
 use crate::declaration::problem;
 use crate::name;
 
@@ -24,7 +25,6 @@
     "rollouts",
 ];
 const MAX_PATH_BYTES: usize = 256;
-const MAX_PRICE: u64 = 1_000_000_000_000;
 const MAX_RATE: u32 = 1_000_000;
 const MAX_SHARE: u32 = 1_000;
 const MAX_SLOTS: u32 = 65_536;
@@ -39,7 +39,7 @@
     let site = top.name("site");
     let domains = objects(root, "domains", faults, read_domain);
     let classes = objects(root, "classes", faults, |name, node, faults| {
-        read_class(name, node, &domains, faults)
+        prices::read(name, node, &domains, faults)
     });
     declaration::Declaration {
         site,
@@ -128,59 +128,6 @@
     }
 }
 
-/// Reads the prices of one class, one for each failure domain and market.
-fn read_class(
-    name: &str,
-    node: &node::Node,
-    domains: &[declaration::Domain],
-    faults: &mut Vec<fault::Fault>,
-) -> Vec<declaration::Class> {
-    let object = format!("classes.{name}");
-    let known = ["reclaimable", "on-demand", "domains"];
-    let mut fields = fields::Fields::open(object.clone(), node, &known, faults);
-    let general = read_prices(&mut fields);
-    let special = node.table().and_then(|table| table.get("domains"));
-    let entries = special.and_then(node::Node::table);
-    if let Some(special) = special
-        && entries.is_none()
-    {
-        let problem = problem::Problem::Type {
-            key: format!("{object}.domains"),
-            found: special.value.kind(),
-            expected: "a table of prices by failure domain",
-        };
-        push(faults, special, problem);
-    }
-    let mut classes = Vec::new();
-    for domain in domains {
-        let own = entries.and_then(|entries| entries.get(domain.name.as_str()));
-        let own = own.map(|node| {
-            let object = format!("{object}.domains.{}", domain.name);
-            read_prices(&mut fields::Fields::open(object, node, &known[..2], faults))
-        });
-        let own = own.unwrap_or([None; 2]);
-        for (i, market) in declaration::Market::ALL.into_iter().enumerate() {
-            if let Some(price) = own[i].or(general[i]) {
-                classes.push(declaration::Class {
-                    name: name::Name::from(name),
-                    domain: domain.name.clone(),
-                    market,
-                    price,
-                });
-            }
-        }
-    }
-    classes
-}
-
-/// Reads the price of each market, in the order of [`declaration::Market::ALL`].
-fn read_prices(fields: &mut fields::Fields<'_>) -> [Option<u64>; 2] {
-    declaration::Market::ALL.map(|market| {
-        let key = market.as_str();
-        fields.has(key).then(|| fields.number(key, 0..=MAX_PRICE))
-    })
-}
-
 fn read_service(
     name: &str,
     node: &node::Node,
