--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,12 +12,17 @@
 //! assert_eq!(sent.fail(), verdict::Verdict::MayHaveRun);
 //! ```
 
+pub mod admission;
 pub mod declaration;
 pub mod exchange;
 pub mod fact;
 pub mod ledger;
 pub mod name;
+pub mod peering;
+pub mod poison;
+pub mod retry;
 pub mod rollout;
+pub mod routing;
 pub mod store;
 pub mod time;
 pub mod verdict;
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -20,21 +20,19 @@
 mod split;
 mod status;
 
+pub use crate::peering::Report;
 pub use advance::{Advance, DECISION_MARGIN, advance, start};
 pub use baseline::Baseline;
-pub use book::{Book, Malformed, SCHEMA};
+pub use book::{Book, Malformed};
 pub use canary::rank;
 pub use detector::{ALARM, Detector};
 pub use evidence::{Count, Evidence, Fault};
 pub use measure::Measure;
 pub use monitor::Monitor;
 pub use phase::Phase;
-pub use report::Report;
 pub use sample::Sample;
 pub use split::Split;
-pub use status::Status;
-
-mod report;
+pub use status::{FORMAT, Status};
 
 /// Key of the object that holds all rollouts.
 pub const KEY: &str = "rollouts/current";
--- a/crates/core/src/rollout/advance.rs
+++ b/crates/core/src/rollout/advance.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::declaration;
+use crate::name;
 use crate::rollout::{evidence, phase, status};
 use crate::time;
 
@@ -59,6 +60,8 @@
     let window = now.until(deadline);
     let move_time = window.mul_f64(0.85).min(MAX_MOVE);
     let status = status::Status {
+        format: status::FORMAT,
+        operation: name::Name::default(),
         service: rollout.service.clone(),
         from: rollout.from.clone(),
         to: rollout.to.clone(),
--- a/crates/core/src/rollout/evidence.rs
+++ b/crates/core/src/rollout/evidence.rs
@@ -3,7 +3,8 @@
 use std::collections;
 
 use crate::name;
-use crate::rollout::{baseline, detector, measure, report, status};
+use crate::peering;
+use crate::rollout::{baseline, detector, measure, status};
 use crate::time;
 
 /// Routes that are told apart; further ones only count in the total.
@@ -76,7 +77,7 @@
     pub fn add<'a>(
         &mut self,
         now: time::Time,
-        reports: impl Iterator<Item = &'a report::Report> + Clone,
+        reports: impl Iterator<Item = &'a peering::Report> + Clone,
     ) {
         for report in reports.clone() {
             self.add_old(now, report);
@@ -128,7 +129,7 @@
         self.find(detector::Detector::is_suspicious).is_some()
     }
 
-    fn add_old(&mut self, now: time::Time, report: &report::Report) {
+    fn add_old(&mut self, now: time::Time, report: &peering::Report) {
         if report.service != self.service || report.version != self.from {
             return;
         }
@@ -137,7 +138,7 @@
         }
     }
 
-    fn add_new(&mut self, now: time::Time, report: &report::Report) -> Ratios {
+    fn add_new(&mut self, now: time::Time, report: &peering::Report) -> Ratios {
         if report.service != self.service || report.version != self.to {
             return NO_EVIDENCE;
         }
@@ -162,14 +163,14 @@
 }
 
 impl Count {
-    fn add(&mut self, report: &report::Report) {
+    fn add(&mut self, report: &peering::Report) {
         self.requests = self.requests.saturating_add(report.requests);
         self.loaded = self.loaded.saturating_add(report.loaded);
     }
 }
 
 impl Route {
-    fn add_old(&mut self, now: time::Time, report: &report::Report) {
+    fn add_old(&mut self, now: time::Time, report: &peering::Report) {
         self.old = self.old.saturating_add(report.requests);
         self.baseline.age(now);
         self.baseline.add_requests(report.requests);
@@ -178,7 +179,7 @@
         }
     }
 
-    fn add_new(&mut self, now: time::Time, report: &report::Report) -> Ratios {
+    fn add_new(&mut self, now: time::Time, report: &peering::Report) -> Ratios {
         self.new = self.new.saturating_add(report.requests);
         self.baseline.age(now);
         measure::Measure::ALL.map(|measure| {
--- a/crates/core/src/rollout/measure.rs
+++ b/crates/core/src/rollout/measure.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::rollout::report;
+use crate::peering;
 
 /// What a new version is compared on.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -25,7 +25,7 @@
     }
 
     /// Returns the faults of this measure in a report.
-    pub const fn faults(self, report: &report::Report) -> u64 {
+    pub const fn faults(self, report: &peering::Report) -> u64 {
         match self {
             Self::Errors => report.errors,
             Self::Slow => report.slow,
--- a/crates/core/src/rollout/monitor.rs
+++ b/crates/core/src/rollout/monitor.rs
@@ -7,7 +7,8 @@
 
 use crate::fact;
 use crate::name;
-use crate::rollout::{evidence, report, sample, series, status};
+use crate::peering;
+use crate::rollout::{evidence, sample, series, status};
 use crate::time;
 
 /// How often the evidence is judged.
@@ -50,7 +51,7 @@
 }
 
 #[derive(Clone, Debug, Default)]
-struct Sums(collections::BTreeMap<(Key, name::Name), report::Report>);
+struct Sums(collections::BTreeMap<(Key, name::Name), peering::Report>);
 
 impl Monitor {
     /// Builds a monitor that has seen nothing.
@@ -128,7 +129,7 @@
     }
 
     /// Takes the sums since the last call.
-    pub fn drain(&mut self) -> Vec<report::Report> {
+    pub fn drain(&mut self) -> Vec<peering::Report> {
         mem::take(&mut self.pending).0.into_values().collect()
     }
 }
@@ -158,17 +159,17 @@
         }
     }
 
-    fn judge(&self, key: &Key, version: &name::Name, sample: sample::Sample) -> report::Report {
+    fn judge(&self, key: &Key, version: &name::Name, sample: sample::Sample) -> peering::Report {
         let late = sample.first > 0 && self.first.is_late(sample.excess());
         let stalled = sample.gap > 0 && self.gap.is_late(sample.gap);
-        report::Report {
+        peering::Report {
             requests: 1,
             errors: u64::from(sample.failed),
             slow: u64::from(!sample.failed && late),
             stalls: u64::from(!sample.failed && stalled),
             loaded: u64::from(sample.loaded),
             waited: sample.first,
-            ..report::Report::empty(key.service.clone(), version.clone(), label(key, sample))
+            ..peering::Report::empty(key.service.clone(), version.clone(), label(key, sample))
         }
     }
 
@@ -186,7 +187,7 @@
 }
 
 impl Sums {
-    fn add(&mut self, report: report::Report) {
+    fn add(&mut self, report: peering::Report) {
         let key = Key {
             service: report.service.clone(),
             route: report.route.clone(),
--- a/crates/core/src/rollout/status.rs
+++ b/crates/core/src/rollout/status.rs
@@ -6,9 +6,17 @@
 use crate::rollout::phase;
 use crate::time;
 
+/// Version of the stored format.
+pub const FORMAT: u32 = 1;
+
 /// The state of one rollout as the platform holds it.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Status {
+    /// Version of the stored format.
+    pub format: u32,
+    /// Id of the write that made this state.
+    #[serde(default)]
+    pub operation: name::Name,
     /// The service.
     pub service: name::Name,
     /// The version that serves at the start.
--- a/crates/core/tests/rollout_advance.rs
+++ b/crates/core/tests/rollout_advance.rs
@@ -112,14 +112,16 @@
 }
 
 #[rstest]
-#[case::garbage(b"{".as_slice())]
-#[case::later_format(br#"{"schema":2,"operation":"x","statuses":[]}"#.as_slice())]
-fn book_refuses(#[case] body: &[u8]) {
-    assert!(rollout::Book::decode(body).is_err());
-}
-
-#[test]
-fn book_tolerates_unknown_fields() {
-    let body = br#"{"schema":1,"operation":"x","statuses":[],"more":1}"#;
-    assert!(rollout::Book::decode(body).unwrap().statuses.is_empty());
+#[case::unknown_field("1,\"more\":2", true)]
+#[case::later_format("2", false)]
+#[case::garbage("}", false)]
+fn book_decodes(#[case] format: &str, #[case] want: bool) {
+    let status = rollout::start(at(0), &declared(), 7);
+    let book = rollout::Book {
+        statuses: [(status.service.clone(), status)].into(),
+    };
+    let text = String::from_utf8(book.encode()).unwrap();
+    assert_eq!(rollout::Book::decode(text.as_bytes()), Ok(book));
+    let text = text.replace("\"format\":1", &format!("\"format\":{format}"));
+    assert_eq!(rollout::Book::decode(text.as_bytes()).is_ok(), want);
 }
--- a/crates/core/tests/rollout_monitor.rs
+++ b/crates/core/tests/rollout_monitor.rs
@@ -16,6 +16,8 @@
 
 fn status() -> rollout::Status {
     rollout::Status {
+        format: rollout::FORMAT,
+        operation: name::Name::default(),
         service: name::Name::from("verse-scribe"),
         from: name::Name::from("v1"),
         to: name::Name::from("v2"),
--- a/crates/core/tests/rollout_split.rs
+++ b/crates/core/tests/rollout_split.rs
@@ -18,6 +18,8 @@
 
 fn status(phase: rollout::Phase, share: u32) -> rollout::Status {
     rollout::Status {
+        format: rollout::FORMAT,
+        operation: name::Name::default(),
         service: service(),
         from: version("v1"),
         to: version("v2"),
