Add leases on a fixed number of shards

Cause: exactly one controller may decide about a service and order its upstreams, through pauses, lost answers and races, and without calls that grow with services or the fleet. Change: four lease objects; three candidates each by rendezvous hashing, spread over failure domains. The holder counts its term from before the write and stops one order time before its end; another waits a whole term on its own clock. An unclear write is read back by writer and number; the first one in doubt bounds the term. The version that began the tenure is the fencing number, so orders of one tenure never fence each other. Ruled out: comparing clocks; the object's newest version as fencing number (a renewal would fence the holder's own orders on their way).

--- /dev/null
+++ b/crates/core/src/lease.rs
@@ -0,0 +1,52 @@
+//! Leases on shards of the services, held by controllers through the platform's store.
+//!
+//! There is one lease object for each of [`SHARDS`] shards, however many services and controllers
+//! there are, and only a few controllers compete for each. A holder renews by conditional write
+//! and counts its term from before the write; another takes over only after it has seen the
+//! object unchanged for a whole term on its own clock. So no two clocks are compared, and a
+//! holder that was paused finds its term over when it wakes up.
+
+mod candidates;
+mod output;
+mod record;
+mod state;
+
+pub use candidates::candidates;
+pub use output::Output;
+pub use record::Record;
+pub use state::Lease;
+
+use std::hash::Hasher;
+use std::time::Duration;
+
+use crate::name;
+
+/// Shards of the services; all controllers of a deployment must agree on it.
+pub const SHARDS: u64 = 4;
+
+/// How long a lease holds after its last renewal.
+pub const TERM: Duration = Duration::from_secs(9);
+
+/// Time between two renewals, and between two looks at another's lease.
+pub const RENEWAL: Duration = Duration::from_secs(3);
+
+/// The longest time that an order takes from the check of the lease to its end.
+pub const ORDER_TIME: Duration = Duration::from_secs(2);
+
+/// How long a new holder waits before it orders upstreams that ignore fencing numbers.
+pub const GRACE: Duration = Duration::from_secs(3);
+
+/// Controllers that compete for one lease.
+pub const CANDIDATES: usize = 3;
+
+/// Returns the shard that a service belongs to.
+pub fn shard(service: &name::Name) -> u64 {
+    let mut hasher = twox_hash::XxHash64::with_seed(0);
+    hasher.write(service.as_bytes());
+    hasher.finish() % SHARDS
+}
+
+/// Returns the key of a shard's lease object.
+pub fn key(shard: u64) -> name::Name {
+    name::Name::from(format!("leases/{shard:02}"))
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod declaration;
 pub mod exchange;
 pub mod fact;
+pub mod lease;
 pub mod ledger;
 pub mod name;
 pub mod peering;
