--- /dev/null
+++ b/crates/core/src/flight.rs
@@ -0,0 +1,96 @@
+//! One request on its way through an entry.
+
+use std::sync;
+
+use crate::declaration;
+use crate::ledger;
+use crate::name;
+use crate::request;
+use crate::routing;
+use crate::time;
+
+/// A request that has no final answer yet, or whose end is not recorded yet.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    /// What the caller sent.
+    pub request: request::Request,
+    /// The declared route.
+    pub route: sync::Arc<declaration::Route>,
+    /// The service behind it.
+    pub service: sync::Arc<declaration::Service>,
+    /// What it waits for.
+    pub stage: Stage,
+    /// When the first token or whole answer is due.
+    pub deadline: time::Time,
+    /// When the reducer looks at it again.
+    pub timer: time::Time,
+    /// Attempts since the last progress.
+    pub tries: u32,
+    /// Upstreams that failed it.
+    pub excluded: Vec<name::Name>,
+    /// Next token that the caller lacks.
+    pub offset: u32,
+    /// Whether a token or the whole answer has come.
+    pub started: bool,
+    /// Whether the caller has its final answer or has gone.
+    pub detached: bool,
+    /// The claim of its idempotency key.
+    pub claim: Option<ledger::Operation>,
+}
+
+/// What a flight waits for.
+#[derive(Clone, Debug)]
+pub enum Stage {
+    /// Admission.
+    Queued,
+    /// The ledger's answer to the claim.
+    Claiming,
+    /// Its turn to run alone.
+    Quarantined,
+    /// An upstream to go on with.
+    Backoff,
+    /// The upstream's answer.
+    Running(Running),
+    /// The record of its end.
+    Recording,
+}
+
+/// The attempt under way.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// The attempt.
+    pub attempt: u64,
+    /// Where it runs.
+    pub choice: routing::Choice,
+    /// When it was sent.
+    pub began: time::Time,
+    /// When the first token came.
+    pub first: Option<time::Time>,
+}
+
+impl Flight {
+    /// Returns what the router needs to know.
+    pub fn query(&self, version: Option<name::Name>) -> routing::Query {
+        routing::Query {
+            service: self.service.name.clone(),
+            version,
+            workspace: self.request.workspace.clone(),
+            priority: self.route.priority,
+            blocks: self.request.shape.blocks.clone(),
+            prompt: self.request.shape.tokens,
+            output: self.request.output.saturating_sub(self.offset),
+            excluded: self.excluded.clone(),
+            sticky: None,
+        }
+    }
+
+    /// Tells whether the key must be claimed before anything is sent.
+    pub fn needs_claim(&self) -> bool {
+        !self.route.idempotent && self.request.key.is_some() && self.claim.is_none()
+    }
+
+    /// Tells whether a run whose end is unclear may be repeated.
+    pub fn repeatable(&self) -> bool {
+        self.route.idempotent || (self.service.deduplicates && self.request.key.is_some())
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,15 +13,25 @@
 //! ```
 
 pub mod admission;
+pub mod config;
 pub mod declaration;
+pub mod effect;
+pub mod event;
 pub mod exchange;
 pub mod fact;
+pub mod flight;
 pub mod ledger;
 pub mod name;
 pub mod peering;
 pub mod poison;
+pub mod prompt;
+pub mod reduce;
+pub mod refusal;
+pub mod request;
 pub mod retry;
 pub mod routing;
+pub mod state;
 pub mod store;
+pub mod stream;
 pub mod time;
 pub mod verdict;
--- /dev/null
+++ b/crates/core/src/prompt.rs
@@ -0,0 +1,47 @@
+//! The block-hash chain of a prompt, by which cached prefixes are recognised.
+
+use std::sync;
+
+/// Words in one block.
+pub const BLOCK_WORDS: usize = 16;
+
+/// The most blocks that are hashed; the rest of a longer prompt is not looked up.
+pub const MAX_BLOCKS: usize = 4_096;
+
+/// A prompt as the router sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Shape {
+    /// Hashes of the prompt's whole blocks; each covers all words up to its end.
+    pub blocks: sync::Arc<[u64]>,
+    /// Number of words, taken for tokens.
+    pub tokens: u32,
+}
+
+/// Hashes the whole blocks of a prompt and counts its words.
+///
+/// ```
+/// use guavausher_core::prompt;
+/// let shape = prompt::shape(&"word ".repeat(40));
+/// assert_eq!(shape.tokens, 40);
+/// assert_eq!(shape.blocks.len(), 2);
+/// ```
+pub fn shape(text: &str) -> Shape {
+    let words: Vec<&str> = text.split_whitespace().collect();
+    let blocks = words
+        .chunks_exact(BLOCK_WORDS)
+        .take(MAX_BLOCKS)
+        .scan(0, |previous, block| {
+            *previous = chain(*previous, block);
+            Some(*previous)
+        });
+    Shape {
+        blocks: blocks.collect(),
+        tokens: u32::try_from(words.len()).unwrap_or(u32::MAX),
+    }
+}
+
+fn chain(previous: u64, block: &[&str]) -> u64 {
+    let mut bytes = previous.to_le_bytes().to_vec();
+    bytes.extend_from_slice(block.join(" ").as_bytes());
+    twox_hash::XxHash64::oneshot(0, &bytes)
+}
--- /dev/null
+++ b/crates/core/src/reduce.rs
@@ -0,0 +1,44 @@
+//! The reducer of an entry: one function from event to effects.
+
+mod arrival;
+mod attempt;
+mod document;
+mod launch;
+mod link;
+mod quarantine;
+mod record;
+mod status;
+mod timer;
+
+use crate::effect;
+use crate::event;
+use crate::peering;
+use crate::state;
+use crate::time;
+
+/// Applies one event to the state and returns what the shell must do.
+pub fn reduce(
+    state: &mut state::State,
+    now: time::Time,
+    event: event::Event,
+) -> Vec<effect::Effect> {
+    match event {
+        event::Event::Start => document::start(state, now),
+        event::Event::Tick => timer::tick(state, now),
+        event::Event::Arrived(request) => arrival::arrive(state, now, request),
+        event::Event::Abandoned { request } => attempt::abandon(state, now, request),
+        event::Event::Attempt { attempt, signal } => attempt::signal(state, now, attempt, signal),
+        event::Event::Load { upstream, load } => state.fleet.report(now, &upstream, load),
+        event::Event::Replied { call, reply } => document::replied(state, now, call, reply),
+        event::Event::Peer(input) => link::peer(state, now, input),
+        event::Event::Stop { deadline } => timer::stop(state, now, deadline),
+    }
+    arrival::poll(state, now);
+    timer::settle_stop(state, now);
+    std::mem::take(&mut state.out)
+}
+
+/// Feeds a fact into the shared set.
+fn learn(state: &mut state::State, now: time::Time, fact: crate::fact::Fact, expiry: time::Time) {
+    link::peer(state, now, peering::Input::Learn { fact, expiry });
+}
--- /dev/null
+++ b/crates/core/src/reduce/arrival.rs
@@ -0,0 +1,161 @@
+//! Arrival and admission of requests.
+
+use crate::admission;
+use crate::config;
+use crate::effect;
+use crate::flight;
+use crate::ledger;
+use crate::name;
+use crate::reduce::launch;
+use crate::refusal;
+use crate::request;
+use crate::state;
+use crate::time;
+use crate::verdict;
+
+/// Takes in a request.
+pub fn arrive(state: &mut state::State, now: time::Time, request: request::Request) {
+    let id = request.id;
+    match admit(state, now, request) {
+        Ok(flight) => enter(state, now, flight),
+        Err(refusal) => {
+            launch::refuse(state, id, refusal);
+            state.emit(effect::Effect::Ended { request: id });
+        }
+    }
+}
+
+/// Goes on with requests that admission has granted or given up.
+pub fn poll(state: &mut state::State, now: time::Time) {
+    let turn = state.admission.poll(now);
+    for request in turn.granted {
+        launch::launch(state, now, request);
+    }
+    for refused in turn.refused {
+        if state.flights.contains_key(&refused.request) {
+            launch::refuse(state, refused.request, refusal_of(refused));
+            launch::end(state, now, refused.request, false);
+        }
+    }
+}
+
+fn admit(
+    state: &state::State,
+    now: time::Time,
+    request: request::Request,
+) -> Result<flight::Flight, refusal::Refusal> {
+    if let Some(stop) = state.stop.filter(|s| s.refuse_at <= now) {
+        return Err(not_run(
+            refusal::Code::Stopping,
+            Some(now.min(stop.deadline)),
+        ));
+    }
+    let Some(config) = &state.config else {
+        return Err(not_run(
+            refusal::Code::NotReady,
+            Some(now.after(launch::RETRY_WAIT)),
+        ));
+    };
+    flight(config, now, request)
+}
+
+fn flight(
+    config: &config::Config,
+    now: time::Time,
+    request: request::Request,
+) -> Result<flight::Flight, refusal::Refusal> {
+    let route = config
+        .route(&request.path)
+        .ok_or(not_run(refusal::Code::NoRoute, None))?;
+    let service = config
+        .service(&route.service)
+        .ok_or(not_run(refusal::Code::NoRoute, None))?;
+    if !config.has_workspace(&request.workspace) {
+        return Err(not_run(refusal::Code::NoWorkspace, None));
+    }
+    let declared = now.after(std::time::Duration::from_millis(route.timeout));
+    let longest = now.after(ledger::RETENTION / 2);
+    let deadline = request
+        .deadline
+        .unwrap_or(time::Time::MAX)
+        .min(declared)
+        .min(longest);
+    Ok(flight::Flight {
+        route: route.clone(),
+        service: service.clone(),
+        stage: flight::Stage::Queued,
+        deadline,
+        timer: deadline,
+        tries: 0,
+        excluded: Vec::new(),
+        offset: request.offset,
+        started: false,
+        detached: false,
+        claim: None,
+        request,
+    })
+}
+
+fn enter(state: &mut state::State, now: time::Time, flight: flight::Flight) {
+    let id = flight.request.id;
+    let ticket = ticket(&flight);
+    let deadline = flight.deadline;
+    state.budget.record(now, &flight.service.name);
+    let capacity = state.fleet.capacity(now, &flight.service.name);
+    state
+        .admission
+        .set_capacity(now, &flight.service.name, capacity);
+    state.flights.insert(id, flight);
+    state.set_timer(id, deadline);
+    match state.admission.offer(now, ticket) {
+        admission::Decision::Admit => launch::launch(state, now, id),
+        admission::Decision::Queue => {}
+        admission::Decision::Refuse(refused) => {
+            launch::refuse(state, id, refusal_of(refused));
+            launch::forget(state, id);
+        }
+    }
+}
+
+fn ticket(flight: &flight::Flight) -> admission::Ticket {
+    admission::Ticket {
+        request: flight.request.id,
+        workspace: flight.request.workspace.clone(),
+        service: flight.service.name.clone(),
+        priority: flight.route.priority,
+        cost: flight
+            .request
+            .shape
+            .tokens
+            .saturating_add(flight.request.output),
+        deadline: flight.deadline,
+    }
+}
+
+fn refusal_of(refused: admission::Refusal) -> refusal::Refusal {
+    let code = match refused.reason {
+        admission::Reason::Rate | admission::Reason::Concurrency => refusal::Code::Limited,
+        admission::Reason::QueueFull | admission::Reason::Deadline => refusal::Code::Overloaded,
+        admission::Reason::UnknownWorkspace => refusal::Code::NoWorkspace,
+    };
+    not_run(code, Some(refused.retry_at))
+}
+
+/// A refusal before any exchange.
+pub fn not_run(code: refusal::Code, retry_at: Option<time::Time>) -> refusal::Refusal {
+    refusal::Refusal {
+        code,
+        verdict: verdict::Verdict::NotRun,
+        retry_at,
+    }
+}
+
+/// Joins workspace, service and idempotency key.
+pub fn ledger_key(flight: &flight::Flight) -> Option<name::Name> {
+    let key = flight.request.key.as_ref()?;
+    let workspace = &flight.request.workspace;
+    Some(name::Name::from(format!(
+        "{workspace}/{}/{key}",
+        flight.service.name
+    )))
+}
--- /dev/null
+++ b/crates/core/src/reduce/attempt.rs
@@ -0,0 +1,228 @@
+//! Progress, end and failure of attempts.
+
+use std::time;
+
+use crate::declaration;
+use crate::effect;
+use crate::event;
+use crate::fact;
+use crate::flight;
+use crate::ledger;
+use crate::reduce::{launch, quarantine, record};
+use crate::refusal;
+use crate::retry;
+use crate::routing;
+use crate::state;
+use crate::time::Time;
+use crate::verdict;
+
+/// Attempts without progress after which a request is given up.
+const MAX_TRIES: u32 = 4;
+
+/// How long an answer waits for the record of its end.
+const RECORD_WAIT: time::Duration = time::Duration::from_millis(500);
+
+/// Takes in what an attempt did; an attempt that is no longer current is ignored.
+pub fn signal(state: &mut state::State, now: Time, attempt: u64, signal: event::Signal) {
+    let Some(&id) = state.attempts.get(&attempt) else {
+        return;
+    };
+    match signal {
+        event::Signal::First => first(state, now, attempt, id),
+        event::Signal::Finished(finish) => finished(state, now, id, finish),
+        event::Signal::Refused => refused(state, now, id),
+        event::Signal::Failed(failure) => failed(state, now, id, failure),
+    }
+}
+
+/// Ends a request whose caller has gone; a claimed one runs on so that its end is recorded.
+pub fn abandon(state: &mut state::State, now: Time, id: u64) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    flight.detached = true;
+    let claimed = flight.claim.is_some() || matches!(flight.stage, flight::Stage::Claiming);
+    if claimed && flight.service.kind == declaration::Kind::Plain {
+        return;
+    }
+    let code = refusal::Code::Deadline;
+    let verdict = verdict::Verdict::MayHaveRun;
+    cancel(state, now, id);
+    launch::give_up(
+        state,
+        now,
+        id,
+        refusal::Refusal {
+            code,
+            verdict,
+            retry_at: None,
+        },
+    );
+}
+
+/// Stops the attempt under way.
+pub fn cancel(state: &mut state::State, now: Time, id: u64) {
+    if let Some(running) = take_running(state, id) {
+        state
+            .fleet
+            .end(now, running.attempt, routing::Outcome::Cancelled);
+        state.emit(effect::Effect::Cancel {
+            request: id,
+            attempt: running.attempt,
+        });
+    }
+}
+
+fn first(state: &mut state::State, now: Time, attempt: u64, id: u64) {
+    state.fleet.first_token(now, attempt);
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    flight.started = true;
+    if let flight::Stage::Running(running) = &mut flight.stage {
+        running.first = Some(now);
+    }
+    state.set_timer(id, Time::MAX);
+}
+
+fn finished(state: &mut state::State, now: Time, id: u64, finish: event::Finish) {
+    let Some(running) = take_running(state, id) else {
+        return;
+    };
+    let outcome = match finish.failed {
+        true => routing::Outcome::Failed,
+        false => routing::Outcome::Finished {
+            prompt: finish.prompt,
+            cached: finish.cached,
+        },
+    };
+    state.fleet.end(now, running.attempt, outcome);
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    let Some(operation) = flight.claim else {
+        return record::relay(state, now, id);
+    };
+    flight.stage = flight::Stage::Recording;
+    state.set_timer(id, now.after(RECORD_WAIT));
+    let input = match finish.kept {
+        Some(kept) => ledger::Input::End { operation, kept },
+        None => ledger::Input::Unclear { operation },
+    };
+    record::drive(state, now, input);
+}
+
+fn refused(state: &mut state::State, now: Time, id: u64) {
+    let Some(running) = take_running(state, id) else {
+        return;
+    };
+    state
+        .fleet
+        .end(now, running.attempt, routing::Outcome::Refused);
+    let failure = event::Failure {
+        verdict: verdict::Verdict::NotRun,
+        died: false,
+        offset: offset(state, id),
+    };
+    go_on(state, now, id, running, failure);
+}
+
+fn failed(state: &mut state::State, now: Time, id: u64, failure: event::Failure) {
+    let Some(running) = take_running(state, id) else {
+        return;
+    };
+    state
+        .fleet
+        .end(now, running.attempt, routing::Outcome::Failed);
+    if failure.died {
+        suspect(state, now, id, &running);
+    }
+    go_on(state, now, id, running, failure);
+}
+
+/// Notes that an upstream died under the request, unless it was leaving anyway.
+fn suspect(state: &mut state::State, now: Time, id: u64, running: &flight::Running) {
+    let leaving = fact::Fact::Leaving {
+        upstream: running.choice.upstream.clone(),
+        incarnation: running.choice.incarnation,
+    };
+    if state.peering.knows(&leaving) {
+        return;
+    }
+    let Some(flight) = state.flights.get(&id) else {
+        return;
+    };
+    let fingerprint = flight.request.fingerprint;
+    let upstream = &running.choice.upstream;
+    let effects = state.quarantine.died(now, fingerprint, id, upstream);
+    quarantine::apply(state, now, effects);
+}
+
+/// Tries again where that is allowed, or gives the final answer at once.
+fn go_on(
+    state: &mut state::State,
+    now: Time,
+    id: u64,
+    running: flight::Running,
+    failure: event::Failure,
+) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    if failure.offset > flight.offset {
+        flight.offset = failure.offset;
+        flight.tries = 0;
+    }
+    flight.excluded.push(running.choice.upstream);
+    flight.stage = flight::Stage::Queued;
+    if may_retry(state, now, id, failure.verdict) {
+        return launch::launch(state, now, id);
+    }
+    let verdict = if offset(state, id) > 0 {
+        verdict::Verdict::MayHaveRun
+    } else {
+        failure.verdict
+    };
+    let delay = retry::backoff(id, 0).max(launch::RETRY_WAIT);
+    let retry_at = Some(now.after(delay));
+    let code = refusal::Code::UpstreamFailed;
+    launch::give_up(
+        state,
+        now,
+        id,
+        refusal::Refusal {
+            code,
+            verdict,
+            retry_at,
+        },
+    );
+}
+
+fn may_retry(state: &mut state::State, now: Time, id: u64, verdict: verdict::Verdict) -> bool {
+    let Some(flight) = state.flights.get(&id) else {
+        return false;
+    };
+    let unkeyed = !flight.route.idempotent && flight.request.key.is_none();
+    let harmless = flight.repeatable() || verdict == verdict::Verdict::NotRun;
+    let late = now >= flight.deadline && !flight.started;
+    if unkeyed || !harmless || late || flight.detached || flight.tries >= MAX_TRIES {
+        return false;
+    }
+    let service = flight.service.name.clone();
+    flight.offset > 0 || state.budget.spend(now, &service)
+}
+
+fn offset(state: &state::State, id: u64) -> u32 {
+    state.flights.get(&id).map_or(0, |f| f.offset)
+}
+
+fn take_running(state: &mut state::State, id: u64) -> Option<flight::Running> {
+    let flight = state.flights.get_mut(&id)?;
+    let stage = std::mem::replace(&mut flight.stage, flight::Stage::Queued);
+    let flight::Stage::Running(running) = stage else {
+        flight.stage = stage;
+        return None;
+    };
+    state.attempts.remove(&running.attempt);
+    Some(running)
+}
--- /dev/null
+++ b/crates/core/src/reduce/document.rs
@@ -0,0 +1,237 @@
+//! Documents and notices from the platform's store: first reads, watches and retries.
+
+use std::sync;
+use std::time;
+
+use crate::fact;
+use crate::name;
+use crate::peering;
+use crate::reduce::{self, link, record, status};
+use crate::state;
+use crate::store;
+use crate::time::Time;
+
+/// Object key of the configuration.
+pub const CONFIG_KEY: &str = "config/current";
+
+/// Object key of the rollout states.
+pub const ROLLOUTS_KEY: &str = "rollouts/current";
+
+/// How often a watcher reads the instance list.
+const LIST_PERIOD: time::Duration = time::Duration::from_secs(1);
+
+/// Shortest wait after a failed call; up to as much again is added by jitter.
+const RETRY_WAIT: time::Duration = time::Duration::from_secs(1);
+
+/// How long a leaving fact holds.
+const LEAVING_HOLD: time::Duration = time::Duration::from_secs(3_600);
+
+/// Reads each document once.
+pub fn start(state: &mut state::State, now: Time) {
+    for topic in peering::Topic::ALL {
+        read(state, topic);
+    }
+    link::peer(state, now, peering::Input::Tick);
+}
+
+/// Begins or ends the watch of a topic.
+pub fn watch(state: &mut state::State, topic: peering::Topic, active: bool) {
+    if !active {
+        state.watched.remove(&topic);
+        return;
+    }
+    if !state.watched.insert(topic) {
+        return;
+    }
+    match topic {
+        peering::Topic::Members => {
+            read(state, topic);
+            state.call(
+                state::Purpose::Notices(0),
+                store::Call::Notices { since: 0 },
+            );
+        }
+        _ => wait(state, topic),
+    }
+}
+
+/// Takes in a reply of the store.
+pub fn replied(state: &mut state::State, now: Time, call: u64, reply: store::Reply) {
+    let Some(purpose) = state.calls.remove(&call) else {
+        return;
+    };
+    match purpose {
+        state::Purpose::Ledger(partition) => {
+            record::drive(state, now, crate::ledger::Input::Reply { partition, reply });
+        }
+        state::Purpose::Document(topic) => came(state, now, topic, reply),
+        state::Purpose::Watch(topic) => changed(state, now, topic, reply),
+        state::Purpose::Notices(since) => noticed(state, now, since, reply),
+        state::Purpose::Status | state::Purpose::StatusRead => status::replied(state, now, reply),
+    }
+}
+
+/// Makes the calls that were put off until now.
+pub fn make_due_calls(state: &mut state::State, now: Time) {
+    while let Some(entry) = state.later.first_entry().filter(|e| *e.key() <= now) {
+        for purpose in entry.remove() {
+            make(state, now, purpose);
+        }
+    }
+}
+
+/// Puts a call off.
+pub fn put_off(state: &mut state::State, at: Time, purpose: state::Purpose) {
+    let due = state.later.entry(at).or_default();
+    if !due.contains(&purpose) {
+        due.push(purpose);
+    }
+}
+
+fn make(state: &mut state::State, now: Time, purpose: state::Purpose) {
+    match purpose {
+        state::Purpose::Document(topic) => read(state, topic),
+        state::Purpose::Watch(topic) => wait(state, topic),
+        state::Purpose::Notices(since) => {
+            state.call(purpose, store::Call::Notices { since });
+        }
+        state::Purpose::Status => status::write(state, now),
+        state::Purpose::StatusRead => status::read(state),
+        state::Purpose::Ledger(_) => {}
+    }
+}
+
+fn read(state: &mut state::State, topic: peering::Topic) {
+    let call = match key(topic) {
+        Some(key) => store::Call::Read {
+            key: name::Name::from(key),
+        },
+        None => store::Call::Instances,
+    };
+    state.call(state::Purpose::Document(topic), call);
+}
+
+fn wait(state: &mut state::State, topic: peering::Topic) {
+    let (Some(key), true) = (key(topic), state.watched.contains(&topic)) else {
+        return;
+    };
+    let since = state.revisions.get(&topic).copied().unwrap_or(0);
+    let prefix = name::Name::from(key);
+    state.call(
+        state::Purpose::Watch(topic),
+        store::Call::Watch { prefix, since },
+    );
+}
+
+const fn key(topic: peering::Topic) -> Option<&'static str> {
+    match topic {
+        peering::Topic::Config => Some(CONFIG_KEY),
+        peering::Topic::Rollouts => Some(ROLLOUTS_KEY),
+        peering::Topic::Members => None,
+    }
+}
+
+fn came(state: &mut state::State, now: Time, topic: peering::Topic, reply: store::Reply) {
+    match reply {
+        store::Reply::Found(object) => publish(state, now, topic, object.version, object.body),
+        store::Reply::Instances {
+            revision,
+            instances,
+        } => {
+            let body = serde_json::to_vec(&instances).unwrap_or_default();
+            publish(state, now, topic, revision, sync::Arc::from(body));
+        }
+        store::Reply::Missing if topic == peering::Topic::Rollouts => return,
+        _ => return retry(state, now, state::Purpose::Document(topic)),
+    }
+    if topic == peering::Topic::Members && state.watched.contains(&topic) {
+        put_off(
+            state,
+            now.after(LIST_PERIOD),
+            state::Purpose::Document(topic),
+        );
+    }
+}
+
+fn publish(
+    state: &mut state::State,
+    now: Time,
+    topic: peering::Topic,
+    generation: u64,
+    body: sync::Arc<[u8]>,
+) {
+    let document = peering::Document {
+        topic,
+        generation,
+        body,
+    };
+    link::peer(state, now, peering::Input::Publish(document));
+}
+
+fn changed(state: &mut state::State, now: Time, topic: peering::Topic, reply: store::Reply) {
+    let store::Reply::Listed { revision, objects } = reply else {
+        return retry(state, now, state::Purpose::Watch(topic));
+    };
+    state.revisions.insert(topic, revision);
+    let own = |entry: &store::Entry| Some(entry.key.as_str()) == key(topic);
+    if objects.iter().any(own) {
+        read(state, topic);
+    }
+    wait(state, topic);
+}
+
+fn noticed(state: &mut state::State, now: Time, since: u64, reply: store::Reply) {
+    let store::Reply::Notices { next, notices } = reply else {
+        return retry(state, now, state::Purpose::Notices(since));
+    };
+    for notice in notices {
+        leaving(state, now, notice.instance, None);
+    }
+    if state.watched.contains(&peering::Topic::Members) {
+        let call = store::Call::Notices { since: next };
+        state.call(state::Purpose::Notices(next), call);
+    }
+}
+
+/// States that an upstream's incarnation is leaving; without one, the one that is in use.
+pub fn leaving(
+    state: &mut state::State,
+    now: Time,
+    upstream: name::Name,
+    incarnation: Option<u64>,
+) {
+    let Some(incarnation) = incarnation.or_else(|| state.fleet.incarnation(&upstream)) else {
+        return;
+    };
+    let fact = fact::Fact::Leaving {
+        upstream,
+        incarnation,
+    };
+    if !state.peering.knows(&fact) {
+        reduce::learn(state, now, fact, now.after(LEAVING_HOLD));
+    }
+}
+
+/// Spreads the retries of many entries over the wait.
+fn retry(state: &mut state::State, now: Time, purpose: state::Purpose) {
+    let wanted = match purpose {
+        state::Purpose::Document(topic) | state::Purpose::Watch(topic) => {
+            state.watched.contains(&topic) || state.peering.generation(topic) == 0
+        }
+        _ => state.watched.contains(&peering::Topic::Members),
+    };
+    if wanted {
+        put_off(
+            state,
+            now.after(RETRY_WAIT + jitter(state, now, RETRY_WAIT)),
+            purpose,
+        );
+    }
+}
+
+/// Returns a wait below `limit` that differs from entry to entry.
+pub fn jitter(state: &state::State, now: Time, limit: time::Duration) -> time::Duration {
+    let seed = state.own.incarnation;
+    let spread = twox_hash::XxHash64::oneshot(seed, &now.as_micros().to_le_bytes());
+    limit.mul_f64((spread % 1_000) as f64 / 1_000.0)
+}
--- /dev/null
+++ b/crates/core/src/reduce/launch.rs
@@ -0,0 +1,236 @@
+//! From admission to the first byte: claim, quarantine, routing and dispatch.
+
+use std::time;
+
+use crate::effect;
+use crate::flight;
+use crate::ledger;
+use crate::poison;
+use crate::reduce::{arrival, quarantine, record};
+use crate::refusal;
+use crate::routing;
+use crate::state;
+use crate::time::Time;
+use crate::verdict;
+
+/// When a caller is asked to come back if nothing better is known.
+pub const RETRY_WAIT: time::Duration = time::Duration::from_secs(1);
+
+/// How long after its deadline a claimed request may still end and be recorded.
+pub const CLAIM_GRACE: time::Duration = time::Duration::from_secs(30);
+
+/// How long a broken stream may look for an upstream to go on at.
+pub const RESUME_WAIT: time::Duration = time::Duration::from_secs(10);
+
+/// How often a broken stream looks for an upstream.
+const RESUME_POLL: time::Duration = time::Duration::from_millis(100);
+
+/// Takes the next step with an admitted request.
+pub fn launch(state: &mut state::State, now: Time, id: u64) {
+    let Some(flight) = state.flights.get(&id) else {
+        return state.admission.release(now, id, false);
+    };
+    if flight.needs_claim() {
+        return claim(state, now, id);
+    }
+    let fingerprint = flight.request.fingerprint;
+    let admission = state.quarantine.admit(now, fingerprint, id);
+    match admission.pass {
+        poison::Pass::Free | poison::Pass::Alone => dispatch(state, now, id),
+        poison::Pass::Wait => set_stage(state, id, flight::Stage::Quarantined),
+        poison::Pass::Blocked => quarantine::block(state, now, id),
+        poison::Pass::Full => quarantine::refuse(state, now, id),
+    }
+    quarantine::apply(state, now, admission.effects);
+}
+
+/// Claims the idempotency key, unless no upstream could take the request anyway.
+fn claim(state: &mut state::State, now: Time, id: u64) {
+    let Some(flight) = state.flights.get(&id) else {
+        return;
+    };
+    let Some(key) = arrival::ledger_key(flight) else {
+        return;
+    };
+    if let Err(exhausted) = state.fleet.choose(now, &flight.query(None)) {
+        return give_up(state, now, id, no_upstream(exhausted));
+    }
+    let claim = ledger::Claim {
+        request: id,
+        key,
+        fingerprint: flight.request.fingerprint,
+        deadline: flight.deadline.after(CLAIM_GRACE),
+        repeatable: flight.repeatable(),
+    };
+    set_stage(state, id, flight::Stage::Claiming);
+    record::drive(state, now, ledger::Input::Claim(claim));
+}
+
+/// Picks an upstream and sends the request there.
+pub fn dispatch(state: &mut state::State, now: Time, id: u64) {
+    let Some(flight) = state.flights.get(&id) else {
+        return;
+    };
+    if now >= flight.deadline && !flight.started {
+        return give_up(
+            state,
+            now,
+            id,
+            arrival::not_run(refusal::Code::Deadline, Some(now)),
+        );
+    }
+    let query = flight.query(version(state, flight));
+    match state.fleet.choose(now, &query) {
+        Ok(choice) => send(state, now, id, &query, choice),
+        Err(exhausted) => wait_or_refuse(state, now, id, exhausted),
+    }
+}
+
+fn version(_state: &state::State, flight: &flight::Flight) -> Option<crate::name::Name> {
+    Some(flight.service.version.clone())
+}
+
+fn send(
+    state: &mut state::State,
+    now: Time,
+    id: u64,
+    query: &routing::Query,
+    choice: routing::Choice,
+) {
+    let attempt = state.new_attempt(id);
+    state.fleet.start(now, attempt, &choice, query);
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    flight.tries += 1;
+    let deadline = if flight.started {
+        now.after(RESUME_WAIT)
+    } else {
+        flight.deadline
+    };
+    let dispatch = effect::Dispatch {
+        request: id,
+        attempt,
+        upstream: choice.upstream.clone(),
+        version: choice.version.clone(),
+        address: choice.address,
+        kind: flight.service.kind,
+        priority: flight.route.priority,
+        offset: flight.offset,
+        deadline,
+    };
+    let running = flight::Running {
+        attempt,
+        choice,
+        began: now,
+        first: None,
+    };
+    flight.stage = flight::Stage::Running(running);
+    state.set_timer(id, deadline);
+    state.emit(effect::Effect::Dispatch(dispatch));
+}
+
+/// A broken stream waits a little for an upstream; anything else is refused at once.
+fn wait_or_refuse(state: &mut state::State, now: Time, id: u64, exhausted: routing::Exhausted) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    if !flight.started {
+        return give_up(state, now, id, no_upstream(exhausted));
+    }
+    if !matches!(flight.stage, flight::Stage::Backoff) {
+        flight.deadline = now.after(RESUME_WAIT);
+        flight.stage = flight::Stage::Backoff;
+        flight.excluded.clear();
+    }
+    if now >= flight.deadline {
+        let verdict = verdict::Verdict::MayHaveRun;
+        let retry_at = Some(exhausted.retry_at);
+        let code = refusal::Code::UpstreamFailed;
+        return give_up(
+            state,
+            now,
+            id,
+            refusal::Refusal {
+                code,
+                verdict,
+                retry_at,
+            },
+        );
+    }
+    state.set_timer(id, now.after(RESUME_POLL));
+}
+
+fn no_upstream(exhausted: routing::Exhausted) -> refusal::Refusal {
+    arrival::not_run(refusal::Code::NoUpstream, Some(exhausted.retry_at))
+}
+
+/// Gives the final answer and ends the flight, releasing an unused claim.
+pub fn give_up(state: &mut state::State, now: Time, id: u64, refusal: refusal::Refusal) {
+    refuse(state, id, refusal);
+    close_claim(state, now, id, refusal.verdict);
+    end(state, now, id, false);
+}
+
+fn close_claim(state: &mut state::State, now: Time, id: u64, verdict: verdict::Verdict) {
+    let claim = state.flights.get_mut(&id).and_then(|f| f.claim.take());
+    let Some(operation) = claim else {
+        return;
+    };
+    let input = match verdict {
+        verdict::Verdict::NotRun => ledger::Input::Release { operation },
+        _ => ledger::Input::Unclear { operation },
+    };
+    record::drive(state, now, input);
+}
+
+/// Gives a final answer unless the caller has one.
+pub fn refuse(state: &mut state::State, id: u64, refusal: refusal::Refusal) {
+    if state.flights.get(&id).is_some_and(|f| f.detached) {
+        return;
+    }
+    if let Some(flight) = state.flights.get_mut(&id) {
+        flight.detached = true;
+    }
+    state.emit(effect::Effect::Refuse {
+        request: id,
+        refusal,
+    });
+}
+
+/// Frees what a request holds and lets the next quarantined one go.
+pub fn end(state: &mut state::State, now: Time, id: u64, completed: bool) {
+    let Some(flight) = forget(state, id) else {
+        return;
+    };
+    state.admission.release(now, id, completed);
+    let capacity = state.fleet.capacity(now, &flight.service.name);
+    state
+        .admission
+        .set_capacity(now, &flight.service.name, capacity);
+    let effects = match completed {
+        true => state.quarantine.finished(now, id),
+        false => state.quarantine.released(now, id),
+    };
+    quarantine::apply(state, now, effects);
+}
+
+/// Drops a flight from the tables.
+pub fn forget(state: &mut state::State, id: u64) -> Option<flight::Flight> {
+    let flight = state.flights.remove(&id)?;
+    state.timers.remove(&state::Timer {
+        at: flight.timer,
+        request: id,
+    });
+    if let flight::Stage::Running(running) = &flight.stage {
+        state.attempts.remove(&running.attempt);
+    }
+    state.emit(effect::Effect::Ended { request: id });
+    Some(flight)
+}
+
+fn set_stage(state: &mut state::State, id: u64, stage: flight::Stage) {
+    if let Some(flight) = state.flights.get_mut(&id) {
+        flight.stage = stage;
+    }
+}
--- /dev/null
+++ b/crates/core/src/reduce/link.rs
@@ -0,0 +1,130 @@
+//! What the shared facts and documents mean for this entry.
+
+use crate::config;
+use crate::declaration;
+use crate::effect;
+use crate::fact;
+use crate::name;
+use crate::peering;
+use crate::reduce::{document, quarantine, status};
+use crate::state;
+use crate::store;
+use crate::time;
+
+/// The kind of instance that runs this program.
+const ENTRY_KIND: &str = "entry";
+
+/// Feeds the peering and acts on its outputs.
+pub fn peer(state: &mut state::State, now: time::Time, input: peering::Input) {
+    for output in state.peering.reduce(now, input) {
+        apply(state, now, output);
+    }
+}
+
+fn apply(state: &mut state::State, now: time::Time, output: peering::Output) {
+    match output {
+        peering::Output::Send { to, message } => state.emit(effect::Effect::Send { to, message }),
+        peering::Output::Link(member) => state.emit(effect::Effect::Link(member)),
+        peering::Output::Unlink(name) => state.emit(effect::Effect::Unlink(name)),
+        peering::Output::Learned { fact } => learned(state, now, &fact),
+        peering::Output::Adopted(document) => adopted(state, now, &document),
+        peering::Output::Watch { topic, active } => document::watch(state, topic, active),
+        peering::Output::Delivered { from, body } => quarantine::receive(state, now, &from, &body),
+        peering::Output::Reports(_) => {}
+    }
+}
+
+fn learned(state: &mut state::State, now: time::Time, fact: &fact::Fact) {
+    match fact {
+        fact::Fact::Leaving {
+            upstream,
+            incarnation,
+        } => {
+            let latch = state.leaving.entry(upstream.clone()).or_default();
+            *latch = (*latch).max(*incarnation);
+            state.fleet.leave(upstream, *incarnation);
+        }
+        fact::Fact::Suspect { .. } | fact::Fact::Blocked { .. } | fact::Fact::Cleared { .. } => {
+            let effects = state.quarantine.learn(now, fact);
+            quarantine::apply(state, now, effects);
+        }
+        fact::Fact::Halted { .. } | fact::Fact::Holder { .. } => {}
+    }
+}
+
+fn adopted(state: &mut state::State, now: time::Time, document: &peering::Document) {
+    let result = match document.topic {
+        peering::Topic::Config => adopt_config(state, now, document),
+        peering::Topic::Members => adopt_members(state, now, document),
+        peering::Topic::Rollouts => Ok(()),
+    };
+    if let Err(fault) = result {
+        let key = name::Name::from(format!("{:?}", document.topic));
+        state.emit(effect::Effect::Rejected { key, fault });
+    }
+}
+
+fn adopt_config(
+    state: &mut state::State,
+    now: time::Time,
+    document: &peering::Document,
+) -> Result<(), String> {
+    let envelope = declaration::Envelope::from_json(&document.body).map_err(|e| e.to_string())?;
+    let config = config::Config::new(document.generation, envelope.declaration);
+    state.fleet.declare(now, &config.declaration);
+    state.admission.declare(now, &config.declaration);
+    for (upstream, incarnation) in &state.leaving {
+        state.fleet.leave(upstream, *incarnation);
+    }
+    state.config = Some(config);
+    status::plan(state, now);
+    state.emit(effect::Effect::InForce {
+        generation: document.generation,
+    });
+    Ok(())
+}
+
+fn adopt_members(
+    state: &mut state::State,
+    now: time::Time,
+    document: &peering::Document,
+) -> Result<(), String> {
+    let instances: Vec<store::Instance> =
+        serde_json::from_slice(&document.body).map_err(|e| e.to_string())?;
+    let (entries, upstreams): (Vec<_>, Vec<_>) = instances
+        .into_iter()
+        .partition(|i| i.kind.as_str() == ENTRY_KIND);
+    let members: Vec<_> = entries
+        .into_iter()
+        .filter(|i| !i.leaving)
+        .map(|i| member(state, i))
+        .collect();
+    state
+        .quarantine
+        .set_members(members.iter().map(|m| &m.name));
+    peer(state, now, peering::Input::Members(members));
+    for upstream in upstreams {
+        if upstream.leaving {
+            document::leaving(state, now, upstream.name, Some(upstream.incarnation));
+        } else {
+            state
+                .fleet
+                .returned(now, &upstream.name, upstream.incarnation);
+        }
+    }
+    Ok(())
+}
+
+fn member(state: &state::State, instance: store::Instance) -> peering::Member {
+    let region = match &state.config {
+        Some(config) => config.region(&instance.domain),
+        None => instance.domain.clone(),
+    };
+    peering::Member {
+        name: instance.name,
+        domain: instance.domain,
+        region,
+        address: instance.address,
+        incarnation: instance.incarnation,
+    }
+}
--- /dev/null
+++ b/crates/core/src/reduce/quarantine.rs
@@ -0,0 +1,63 @@
+//! What the quarantine of crashing requests asks for.
+
+use std::sync;
+
+use crate::name;
+use crate::peering;
+use crate::poison;
+use crate::reduce::{self, arrival, launch, link};
+use crate::refusal;
+use crate::state;
+use crate::time;
+
+/// Acts on what the quarantine asks for.
+pub fn apply(state: &mut state::State, now: time::Time, effects: Vec<poison::Effect>) {
+    for effect in effects {
+        match effect {
+            poison::Effect::Learn(fact) => {
+                let expiry = poison::expiry(now, &fact);
+                reduce::learn(state, now, fact, expiry);
+            }
+            poison::Effect::Send { to, note } => send(state, now, to, &note),
+            poison::Effect::Start(id) | poison::Effect::StartAlone(id) => {
+                launch::dispatch(state, now, id);
+            }
+            poison::Effect::Block(id) => block(state, now, id),
+            poison::Effect::Refuse(id) => refuse(state, now, id),
+        }
+    }
+}
+
+/// Takes in a note from another entry; one that cannot be read is dropped and sent again later.
+pub fn receive(state: &mut state::State, now: time::Time, from: &name::Name, body: &[u8]) {
+    if let Ok(note) = serde_json::from_slice(body) {
+        let effects = state.quarantine.receive(now, from, note);
+        apply(state, now, effects);
+    }
+}
+
+/// Gives the final answer to a request that brings upstreams down.
+pub fn block(state: &mut state::State, now: time::Time, id: u64) {
+    launch::give_up(
+        state,
+        now,
+        id,
+        arrival::not_run(refusal::Code::Blocked, None),
+    );
+}
+
+/// Refuses a request whose turn did not come.
+pub fn refuse(state: &mut state::State, now: time::Time, id: u64) {
+    let retry_at = Some(now.after(launch::RETRY_WAIT));
+    launch::give_up(
+        state,
+        now,
+        id,
+        arrival::not_run(refusal::Code::Overloaded, retry_at),
+    );
+}
+
+fn send(state: &mut state::State, now: time::Time, to: name::Name, note: &poison::Note) {
+    let body = sync::Arc::from(serde_json::to_vec(note).unwrap_or_default());
+    link::peer(state, now, peering::Input::Forward { to, body });
+}
--- /dev/null
+++ b/crates/core/src/reduce/record.rs
@@ -0,0 +1,94 @@
+//! What the ledger's answers mean for their requests.
+
+use crate::effect;
+use crate::flight;
+use crate::ledger;
+use crate::reduce::{arrival, launch};
+use crate::refusal;
+use crate::state;
+use crate::time;
+use crate::verdict;
+
+/// Feeds the ledger and acts on its outputs.
+pub fn drive(state: &mut state::State, now: time::Time, input: ledger::Input) {
+    for output in state.ledger.reduce(now, input) {
+        apply(state, now, output);
+    }
+}
+
+fn apply(state: &mut state::State, now: time::Time, output: ledger::Output) {
+    match output {
+        ledger::Output::Granted { request, operation } => granted(state, now, request, operation),
+        ledger::Output::Answered { request, kept } => answered(state, now, request, kept),
+        ledger::Output::Denied { request, reason } => {
+            refuse(state, now, request, refusal_of(reason));
+        }
+        ledger::Output::Recorded { operation } => recorded(state, now, operation),
+        ledger::Output::Call { partition, call } => {
+            state.call(state::Purpose::Ledger(partition), call);
+        }
+    }
+}
+
+fn granted(state: &mut state::State, now: time::Time, id: u64, operation: ledger::Operation) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return drive(state, now, ledger::Input::Release { operation });
+    };
+    flight.claim = Some(operation);
+    launch::launch(state, now, id);
+}
+
+fn answered(state: &mut state::State, now: time::Time, id: u64, kept: ledger::Kept) {
+    if state.flights.get(&id).is_some_and(|f| !f.detached) {
+        state.emit(effect::Effect::Replay { request: id, kept });
+    }
+    launch::end(state, now, id, true);
+}
+
+fn refuse(state: &mut state::State, now: time::Time, id: u64, refusal: refusal::Refusal) {
+    if state.flights.contains_key(&id) {
+        launch::refuse(state, id, refusal);
+        launch::end(state, now, id, false);
+    }
+}
+
+/// Relays an answer that was held until its end was recorded.
+fn recorded(state: &mut state::State, now: time::Time, operation: ledger::Operation) {
+    let waits = |f: &flight::Flight| {
+        matches!(f.stage, flight::Stage::Recording) && f.claim == Some(operation)
+    };
+    let id = state
+        .flights
+        .iter()
+        .find(|(_, f)| waits(f))
+        .map(|(id, _)| *id);
+    if let Some(id) = id {
+        relay(state, now, id);
+    }
+}
+
+/// Relays the upstream's whole answer and ends the flight.
+pub fn relay(state: &mut state::State, now: time::Time, id: u64) {
+    if state.flights.get(&id).is_some_and(|f| !f.detached) {
+        state.emit(effect::Effect::Relay { request: id });
+    }
+    launch::end(state, now, id, true);
+}
+
+fn refusal_of(reason: ledger::Reason) -> refusal::Refusal {
+    let may_have_run = |code, retry_at| refusal::Refusal {
+        code,
+        verdict: verdict::Verdict::MayHaveRun,
+        retry_at,
+    };
+    match reason {
+        ledger::Reason::Busy { retry_at } => {
+            may_have_run(refusal::Code::KeyRunning, Some(retry_at))
+        }
+        ledger::Reason::Unclear => may_have_run(refusal::Code::KeyUnclear, None),
+        ledger::Reason::Mismatch => arrival::not_run(refusal::Code::KeyMismatch, None),
+        ledger::Reason::Unrecorded { retry_at } | ledger::Reason::Crowded { retry_at } => {
+            arrival::not_run(refusal::Code::Unrecorded, Some(retry_at))
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/reduce/status.rs
@@ -0,0 +1,94 @@
+//! This entry's status object: the generation in force and what it sees leaving.
+
+use std::sync;
+use std::time;
+
+use crate::name;
+use crate::reduce::document;
+use crate::state;
+use crate::store;
+use crate::time::Time;
+
+/// Writes of many entries after one change are spread over this time.
+const SPREAD: time::Duration = time::Duration::from_secs(2);
+
+/// What the status object states.
+#[derive(Debug, serde::Serialize)]
+struct Body<'a> {
+    generation: u64,
+    instance: &'a str,
+    domain: &'a str,
+    ready: bool,
+    leaving: Vec<&'a str>,
+    at: Time,
+}
+
+/// Plans a write of the status.
+pub fn plan(state: &mut state::State, now: Time) {
+    if state.status.pending {
+        return;
+    }
+    state.status.pending = true;
+    let at = now.after(document::jitter(state, now, SPREAD));
+    document::put_off(state, at, state::Purpose::Status);
+}
+
+/// Writes the status.
+pub fn write(state: &mut state::State, now: Time) {
+    let generation = state.config.as_ref().map_or(0, |c| c.generation);
+    let body = Body {
+        generation,
+        instance: state.own.name.as_str(),
+        domain: state.own.domain.as_str(),
+        ready: state.unready().is_none(),
+        leaving: state.leaving.keys().map(name::Name::as_str).collect(),
+        at: now,
+    };
+    let body = sync::Arc::from(serde_json::to_vec(&body).unwrap_or_default());
+    let call = store::Call::Write {
+        key: key(state),
+        expected: state.status.version,
+        body,
+    };
+    state.status.generation = generation;
+    state.call(state::Purpose::Status, call);
+}
+
+/// Reads the status object to learn its version.
+pub fn read(state: &mut state::State) {
+    let key = key(state);
+    state.call(state::Purpose::StatusRead, store::Call::Read { key });
+}
+
+/// Takes in the reply to a write or read of the status.
+pub fn replied(state: &mut state::State, now: Time, reply: store::Reply) {
+    match reply {
+        store::Reply::Written(version) => written(state, now, version),
+        store::Reply::Found(object) => {
+            state.status.version = Some(object.version);
+            write(state, now);
+        }
+        store::Reply::Missing => {
+            state.status.version = None;
+            write(state, now);
+        }
+        store::Reply::Conflict => read(state),
+        _ => {
+            let at = now.after(SPREAD + document::jitter(state, now, SPREAD));
+            document::put_off(state, at, state::Purpose::StatusRead);
+        }
+    }
+}
+
+fn written(state: &mut state::State, now: Time, version: store::Version) {
+    state.status.version = Some(version);
+    state.status.pending = false;
+    let current = state.config.as_ref().map_or(0, |c| c.generation);
+    if current != state.status.generation {
+        plan(state, now);
+    }
+}
+
+fn key(state: &state::State) -> name::Name {
+    name::Name::from(format!("status/{}/{}", state.own.domain, state.own.name))
+}
--- /dev/null
+++ b/crates/core/src/reduce/timer.rs
@@ -0,0 +1,131 @@
+//! Deadlines of requests and the planned stop.
+
+use std::time;
+
+use crate::effect;
+use crate::flight;
+use crate::ledger;
+use crate::peering;
+use crate::reduce::{attempt, document, launch, link, quarantine, record};
+use crate::refusal;
+use crate::state;
+use crate::time::Time;
+use crate::verdict;
+
+/// How long a stopping entry still takes requests while the balancer learns of it.
+const LAME_DUCK: time::Duration = time::Duration::from_secs(3);
+
+/// How long before the end of a stop the open streams are told to reconnect.
+const HANDOVER: time::Duration = time::Duration::from_secs(2);
+
+/// Does all that is due.
+pub fn tick(state: &mut state::State, now: Time) {
+    link::peer(state, now, peering::Input::Tick);
+    record::drive(state, now, ledger::Input::Tick);
+    document::make_due_calls(state, now);
+    let effects = state.quarantine.tick(now);
+    quarantine::apply(state, now, effects);
+    while let Some(timer) = state.timers.first().copied().filter(|t| t.at <= now) {
+        state.timers.remove(&timer);
+        due(state, now, timer.request);
+    }
+}
+
+/// Begins a planned stop; a second one can only bring the end closer.
+pub fn stop(state: &mut state::State, now: Time, deadline: Time) {
+    let third = now.until(deadline) / 3;
+    let refuse_at = now.after(third.min(LAME_DUCK));
+    let new = state::Stop {
+        refuse_at,
+        deadline,
+    };
+    let stop = state.stop.unwrap_or(new);
+    state.stop = Some(state::Stop {
+        refuse_at: stop.refuse_at.min(refuse_at),
+        deadline: stop.deadline.min(deadline),
+    });
+}
+
+/// Tells open streams to reconnect near the end of a stop, and reports when all is done.
+pub fn settle_stop(state: &mut state::State, now: Time) {
+    let Some(stop) = state.stop else {
+        return;
+    };
+    if now.after(HANDOVER) >= stop.deadline {
+        hand_over(state, now);
+    }
+    let done = now >= stop.refuse_at && state.flights.is_empty();
+    if done || now >= stop.deadline {
+        state.emit(effect::Effect::Stopped);
+    }
+}
+
+fn hand_over(state: &mut state::State, now: Time) {
+    let open: Vec<u64> = state
+        .flights
+        .iter()
+        .filter(|(_, f)| !f.detached)
+        .map(|(id, _)| *id)
+        .collect();
+    for id in open {
+        let verdict = verdict_now(state, id);
+        let code = refusal::Code::Stopping;
+        let refusal = refusal::Refusal {
+            code,
+            verdict,
+            retry_at: Some(now),
+        };
+        expire(state, now, id, refusal);
+    }
+}
+
+fn due(state: &mut state::State, now: Time, id: u64) {
+    let Some(flight) = state.flights.get(&id) else {
+        return;
+    };
+    match flight.stage {
+        flight::Stage::Recording => record::relay(state, now, id),
+        flight::Stage::Backoff => launch::dispatch(state, now, id),
+        _ if flight.detached => {
+            let refusal = late(state, now, id);
+            attempt::cancel(state, now, id);
+            launch::give_up(state, now, id, refusal);
+        }
+        _ => {
+            let refusal = late(state, now, id);
+            expire(state, now, id, refusal);
+        }
+    }
+}
+
+fn late(state: &state::State, now: Time, id: u64) -> refusal::Refusal {
+    refusal::Refusal {
+        code: refusal::Code::Deadline,
+        verdict: verdict_now(state, id),
+        retry_at: Some(now.after(launch::RETRY_WAIT)),
+    }
+}
+
+fn verdict_now(state: &state::State, id: u64) -> verdict::Verdict {
+    let running = |f: &flight::Flight| f.started || matches!(f.stage, flight::Stage::Running(_));
+    match state.flights.get(&id).is_some_and(running) {
+        true => verdict::Verdict::MayHaveRun,
+        false => verdict::Verdict::NotRun,
+    }
+}
+
+/// Gives the final answer; a claimed run goes on for a while so that its end is recorded.
+fn expire(state: &mut state::State, now: Time, id: u64, refusal: refusal::Refusal) {
+    let Some(flight) = state.flights.get(&id) else {
+        return;
+    };
+    if matches!(flight.stage, flight::Stage::Recording) {
+        return record::relay(state, now, id);
+    }
+    if flight.claim.is_some() && refusal.verdict != verdict::Verdict::NotRun {
+        launch::refuse(state, id, refusal);
+        return state.set_timer(id, now.after(launch::CLAIM_GRACE));
+    }
+    attempt::cancel(state, now, id);
+    launch::give_up(state, now, id, refusal);
+}
--- /dev/null
+++ b/crates/core/src/refusal.rs
@@ -0,0 +1,79 @@
+//! Final answers that are not the upstream's.
+
+use crate::time;
+use crate::verdict;
+
+/// A final answer by the entry itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// What happened.
+    pub code: Code,
+    /// Whether the request may have run.
+    pub verdict: verdict::Verdict,
+    /// When to come back, if that can help.
+    pub retry_at: Option<time::Time>,
+}
+
+/// Why the entry gives the final answer.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, displaydoc::Display)]
+pub enum Code {
+    /// no configuration is in force at this entry yet
+    NotReady,
+    /// this entry is stopping; connect again to reach another one
+    Stopping,
+    /// no declared route has this path
+    NoRoute,
+    /// the header x-workspace names no declared workspace
+    NoWorkspace,
+    /// the workspace is over its declared rate or concurrency
+    Limited,
+    /// the request would miss its deadline in the queue
+    Overloaded,
+    /// no upstream of the service can take the request
+    NoUpstream,
+    /// the deadline passed
+    Deadline,
+    /// this request has brought down two upstreams and is not run again
+    Blocked,
+    /// the idempotency key was used with another body
+    KeyMismatch,
+    /// the request with this idempotency key is still running; its answer will be kept
+    KeyRunning,
+    /// an earlier run with this idempotency key ended unclear and is not repeated
+    KeyUnclear,
+    /// the platform's store cannot record the request now
+    Unrecorded,
+    /// the upstream failed
+    UpstreamFailed,
+}
+
+impl Code {
+    /// Returns the HTTP status.
+    pub const fn status(self) -> u16 {
+        row(self).0
+    }
+
+    /// Returns the short text in the `error` field.
+    pub const fn as_str(self) -> &'static str {
+        row(self).1
+    }
+}
+
+const fn row(code: Code) -> (u16, &'static str) {
+    match code {
+        Code::NotReady => (503, "not-ready"),
+        Code::Stopping => (503, "stopping"),
+        Code::NoRoute => (404, "no-route"),
+        Code::NoWorkspace => (403, "no-workspace"),
+        Code::Limited => (429, "limited"),
+        Code::Overloaded => (503, "overloaded"),
+        Code::NoUpstream => (503, "no-upstream"),
+        Code::Deadline => (504, "deadline"),
+        Code::Blocked => (422, "blocked"),
+        Code::KeyMismatch => (422, "key-mismatch"),
+        Code::KeyRunning => (409, "key-running"),
+        Code::KeyUnclear => (409, "key-unclear"),
+        Code::Unrecorded => (503, "unrecorded"),
+        Code::UpstreamFailed => (502, "upstream-failed"),
+    }
+}
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -268,6 +268,12 @@
         }
     }
 
+    /// Returns the incarnation of an upstream that is in use.
+    pub fn incarnation(&self, upstream: &name::Name) -> Option<u64> {
+        let slot = self.index.get(upstream)?;
+        Some(self.upstreams[*slot].incarnation)
+    }
+
     /// Takes a higher incarnation into use with a slow start.
     pub fn returned(&mut self, now: time::Time, upstream: &name::Name, incarnation: u64) {
         if let Some(&slot) = self.index.get(upstream) {
--- /dev/null
+++ b/crates/node/src/entry/exchange.rs
@@ -0,0 +1,160 @@
+//! One exchange with an upstream over HTTP/1.1 on a connection of its own.
+//!
+//! A fresh connection for each exchange keeps the verdict exact: if the connection cannot be
+//! opened, no byte was sent.
+
+use std::time;
+
+use bytes::Bytes;
+use guavausher_core::{effect, exchange, routing, time as point, verdict};
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::{body, header};
+use hyper_util::rt;
+
+use crate::clock;
+use crate::entry::{answer, intake};
+
+/// How long the opening of a connection may take.
+const CONNECT_WAIT: time::Duration = time::Duration::from_secs(1);
+
+/// How long the upstream may take to begin its answer after the request's deadline.
+const HEAD_SLACK: time::Duration = time::Duration::from_secs(30);
+
+/// An exchange that failed before the answer began.
+#[derive(Clone, Copy, Debug)]
+pub struct Broken {
+    /// Whether the request may have run.
+    pub verdict: verdict::Verdict,
+    /// Whether the upstream closed the exchange without an answer.
+    pub died: bool,
+}
+
+/// An answer that has begun.
+#[derive(Debug)]
+pub struct Open {
+    /// The exchange, which is past its first byte.
+    pub sent: exchange::Sent,
+    /// The head and body of the answer.
+    pub response: hyper::Response<body::Incoming>,
+    /// Ends the connection when dropped.
+    pub connection: Connection,
+}
+
+/// A connection that is closed when this is dropped, which cancels the request upstream.
+#[derive(Debug)]
+pub struct Connection(tokio::task::JoinHandle<()>);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Sends a request and waits for the head of the answer.
+///
+/// # Errors
+///
+/// Returns [`Broken`] with a verdict that follows from the step at which it failed.
+pub async fn open(
+    clock: clock::Clock,
+    writer: u64,
+    dispatch: &effect::Dispatch,
+    intake: &intake::Intake,
+) -> Result<Open, Broken> {
+    let unsent = exchange::Unsent::open();
+    let not_run = |unsent: exchange::Unsent| Broken {
+        verdict: unsent.fail(),
+        died: false,
+    };
+    let connect = tokio::net::TcpStream::connect(dispatch.address);
+    let Ok(Ok(socket)) = tokio::time::timeout(CONNECT_WAIT, connect).await else {
+        return Err(not_run(unsent));
+    };
+    let _ = socket.set_nodelay(true);
+    let Ok((mut sender, driver)) = http1::handshake(rt::TokioIo::new(socket)).await else {
+        return Err(not_run(unsent));
+    };
+    let Ok(request) = build(clock.now(), writer, dispatch, intake) else {
+        return Err(not_run(unsent));
+    };
+    // The clock is read last, so that a process that was paused sends nothing late.
+    let now = clock.now();
+    if now >= dispatch.deadline {
+        return Err(not_run(unsent));
+    }
+    let connection = Connection(tokio::spawn(async move {
+        // The error also ends the request, where it is handled.
+        let _ = driver.await;
+    }));
+    let sent = unsent.send();
+    let limit = now.until(dispatch.deadline) + HEAD_SLACK;
+    match tokio::time::timeout(limit, sender.send_request(request)).await {
+        Ok(Ok(response)) => Ok(Open {
+            sent,
+            response,
+            connection,
+        }),
+        Ok(Err(_)) => Err(Broken {
+            verdict: sent.fail(),
+            died: true,
+        }),
+        Err(_) => Err(Broken {
+            verdict: sent.fail(),
+            died: false,
+        }),
+    }
+}
+
+/// Returns the id of an attempt, unique over all entries.
+pub fn attempt_id(writer: u64, attempt: u64) -> String {
+    format!("{writer:x}-{attempt}")
+}
+
+/// Reads the load report in the head of an answer.
+pub fn load(headers: &header::HeaderMap) -> Option<routing::Load> {
+    let text = headers.get("x-load")?.to_str().ok()?;
+    let field = |name: &str| -> Option<u64> {
+        let mut pairs = text
+            .split(';')
+            .filter_map(|pair| pair.trim().split_once('='));
+        pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+    };
+    let small = |name| u32::try_from(field(name)?).ok();
+    Some(routing::Load {
+        incarnation: field("incarnation")?,
+        queue: small("queue")?,
+        running: small("running")?,
+        slots: small("slots")?,
+        at: point::Time::from_millis(field("at")?),
+    })
+}
+
+/// Tells whether the upstream states that it did not run the request.
+pub fn is_refusal(response: &hyper::Response<body::Incoming>) -> bool {
+    let verdict = response.headers().get(answer::VERDICT);
+    response.status().is_server_error()
+        && verdict.is_some_and(|v| v.as_bytes() == verdict::Verdict::NotRun.as_str().as_bytes())
+}
+
+fn build(
+    now: point::Time,
+    writer: u64,
+    dispatch: &effect::Dispatch,
+    intake: &intake::Intake,
+) -> Result<hyper::Request<Full<Bytes>>, hyper::http::Error> {
+    let deadline = now.max(dispatch.deadline).as_micros() / 1_000;
+    let mut builder = hyper::Request::post(intake.request.path.as_str())
+        .header(header::HOST, dispatch.address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(answer::REQUEST_ID, intake.request.id)
+        .header("x-attempt-id", attempt_id(writer, dispatch.attempt))
+        .header("x-workspace", intake.request.workspace.as_str())
+        .header("x-priority", dispatch.priority.as_str())
+        .header("x-deadline-ms", deadline)
+        .header("x-resume-offset", dispatch.offset);
+    if let Some(key) = &intake.request.key {
+        builder = builder.header("idempotency-key", key.as_str());
+    }
+    builder.body(Full::new(intake.body.clone()))
+}
--- a/crates/node/src/store/connection.rs
+++ b/crates/node/src/store/connection.rs
@@ -52,6 +52,7 @@
                 expected,
                 body,
             } => self.write(key, *expected, body, deadline),
+            store::Call::Delete { key, expected } => self.delete(key, *expected, deadline),
             store::Call::List { prefix } => {
                 self.list(&format!("/objects?prefix={prefix}"), deadline)
             }
@@ -95,22 +96,19 @@
         if body.len() > store::MAX_BODY_BYTES {
             return NOT_RUN;
         }
-        let condition = match expected {
-            Some(version) => (header::IF_MATCH, format!("\"{version}\"")),
-            None => (header::IF_NONE_MATCH, String::from("*")),
+        let request = self.request(model::Method::PUT, &format!("/objects/{key}"));
+        let request = match expected {
+            Some(version) => request.header(header::IF_MATCH, format!("\"{version}\"")),
+            None => request.header(header::IF_NONE_MATCH, "*"),
         };
+        change(request.body(model::Body::from(body.to_vec())), deadline)
+    }
+
+    fn delete(&self, key: &str, expected: store::Version, deadline: time::Instant) -> store::Reply {
         let request = self
-            .request(model::Method::PUT, &format!("/objects/{key}"))
-            .header(condition.0, condition.1)
-            .body(model::Body::from(body.to_vec()));
-        let (Ok(request), Some(client)) = (request, client(deadline)) else {
-            return NOT_RUN;
-        };
-        match client.request(request) {
-            Ok(response) => written(&response),
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => NOT_RUN,
-            Err(_) => UNCLEAR,
-        }
+            .request(model::Method::DELETE, &format!("/objects/{key}"))
+            .header(header::IF_MATCH, format!("\"{expected}\""));
+        change(request.body(model::Body::empty()), deadline)
     }
 
     fn list(&self, path: &str, deadline: time::Instant) -> store::Reply {
@@ -168,7 +166,9 @@
 
 fn key_of(call: &store::Call) -> Option<&name::Name> {
     match call {
-        store::Call::Read { key } | store::Call::Write { key, .. } => Some(key),
+        store::Call::Read { key }
+        | store::Call::Write { key, .. }
+        | store::Call::Delete { key, .. } => Some(key),
         store::Call::List { prefix } | store::Call::Watch { prefix, .. } => Some(prefix),
         store::Call::Instances | store::Call::Notices { .. } => None,
     }
@@ -187,6 +187,23 @@
     Some(oxhttp::Client::new().with_global_timeout(left))
 }
 
+/// Sends a call that changes an object.
+fn change(
+    request: Result<model::Request<model::Body>, model::Error>,
+    deadline: time::Instant,
+) -> store::Reply {
+    let (Ok(request), Some(client)) = (request, client(deadline)) else {
+        return NOT_RUN;
+    };
+    let deleted = request.method() == model::Method::DELETE;
+    match client.request(request) {
+        Ok(response) if deleted && response.status().is_success() => store::Reply::Written(0),
+        Ok(response) => written(&response),
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => NOT_RUN,
+        Err(_) => UNCLEAR,
+    }
+}
+
 fn written(response: &model::Response<model::Body>) -> store::Reply {
     match (response.status(), version_of(response)) {
         (model::StatusCode::OK | model::StatusCode::CREATED, Some(version)) => {
--- a/crates/node/src/store/metrics.rs
+++ b/crates/node/src/store/metrics.rs
@@ -48,6 +48,7 @@
     match call {
         store::Call::Read { .. } => "read",
         store::Call::Write { .. } => "write",
+        store::Call::Delete { .. } => "delete",
         store::Call::List { .. } => "list",
         store::Call::Watch { .. } => "watch",
         store::Call::Instances => "instances",
