--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -263,8 +263,11 @@
             "long" => batch::Priority::Long,
             _ => batch::Priority::Quick,
         };
-        let mut waiting = self.enter(priority)?;
         let left = time::Duration::from_millis(deadline.saturating_sub(load::unix_ms()));
+        if left.is_zero() {
+            return Err("x-deadline-ms has passed");
+        }
+        let mut waiting = self.enter(priority)?;
         match tokio::time::timeout(left, waiting.granted()).await {
             Ok(true) => {}
             Ok(false) => return Err("leaving"),
