Split the engine's and the platform's interfaces into modules of one job

Change: requests for tokens, slots, state and interface of the engine apart; object API, fleet calls, state and interface of the platform apart. No change of behaviour.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -1,5 +1,6 @@
 //! The stand-in for a model engine.
 
+mod ask;
 mod batch;
 mod cache;
 mod config;
@@ -7,6 +8,8 @@
 mod orders;
 mod prompt;
 mod server;
+mod slot;
+mod state;
 mod stream;
 
 pub use config::Config;
--- a/crates/standins/src/engine/stream.rs
+++ b/crates/standins/src/engine/stream.rs
@@ -9,7 +9,8 @@
 use tokio::time as tokio_time;
 
 use super::prompt;
-use super::server;
+use super::slot;
+use super::state;
 use crate::faults;
 use crate::reply;
 
@@ -56,20 +57,20 @@
 /// A running stream, which holds a slot.
 #[derive(Debug)]
 pub(super) struct Stream {
-    engine: sync::Arc<server::Engine>,
+    engine: sync::Arc<state::Engine>,
     plan: Plan,
     pieces: mpsc::Sender<io::Result<Bytes>>,
-    slot: server::Slot,
+    slot: slot::Slot,
     due: tokio_time::Instant,
 }
 
 impl Stream {
     /// Prepares a stream that sends its pieces to a response body.
     pub(super) fn new(
-        engine: sync::Arc<server::Engine>,
+        engine: sync::Arc<state::Engine>,
         plan: Plan,
         pieces: mpsc::Sender<io::Result<Bytes>>,
-        slot: server::Slot,
+        slot: slot::Slot,
     ) -> Self {
         Self {
             engine,
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -3,9 +3,12 @@
 mod calls;
 mod cloud;
 mod config;
+mod fleet;
 mod instances;
 mod objects;
 mod server;
+mod state;
+mod store;
 mod weights;
 
 pub use config::Config;
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -30,6 +30,11 @@
     json(status, &serde_json::json!({ "error": message.to_string() }))
 }
 
+/// Answers 200 with an empty JSON object.
+pub fn done() -> Response {
+    json(http::StatusCode::OK, &serde_json::json!({}))
+}
+
 /// Answers 400 with a message.
 pub fn bad(message: impl fmt::Display) -> Response {
     error(http::StatusCode::BAD_REQUEST, message)
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -79,10 +79,14 @@
 pub fn start(config: Config) -> io::Result<handle::Handle> {
     let server = server::Server::bind(config.listen, config.threads)?;
     let service = sync::Arc::new(Service::new(config));
-    server.run(move |request| {
-        let service = service.clone();
-        async move { service.respond(request).await }
-    })
+    server.run(move |request| respond(service.clone(), request))
+}
+
+async fn respond(
+    service: sync::Arc<Service>,
+    request: http::Request<body::Incoming>,
+) -> reply::Outcome {
+    service.respond(request).await
 }
 
 #[derive(Debug)]
