--- a/crates/standins/tests/engine_state.rs
+++ b/crates/standins/tests/engine_state.rs
@@ -4,6 +4,7 @@
 
 use guavausher_standins::engine;
 use guavausher_standins::handle;
+use guavausher_standins::load;
 use rstest::rstest;
 
 const WORDS: &str = "a b c d e f g h i j k l m n o p q r s t u v w x y z";
@@ -180,3 +181,17 @@
     let report = stream.headers()["x-load"].to_str().unwrap().to_owned();
     assert!(report.starts_with(&format!("queue=0;running={running};slots=64;incarnation=")));
 }
+
+#[test]
+fn load_tells_its_time() {
+    let load_lag_ms = 600_000;
+    let engine = start(engine::Config {
+        load_lag_ms,
+        ..engine::Config::default()
+    });
+    let before = load::unix_ms();
+    let at = support::get(engine.address(), "/load").json()["at_ms"]
+        .as_u64()
+        .unwrap();
+    assert!((before - load_lag_ms..=load::unix_ms() - load_lag_ms).contains(&at));
+}
--- a/crates/standins/tests/engine_stream.rs
+++ b/crates/standins/tests/engine_stream.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::io::Write;
+use std::net;
 use std::thread;
 
 use guavausher_standins::engine;
@@ -11,6 +13,9 @@
 const ASK: &str = r#"{"prompt":"compose a verse","max_tokens":4}"#;
 const ENDLESS: &str = r#"{"prompt":"a long compilation","max_tokens":90000}"#;
 
+/// A gap between tokens beyond the end of any test.
+const HOUR_MS: u64 = 3_600_000;
+
 fn start() -> handle::Handle {
     start_with(engine::Config::default())
 }
@@ -165,7 +170,11 @@
 #[case::by_call(true)]
 #[case::by_close(false)]
 fn cancel_frees_slot(#[case] call: bool) {
-    let engine = start();
+    let config = engine::Config {
+        token_ms: HOUR_MS,
+        ..engine::Config::default()
+    };
+    let engine = engine::start(config).unwrap();
     let address = engine.address();
     let headers = [("x-attempt-id", "a1")];
     let stream = support::open(address, "POST", "/v1/x", &headers, ENDLESS).unwrap();
@@ -182,6 +191,30 @@
     assert_eq!(again.status, 404);
 }
 
+#[test]
+fn close_leaves_queue() {
+    let config = engine::Config {
+        slots: 1,
+        token_ms: HOUR_MS,
+        ..engine::Config::default()
+    };
+    let engine = engine::start(config).unwrap();
+    let held = support::open(engine.address(), "POST", "/v1/x", &[], ENDLESS).unwrap();
+    let mut waiting = net::TcpStream::connect(engine.address()).unwrap();
+    let head = format!(
+        "POST /v1/x HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n",
+        ENDLESS.len()
+    );
+    waiting
+        .write_all(format!("{head}{ENDLESS}").as_bytes())
+        .unwrap();
+    support::wait_for("a queue", || load(&engine, "queue") == 1);
+    drop(waiting);
+    support::wait_for("no queue", || load(&engine, "queue") == 0);
+    drop(held);
+    support::wait_for("a free slot", || load(&engine, "running") == 0);
+}
+
 #[test]
 fn freeze_holds_stream() {
     let engine = start();
