Send the first token of the stand-in engine without a timer's delay

Cause: a wait of nothing still went through a timer, which rounds up to a millisecond and would hide what an entry adds.

--- a/crates/standins/src/engine/stream.rs
+++ b/crates/standins/src/engine/stream.rs
@@ -119,7 +119,9 @@
 
     async fn wait(&mut self, gap: time::Duration) {
         self.due += gap;
-        tokio_time::sleep_until(self.due).await;
+        if !gap.is_zero() {
+            tokio_time::sleep_until(self.due).await;
+        }
         if self.engine.switch.get().freeze {
             self.engine.switch.thaw().await;
             self.due = tokio_time::Instant::now();
