Let the load generator take up cut streams at the next target

Cause: whole answers have to be measured as a caller gets them who reconnects with Last-Event-ID. Change: reconnects in the scenario; counted, off by default.

--- a/crates/load/src/call.rs
+++ b/crates/load/src/call.rs
@@ -13,64 +13,74 @@
 use crate::pool;
 use crate::scenario;
 
-/// A request with what is needed to measure it.
-#[derive(Debug)]
+/// A request that is sent once, and again at another target if its stream is cut.
+#[derive(Clone, Debug)]
 pub struct Call {
-    /// Intended send time.
-    pub intended: time::Instant,
-    /// Tokens that were asked for; `None` if the answer is no stream.
-    pub tokens: Option<u64>,
-    /// The request.
-    pub request: hyper::Request<Full<Bytes>>,
+    intended: time::Instant,
+    deadline: time::Instant,
+    target: usize,
+    reconnects: u32,
+    tokens: Option<u64>,
+    path: String,
+    workspace: String,
+    key: Option<String>,
+    body: Bytes,
 }
 
 impl Call {
     /// Builds the request of a shot; `run` makes its key unique among runs.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the path or a header of the kind can't be sent.
     pub fn new(
-        kind: &scenario::Kind,
+        scenario: &scenario::Scenario,
         shot: &plan::Shot,
-        pool: &pool::Pool,
         run: u64,
         start: time::Instant,
-    ) -> Result<Self, hyper::http::Error> {
-        let mut request =
-            hyper::Request::post(&kind.path).header("host", pool.target().to_string());
-        request = request.header("content-type", "application/json");
-        if !kind.workspace.is_empty() {
-            request = request.header("x-workspace", &kind.workspace);
-        }
-        if kind.key {
-            request = request.header("idempotency-key", format!("load-{run}-{}", shot.serial));
-        }
+    ) -> Self {
+        let kind = &scenario.requests[shot.kind];
         let prompt = plan::prompt(kind, shot.kind, shot.seed);
         let body = match kind.max_tokens {
             Some(max_tokens) => serde_json::json!({ "prompt": prompt, "max_tokens": max_tokens }),
             None => serde_json::json!({ "prompt": prompt }),
         };
-        let request = request.body(Full::from(body.to_string()))?;
-        Ok(Self {
-            intended: start + shot.at,
+        let intended = start + shot.at;
+        Self {
+            intended,
+            deadline: intended + time::Duration::from_secs(scenario.timeout),
+            target: shot.target,
+            reconnects: scenario.reconnects,
             tokens: kind.max_tokens,
-            request,
-        })
+            path: kind.path.clone(),
+            workspace: kind.workspace.clone(),
+            key: kind.key.then(|| format!("load-{run}-{}", shot.serial)),
+            body: Bytes::from(body.to_string()),
+        }
     }
 
     /// Sends the request and measures its answer.
-    pub async fn run(self, pool: &pool::Pool, timeout: time::Duration) -> measure::Measure {
+    pub async fn run(self, pools: &[pool::Pool]) -> measure::Measure {
         let mut measure = measure::Measure::new();
-        let end = tokio::time::Instant::from_std(self.intended + timeout);
-        tokio::time::timeout_at(end, self.exchange(pool, &mut measure))
+        let deadline = tokio::time::Instant::from_std(self.deadline);
+        tokio::time::timeout_at(deadline, self.exchange(pools, &mut measure))
             .await
             .ok();
         measure
     }
 
-    async fn exchange(self, pool: &pool::Pool, measure: &mut measure::Measure) {
-        let Ok((sender, response)) = pool.send(self.request).await else {
+    async fn exchange(&self, pools: &[pool::Pool], measure: &mut measure::Measure) {
+        for turn in 0..=self.reconnects as usize {
+            let pool = &pools[(self.target + turn) % pools.len()];
+            measure.reconnects += u64::from(turn > 0);
+            self.attempt(pool, measure).await;
+            if measure.end != measure::End::Truncated {
+                return;
+            }
+        }
+    }
+
+    async fn attempt(&self, pool: &pool::Pool, measure: &mut measure::Measure) {
+        let Ok(request) = self.request(pool, measure.progress.last()) else {
+            return;
+        };
+        let Ok((sender, response)) = pool.send(request).await else {
             return;
         };
         let (head, body) = response.into_parts();
@@ -84,6 +94,26 @@
             pool.keep(sender);
         }
     }
+
+    fn request(
+        &self,
+        pool: &pool::Pool,
+        last: Option<u64>,
+    ) -> Result<hyper::Request<Full<Bytes>>, hyper::http::Error> {
+        let mut request = hyper::Request::post(&self.path)
+            .header("host", pool.target().to_string())
+            .header("content-type", "application/json");
+        if !self.workspace.is_empty() {
+            request = request.header("x-workspace", &self.workspace);
+        }
+        if let Some(key) = &self.key {
+            request = request.header("idempotency-key", key);
+        }
+        if let Some(last) = last {
+            request = request.header("last-event-id", last);
+        }
+        request.body(Full::from(self.body.clone()))
+    }
 }
 
 /// Reads an answer that is no stream; returns whether its body was whole.
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -38,6 +38,7 @@
   arrivals = \"poisson\"           # or \"even\" [poisson]
   timeout = 60                   # seconds a request [60]
   limit = 10000                  # open requests; further ones count as unsent [10000]
+  reconnects = 0                 # times a cut stream is resumed at the next target [0]
   first_ms = 1600                # target for first token or whole answer [1600]
   gap_ms = 48                    # target for gaps [48]
   [[requests]]
--- a/crates/load/src/measure.rs
+++ b/crates/load/src/measure.rs
@@ -26,6 +26,8 @@
     pub first: Option<time::Duration>,
     /// When an answer that is no stream was whole.
     pub answer: Option<time::Duration>,
+    /// How often it was sent again with the last offset.
+    pub reconnects: u64,
     /// The tokens that came.
     pub progress: progress::Progress,
 }
@@ -37,6 +39,7 @@
             end: End::Failed,
             first: None,
             answer: None,
+            reconnects: 0,
             progress: progress::Progress::default(),
         }
     }
--- a/crates/load/src/progress.rs
+++ b/crates/load/src/progress.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Returns the offset of the last token that came.
+    pub fn last(&self) -> Option<u64> {
+        self.next.checked_sub(1)
+    }
+
     /// Takes the end of a stream that should have had `count` tokens.
     pub fn finish(&mut self, count: u64) {
         self.missing += count.saturating_sub(self.next);
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -27,6 +27,8 @@
     pub failed: u64,
     /// Streams that ended before their end.
     pub truncated: u64,
+    /// Streams that were taken up again at another target.
+    pub reconnects: u64,
     /// Token offsets that came again or out of order.
     pub duplicate: u64,
     /// Token offsets that were left out.
@@ -72,6 +74,7 @@
             refused: tally.refused,
             failed: tally.failed,
             truncated: tally.truncated,
+            reconnects: tally.reconnects,
             duplicate: tally.duplicate,
             missing: tally.missing,
             tokens: tally.tokens,
@@ -117,6 +120,7 @@
             ("refused", self.refused),
             ("failed", self.failed),
             ("truncated", self.truncated),
+            ("reconnects", self.reconnects),
             ("duplicate", self.duplicate),
             ("missing", self.missing),
             ("tokens", self.tokens),
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -37,7 +37,7 @@
     let start = time::Instant::now();
     for shot in plan::Plan::new(scenario)? {
         thread::sleep((start + shot.at).saturating_duration_since(time::Instant::now()));
-        run.fire(runtime.handle(), &shot, start)?;
+        run.fire(runtime.handle(), &shot, start);
     }
     runtime.block_on(run.finish());
     runtime.shutdown_background();
@@ -46,7 +46,7 @@
 
 struct Run<'a> {
     scenario: &'a scenario::Scenario,
-    pools: Vec<sync::Arc<pool::Pool>>,
+    pools: sync::Arc<[pool::Pool]>,
     open: sync::Arc<Semaphore>,
     tally: sync::Arc<sync::Mutex<tally::Tally>>,
     serial: u64,
@@ -61,35 +61,27 @@
             .map(|target| pool::Pool::new(*target));
         Ok(Self {
             scenario,
-            pools: pools.map(sync::Arc::new).collect(),
+            pools: pools.collect(),
             open: sync::Arc::new(Semaphore::new(scenario.limit)),
             tally: sync::Arc::new(sync::Mutex::new(tally::Tally::new(scenario)?)),
             serial: u64::try_from(since.as_micros())?,
         })
     }
 
-    fn fire(
-        &self,
-        runtime: &runtime::Handle,
-        shot: &plan::Shot,
-        start: time::Instant,
-    ) -> Result<(), Error> {
+    fn fire(&self, runtime: &runtime::Handle, shot: &plan::Shot, start: time::Instant) {
         let Ok(permit) = self.open.clone().try_acquire_owned() else {
             lock(&self.tally).unsent += 1;
-            return Ok(());
+            return;
         };
-        let pool = self.pools[shot.target].clone();
-        let kind = &self.scenario.requests[shot.kind];
-        let call = call::Call::new(kind, shot, &pool, self.serial, start)?;
-        let timeout = time::Duration::from_secs(self.scenario.timeout);
+        let call = call::Call::new(self.scenario, shot, self.serial, start);
+        let pools = self.pools.clone();
         let tally = self.tally.clone();
         runtime.spawn(async move {
-            let measure = call.run(&pool, timeout).await;
+            let measure = call.run(&pools).await;
             lock(&tally).add(&measure);
             drop(tally);
             drop(permit);
         });
-        Ok(())
     }
 
     async fn finish(&self) {
--- a/crates/load/src/scenario.rs
+++ b/crates/load/src/scenario.rs
@@ -14,6 +14,9 @@
 /// The most words of a prompt and the most tokens of an answer.
 pub const MAX_WORDS: u64 = 100_000;
 
+/// The most times that one stream is taken up again.
+pub const MAX_RECONNECTS: u32 = 16;
+
 /// The most requests that may be open at once.
 pub const MAX_OPEN: usize = 100_000;
 
@@ -41,6 +44,9 @@
     /// Requests that may be open at once; further ones count as unsent.
     #[serde(default = "default_limit")]
     pub limit: usize,
+    /// How often a cut stream is taken up again, at the next target each time.
+    #[serde(default)]
+    pub reconnects: u32,
     /// Target for the first token or a whole answer, in milliseconds.
     #[serde(default = "default_first_ms")]
     pub first_ms: u64,
@@ -144,6 +150,12 @@
         )?;
         let limit = (1..=MAX_OPEN).contains(&self.limit);
         within(limit, "limit", format!("1 to {MAX_OPEN} open requests"))?;
+        let reconnects = self.reconnects <= MAX_RECONNECTS;
+        within(
+            reconnects,
+            "reconnects",
+            format!("at most {MAX_RECONNECTS}"),
+        )?;
         let count = (1..=MAX_ENTRIES).contains(&self.requests.len());
         within(count, "requests", format!("1 to {MAX_ENTRIES} kinds"))?;
         let weights = self.requests.iter().any(|kind| kind.weight > 0);
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -32,6 +32,8 @@
     pub failed: u64,
     /// Streams that ended before their end.
     pub truncated: u64,
+    /// Streams that were taken up again at another target.
+    pub reconnects: u64,
     /// Token offsets that came again or out of order.
     pub duplicate: u64,
     /// Token offsets that were left out.
@@ -73,6 +75,7 @@
             refused: 0,
             failed: 0,
             truncated: 0,
+            reconnects: 0,
             duplicate: 0,
             missing: 0,
             good: 0,
@@ -89,6 +92,7 @@
         self.sent += 1;
         *self.counter(measure.end) += 1;
         self.good += u64::from(self.is_good(measure));
+        self.reconnects += measure.reconnects;
         self.duplicate += measure.progress.duplicate;
         self.missing += measure.progress.missing;
         self.tokens += measure
--- a/crates/load/tests/parts.rs
+++ b/crates/load/tests/parts.rs
@@ -35,6 +35,7 @@
 #[case::duration("duration = 10", "duration = 4000", "duration: use 1 to 3600")]
 #[case::count("rate = 100", "rate = 100000\nduration = 3600\n#", "requests a run")]
 #[case::limit("seed = 3", "seed = 3\nlimit = 0", "limit: use 1 to")]
+#[case::reconnects("seed = 3", "seed = 3\nreconnects = 17", "reconnects: use at most 16")]
 #[case::unknown("seed = 3", "colour = 3", "line 4")]
 #[case::path("/order", "order", "must start with a slash")]
 #[case::shared("shared = 4", "shared = 9", "shared: use at most words")]
@@ -138,6 +139,7 @@
     for offset in offsets {
         progress.token(*offset, time::Instant::now());
     }
+    assert_eq!(progress.last(), offsets.iter().max().copied());
     progress.finish(count);
     assert_eq!((progress.duplicate, progress.missing), (duplicate, missing));
 }
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -105,6 +105,18 @@
     assert!(tally.gap.max() >= 1_000);
 }
 
+#[rstest]
+#[case::none(0, 0)]
+#[case::once(1, COUNT)]
+fn run_reconnects(#[case] reconnects: u32, #[case] again: u64) {
+    let engine = engine();
+    set_faults(engine.address(), r#"{"truncate_at":2}"#);
+    let text = scenario(&[engine.address()], "max_tokens = 4");
+    let text = format!("reconnects = {reconnects}\n{text}");
+    let tally = run::run(&scenario::Scenario::parse(&text).unwrap()).unwrap();
+    assert_eq!((tally.truncated, tally.reconnects), (COUNT, again));
+}
+
 #[rstest]
 #[case::keyed("key = true", COUNT as usize, 1)]
 #[case::keyless("key = false", 1, COUNT)]
