Prove that facts and documents converge over the links

Cause: the reducer had no test. Change: a fleet of reducers wired in memory with seeded loss, repetition, delay, cuts and stops; a node that waited for a peer's word no longer asks for ticks without end. Conclusion: found one fault (ticks without end after the grace period), mended here.

--- a/crates/core/src/peering/state.rs
+++ b/crates/core/src/peering/state.rs
@@ -63,6 +63,7 @@
     beat: time::Time,
     learned: time::Time,
     grace: Option<time::Time>,
+    waited: bool,
     read: bool,
     synced: bool,
     sequence: u64,
@@ -130,11 +131,15 @@
     /// Returns when the next `Tick` is due at the latest.
     pub fn wake(&self) -> time::Time {
         let fetches = self.fetches.iter().flatten().map(|fetch| fetch.deadline);
-        let grace = self.grace.filter(|_| !self.synced);
+        let grace = self.grace.filter(|_| !self.synced && !self.waited);
+        let watch = match self.parent {
+            Some(_) => time::Time::MAX,
+            None => self.watch.wake(),
+        };
         fetches
             .chain(grace)
             .chain([self.beat, self.links.wake(), self.ledger.wake()])
-            .chain([self.facts.wake(), self.watch.wake()])
+            .chain([self.facts.wake(), watch])
             .min()
             .unwrap_or(time::Time::MAX)
     }
@@ -182,6 +187,7 @@
             beat: time::Time::default(),
             learned: time::Time::default(),
             grace: None,
+            waited: false,
             read: false,
             synced: false,
             sequence: 0,
@@ -531,6 +537,7 @@
     }
 
     fn check_synced(&mut self, now: time::Time) {
+        self.waited |= self.grace.is_some_and(|grace| grace <= now);
         if self.synced {
             return;
         }
@@ -539,7 +546,7 @@
             return;
         }
         let vouched = self.links.any_synced();
-        let waited = self.members.len() == 1 || self.grace.is_some_and(|grace| grace <= now);
+        let waited = self.members.len() == 1 || self.waited;
         self.synced = vouched || (self.read && waited);
     }
 
--- /dev/null
+++ b/crates/core/tests/peering.rs
@@ -0,0 +1,303 @@
+//! Convergence of facts, documents and reports over many reducers.
+
+#[path = "peering/fleet.rs"]
+mod fleet;
+
+use std::sync;
+use std::time::Duration;
+
+use guavausher_core::fact;
+use guavausher_core::name;
+use guavausher_core::peering;
+use rstest::rstest;
+
+const CALM: fleet::Faults = fleet::Faults {
+    lost: 0,
+    doubled: 0,
+    jitter: 2,
+};
+const ROUGH: fleet::Faults = fleet::Faults {
+    lost: 200,
+    doubled: 100,
+    jitter: 40,
+};
+const SETTLE: Duration = Duration::from_secs(10);
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn settled(size: usize, seed: u64, faults: fleet::Faults) -> fleet::Fleet {
+    let domains = if size > 9 { 9 } else { 3 };
+    let mut fleet = fleet::Fleet::new(size, domains, seed, faults);
+    fleet.run(SETTLE);
+    fleet
+}
+
+fn leaving(index: u64) -> fact::Fact {
+    fact::Fact::Leaving {
+        upstream: name::Name::from(format!("verse-scribe-{index}")),
+        incarnation: 1,
+    }
+}
+
+fn learn(fleet: &mut fleet::Fleet, index: usize, fact: &fact::Fact) {
+    let expiry = fleet.now.after(Duration::from_secs(600));
+    let fact = fact.clone();
+    fleet.input(index, peering::Input::Learn { fact, expiry });
+}
+
+fn document(generation: u64, body: &[u8]) -> peering::Document {
+    peering::Document {
+        topic: peering::Topic::Config,
+        generation,
+        body: sync::Arc::from(body),
+    }
+}
+
+fn publish(fleet: &mut fleet::Fleet, index: usize, generation: u64) {
+    let body = format!("generation {generation} {}", "rest ".repeat(500));
+    let document = document(generation, body.as_bytes());
+    fleet.input(index, peering::Input::Publish(document));
+}
+
+fn holds(generation: u64) -> impl Fn(&fleet::Fleet) -> bool {
+    let topic = peering::Topic::Config;
+    move |fleet| fleet.all(|node| node.state.generation(topic) == generation)
+}
+
+#[rstest]
+#[case::today(9, 1, CALM, 100)]
+#[case::today_rough(9, 2, ROUGH, 1900)]
+#[case::full(380, 3, CALM, 200)]
+#[case::full_rough(380, 4, ROUGH, 1900)]
+fn fact_reaches_all(
+    #[case] size: usize,
+    #[case] seed: u64,
+    #[case] faults: fleet::Faults,
+    #[case] limit: u64,
+) {
+    let mut fleet = settled(size, seed, faults);
+    let fact = leaving(1);
+    learn(&mut fleet, size / 2, &fact);
+    let took = fleet.run_for(MINUTE, |fleet| fleet.all(|node| node.state.knows(&fact)));
+    assert!(took.is_some_and(|took| took <= limit), "{took:?} ms");
+}
+
+#[rstest]
+#[case::today(9, 5)]
+#[case::full(380, 6)]
+fn fact_costs_one_message_a_link(#[case] size: usize, #[case] seed: u64) {
+    let mut fleet = settled(size, seed, CALM);
+    for node in &mut fleet.nodes {
+        node.sent.clear();
+    }
+    let fact = leaving(1);
+    learn(&mut fleet, 0, &fact);
+    fleet.run(Duration::from_secs(5));
+    for node in &fleet.nodes {
+        let sent = node.sent.get("facts").copied().unwrap_or(0);
+        assert!(sent <= node.state.linked_peers().count() as u64, "{sent}");
+        assert_eq!(node.sent.get("buckets"), None);
+    }
+}
+
+#[rstest]
+#[case::today(9, 7)]
+#[case::full(380, 8)]
+fn fact_lost_everywhere_is_found(#[case] size: usize, #[case] seed: u64) {
+    let mut fleet = settled(size, seed, CALM);
+    fleet.faults.lost = 1000;
+    let fact = leaving(1);
+    learn(&mut fleet, 0, &fact);
+    fleet.run(Duration::from_millis(100));
+    fleet.faults.lost = 0;
+    let took = fleet.run_for(MINUTE, |fleet| fleet.all(|node| node.state.knows(&fact)));
+    assert!(took.is_some());
+}
+
+#[rstest]
+#[case::today(9, 9, CALM, 300)]
+#[case::today_rough(9, 10, ROUGH, 7900)]
+#[case::full(380, 11, CALM, 500)]
+#[case::full_rough(380, 12, ROUGH, 7900)]
+fn config_reaches_all(
+    #[case] size: usize,
+    #[case] seed: u64,
+    #[case] faults: fleet::Faults,
+    #[case] limit: u64,
+) {
+    let mut fleet = settled(size, seed, faults);
+    for generation in [4, 7] {
+        // The store is down right after one watcher has read the accepted generation.
+        let watcher = fleet.watchers(peering::Topic::Config)[0];
+        publish(&mut fleet, watcher, generation);
+        let took = fleet.run_for(MINUTE, holds(generation));
+        assert!(took.is_some_and(|took| took <= limit), "{took:?} ms");
+    }
+}
+
+#[test]
+fn config_never_reverts() {
+    let mut fleet = settled(9, 13, ROUGH);
+    publish(&mut fleet, 0, 5);
+    fleet.run_for(MINUTE, holds(5)).unwrap();
+    for index in 0..9 {
+        publish(&mut fleet, index, 4);
+    }
+    fleet.run(SETTLE);
+    assert!(holds(5)(&fleet));
+    for node in &fleet.nodes {
+        assert_eq!(node.adopted.len(), 1);
+    }
+}
+
+#[test]
+fn config_changes_travel_as_patches() {
+    let mut fleet = settled(45, 14, CALM);
+    publish(&mut fleet, 0, 1);
+    fleet.run_for(MINUTE, holds(1)).unwrap();
+    for node in &mut fleet.nodes {
+        node.sent.clear();
+    }
+    publish(&mut fleet, 3, 2);
+    fleet.run_for(MINUTE, holds(2)).unwrap();
+    let whole: u64 = fleet
+        .nodes
+        .iter()
+        .filter_map(|node| node.sent.get("document"))
+        .sum();
+    let patches: u64 = fleet
+        .nodes
+        .iter()
+        .filter_map(|node| node.sent.get("patch"))
+        .sum();
+    assert_eq!((whole, patches), (0, 44));
+    let body = |node: &fleet::Node| node.adopted.last().map(|last| last.body.clone());
+    assert!(
+        fleet
+            .nodes
+            .iter()
+            .all(|node| body(node) == body(&fleet.nodes[3]))
+    );
+}
+
+#[rstest]
+#[case::today(9, 15)]
+#[case::full(380, 16)]
+fn cut_domain_heals(#[case] size: usize, #[case] seed: u64) {
+    let mut fleet = settled(size, seed, CALM);
+    fleet.cut(Some("domain-1"));
+    fleet.run(MINUTE);
+    let outside = leaving(1);
+    let inside = leaving(2);
+    learn(&mut fleet, 0, &outside);
+    learn(&mut fleet, 1, &inside);
+    publish(&mut fleet, 0, 3);
+    fleet.run(SETTLE);
+    assert_eq!(fleet.nodes[1].state.generation(peering::Topic::Config), 0);
+    assert!(!fleet.nodes[0].state.knows(&inside));
+    fleet.cut(None);
+    let healed = |fleet: &fleet::Fleet| {
+        fleet.all(|node| node.state.knows(&outside) && node.state.knows(&inside)) && holds(3)(fleet)
+    };
+    let took = fleet.run_for(MINUTE, healed);
+    assert!(took.is_some_and(|took| took <= 15_000), "{took:?} ms");
+}
+
+#[rstest]
+#[case::today_third(9, 17, 3)]
+#[case::full_third(380, 18, 3)]
+#[case::full_half(380, 19, 2)]
+fn fact_passes_dead_members(#[case] size: usize, #[case] seed: u64, #[case] every: usize) {
+    let mut fleet = settled(size, seed, CALM);
+    // The list still names them, since it lags.
+    for index in (1..size).step_by(every) {
+        fleet.stop(index);
+    }
+    fleet.run(SETTLE);
+    let fact = leaving(1);
+    learn(&mut fleet, 0, &fact);
+    let took = fleet.run_for(MINUTE, |fleet| fleet.all(|node| node.state.knows(&fact)));
+    assert!(took.is_some_and(|took| took <= 1900), "{took:?} ms");
+}
+
+#[test]
+fn restarted_member_catches_up() {
+    let mut fleet = settled(9, 20, CALM);
+    publish(&mut fleet, 0, 3);
+    fleet.run(SETTLE);
+    fleet.stop(4);
+    fleet.run(SETTLE);
+    fleet.restart(4);
+    let fresh = |fleet: &fleet::Fleet| {
+        let state = &fleet.nodes[4].state;
+        state.synced() && state.generation(peering::Topic::Config) == 3
+    };
+    assert!(!fresh(&fleet));
+    // No store is read: the peers alone make it ready.
+    assert!(fleet.run_for(SETTLE, fresh).is_some());
+}
+
+#[test]
+fn newborn_is_ready_only_with_the_newest() {
+    let mut fleet = settled(9, 21, CALM);
+    publish(&mut fleet, 0, 3);
+    fleet.run(SETTLE);
+    let born = fleet.add(fleet::member(9, 3));
+    let list = fleet.list();
+    // Only the newborn knows the whole list; the others' list lags.
+    fleet.input(born, peering::Input::Members(list));
+    // A stale read of the store does not make it ready with the older generation.
+    publish(&mut fleet, born, 2);
+    let early = fleet.run_for(MINUTE, |fleet| fleet.nodes[born].state.synced());
+    assert!(early.is_some());
+    assert_eq!(
+        fleet.nodes[born].state.generation(peering::Topic::Config),
+        3
+    );
+}
+
+#[test]
+fn fleet_without_store_is_not_ready() {
+    let fleet = settled(9, 22, CALM);
+    assert!(fleet.nodes.iter().all(|node| !node.state.synced()));
+}
+
+#[test]
+fn fleet_with_empty_store_is_ready() {
+    let mut fleet = settled(9, 23, CALM);
+    fleet.input(0, peering::Input::Publish(document(0, b"")));
+    let all = |fleet: &fleet::Fleet| fleet.all(|node| node.state.synced());
+    assert!(fleet.run_for(SETTLE, all).is_some());
+}
+
+#[rstest]
+#[case::today(9, 3, 24)]
+#[case::full(380, 9, 25)]
+fn watchers_are_few(#[case] size: usize, #[case] domains: usize, #[case] seed: u64) {
+    let fleet = settled(size, seed, CALM);
+    for topic in peering::Topic::ALL {
+        let watchers = fleet.watchers(topic).len();
+        assert_eq!(watchers, domains * peering::WATCHERS_IN_DOMAIN);
+    }
+}
+
+#[test]
+fn isolated_node_watches() {
+    let mut fleet = settled(9, 26, CALM);
+    for index in 1..9 {
+        fleet.stop(index);
+    }
+    fleet.run(SETTLE);
+    assert_eq!(fleet.nodes[0].watches.len(), peering::Topic::ALL.len());
+}
+
+#[rstest]
+#[case::today(9, 27, 8)]
+#[case::half(190, 28, 16)]
+#[case::full(380, 29, 16)]
+fn links_are_bounded(#[case] size: usize, #[case] seed: u64, #[case] limit: usize) {
+    let fleet = settled(size, seed, CALM);
+    for node in &fleet.nodes {
+        let links = node.state.linked_peers().count();
+        assert!((2..=limit).contains(&links), "{links}");
+    }
+}
