--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -77,7 +77,8 @@
 
     /// Decides about a request before each of its dispatches.
     pub fn admit(&mut self, now: time::Time, fingerprint: u64, request: u64) -> Admission {
-        let mut effects = self.tick(now);
+        self.suspicions.sweep(now);
+        let mut effects = Vec::new();
         let pass = match self.suspicions.standing(fingerprint) {
             suspicions::Standing::Free => Pass::Free,
             suspicions::Standing::Blocked => Pass::Blocked,
--- a/crates/core/src/poison/suspicions.rs
+++ b/crates/core/src/poison/suspicions.rs
@@ -20,6 +20,9 @@
 /// How long two deaths beside other requests wait for another cause to be found.
 const JUDGEMENT: Duration = Duration::from_secs(1);
 
+/// Time between two searches for what has expired.
+const SWEEP: Duration = Duration::from_secs(1);
+
 /// Returns until when a fact about a fingerprint holds.
 pub fn expiry(now: time::Time, fact: &fact::Fact) -> time::Time {
     match fact {
@@ -62,6 +65,7 @@
     blocked: collections::BTreeMap<u64, time::Time>,
     cleared: collections::BTreeMap<Death, time::Time>,
     explained: collections::BTreeMap<name::Name, time::Time>,
+    swept: time::Time,
 }
 
 impl Suspicions {
@@ -156,12 +160,21 @@
             .collect()
     }
 
-    /// Blocks what two unexplained deaths speak against, and forgets what has expired.
-    pub fn advance(&mut self, now: time::Time) -> Vec<fact::Fact> {
+    /// Forgets what has expired, at most once in [`SWEEP`].
+    pub fn sweep(&mut self, now: time::Time) {
+        if now < self.swept {
+            return;
+        }
+        self.swept = now.after(SWEEP);
         self.suspects.retain(|_, suspect| suspect.expiry > now);
         self.blocked.retain(|_, expiry| *expiry > now);
         self.cleared.retain(|_, expiry| *expiry > now);
         self.explained.retain(|_, expiry| *expiry > now);
+    }
+
+    /// Blocks what two unexplained deaths speak against.
+    pub fn advance(&mut self, now: time::Time) -> Vec<fact::Fact> {
+        self.sweep(now);
         let due = |suspect: &Suspect| suspect.judged.is_some_and(|judged| judged <= now);
         let judged: Vec<_> = self
             .suspects
--- a/crates/core/tests/peering.rs
+++ b/crates/core/tests/peering.rs
@@ -2,6 +2,8 @@
 
 #[path = "peering/fleet.rs"]
 mod fleet;
+#[path = "peering/reports.rs"]
+mod reports;
 
 use std::sync;
 use std::time::Duration;
@@ -9,6 +11,7 @@
 use guavausher_core::fact;
 use guavausher_core::name;
 use guavausher_core::peering;
+use guavausher_core::time;
 use rstest::rstest;
 
 const CALM: fleet::Faults = fleet::Faults {
@@ -301,3 +304,94 @@
         assert!((2..=limit).contains(&links), "{links}");
     }
 }
+
+fn greeting(incarnation: u64) -> peering::Input {
+    let member = peering::Member {
+        incarnation,
+        ..fleet::member(1, 1)
+    };
+    peering::Input::Message {
+        from: member.name.clone(),
+        message: peering::Message::Hello(peering::Hello {
+            member,
+            leaf: false,
+        }),
+    }
+}
+
+#[rstest]
+#[case::same(3, false)]
+#[case::newer(4, false)]
+#[case::older(2, true)]
+fn link_refuses_an_earlier_start(#[case] incarnation: u64, #[case] refused: bool) {
+    let now = time::Time::from_millis(1_000);
+    let own = fleet::member(0, 1);
+    let known = |incarnation| peering::Member {
+        incarnation,
+        ..fleet::member(1, 1)
+    };
+    let mut state = peering::Peering::new(own, 1);
+    state.reduce(now, peering::Input::Members(vec![known(3)]));
+    // A list that lags does not bring the earlier start back.
+    state.reduce(now, peering::Input::Members(vec![known(2)]));
+    state.reduce(now, peering::Input::Linked(known(3).name));
+    let outputs = state.reduce(now, greeting(incarnation));
+    let unlink = peering::Output::Unlink(known(3).name);
+    assert_eq!(outputs.contains(&unlink), refused);
+}
+
+#[test]
+fn member_that_left_the_list_is_unlinked() {
+    let mut fleet = settled(9, 40, CALM);
+    let mut list = fleet.list();
+    let gone = list.remove(3).name;
+    fleet.nodes[3].up = false;
+    for index in (0..9).filter(|index| *index != 3) {
+        fleet.input(index, peering::Input::Members(list.clone()));
+    }
+    fleet.run(Duration::from_secs(1));
+    let links = |node: &fleet::Node| node.state.linked_peers().any(|peer| *peer == gone);
+    assert!(fleet.all(|node| !links(node)));
+}
+
+#[test]
+fn silent_peer_loses_its_link() {
+    let now = time::Time::from_millis(1_000);
+    let mut state = peering::Peering::new(fleet::member(0, 1), 1);
+    let peer = fleet::member(1, 1);
+    state.reduce(now, peering::Input::Members(vec![peer.clone()]));
+    state.reduce(now, peering::Input::Linked(peer.name.clone()));
+    let outputs = state.reduce(now.after(Duration::from_secs(7)), peering::Input::Tick);
+    assert!(outputs.contains(&peering::Output::Unlink(peer.name)));
+}
+
+#[rstest]
+#[case::unknown_link(false)]
+#[case::huge_expiry(true)]
+fn facts_from_peers_are_bounded(#[case] linked: bool) {
+    let now = time::Time::from_millis(1_000);
+    let mut state = peering::Peering::new(fleet::member(0, 1), 1);
+    let peer = fleet::member(1, 1).name;
+    if linked {
+        state.reduce(now, peering::Input::Linked(peer.clone()));
+    }
+    for first in (0..10_000).step_by(500) {
+        let known = (first..first + 500).map(|index| peering::Known {
+            fact: leaving(index),
+            expiry: time::Time::MAX,
+        });
+        let message = peering::Message::Facts(known.collect());
+        let from = peer.clone();
+        state.reduce(now, peering::Input::Message { from, message });
+    }
+    let count = (0..10_000)
+        .filter(|index| state.knows(&leaving(*index)))
+        .count();
+    assert_eq!(count, if linked { peering::MAX_FACTS } else { 0 });
+    // No peer can make a fact last for ever.
+    state.reduce(
+        now.after(Duration::from_secs(25 * 3600)),
+        peering::Input::Tick,
+    );
+    assert!((0..10_000).all(|index| !state.knows(&leaving(index))));
+}
--- /dev/null
+++ b/crates/core/tests/peering/reports.rs
@@ -0,0 +1,198 @@
+//! Sums of reports and forwarded bytes find their way through the links.
+
+use std::sync;
+use std::time::Duration;
+
+use guavausher_core::fact;
+use guavausher_core::name;
+use guavausher_core::peering;
+use guavausher_core::time;
+use rstest::rstest;
+
+use crate::fleet;
+
+const CALM: fleet::Faults = fleet::Faults {
+    lost: 0,
+    doubled: 0,
+    jitter: 2,
+};
+const DOUBLED: fleet::Faults = fleet::Faults {
+    lost: 0,
+    doubled: 500,
+    jitter: 0,
+};
+const SETTLE: Duration = Duration::from_secs(10);
+
+fn settled(size: usize, seed: u64, faults: fleet::Faults) -> fleet::Fleet {
+    let domains = if size > 9 { 9 } else { 3 };
+    let mut fleet = fleet::Fleet::new(size, domains, seed, faults);
+    fleet.run(SETTLE);
+    fleet
+}
+
+fn holder(entry: usize, fencing: u64) -> fact::Fact {
+    fact::Fact::Holder {
+        service: name::Name::from("verse-scribe"),
+        holder: name::Name::from(format!("entry-{entry}")),
+        fencing,
+    }
+}
+
+fn learn(fleet: &mut fleet::Fleet, index: usize, fact: fact::Fact) {
+    let expiry = fleet.now.after(Duration::from_secs(600));
+    fleet.input(index, peering::Input::Learn { fact, expiry });
+}
+
+fn report(version: &str, requests: u64, errors: u64) -> peering::Report {
+    let names = ["verse-scribe", version, "verses"].map(name::Name::from);
+    let [service, version, route] = names;
+    peering::Report {
+        requests,
+        errors,
+        ..peering::Report::empty(service, version, route)
+    }
+}
+
+fn report_all(fleet: &mut fleet::Fleet) {
+    for index in 0..fleet.nodes.len() {
+        let reports = vec![report("v1", 10, 0), report("v2", 3, 1)];
+        fleet.input(index, peering::Input::Report(reports));
+    }
+}
+
+fn sums(fleet: &fleet::Fleet, index: usize, version: &str) -> (u64, u64) {
+    let reports = fleet.nodes[index].reports.iter();
+    let of_version = reports.filter(|report| report.version.as_str() == version);
+    of_version.fold((0, 0), |(requests, errors), report| {
+        (requests + report.requests, errors + report.errors)
+    })
+}
+
+#[rstest]
+#[case::today(9, 31, CALM)]
+#[case::today_doubled(9, 32, DOUBLED)]
+#[case::full(380, 33, CALM)]
+#[case::full_doubled(380, 34, DOUBLED)]
+fn reports_arrive_once(#[case] size: usize, #[case] seed: u64, #[case] faults: fleet::Faults) {
+    let mut fleet = settled(size, seed, faults);
+    learn(&mut fleet, 0, holder(5, 1));
+    fleet.run(Duration::from_secs(2));
+    report_all(&mut fleet);
+    fleet.run(Duration::from_secs(4));
+    let all = size as u64;
+    assert_eq!(sums(&fleet, 5, "v1"), (10 * all, 0));
+    assert_eq!(sums(&fleet, 5, "v2"), (3 * all, all));
+    let elsewhere = (0..size).filter(|index| *index != 5);
+    assert!(
+        elsewhere
+            .into_iter()
+            .all(|index| fleet.nodes[index].reports.is_empty())
+    );
+}
+
+#[test]
+fn reports_are_summed_on_the_way() {
+    let mut fleet = settled(380, 35, CALM);
+    learn(&mut fleet, 0, holder(5, 1));
+    fleet.run(Duration::from_secs(2));
+    for node in &mut fleet.nodes {
+        node.sent.clear();
+    }
+    report_all(&mut fleet);
+    fleet.run(Duration::from_secs(4));
+    for node in &fleet.nodes {
+        let sent = node.sent.get("reports").copied().unwrap_or(0);
+        assert!(sent <= 10, "{sent} messages from {}", node.member.name);
+    }
+}
+
+#[test]
+fn reports_wait_for_a_holder() {
+    let mut fleet = settled(9, 36, CALM);
+    report_all(&mut fleet);
+    fleet.run(SETTLE);
+    learn(&mut fleet, 0, holder(5, 1));
+    fleet.run(SETTLE);
+    assert_eq!(sums(&fleet, 5, "v1"), (90, 0));
+}
+
+#[rstest]
+#[case::newer_first([(5, 2), (7, 1)])]
+#[case::newer_last([(7, 1), (5, 2)])]
+fn reports_follow_the_newest_holder(#[case] holders: [(usize, u64); 2]) {
+    let mut fleet = settled(9, 37, CALM);
+    for (entry, fencing) in holders {
+        learn(&mut fleet, 0, holder(entry, fencing));
+        fleet.run(Duration::from_secs(1));
+    }
+    report_all(&mut fleet);
+    fleet.run(Duration::from_secs(4));
+    assert_eq!(sums(&fleet, 5, "v1"), (90, 0));
+    assert!(fleet.nodes[7].reports.is_empty());
+}
+
+#[rstest]
+#[case::today(9, 38)]
+#[case::full(380, 39)]
+fn forward_reaches_its_node(#[case] size: usize, #[case] seed: u64) {
+    let mut fleet = settled(size, seed, CALM);
+    for index in 0..size - 1 {
+        let to = name::Name::from(format!("entry-{}", size - 1));
+        let body = sync::Arc::from(&b"ask"[..]);
+        fleet.input(index, peering::Input::Forward { to, body });
+    }
+    fleet.run(Duration::from_secs(1));
+    assert_eq!(fleet.nodes[size - 1].delivered.len(), size - 1);
+}
+
+#[test]
+fn leaf_gets_what_its_entry_gets() {
+    let now = time::Time::from_millis(5_000);
+    let entry_member = fleet::member(0, 1);
+    let leaf_member = peering::Member {
+        name: name::Name::from("controller-0"),
+        ..fleet::member(1, 1)
+    };
+    let mut entry = peering::Peering::new(entry_member.clone(), 1);
+    let mut leaf = peering::Peering::leaf(leaf_member.clone(), &entry_member, 2);
+    entry.reduce(now, peering::Input::Members(vec![entry_member.clone()]));
+    let mut outputs = leaf.reduce(now, peering::Input::Tick);
+    let dials = |output: &peering::Output| matches!(output, peering::Output::Link(member) if member.name == entry_member.name);
+    assert!(outputs.iter().any(dials));
+    outputs = leaf.reduce(now, peering::Input::Linked(entry_member.name.clone()));
+    entry.reduce(now, peering::Input::Linked(leaf_member.name.clone()));
+    pass(&mut entry, &leaf_member.name, now, outputs);
+    let fact = holder(0, 1);
+    let expiry = now.after(Duration::from_secs(60));
+    entry.reduce(
+        now,
+        peering::Input::Learn {
+            fact: fact.clone(),
+            expiry,
+        },
+    );
+    let report = report("v2", 4, 2);
+    entry.reduce(now, peering::Input::Report(vec![report.clone()]));
+    let later = now.after(Duration::from_secs(1));
+    let outputs = entry.reduce(later, peering::Input::Tick);
+    let arrived = pass(&mut leaf, &entry_member.name, later, outputs);
+    assert!(arrived.contains(&peering::Output::Reports(vec![report])));
+    let watches = |output: &peering::Output| matches!(output, peering::Output::Watch { .. });
+    assert!(!arrived.iter().any(watches));
+}
+
+fn pass(
+    to: &mut peering::Peering,
+    from: &name::Name,
+    now: time::Time,
+    outputs: Vec<peering::Output>,
+) -> Vec<peering::Output> {
+    let mut caused = Vec::new();
+    for output in outputs {
+        if let peering::Output::Send { message, .. } = output {
+            let from = from.clone();
+            caused.extend(to.reduce(now, peering::Input::Message { from, message }));
+        }
+    }
+    caused
+}
--- /dev/null
+++ b/crates/core/tests/poison.rs
@@ -0,0 +1,437 @@
+//! Suspect requests run alone, crashers are blocked after two upstreams, innocents all end well.
+
+use std::collections;
+use std::time::Duration;
+
+use guavausher_core::fact;
+use guavausher_core::name;
+use guavausher_core::poison;
+use guavausher_core::time;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng, rngs};
+use rstest::rstest;
+
+const CRASHER: u64 = 666;
+const RUN_MILLIS: u64 = 300;
+const CRASH_MILLIS: u64 = 40;
+const SPREAD_MILLIS: u64 = 60;
+const NOTE_MILLIS: u64 = 25;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Arrive {
+        entry: usize,
+        request: u64,
+    },
+    Finish {
+        request: u64,
+        run: u64,
+    },
+    Crash {
+        upstream: usize,
+    },
+    Learn {
+        entry: usize,
+        fact: fact::Fact,
+    },
+    Note {
+        from: usize,
+        entry: usize,
+        note: poison::Note,
+    },
+    Tick {
+        entry: usize,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    entry: usize,
+    upstream: usize,
+    run: u64,
+}
+
+/// Entries that share upstreams; a body that crashes is resent as often as the test says.
+struct Bench {
+    now: u64,
+    order: u64,
+    events: collections::BTreeMap<(u64, u64), Event>,
+    entries: Vec<poison::Quarantine>,
+    bodies: collections::BTreeMap<u64, u64>,
+    homes: collections::BTreeMap<u64, usize>,
+    running: collections::BTreeMap<u64, Running>,
+    incarnations: Vec<u64>,
+    killed: collections::BTreeSet<String>,
+    finished: collections::BTreeSet<u64>,
+    blocked: collections::BTreeSet<u64>,
+    refused: collections::BTreeSet<u64>,
+    tries: collections::BTreeMap<u64, u32>,
+    random: rngs::SmallRng,
+}
+
+fn entry_name(index: usize) -> name::Name {
+    name::Name::from(format!("entry-{index}"))
+}
+
+impl Bench {
+    fn new(entries: usize, upstreams: usize, seed: u64) -> Self {
+        let names: Vec<_> = (0..entries).map(entry_name).collect();
+        let quarantine = |name: &name::Name| {
+            let mut quarantine = poison::Quarantine::new(name.clone());
+            quarantine.set_members(&names);
+            quarantine
+        };
+        Self {
+            now: 1_000,
+            order: 0,
+            events: collections::BTreeMap::new(),
+            entries: names.iter().map(quarantine).collect(),
+            bodies: collections::BTreeMap::new(),
+            homes: collections::BTreeMap::new(),
+            running: collections::BTreeMap::new(),
+            incarnations: vec![1; upstreams],
+            killed: collections::BTreeSet::new(),
+            finished: collections::BTreeSet::new(),
+            blocked: collections::BTreeSet::new(),
+            refused: collections::BTreeSet::new(),
+            tries: collections::BTreeMap::new(),
+            random: rngs::SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn send(&mut self, delay: u64, entry: usize, body: u64) -> u64 {
+        let request = self.bodies.len() as u64;
+        self.bodies.insert(request, body);
+        self.homes.insert(request, entry);
+        self.push(delay, Event::Arrive { entry, request });
+        request
+    }
+
+    fn push(&mut self, delay: u64, event: Event) {
+        self.order += 1;
+        self.events.insert((self.now + delay, self.order), event);
+    }
+
+    fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while let Some(((at, order), event)) = self.events.pop_first() {
+            if at > end {
+                self.events.insert((at, order), event);
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn time(&self) -> time::Time {
+        time::Time::from_millis(self.now)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.time();
+        match event {
+            Event::Arrive { entry, request } => self.admit(entry, request),
+            Event::Finish { request, run } => {
+                let current = self.running.get(&request).map(|running| running.run);
+                if current == Some(run) {
+                    let entry = self.homes[&request];
+                    self.running.remove(&request);
+                    self.finished.insert(request);
+                    let effects = self.entries[entry].finished(now, request);
+                    self.apply(entry, effects);
+                }
+            }
+            Event::Crash { upstream } => self.crash(upstream),
+            Event::Learn { entry, fact } => {
+                let effects = self.entries[entry].learn(now, &fact);
+                self.apply(entry, effects);
+            }
+            Event::Note { from, entry, note } => {
+                let effects = self.entries[entry].receive(now, &entry_name(from), note);
+                self.apply(entry, effects);
+            }
+            Event::Tick { entry } => {
+                let effects = self.entries[entry].tick(now);
+                self.apply(entry, effects);
+            }
+        }
+    }
+
+    fn admit(&mut self, entry: usize, request: u64) {
+        let now = self.time();
+        let admission = self.entries[entry].admit(now, self.bodies[&request], request);
+        match admission.pass {
+            poison::Pass::Free | poison::Pass::Alone => self.dispatch(entry, request),
+            poison::Pass::Wait => {}
+            poison::Pass::Blocked => drop(self.blocked.insert(request)),
+            poison::Pass::Full => drop(self.refused.insert(request)),
+        }
+        self.apply(entry, admission.effects);
+    }
+
+    fn apply(&mut self, entry: usize, effects: Vec<poison::Effect>) {
+        for effect in effects {
+            match effect {
+                poison::Effect::Learn(fact) => {
+                    for other in (0..self.entries.len()).filter(|other| *other != entry) {
+                        let delay = self.random.random_range(5..=SPREAD_MILLIS);
+                        let fact = fact.clone();
+                        self.push(delay, Event::Learn { entry: other, fact });
+                    }
+                }
+                poison::Effect::Send { to, note } => {
+                    let to = (0..self.entries.len()).find(|index| entry_name(*index) == to);
+                    let note = Event::Note {
+                        from: entry,
+                        entry: to.unwrap(),
+                        note,
+                    };
+                    self.push(NOTE_MILLIS, note);
+                }
+                poison::Effect::Start(request) | poison::Effect::StartAlone(request) => {
+                    self.dispatch(entry, request);
+                }
+                poison::Effect::Block(request) => drop(self.blocked.insert(request)),
+                poison::Effect::Refuse(request) => drop(self.refused.insert(request)),
+            }
+        }
+        let wake = self.entries[entry].wake();
+        if wake < time::Time::MAX {
+            let delay = self.time().until(wake).as_millis() as u64;
+            self.push(delay.max(1), Event::Tick { entry });
+        }
+    }
+
+    fn dispatch(&mut self, entry: usize, request: u64) {
+        let upstream = self.random.random_range(0..self.incarnations.len());
+        self.order += 1;
+        let run = self.order;
+        *self.tries.entry(request).or_default() += 1;
+        self.running.insert(
+            request,
+            Running {
+                entry,
+                upstream,
+                run,
+            },
+        );
+        if self.bodies[&request] == CRASHER {
+            self.push(CRASH_MILLIS, Event::Crash { upstream });
+        } else {
+            let length = self.random.random_range(1..=RUN_MILLIS);
+            self.push(length, Event::Finish { request, run });
+        }
+    }
+
+    fn crash(&mut self, upstream: usize) {
+        let now = self.time();
+        let on_it = |(request, running): (&u64, &Running)| {
+            (running.upstream == upstream).then_some((*request, running.entry))
+        };
+        let mut hit: Vec<_> = self.running.iter().filter_map(on_it).collect();
+        if !hit
+            .iter()
+            .any(|(request, _)| self.bodies[request] == CRASHER)
+        {
+            return;
+        }
+        let name = format!("engine-{upstream}.{}", self.incarnations[upstream]);
+        self.incarnations[upstream] += 1;
+        self.killed.insert(name.clone());
+        let name = name::Name::from(name);
+        // The entries see the end of their requests in any order.
+        hit.shuffle(&mut self.random);
+        for (request, entry) in hit {
+            self.running.remove(&request);
+            let body = self.bodies[&request];
+            let effects = self.entries[entry].died(now, body, request, &name);
+            self.apply(entry, effects);
+            self.push(1, Event::Arrive { entry, request });
+        }
+    }
+}
+
+#[rstest]
+#[case::nine_entries(9, 10)]
+#[case::nine_entries_three_upstreams(9, 3)]
+#[case::many_entries(60, 20)]
+fn crasher_reaches_two_upstreams(#[case] entries: usize, #[case] upstreams: usize) {
+    for seed in 0..40 {
+        let mut bench = Bench::new(entries, upstreams, seed);
+        let innocents: Vec<_> = (0..50)
+            .map(|index| bench.send(index % 20, index as usize % entries, 1_000 + index))
+            .collect();
+        let first = bench.send(20, 0, CRASHER);
+        // The caller sends it again through every entry once it may know of the first death.
+        let mut resent: Vec<_> = (0..entries)
+            .map(|entry| bench.send(20 + CRASH_MILLIS + SPREAD_MILLIS + 1, entry, CRASHER))
+            .collect();
+        bench.run(10_000);
+        resent.extend((0..entries).map(|entry| bench.send(0, entry, CRASHER)));
+        bench.run(60_000);
+        assert!(bench.killed.len() <= 2, "seed {seed}: {:?}", bench.killed);
+        for innocent in innocents {
+            assert!(
+                bench.finished.contains(&innocent),
+                "seed {seed}: {innocent}"
+            );
+        }
+        resent.push(first);
+        for request in resent {
+            assert!(bench.blocked.contains(&request), "seed {seed}: {request}");
+        }
+        assert!(bench.refused.is_empty(), "seed {seed}");
+    }
+}
+
+#[test]
+fn crasher_sent_twice_at_once_is_judged() {
+    for seed in 0..40 {
+        let mut bench = Bench::new(9, 10, seed);
+        let requests = [bench.send(0, 0, CRASHER), bench.send(10, 1, CRASHER)];
+        bench.run(30_000);
+        assert!(bench.killed.len() <= 2, "seed {seed}: {:?}", bench.killed);
+        assert!(
+            requests
+                .iter()
+                .all(|request| bench.blocked.contains(request))
+        );
+    }
+}
+
+#[test]
+fn crasher_spares_a_popular_question() {
+    for seed in 0..40 {
+        let mut bench = Bench::new(9, 10, seed);
+        let popular: Vec<_> = (0..60)
+            .map(|index| bench.send(index * 5, index as usize % 9, 1_000))
+            .collect();
+        bench.send(20, 0, CRASHER);
+        bench.run(60_000);
+        for request in popular {
+            assert!(bench.finished.contains(&request), "seed {seed}: {request}");
+        }
+    }
+}
+
+fn at(millis: u64) -> time::Time {
+    time::Time::from_millis(millis)
+}
+
+fn engine(index: u64) -> name::Name {
+    name::Name::from(format!("engine-{index}.1"))
+}
+
+#[test]
+fn admit_counts_one_death_once() {
+    let mut quarantine = poison::Quarantine::new(entry_name(0));
+    for request in 0..5 {
+        quarantine.died(at(10), 7, request, &engine(1));
+    }
+    assert_eq!(quarantine.admit(at(5_000), 7, 9).pass, poison::Pass::Alone);
+}
+
+#[test]
+fn admit_clears_after_whole_answer() {
+    let mut quarantine = poison::Quarantine::new(entry_name(0));
+    quarantine.died(at(10), 7, 0, &engine(1));
+    assert_eq!(quarantine.admit(at(1_000), 7, 1).pass, poison::Pass::Alone);
+    assert_eq!(quarantine.admit(at(1_000), 7, 2).pass, poison::Pass::Wait);
+    let effects = quarantine.finished(at(1_100), 1);
+    assert!(effects.contains(&poison::Effect::Start(2)));
+    assert_eq!(quarantine.admit(at(1_200), 7, 3).pass, poison::Pass::Free);
+}
+
+#[test]
+fn admit_lets_the_next_go_after_release() {
+    let mut quarantine = poison::Quarantine::new(entry_name(0));
+    quarantine.died(at(10), 7, 0, &engine(1));
+    quarantine.died(at(10), 8, 0, &engine(1));
+    assert_eq!(quarantine.admit(at(1_000), 7, 1).pass, poison::Pass::Alone);
+    assert_eq!(quarantine.admit(at(1_000), 8, 2).pass, poison::Pass::Wait);
+    let effects = quarantine.released(at(1_100), 1);
+    assert!(effects.contains(&poison::Effect::StartAlone(2)));
+}
+
+#[test]
+fn admit_refuses_above_the_bound() {
+    let mut quarantine = poison::Quarantine::new(entry_name(0));
+    quarantine.died(at(10), 7, 0, &engine(1));
+    let passes: Vec<_> = (1..=600)
+        .map(|request| quarantine.admit(at(20), 7, request).pass)
+        .collect();
+    assert_eq!(
+        passes
+            .iter()
+            .filter(|pass| **pass == poison::Pass::Wait)
+            .count(),
+        512
+    );
+    assert_eq!(passes.last(), Some(&poison::Pass::Full));
+}
+
+#[test]
+fn suspicion_ends_by_its_deadline() {
+    let mut quarantine = poison::Quarantine::new(entry_name(0));
+    quarantine.died(at(10), 7, 0, &engine(1));
+    let fact = fact::Fact::Suspect {
+        fingerprint: 7,
+        upstream: engine(1),
+    };
+    let expiry = poison::expiry(at(10), &fact);
+    assert_eq!(quarantine.admit(expiry, 7, 1).pass, poison::Pass::Free);
+}
+
+#[test]
+fn turn_is_given_again_after_a_lost_grant() {
+    let names = [entry_name(0), entry_name(1)];
+    let mut quarantines = names.clone().map(poison::Quarantine::new);
+    for quarantine in &mut quarantines {
+        quarantine.set_members(&names);
+        quarantine.died(at(10), 7, 0, &engine(1));
+    }
+    // One of the two hands out the turns; the other one asks.
+    let admissions = [0, 1].map(|index| quarantines[index].admit(at(1_000), 7, 5).pass);
+    let asker = usize::from(admissions[1] == poison::Pass::Wait);
+    let owner = 1 - asker;
+    quarantines[owner].released(at(1_010), 5);
+    let mut started = Vec::new();
+    for millis in [2_000, 3_100] {
+        let asked = quarantines[asker].tick(at(millis));
+        let notes: Vec<_> = asked.into_iter().filter_map(note).collect();
+        let granted: Vec<_> = notes
+            .into_iter()
+            .flat_map(|note| quarantines[owner].receive(at(millis), &names[asker], note))
+            .collect();
+        // The first grant is lost.
+        if millis > 3_000 {
+            for note in granted.into_iter().filter_map(note) {
+                started.extend(quarantines[asker].receive(at(millis), &names[owner], note));
+            }
+        }
+    }
+    assert!(started.contains(&poison::Effect::StartAlone(5)));
+}
+
+fn note(effect: poison::Effect) -> Option<poison::Note> {
+    match effect {
+        poison::Effect::Send { note, .. } => Some(note),
+        _ => None,
+    }
+}
+
+#[test]
+fn memory_stays_bounded() {
+    let mut quarantine = poison::Quarantine::new(entry_name(0));
+    let start = at(1_000);
+    for fingerprint in 0..10_000 {
+        let now = start.after(Duration::from_micros(fingerprint));
+        quarantine.died(now, fingerprint, 0, &engine(fingerprint));
+    }
+    // The oldest made room; the newest are known.
+    let later = start.after(Duration::from_secs(1));
+    assert_eq!(quarantine.admit(later, 0, 1).pass, poison::Pass::Free);
+    assert_ne!(quarantine.admit(later, 9_999, 2).pass, poison::Pass::Free);
+}
