--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,3 +1,8 @@
-//! The shell around the decisions: sockets, timers, logs and metrics.
+//! The shell around the decisions of the core: sockets, threads, clock, logs and metrics.
 
+pub mod admin;
+pub mod clock;
+pub mod logging;
 pub mod peers;
+pub mod settings;
+pub mod store;
