Let guavactl undo a drain and watch through an outage

Cause: a drained upstream could not be given work again, the live view ended with the platform's first outage, and each call had the whole timeout, so a wait could last twice as long as asked. Ruled out: a flag inside the drain object, since its readers go by the key alone.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use crate::command;
+use crate::drain;
 use crate::error;
 use crate::settings;
 
@@ -35,7 +36,10 @@
         "list what was applied, or what one generation changed",
     ),
     ("audit [--limit N]", "list who did what, with its outcome"),
-    ("drain UPSTREAM", "give an upstream no new work"),
+    (
+        "drain [--undo] UPSTREAM",
+        "give an upstream no new work, or work again",
+    ),
 ];
 
 const STATUSES: [&str; 5] = [
@@ -169,17 +173,25 @@
             Some("audit") => Ok(command::Command::Audit {
                 limit: self.limit()?,
             }),
-            Some("drain") => match self.free()? {
-                Some(upstream) => Ok(command::Command::Drain { upstream }),
-                None => Err(error::Error::Arguments(
-                    "drain needs an UPSTREAM".to_owned(),
-                )),
-            },
+            Some("drain") => self.drain(),
             Some(name) => Err(error::Error::Arguments(format!("unknown command `{name}`"))),
             None => Err(error::Error::Arguments("no command given".to_owned())),
         }
     }
 
+    fn drain(&mut self) -> Result<command::Command, error::Error> {
+        let action = match self.args.contains("--undo") {
+            true => drain::Action::Undo,
+            false => drain::Action::Start,
+        };
+        let upstream = self.free()?;
+        let missing = || error::Error::Arguments("drain needs an UPSTREAM".to_owned());
+        Ok(command::Command::Drain {
+            upstream: upstream.ok_or_else(missing)?,
+            action,
+        })
+    }
+
     /// Reads a setting from its flag, else from its variable.
     fn setting<T>(
         &mut self,
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -12,11 +12,11 @@
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(50);
 const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(2);
 
-/// Repeats calls until they are answered or the time is up.
+/// Repeats calls until they are answered or the deadline has passed.
 #[derive(Clone, Debug)]
 pub struct Client {
     platform: platform::Platform,
-    timeout: time::Duration,
+    deadline: time::Instant,
 }
 
 /// What became of a conditional write.
@@ -45,14 +45,14 @@
 }
 
 impl Client {
-    /// Names the platform and how long each operation may try.
-    pub const fn new(platform: platform::Platform, timeout: time::Duration) -> Self {
-        Self { platform, timeout }
+    /// Names the platform and when the last try may begin.
+    pub const fn new(platform: platform::Platform, deadline: time::Instant) -> Self {
+        Self { platform, deadline }
     }
 
-    /// Returns how long each operation may try.
-    pub const fn timeout(&self) -> time::Duration {
-        self.timeout
+    /// Returns when the last try may begin.
+    pub const fn deadline(&self) -> time::Instant {
+        self.deadline
     }
 
     /// Reads an object.
@@ -61,7 +61,7 @@
     ///
     /// Fails if the platform gives no answer in time.
     pub fn read(&self, key: &str) -> Result<Option<store::Object>, error::Error> {
-        self.read_until(key, &mut Pacer::new(self.timeout))
+        self.read_until(key, &mut Pacer::new(self.deadline))
     }
 
     /// Lists the keys under a prefix.
@@ -99,7 +99,7 @@
         body: &[u8],
     ) -> Result<Write, error::Error> {
         let unknown = || error::Error::Unknown(operation.clone());
-        let mut pacer = Pacer::new(self.timeout);
+        let mut pacer = Pacer::new(self.deadline);
         loop {
             if let store::Reply::Written(version) = self.platform.write(key, expected, body) {
                 return Ok(Write::Done(version));
@@ -119,6 +119,32 @@
         }
     }
 
+    /// Removes an object if `expected` is still its version; returns whether it is gone.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it stays unknown whether the object is gone.
+    pub fn remove(
+        &self,
+        key: &str,
+        expected: store::Version,
+        operation: &name::Name,
+    ) -> Result<bool, error::Error> {
+        let unknown = || error::Error::Unknown(operation.clone());
+        let mut pacer = Pacer::new(self.deadline);
+        loop {
+            if self.platform.remove(key, expected) == store::Reply::Missing {
+                return Ok(true);
+            }
+            match self.read_until(key, &mut pacer).map_err(|_| unknown())? {
+                None => return Ok(true),
+                Some(object) if object.version != expected => return Ok(false),
+                Some(_) if pacer.pause() => {}
+                Some(_) => return Err(unknown()),
+            }
+        }
+    }
+
     fn read_until(
         &self,
         key: &str,
@@ -135,7 +161,7 @@
     }
 
     fn listing(&self, call: impl Fn() -> store::Reply) -> Result<Listing, error::Error> {
-        let mut pacer = Pacer::new(self.timeout);
+        let mut pacer = Pacer::new(self.deadline);
         loop {
             match call() {
                 store::Reply::Listed { revision, objects } => {
@@ -161,9 +187,9 @@
 }
 
 impl Pacer {
-    fn new(timeout: time::Duration) -> Self {
+    const fn new(deadline: time::Instant) -> Self {
         Self {
-            deadline: time::Instant::now() + timeout,
+            deadline,
             pause: FIRST_PAUSE,
         }
     }
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,5 +1,6 @@
 //! The commands.
 
+use crate::drain;
 use crate::settings;
 
 /// What the operator asks for.
@@ -40,10 +41,12 @@
         /// The most entries to list.
         limit: usize,
     },
-    /// Takes one upstream out of service.
+    /// Gives one upstream no new work, or work again.
     Drain {
         /// Name of the upstream.
         upstream: String,
+        /// What to do with it.
+        action: drain::Action,
     },
     /// Prints a text, such as the help.
     Print(String),
--- a/crates/ctl/src/drain.rs
+++ b/crates/ctl/src/drain.rs
@@ -6,6 +6,7 @@
 use crate::audit;
 use crate::client;
 use crate::error;
+use crate::exit;
 use crate::history;
 use crate::operation;
 use crate::outcome;
@@ -32,7 +33,25 @@
     pub upstream: name::Name,
 }
 
-/// Orders that an upstream gets no new work and records the outcome.
+/// What to do with an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Give it no new work.
+    Start,
+    /// Give it work again.
+    Undo,
+}
+
+impl Action {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Start => "drain",
+            Self::Undo => "undo-drain",
+        }
+    }
+}
+
+/// Orders a drain or takes the order back, and records the outcome.
 ///
 /// # Errors
 ///
@@ -41,15 +60,14 @@
     client: &client::Client,
     operation: &operation::Operation,
     upstream: &str,
+    action: Action,
 ) -> Result<report::Report, error::Error> {
-    let mut record = audit::Record::new(operation, "drain", upstream);
+    let mut record = audit::Record::new(operation, action.as_str(), upstream);
     let stored = history::current(client)?.ok_or(error::Error::Unapplied)?;
     record.generation = Some(stored.generation);
     let upstreams = &stored.envelope.declaration.upstreams;
-    if !upstreams
-        .iter()
-        .any(|declared| declared.name.as_str() == upstream)
-    {
+    let mut names = upstreams.iter().map(|declared| declared.name.as_str());
+    if !names.any(|name| name == upstream) {
         let error = error::Error::Upstream(upstream.to_owned());
         record.outcome = outcome::Outcome::Refused;
         record.detail = error.to_string();
@@ -57,14 +75,16 @@
         return Err(error);
     }
     record.open(client)?;
-    record.outcome = order(client, operation, upstream)?;
-    let text = match record.outcome {
-        outcome::Outcome::Unchanged => format!("{upstream} is drained already\n"),
-        _ => format!("{upstream} gets no new work\n"),
+    record.outcome = match action {
+        Action::Start => order(client, operation, upstream)?,
+        Action::Undo => undo(client, operation, upstream)?,
     };
     let json =
         json!({ "outcome": record.outcome, "upstream": upstream, "operation": operation.id });
-    let mut report = report::Report::done(text, json);
+    let mut report = report::Report::done(text(action, record.outcome, upstream), json);
+    if record.outcome == outcome::Outcome::Conflict {
+        report.exit = exit::Exit::Conflict;
+    }
     if let Err(error) = record.close(client) {
         report
             .warnings
@@ -73,6 +93,33 @@
     Ok(report)
 }
 
+fn text(action: Action, outcome: outcome::Outcome, upstream: &str) -> String {
+    match (action, outcome) {
+        (_, outcome::Outcome::Conflict) => {
+            format!("conflict: {upstream} was drained again meanwhile; nothing was changed\n")
+        }
+        (Action::Start, outcome::Outcome::Unchanged) => format!("{upstream} is drained already\n"),
+        (Action::Start, _) => format!("{upstream} gets no new work\n"),
+        (Action::Undo, outcome::Outcome::Unchanged) => format!("{upstream} is not drained\n"),
+        (Action::Undo, _) => format!("{upstream} may get work again\n"),
+    }
+}
+
+fn undo(
+    client: &client::Client,
+    operation: &operation::Operation,
+    upstream: &str,
+) -> Result<outcome::Outcome, error::Error> {
+    let key = format!("{PREFIX}{upstream}");
+    let Some(object) = client.read(&key)? else {
+        return Ok(outcome::Outcome::Unchanged);
+    };
+    match client.remove(&key, object.version, &operation.id)? {
+        true => Ok(outcome::Outcome::Accepted),
+        false => Ok(outcome::Outcome::Conflict),
+    }
+}
+
 fn order(
     client: &client::Client,
     operation: &operation::Operation,
--- a/crates/ctl/src/platform.rs
+++ b/crates/ctl/src/platform.rs
@@ -48,6 +48,11 @@
         reply(self.try_write(key, expected, body))
     }
 
+    /// Removes an object if `expected` is still its version, without a retry.
+    pub fn remove(&self, key: &str, expected: store::Version) -> store::Reply {
+        reply(self.try_remove(key, expected))
+    }
+
     /// Lists the objects under a key prefix, without a retry.
     pub fn list(&self, prefix: &str) -> store::Reply {
         reply(self.try_list(&format!("/objects?prefix={prefix}")))
@@ -97,6 +102,17 @@
         }
     }
 
+    fn try_remove(&self, key: &str, expected: store::Version) -> io::Result<store::Reply> {
+        let request = self.request(model::Method::DELETE, &format!("/objects/{key}"));
+        let request = request.header("if-match", format!("\"{expected}\""));
+        let response = send(request, model::Body::empty(), CALL_TIMEOUT)?;
+        match response.status() {
+            model::StatusCode::OK | model::StatusCode::NO_CONTENT => Ok(store::Reply::Missing),
+            model::StatusCode::PRECONDITION_FAILED => Ok(store::Reply::Conflict),
+            status => Err(unexpected(status)),
+        }
+    }
+
     fn try_list(&self, path: &str) -> io::Result<store::Reply> {
         let request = self.request(model::Method::GET, path);
         let response = send(request, model::Body::empty(), CALL_TIMEOUT + WATCH_WAIT)?;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -1,6 +1,7 @@
 //! Runs one command and prints its report.
 
 use std::io;
+use std::time;
 
 use serde_json::json;
 
@@ -76,7 +77,7 @@
             }
             command::Command::Apply { generation, wait } => self.apply(*generation, *wait),
             command::Command::Status { watch: false } => {
-                let view = view::Viewer::new(&self.client()?).view()?;
+                let view = view::Viewer::default().view(&self.client()?)?;
                 Ok(report::Report::done(view.to_string(), json!(view)))
             }
             command::Command::Status { watch: true } => self.watch(),
@@ -95,9 +96,9 @@
                 None => history::list(&self.client()?, *limit),
             },
             command::Command::Audit { limit } => audit::list(&self.client()?, *limit),
-            command::Command::Drain { upstream } => {
+            command::Command::Drain { upstream, action } => {
                 let operation = self.operation()?;
-                drain::drain(&self.client()?, &operation, upstream)
+                drain::drain(&self.client()?, &operation, upstream, *action)
             }
         }
     }
@@ -148,21 +149,39 @@
     }
 
     /// Shows the state whenever it changes, until the reader goes away.
+    ///
+    /// An outage of the platform does not end it.
     fn watch(&mut self) -> Result<report::Report, error::Error> {
-        let client = self.client()?;
-        let mut viewer = view::Viewer::new(&client);
+        let mut viewer = view::Viewer::default();
         let mut shown = None;
         loop {
-            let revision = client.list(status::PREFIX)?.revision;
-            let view = viewer.view()?;
-            if shown.as_ref() != Some(&view) {
-                self.show(&view).map_err(output)?;
-                shown = Some(view);
+            let client = self.client()?;
+            match self.watch_once(&client, &mut viewer, &mut shown) {
+                Err(error) if error.exit() == exit::Exit::Unreachable => {
+                    self.warn(&error.to_string());
+                }
+                done => done?,
             }
-            client.watch(status::PREFIX, revision)?;
         }
     }
 
+    /// Shows the state if it changed, and waits a short while for a change.
+    fn watch_once(
+        &mut self,
+        client: &client::Client,
+        viewer: &mut view::Viewer,
+        shown: &mut Option<view::View>,
+    ) -> Result<(), error::Error> {
+        let revision = client.list(status::PREFIX)?.revision;
+        let view = viewer.view(client)?;
+        if shown.as_ref() != Some(&view) {
+            self.show(&view).map_err(output)?;
+            *shown = Some(view);
+        }
+        client.watch(status::PREFIX, revision)?;
+        Ok(())
+    }
+
     /// Shows a state: a line of JSON, a redrawn terminal or a block of a pipe.
     fn show(&mut self, view: &view::View) -> io::Result<()> {
         if self.settings.json {
@@ -182,7 +201,8 @@
             variable: settings::PLATFORM.variable,
         })?;
         let platform = platform::Platform::new(address);
-        Ok(client::Client::new(platform, self.settings.timeout))
+        let deadline = time::Instant::now() + self.settings.timeout;
+        Ok(client::Client::new(platform, deadline))
     }
 
     fn operation(&self) -> Result<operation::Operation, error::Error> {
--- a/crates/ctl/src/view.rs
+++ b/crates/ctl/src/view.rs
@@ -65,9 +65,8 @@
 }
 
 /// Reads stored objects and keeps their bodies until they change.
-#[derive(Debug)]
-pub struct Viewer<'a> {
-    client: &'a client::Client,
+#[derive(Debug, Default)]
+pub struct Viewer {
     reports: collections::BTreeMap<name::Name, Report>,
 }
 
@@ -77,25 +76,17 @@
     status: status::Status,
 }
 
-impl<'a> Viewer<'a> {
-    /// Starts without anything read.
-    pub const fn new(client: &'a client::Client) -> Self {
-        Self {
-            client,
-            reports: collections::BTreeMap::new(),
-        }
-    }
-
+impl Viewer {
     /// Reads what changed and returns the state.
     ///
     /// # Errors
     ///
     /// Fails if the platform gives no answer or nothing is stored.
-    pub fn view(&mut self) -> Result<View, error::Error> {
-        let stored = history::current(self.client)?.ok_or(error::Error::Unapplied)?;
-        let rollouts = self.rollouts()?;
-        let drained = self.client.list(drain::PREFIX)?.objects;
-        self.refresh()?;
+    pub fn view(&mut self, client: &client::Client) -> Result<View, error::Error> {
+        let stored = history::current(client)?.ok_or(error::Error::Unapplied)?;
+        let rollouts = read_rollouts(client)?;
+        let drained = client.list(drain::PREFIX)?.objects;
+        self.refresh(client)?;
         let drained = drained
             .iter()
             .filter_map(|entry| entry.key.strip_prefix(drain::PREFIX));
@@ -106,19 +97,9 @@
         Ok(view)
     }
 
-    fn rollouts(&self) -> Result<Rollouts, error::Error> {
-        let Some(object) = self.client.read(rollout::KEY)? else {
-            return Ok(Rollouts::new());
-        };
-        serde_json::from_slice(&object.body).map_err(|error| error::Error::Unreadable {
-            key: rollout::KEY.to_owned(),
-            message: error.to_string(),
-        })
-    }
-
     /// Reads the reports whose version changed; one that is not readable is left out.
-    fn refresh(&mut self) -> Result<(), error::Error> {
-        let entries = self.client.list(status::PREFIX)?.objects;
+    fn refresh(&mut self, client: &client::Client) -> Result<(), error::Error> {
+        let entries = client.list(status::PREFIX)?.objects;
         let keys: collections::BTreeSet<_> = entries.iter().map(|entry| &entry.key).collect();
         self.reports.retain(|key, _| keys.contains(key));
         for entry in &entries {
@@ -126,7 +107,7 @@
             if known.is_some_and(|report| report.version == entry.version) {
                 continue;
             }
-            let Some(object) = self.client.read(&entry.key)? else {
+            let Some(object) = client.read(&entry.key)? else {
                 continue;
             };
             if let Ok(status) = serde_json::from_slice(&object.body) {
@@ -139,6 +120,16 @@
     }
 }
 
+fn read_rollouts(client: &client::Client) -> Result<Rollouts, error::Error> {
+    let Some(object) = client.read(rollout::KEY)? else {
+        return Ok(Rollouts::new());
+    };
+    serde_json::from_slice(&object.body).map_err(|error| error::Error::Unreadable {
+        key: rollout::KEY.to_owned(),
+        message: error.to_string(),
+    })
+}
+
 type Rollouts = collections::BTreeMap<name::Name, rollout::Rollout>;
 
 impl View {
--- a/crates/ctl/src/wait.rs
+++ b/crates/ctl/src/wait.rs
@@ -70,7 +70,7 @@
     }
 }
 
-/// Waits until the goal is reached or failed, or the client's time is up.
+/// Waits until the goal is reached or failed, or the client's deadline has passed.
 ///
 /// Calls `show` with a line whenever the progress changes.
 ///
@@ -82,19 +82,18 @@
     goal: &Goal,
     mut show: impl FnMut(&str),
 ) -> Result<report::Report, error::Error> {
-    let deadline = time::Instant::now() + client.timeout();
-    let mut viewer = view::Viewer::new(client);
+    let mut viewer = view::Viewer::default();
     let mut shown = String::new();
     loop {
         let revision = client.list(status::PREFIX)?.revision;
-        let view = viewer.view()?;
+        let view = viewer.view(client)?;
         let line = goal.describe(&view);
         if line != shown {
             show(&line);
             shown = line;
         }
         match goal.progress(&view) {
-            Progress::Waiting if time::Instant::now() < deadline => {
+            Progress::Waiting if time::Instant::now() < client.deadline() => {
                 client.watch(status::PREFIX, revision)?;
             }
             progress => return Ok(ending(progress, goal, &view)),
--- a/crates/ctl/tests/client.rs
+++ b/crates/ctl/tests/client.rs
@@ -12,7 +12,8 @@
 const KEY: &str = "config/current";
 
 fn client(session: &support::Session, seconds: u64) -> client::Client {
-    client::Client::new(session.platform(), time::Duration::from_secs(seconds))
+    let deadline = time::Instant::now() + time::Duration::from_secs(seconds);
+    client::Client::new(session.platform(), deadline)
 }
 
 fn body(operation: &str) -> String {
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -201,3 +201,22 @@
         [Some("refused"), Some("unchanged"), Some("accepted")]
     );
 }
+
+#[rstest]
+#[case::answered(0)]
+#[case::answer_lost(2)]
+#[case::every_answer_lost(3)]
+fn drain_undoes(#[case] lost: u32) {
+    let session = support::Session::start("drain_undoes");
+    session.run("batu", "apply");
+    let ran = session.run("batu", "drain --undo verse-1");
+    assert_eq!(ran.out, "verse-1 is not drained\n");
+    session.run("batu", "drain verse-1");
+    session.fault(&format!("{{\"lose_next\":{lost}}}"));
+    let ran = session.run("batu", "drain verse-1 --undo");
+    assert_eq!(ran.out, "verse-1 may get work again\n", "{ran:?}");
+    assert!(session.read("drain/verse-1").is_none());
+    let audit = session.run("batu", "audit --json --limit 1").json();
+    assert_eq!(audit[0]["action"], "undo-drain");
+    assert_eq!(audit[0]["outcome"], "accepted");
+}
