--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod admin;
 pub mod clock;
 pub mod logging;
+pub mod peers;
 pub mod settings;
 pub mod store;
