--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -77,8 +77,10 @@
     Unreachable(String),
     /// the platform did not answer in time and it is unknown whether operation {0} took effect; run the same command again
     Unknown(name::Name),
-    /// output failed: {0}
+    /// output failed: {0}; free the space or fix the device that it goes to
     Output(String),
+    /// the reader of the output went away
+    Closed,
 }
 
 impl std::error::Error for Error {}
@@ -87,6 +89,7 @@
     /// Returns the exit status for the error.
     pub const fn exit(&self) -> exit::Exit {
         match self {
+            Self::Closed => exit::Exit::Done,
             Self::Arguments(_) | Self::Missing { .. } | Self::Invalid { .. } => exit::Exit::Usage,
             Self::Stale { .. } => exit::Exit::Conflict,
             Self::Unreachable(_) | Self::Unknown(_) => exit::Exit::Unreachable,
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -248,6 +248,9 @@
 
     fn fail(&mut self, error: &error::Error) -> exit::Exit {
         let exit = error.exit();
+        if *error == error::Error::Closed {
+            return exit;
+        }
         if self.settings.json {
             let json = json!({
                 "outcome": "failed",
@@ -286,5 +289,8 @@
 }
 
 fn output(error: io::Error) -> error::Error {
-    error::Error::Output(error.to_string())
+    match error.kind() {
+        io::ErrorKind::BrokenPipe => error::Error::Closed,
+        _ => error::Error::Output(error.to_string()),
+    }
 }
--- a/crates/ctl/tests/watch.rs
+++ b/crates/ctl/tests/watch.rs
@@ -55,6 +55,8 @@
     session.fault("{\"fail\":false}");
     report(&session, 1);
     follow(&mut lines, 1);
-    child.kill().expect("kills");
-    child.wait().expect("ends");
+    drop(lines);
+    report(&session, 2);
+    let status = child.wait().expect("ends");
+    assert!(status.success(), "the reader went away: {status}");
 }
