Tell the declared rollout from an earlier one

Change: stored progress counts if its versions and deadline are the declared ones; a declared rollout without progress shows as `pending`; a service without one is refused.

--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -73,6 +73,8 @@
     },
     /// no upstream `{0}` is declared; `guavactl status` lists the services
     Upstream(String),
+    /// service `{0}` has no rollout; declare one in [rollouts.{0}] or name another service
+    Rollout(String),
     /// the platform did not answer in time ({0}); nothing was changed, try again later
     Unreachable(String),
     /// the platform did not answer in time and it is unknown whether operation {0} took effect; run the same command again
--- a/crates/ctl/src/view.rs
+++ b/crates/ctl/src/view.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::fmt;
 
+use guavausher_core::declaration;
 use guavausher_core::name;
 use guavausher_core::store;
 use guavausher_core::time;
@@ -60,10 +61,13 @@
     pub version: name::Name,
     /// Upstreams that run the declared version.
     pub upstreams: usize,
-    /// Its rollout.
+    /// Its declared rollout, or the last one.
     pub rollout: Option<rollout::Rollout>,
 }
 
+/// The progress of rollouts by service.
+pub type Rollouts = collections::BTreeMap<name::Name, rollout::Rollout>;
+
 /// Reads stored objects and keeps their bodies until they change.
 #[derive(Debug, Default)]
 pub struct Viewer {
@@ -130,14 +134,12 @@
     })
 }
 
-type Rollouts = collections::BTreeMap<name::Name, rollout::Rollout>;
-
 impl View {
     /// Puts the state together.
     pub fn new(
         stored: &history::Stored,
         statuses: &[status::Status],
-        rollouts: &collections::BTreeMap<name::Name, rollout::Rollout>,
+        rollouts: &Rollouts,
         now: time::Time,
     ) -> Self {
         let declaration = &stored.envelope.declaration;
@@ -150,16 +152,8 @@
             .domains
             .iter()
             .map(|domain| Domain::new(&domain.name, &fresh));
-        let services = declaration.services.iter().map(|service| Service {
-            name: service.name.clone(),
-            version: service.version.clone(),
-            upstreams: declaration
-                .upstreams
-                .iter()
-                .filter(|up| up.service == service.name && up.version == service.version)
-                .count(),
-            rollout: rollouts.get(&service.name).cloned(),
-        });
+        let service = |service| Service::new(service, declaration, rollouts);
+        let services = declaration.services.iter().map(service);
         Self {
             site: declaration.site.clone(),
             generation: stored.generation,
@@ -212,16 +206,7 @@
             "DEADLINE",
         ]);
         for service in &self.services {
-            let [to, share, phase, deadline] = rollout_cells(service.rollout.as_ref());
-            table.push([
-                service.name.to_string(),
-                service.version.to_string(),
-                service.upstreams.to_string(),
-                to,
-                share,
-                phase,
-                deadline,
-            ]);
+            table.push(service.cells());
         }
         table
     }
@@ -240,6 +225,45 @@
     }
 }
 
+impl Service {
+    fn new(
+        service: &declaration::Service,
+        declaration: &declaration::Declaration,
+        rollouts: &Rollouts,
+    ) -> Self {
+        let runs = |up: &&declaration::Upstream| {
+            up.service == service.name && up.version == service.version
+        };
+        let declared = declaration
+            .rollouts
+            .iter()
+            .find(|r| r.service == service.name);
+        let stored = rollouts.get(&service.name).cloned();
+        let rollout = match declared {
+            Some(declared) => stored
+                .filter(|rollout| rollout.is_of(declared))
+                .or_else(|| Some(rollout::Rollout::pending(declared))),
+            None => stored,
+        };
+        Self {
+            name: service.name.clone(),
+            version: service.version.clone(),
+            upstreams: declaration.upstreams.iter().filter(runs).count(),
+            rollout,
+        }
+    }
+
+    fn cells(&self) -> [String; 7] {
+        let none = || std::array::from_fn(|_| "-".to_owned());
+        let rollout = self.rollout.as_ref();
+        let [to, share, phase, deadline] = rollout.map_or_else(none, rollout::Rollout::cells);
+        let name = self.name.to_string();
+        let version = self.version.to_string();
+        let upstreams = self.upstreams.to_string();
+        [name, version, upstreams, to, share, phase, deadline]
+    }
+}
+
 impl fmt::Display for View {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
@@ -258,16 +282,3 @@
         }
     }
 }
-
-fn rollout_cells(rollout: Option<&rollout::Rollout>) -> [String; 4] {
-    let Some(rollout) = rollout else {
-        return std::array::from_fn(|_| "-".to_owned());
-    };
-    let share = format!("{}.{}%", rollout.share / 10, rollout.share % 10);
-    [
-        rollout.to.to_string(),
-        share,
-        rollout.phase.to_string(),
-        rollout.deadline_text(),
-    ]
-}
--- a/crates/ctl/src/wait.rs
+++ b/crates/ctl/src/wait.rs
@@ -33,6 +33,20 @@
 }
 
 impl Goal {
+    /// Refuses a rollout that is neither declared nor stored.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service has no rollout.
+    pub fn check(&self, view: &view::View) -> Result<(), error::Error> {
+        match &self.rollout {
+            Some(service) if view.rollout(service).is_none() => {
+                Err(error::Error::Rollout(service.clone()))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Returns how far the state is from the goal.
     pub fn progress(&self, view: &view::View) -> Progress {
         let generation = self.generation.unwrap_or(view.generation);
@@ -43,7 +57,6 @@
             return Progress::Reached;
         };
         match view.rollout(service) {
-            Some(rollout) if rollout.generation < generation => Progress::Waiting,
             Some(rollout) if rollout.phase.as_str() == rollout::DONE => Progress::Reached,
             Some(rollout) if rollout.is_final() => Progress::Failed,
             _ => Progress::Waiting,
@@ -61,8 +74,11 @@
         let mut text = format!("generation {generation}: {}", domains.join(", "));
         if let Some(service) = &self.rollout {
             let phase = match view.rollout(service) {
-                Some(rollout) => format!("{} at {} of 1000", rollout.phase, rollout.share),
-                None => "no rollout yet".to_owned(),
+                Some(rollout) if rollout.reason.is_empty() => rollout.cells()[1..3].join(" "),
+                Some(rollout) => {
+                    format!("{}, {}", rollout.cells()[1..3].join(" "), rollout.reason)
+                }
+                None => "no rollout".to_owned(),
             };
             text.push_str(&format!("; {service}: {phase}"));
         }
@@ -87,6 +103,7 @@
     loop {
         let revision = client.list(status::PREFIX)?.revision;
         let view = viewer.view(client)?;
+        goal.check(&view)?;
         let line = goal.describe(&view);
         if line != shown {
             show(&line);
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -25,14 +25,30 @@
     }
 }
 
-fn rollout(session: &support::Session, phase: &str) {
+/// Stores the progress of a rollout to `to` that is due at 2026-12-04T11:00:00Z.
+fn rollout(session: &support::Session, to: &str, phase: &str) {
     let body = format!(
-        "{{\"verse-scribe\":{{\"from\":\"v1\",\"to\":\"v2\",\"share\":50,\"phase\":\"{phase}\",\
-         \"deadline\":\"2026-12-04T11:00:00Z\",\"generation\":1}}}}"
+        "{{\"verse-scribe\":{{\"format\":1,\"service\":\"verse-scribe\",\"from\":\"v1\",\
+         \"to\":\"{to}\",\"share\":50,\"phase\":\"{phase}\",\"deadline\":1796382000000000,\
+         \"generation\":1,\"reason\":\"evidence\"}}}}"
     );
     session.store("rollouts/current", &body);
 }
 
+/// Applies the example with a rollout to `v2`.
+fn apply_rollout(session: &support::Session) {
+    let text = support::edited(
+        "erdene",
+        "verse-10 = { service = \"verse-scribe\", version = \"v1\"",
+        "verse-10 = { service = \"verse-scribe\", version = \"v2\"",
+    );
+    let rollout = "[rollouts.verse-scribe]\nfrom = \"v1\"\nto = \"v2\"\nshare = 50\n\
+                   deadline = 2026-12-04T11:00:00Z\n";
+    let path = session.overlay("rollout.toml", &format!("{text}\n{rollout}"));
+    let ran = session.run("batu", &format!("apply --overlay {path}"));
+    assert_eq!(ran.exit, exit::Exit::Done, "{ran:?}");
+}
+
 #[test]
 fn check_counts() {
     let session = support::Session::start("check_counts");
@@ -114,7 +130,7 @@
     session.run("batu", "apply");
     report(&session, "tolgoit", 1, 0);
     report(&session, "bayanzurkh", 1, 3_600);
-    rollout(&session, "ramping");
+    rollout(&session, "v2", "ramp");
     session.run("batu", "drain kiosk-2");
     let ran = session.run("batu", "status");
     assert!(ran.out.contains("erdene: generation 1 by batu"), "{ran:?}");
@@ -127,7 +143,7 @@
         "{ran:?}"
     );
     assert!(
-        ran.out.contains("v2  5.0%   ramping  2026-12-04T11:00:00Z"),
+        ran.out.contains("v2  5.0%   ramp   2026-12-04T11:00:00Z"),
         "{ran:?}"
     );
     assert!(ran.out.contains("LEAVING  kiosk-2, verse-3"), "{ran:?}");
@@ -165,19 +181,53 @@
 }
 
 #[rstest]
-#[case::done("done", exit::Exit::Done, "reached")]
-#[case::taken_back("taken-back", exit::Exit::Refused, "taken-back")]
-#[case::ramping("ramping", exit::Exit::Refused, "timeout")]
-fn wait_follows_rollout(#[case] phase: &str, #[case] want: exit::Exit, #[case] outcome: &str) {
+#[case::done("v2", "done", exit::Exit::Done, "reached")]
+#[case::taken_back("v2", "taken-back", exit::Exit::Refused, "taken-back")]
+#[case::ramp("v2", "ramp", exit::Exit::Refused, "timeout")]
+#[case::earlier("v1.5", "done", exit::Exit::Refused, "timeout")]
+fn wait_follows_rollout(
+    #[case] to: &str,
+    #[case] phase: &str,
+    #[case] want: exit::Exit,
+    #[case] outcome: &str,
+) {
     let session = support::Session::start("wait_follows_rollout");
-    session.run("batu", "apply");
+    apply_rollout(&session);
     report_all(&session, 1);
-    rollout(&session, phase);
+    rollout(&session, to, phase);
     let ran = session.run("batu", "wait --rollout verse-scribe --timeout 1 --json");
     assert_eq!(ran.exit, want, "{ran:?}");
     assert_eq!(ran.json()["outcome"], outcome);
 }
 
+/// A change beside the rollout raises the generation, but not the rollout's own.
+#[test]
+fn wait_follows_older_rollout() {
+    let session = support::Session::start("wait_follows_older_rollout");
+    apply_rollout(&session);
+    session.store(
+        "config/current",
+        &String::from_utf8_lossy(&session.read("config/current").expect("stored").body),
+    );
+    report_all(&session, 2);
+    rollout(&session, "v2", "done");
+    let ran = session.run("batu", "wait --rollout verse-scribe --timeout 1");
+    assert_eq!(ran.exit, exit::Exit::Done, "{ran:?}");
+    assert!(
+        ran.out.contains("verse-scribe: 5.0% done, evidence"),
+        "{ran:?}"
+    );
+}
+
+#[test]
+fn wait_refuses_no_rollout() {
+    let session = support::Session::start("wait_refuses_no_rollout");
+    session.run("batu", "apply");
+    let ran = session.run("batu", "wait --rollout verse-scribe --timeout 1");
+    assert_eq!(ran.exit, exit::Exit::Refused);
+    assert!(ran.err.contains("`verse-scribe` has no rollout"), "{ran:?}");
+}
+
 #[test]
 fn wait_ignores_older() {
     let session = support::Session::start("wait_ignores_older");
--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -32,9 +32,10 @@
 impl Session {
     /// Starts a platform; `test` names a folder of its own.
     pub fn start(test: &str) -> Self {
-        let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
-        fs::create_dir_all(&folder).expect("folder");
         let handle = standin::start(standin::Config::default()).expect("platform");
+        let folder = format!("{test}-{}", handle.address().port());
+        let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(folder);
+        fs::create_dir_all(&folder).expect("folder");
         Self { handle, folder }
     }
 
