--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -16,6 +16,10 @@
 const MAX_RETRY: Duration = Duration::from_secs(30);
 /// Shortest time after which a caller is asked to come back, in microseconds.
 const MIN_RETRY_MICROS: u64 = 50_000;
+/// Time before the deadline that an upstream needs, at most.
+const SERVICE: Duration = Duration::from_secs(1);
+/// The same as a part of the time to the deadline, as a divisor.
+const SERVICE_DIVISOR: u32 = 2;
 /// Largest share of the retry time added as jitter.
 const JITTER: f64 = 0.5;
 
@@ -113,11 +117,12 @@
         if queue.is_full(&ticket) {
             return self.refuse(now, &ticket, refusal::Reason::QueueFull, now.after(wait));
         }
-        if now.after(wait) > ticket.deadline {
+        let last = last_grant(now, ticket.deadline);
+        if now.after(wait) > last {
             return self.refuse(now, &ticket, refusal::Reason::Deadline, now.after(wait));
         }
         limits.open += 1;
-        queue.push(now, ticket.clone(), weight);
+        queue.push(now, ticket.clone(), last, weight);
         self.tickets.insert(
             ticket.request,
             Held {
@@ -215,3 +220,10 @@
         }
     }
 }
+
+/// Returns the latest time at which a grant can still meet a deadline.
+fn last_grant(now: time::Time, deadline: time::Time) -> time::Time {
+    let left = now.until(deadline);
+    let service = SERVICE.min(left / SERVICE_DIVISOR);
+    now.after(left.saturating_sub(service))
+}
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -56,6 +56,7 @@
 
 #[derive(Clone, Debug)]
 struct Waiting {
+    last: time::Time,
     start: u64,
     ticket: ticket::Ticket,
 }
@@ -92,14 +93,18 @@
     }
 
     /// Adds a ticket to its flow.
-    pub fn push(&mut self, now: time::Time, ticket: ticket::Ticket, weight: u32) {
+    pub fn push(&mut self, now: time::Time, ticket: ticket::Ticket, last: time::Time, weight: u32) {
         self.see(now, &ticket, weight);
         let clock = self.clock;
         let cost = u64::from(ticket.cost.max(1)) * 1024 / u64::from(weight.max(1));
         let flow = self.flows.entry(key(&ticket)).or_default();
         let start = flow.finish.max(clock);
         flow.finish = start + cost;
-        flow.tickets.push_back(Waiting { start, ticket });
+        flow.tickets.push_back(Waiting {
+            last,
+            start,
+            ticket,
+        });
         self.waiting += 1;
     }
 
@@ -145,7 +150,7 @@
         let mut expired = Vec::new();
         for flow in self.flows.values_mut() {
             flow.tickets.retain(|waiting| {
-                let keep = waiting.ticket.deadline > now;
+                let keep = waiting.last > now;
                 if !keep {
                     expired.push(waiting.ticket.clone());
                 }
@@ -193,7 +198,7 @@
     pub fn wake(&self) -> Option<time::Time> {
         let flows = self.flows.values();
         let waiting = flows.flat_map(|flow| flow.tickets.iter());
-        waiting.map(|waiting| waiting.ticket.deadline).min()
+        waiting.map(|waiting| waiting.last).min()
     }
 
     fn next(&self, now: time::Time, priority: declaration::Priority) -> Option<Key> {
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -15,6 +15,8 @@
     pub started: time::Time,
     /// Prompt tokens expected to miss the prefix cache.
     pub uncached: u32,
+    /// The same with the own prompts before it.
+    pub prefill: u32,
     /// Whether the upstream was expected to have a free slot.
     pub direct: bool,
     /// Whether the first token has come.
--- a/crates/core/src/routing/estimate.rs
+++ b/crates/core/src/routing/estimate.rs
@@ -2,29 +2,48 @@
 
 use std::time::Duration;
 
+/// Weight that a sample keeps when the next one arrives.
+const MEMORY: f64 = 0.97;
 /// Share of a new sample in a moving average.
 const GAIN: f64 = 0.1;
-/// Fewest uncached tokens for a sample of the prefill speed.
-const MIN_TOKENS: u32 = 64;
+/// Delay of a first token without any prefill before any sample, in microseconds.
+const BASE_MICROS: f64 = 50_000.0;
 /// Prefill time a token before any sample, in microseconds.
 const PACE_MICROS: f64 = 50.0;
+/// Bounds of the prefill time a token, in microseconds.
+const PACE_BOUNDS: (f64, f64) = (2.0, 1_000.0);
+/// Prefill lengths of the two samples that stand for the initial guess, in tokens.
+const GUESSES: (f64, f64) = (0.0, 1_000.0);
 /// Time in a slot before any sample, in microseconds.
 const HOLD_MICROS: f64 = 2_000_000.0;
-/// Largest learned correction, in microseconds.
+/// Largest learned lateness, in microseconds.
 const MAX_BIAS_MICROS: f64 = 5_000_000.0;
 
-/// Moving averages of one upstream's speeds, in microseconds.
+/// Learned speeds: a line through recent first tokens, and moving averages.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Estimate {
-    pace: f64,
+    line: Line,
     hold: f64,
     bias: f64,
 }
 
+/// Sums of a least-squares line with exponential forgetting.
+#[derive(Clone, Copy, Debug, Default)]
+struct Line {
+    n: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
 impl Default for Estimate {
     fn default() -> Self {
+        let mut line = Line::default();
+        line.add(GUESSES.0, BASE_MICROS + PACE_MICROS * GUESSES.0);
+        line.add(GUESSES.1, BASE_MICROS + PACE_MICROS * GUESSES.1);
         Self {
-            pace: PACE_MICROS,
+            line,
             hold: HOLD_MICROS,
             bias: 0.0,
         }
@@ -32,24 +51,25 @@
 }
 
 impl Estimate {
-    /// Learns from a first token that came `late` microseconds after the expected time.
-    pub fn first_token(&mut self, delay: Duration, late: i64, uncached: u32, direct: bool) {
-        self.bias = blend(self.bias, self.bias + late as f64);
-        self.bias = self.bias.clamp(0.0, MAX_BIAS_MICROS);
-        if direct && uncached >= MIN_TOKENS {
-            let sample = delay.as_micros() as f64 / f64::from(uncached);
-            self.pace = blend(self.pace, sample.min(self.pace * 4.0));
+    /// Learns from a first token that came after `delay` in place of `expected`.
+    ///
+    /// Only a `direct` one, which met a free slot, teaches the prefill speed.
+    pub fn first_token(&mut self, delay: Duration, expected: Duration, prefill: u32, direct: bool) {
+        let late = delay.as_micros() as f64 - expected.as_micros() as f64;
+        self.bias = (self.bias + GAIN * late).clamp(0.0, MAX_BIAS_MICROS);
+        if direct {
+            self.line.add(f64::from(prefill), delay.as_micros() as f64);
         }
     }
 
     /// Learns how long an attempt held its slot.
     pub fn finish(&mut self, held: Duration) {
-        self.hold = blend(self.hold, held.as_micros() as f64);
+        self.hold += GAIN * (held.as_micros() as f64 - self.hold);
     }
 
-    /// Returns the time to compute uncached prompt tokens.
-    pub fn prefill(&self, uncached: u32) -> Duration {
-        micros(self.pace * f64::from(uncached))
+    /// Returns the time from a free slot to the first token with this much prompt to compute.
+    pub fn prefill(&self, tokens: u32) -> Duration {
+        micros(self.line.at(f64::from(tokens)))
     }
 
     /// Returns the wait of a request that has this many before it without a slot.
@@ -63,8 +83,26 @@
     }
 }
 
-fn blend(old: f64, sample: f64) -> f64 {
-    old + GAIN * (sample - old)
+impl Line {
+    fn add(&mut self, x: f64, y: f64) {
+        self.n = self.n * MEMORY + 1.0;
+        self.x = self.x * MEMORY + x;
+        self.y = self.y * MEMORY + y;
+        self.xx = self.xx * MEMORY + x * x;
+        self.xy = self.xy * MEMORY + x * y;
+    }
+
+    fn at(&self, x: f64) -> f64 {
+        let spread = self.n * self.xx - self.x * self.x;
+        let slope = if spread > 1.0 {
+            (self.n * self.xy - self.x * self.y) / spread
+        } else {
+            PACE_MICROS
+        };
+        let slope = slope.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        let base = (self.y - slope * self.x) / self.n;
+        base.max(0.0) + slope * x
+    }
 }
 
 fn micros(value: f64) -> Duration {
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -58,7 +58,7 @@
             attempts: collections::HashMap::new(),
             clock: time::Time::default(),
             defaults: collections::BTreeMap::new(),
-            holders: holders::Holders::new(),
+            holders: holders::Holders::new(0),
             index: collections::HashMap::new(),
             pools: collections::BTreeMap::new(),
             regions: region::Regions::new(domain),
@@ -176,6 +176,7 @@
             incarnation: upstream.incarnation,
             started: now,
             uncached,
+            prefill: upstream.pending,
             direct,
             streaming: false,
             expected: choice.expected,
@@ -199,11 +200,9 @@
         if state.incarnation != upstream.incarnation {
             return;
         }
-        let late = now.as_micros() as i64 - state.expected.as_micros() as i64;
         let delay = state.started.until(now);
-        upstream
-            .estimate
-            .first_token(delay, late, state.uncached, state.direct);
+        let expected = state.started.until(state.expected);
+        upstream.first_token(delay, expected, state.prefill, state.direct);
     }
 
     /// Ends an attempt.
@@ -226,6 +225,7 @@
             }
             outcome::Outcome::Refused => {
                 upstream.health.refuse(now);
+                upstream.tally.refuse();
                 upstream.prefix.remove(&state.blocks);
             }
             outcome::Outcome::Failed => upstream.health.fail(now),
@@ -236,7 +236,7 @@
     /// Takes a lagged load report.
     pub fn report(&mut self, now: time::Time, upstream: &name::Name, load: load::Load) {
         if let Some(&slot) = self.index.get(upstream) {
-            self.upstreams[slot].report(now, load);
+            self.upstreams[slot].report(now, load, &mut self.rng);
         }
     }
 
@@ -319,7 +319,7 @@
                 }
                 None => false,
             });
-        self.holders.clear();
+        self.holders = holders::Holders::new(self.upstreams.len());
         self.pools.clear();
         for (slot, upstream) in self.upstreams.iter().enumerate() {
             let service = upstream.declared.service.clone();
--- a/crates/core/src/routing/holders.rs
+++ b/crates/core/src/routing/holders.rs
@@ -1,7 +1,9 @@
 //! Which upstreams lately held a block.
 
-/// Sets of the table; a power of two.
-const SETS: usize = 8192;
+/// Sets of the table for each upstream.
+const UPSTREAM_SETS: usize = 256;
+/// One block of this many is remembered, chosen by its hash; a power of two.
+const SAMPLING: u64 = 4;
 /// Entries of one set.
 const WAYS: usize = 4;
 /// Upstreams remembered for one block.
@@ -24,15 +26,15 @@
 }
 
 impl Holders {
-    /// Builds an empty table.
-    pub fn new() -> Self {
+    /// Builds an empty table for a number of upstreams.
+    pub fn new(upstreams: usize) -> Self {
         let empty = Entry {
             print: 0,
             used: 0,
             slots: [NONE; HOLDERS],
         };
         Self {
-            entries: vec![empty; SETS * WAYS],
+            entries: vec![empty; sets(upstreams) * WAYS],
             clock: 0,
         }
     }
@@ -43,35 +45,29 @@
             return;
         };
         self.clock = self.clock.wrapping_add(1);
-        for &block in blocks {
+        for &block in blocks.iter().filter(|&&block| is_sampled(block)) {
             self.insert_one(block, slot);
         }
     }
 
     /// Returns the upstreams that lately held the deepest known block of a chain.
     pub fn deepest(&self, blocks: &[u64]) -> impl Iterator<Item = usize> + '_ {
-        let depth = blocks.partition_point(|&block| self.find(block).is_some());
-        depth
-            .checked_sub(1)
-            .and_then(|last| self.find(blocks[last]))
+        let sampled = blocks.iter().rev().filter(|&&block| is_sampled(block));
+        let deepest = sampled.filter_map(|&block| self.find(block)).next();
+        deepest
             .into_iter()
             .flat_map(|entry| entry.slots)
             .filter(|&slot| slot != NONE)
             .map(usize::from)
     }
 
-    /// Forgets everything, after indices changed.
-    pub fn clear(&mut self) {
-        *self = Self::new();
-    }
-
     /// Returns the bytes on the heap.
     pub fn heap_bytes(&self) -> usize {
         self.entries.capacity() * size_of::<Entry>()
     }
 
     fn insert_one(&mut self, block: u64, slot: u16) {
-        let start = set(block) * WAYS;
+        let start = self.set(block) * WAYS;
         let ways = &mut self.entries[start..start + WAYS];
         let want = print(block);
         let found = ways
@@ -89,8 +85,12 @@
         entry.slots[0] = slot;
     }
 
+    fn set(&self, block: u64) -> usize {
+        (block as usize / SAMPLING as usize) & (self.entries.len() / WAYS - 1)
+    }
+
     fn find(&self, block: u64) -> Option<&Entry> {
-        let start = set(block) * WAYS;
+        let start = self.set(block) * WAYS;
         let want = print(block);
         self.entries[start..start + WAYS]
             .iter()
@@ -103,8 +103,12 @@
     by_age.map_or(0, |(way, _)| way)
 }
 
-fn set(block: u64) -> usize {
-    (block as usize) & (SETS - 1)
+fn sets(upstreams: usize) -> usize {
+    (upstreams.max(1) * UPSTREAM_SETS).next_power_of_two()
+}
+
+fn is_sampled(block: u64) -> bool {
+    block.is_multiple_of(SAMPLING)
 }
 
 fn print(block: u64) -> u32 {
--- a/crates/core/src/routing/prefix.rs
+++ b/crates/core/src/routing/prefix.rs
@@ -7,7 +7,9 @@
 /// Entries of one set.
 const WAYS: usize = 8;
 /// Gaps in the event stream after which an entry is no longer believed.
-const MAX_GAPS: u8 = 3;
+const MAX_GAPS: u8 = 48;
+/// Each gap takes this part from the belief in older entries.
+const GAP_DIVISOR: u32 = 64;
 
 /// A set-associative table of block fingerprints with a fixed size.
 ///
@@ -44,7 +46,8 @@
         let tokens = u32::try_from(depth)
             .unwrap_or(u32::MAX)
             .saturating_mul(BLOCK_TOKENS);
-        tokens >> self.gaps.wrapping_sub(entry.gaps)
+        let gaps = u32::from(self.gaps.wrapping_sub(entry.gaps));
+        tokens.saturating_mul(GAP_DIVISOR - gaps) / GAP_DIVISOR
     }
 
     /// Notes that the upstream holds these blocks.
--- a/crates/core/src/routing/upstream.rs
+++ b/crates/core/src/routing/upstream.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::rngs;
+
 use super::estimate;
 use super::health;
 use super::load;
@@ -12,8 +14,6 @@
 
 /// How long a new upstream takes to get its full share.
 const SLOW_START: Duration = Duration::from_secs(10);
-/// Requests that may wait at an upstream, as a divisor of its slots.
-const QUEUE_DIVISOR: u32 = 4;
 
 /// One upstream with everything learned about it.
 #[derive(Clone, Debug)]
@@ -34,11 +34,12 @@
 impl Upstream {
     /// Builds an upstream that is at full share from `warm_at` on.
     pub fn new(declared: declaration::Upstream, warm_at: time::Time) -> Self {
+        let tally = tally::Tally::new(declared.slots);
         Self {
             declared,
             incarnation: 0,
             leaving: None,
-            tally: tally::Tally::default(),
+            tally,
             prefix: prefix::Prefix::default(),
             health: health::Health::default(),
             estimate: estimate::Estimate::default(),
@@ -73,7 +74,7 @@
             return;
         }
         self.incarnation = incarnation;
-        self.tally.clear_report();
+        self.tally.reset(self.declared.slots);
         self.prefix.clear();
         self.health = health::Health::default();
         self.estimate = estimate::Estimate::default();
@@ -81,26 +82,22 @@
     }
 
     /// Takes a load report; one of a newer incarnation implies the return.
-    pub fn report(&mut self, now: time::Time, load: load::Load) {
+    pub fn report(&mut self, now: time::Time, load: load::Load, rng: &mut rngs::SmallRng) {
         self.returned(now, load.incarnation);
         if load.incarnation == self.incarnation {
-            self.tally.report(load);
+            let slots = self.warm(now, load.slots);
+            self.tally.report(load, slots, rng);
         }
     }
 
     /// Returns the slots usable now, fewer during slow start.
     pub fn slots(&self, now: time::Time) -> u32 {
-        let slots = self.tally.slots().unwrap_or(self.declared.slots).max(1);
-        let left = now.until(self.warm_at).as_secs_f64() / SLOW_START.as_secs_f64();
-        let share = 1.0 - 0.75 * left.clamp(0.0, 1.0);
-        ((f64::from(slots) * share) as u32).max(1)
+        self.warm(now, self.tally.slots().unwrap_or(self.declared.slots))
     }
 
-    /// Returns how many more requests fit, waiting ones included.
+    /// Returns how many more requests this node may send.
     pub fn room(&self, now: time::Time) -> u32 {
-        let slots = self.slots(now);
-        let limit = slots.saturating_add(slots.div_ceil(QUEUE_DIVISOR));
-        limit.saturating_sub(self.tally.total(now))
+        self.tally.room(now, self.slots(now))
     }
 
     /// Returns how many requests wait for a slot before a new one.
@@ -113,7 +110,23 @@
     pub fn expected(&self, now: time::Time, uncached: u32) -> Duration {
         let wait = self.estimate.wait(self.ahead(now), self.slots(now));
         let prefill = self.estimate.prefill(self.pending.saturating_add(uncached));
-        let link = self.link.saturating_mul(2);
-        wait + prefill + link + self.estimate.bias()
+        wait + prefill + self.round_trip() + self.estimate.bias()
+    }
+
+    /// Learns from a first token that came after `delay` in place of `expected`.
+    pub fn first_token(&mut self, delay: Duration, expected: Duration, prefill: u32, direct: bool) {
+        let link = self.round_trip();
+        let (delay, expected) = (delay.saturating_sub(link), expected.saturating_sub(link));
+        self.estimate.first_token(delay, expected, prefill, direct);
+    }
+
+    fn warm(&self, now: time::Time, slots: u32) -> u32 {
+        let left = now.until(self.warm_at).as_secs_f64() / SLOW_START.as_secs_f64();
+        let share = 1.0 - 0.75 * left.clamp(0.0, 1.0);
+        ((f64::from(slots.max(1)) * share) as u32).max(1)
+    }
+
+    const fn round_trip(&self) -> Duration {
+        self.link.saturating_mul(2)
     }
 }
