--- a/crates/core/src/poison/effect.rs
+++ b/crates/core/src/poison/effect.rs
@@ -67,6 +67,8 @@
     Ask(Turn),
     /// Gives the turn.
     Grant(Turn),
+    /// Says that the request brought its first token, so that the next turn may begin beside it.
+    Started(Turn),
     /// Says how the turn ended.
     Done {
         /// The turn.
--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -126,6 +126,30 @@
         effects
     }
 
+    /// Takes the first token of a request, which lets the next turn begin.
+    pub fn started(&mut self, now: time::Time, request: u64) -> Vec<Effect> {
+        let Some(running) = self.running.get_mut(&request).filter(|r| r.solo > now) else {
+            return Vec::new();
+        };
+        running.solo = now;
+        let turn = Turn {
+            fingerprint: running.fingerprint,
+            request,
+        };
+        if running.owner != self.own {
+            let to = running.owner.clone();
+            return vec![Effect::Send {
+                to,
+                note: Note::Started(turn),
+            }];
+        }
+        self.turns.pass(&turns::Seat {
+            entry: self.own.clone(),
+            turn,
+        });
+        self.tick(now)
+    }
+
     /// Takes the whole answer to a request, which clears it if it ran in its turn.
     pub fn finished(&mut self, now: time::Time, request: u64) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -158,6 +182,7 @@
         match note {
             Note::Ask(turn) => effects.extend(self.asked(turns::Seat { entry, turn })),
             Note::Grant(turn) => effects.extend(self.granted(now, entry, turn)),
+            Note::Started(turn) => self.turns.pass(&turns::Seat { entry, turn }),
             Note::Done { turn, outcome } => {
                 if outcome == Outcome::Finished {
                     self.suspicions.clear(now, turn.fingerprint);
--- a/crates/core/src/poison/turns.rs
+++ b/crates/core/src/poison/turns.rs
@@ -28,7 +28,14 @@
 pub struct Turns {
     waiting: collections::VecDeque<Seat>,
     running: collections::BTreeMap<Seat, time::Time>,
-    solo: Option<time::Time>,
+    solo: Option<Solo>,
+}
+
+/// The turn beside which no other may begin.
+#[derive(Clone, Debug)]
+struct Solo {
+    seat: Seat,
+    deadline: time::Time,
 }
 
 impl Turns {
@@ -47,7 +54,13 @@
     /// Ends a turn, or takes a request that waits out of the queue.
     pub fn end(&mut self, seat: &Seat) {
         self.waiting.retain(|waiting| waiting != seat);
-        if self.running.remove(seat).is_some() {
+        self.running.remove(seat);
+        self.pass(seat);
+    }
+
+    /// Lets the next turn begin beside this one.
+    pub fn pass(&mut self, seat: &Seat) {
+        if self.solo.as_ref().is_some_and(|solo| solo.seat == *seat) {
             self.solo = None;
         }
     }
@@ -60,7 +73,7 @@
     /// Gives out the next turn if none is running.
     pub fn next(&mut self, now: time::Time) -> Option<Seat> {
         self.running.retain(|_, deadline| *deadline > now);
-        if self.solo.is_some_and(|until| until > now) {
+        if self.solo.as_ref().is_some_and(|solo| solo.deadline > now) {
             return None;
         }
         let runs = |fingerprint| {
@@ -70,7 +83,11 @@
         let free = |seat: &Seat| !runs(seat.turn.fingerprint);
         let at = self.waiting.iter().position(free)?;
         let seat = self.waiting.remove(at)?;
-        self.solo = Some(now.after(SOLO));
+        let deadline = now.after(SOLO);
+        self.solo = Some(Solo {
+            seat: seat.clone(),
+            deadline,
+        });
         self.running.insert(seat.clone(), now.after(OUTSTANDING));
         Some(seat)
     }
@@ -83,6 +100,8 @@
         let outstanding = self.running.values().min().copied();
         let solo = self
             .solo
+            .as_ref()
+            .map(|solo| solo.deadline)
             .filter(|solo| outstanding.is_none_or(|first| *solo < first));
         solo.or(outstanding).unwrap_or(time::Time::MAX)
     }
