--- a/crates/core/src/peering/report.rs
+++ b/crates/core/src/peering/report.rs
@@ -41,6 +41,12 @@
         }
     }
 
+    /// Returns whether the counts speak against the version, so that they must not wait.
+    pub fn is_urgent(&self) -> bool {
+        let late = self.slow.saturating_add(self.stalls);
+        self.errors > 0 || (late > 1 && late.saturating_mul(2) >= self.requests)
+    }
+
     /// Adds the counts of another report about the same version and route.
     pub fn add(&mut self, other: &Self) {
         self.requests = self.requests.saturating_add(other.requests);
--- a/crates/core/src/peering/reports.rs
+++ b/crates/core/src/peering/reports.rs
@@ -7,8 +7,12 @@
 use crate::name;
 use crate::time;
 
-/// How long sums wait for others to join them.
-const DELAY: Duration = Duration::from_millis(200);
+/// Time between two messages of a node while something in its sums is urgent.
+const URGENT: Duration = Duration::from_millis(500);
+/// Time between two messages of a node while nothing is.
+const CALM: Duration = Duration::from_secs(2);
+/// How much later a node sends than those that are one link farther from the controller.
+const STEP: Duration = Duration::from_millis(80);
 /// Sums that a node holds at most; further ones are dropped and counted.
 pub const MAX_SUMS: usize = 1024;
 
@@ -28,9 +32,15 @@
 }
 
 impl Ledger {
-    /// Adds reports to the sums.
-    pub fn add(&mut self, now: time::Time, reports: &[report::Report]) {
-        self.hold(now.after(DELAY), reports);
+    /// Adds reports to the sums; up to `behind` links lie between this node and those that send
+    /// their sums through it.
+    ///
+    /// The nodes send at fixed moments of the clock, the farthest first, so that each sends once
+    /// for all that come through it. Clocks that differ only delay the sums.
+    pub fn add(&mut self, now: time::Time, reports: &[report::Report], behind: u16) {
+        let urgent = reports.iter().any(report::Report::is_urgent);
+        let period = if urgent { URGENT } else { CALM };
+        self.hold(next_slot(now, period, behind), reports);
     }
 
     /// Keeps sums that no link leads on with until a later time.
@@ -77,3 +87,11 @@
         }
     }
 }
+
+fn next_slot(now: time::Time, period: Duration, behind: u16) -> time::Time {
+    let period = u64::try_from(period.as_micros()).unwrap_or(u64::MAX);
+    let step = u64::try_from(STEP.as_micros()).unwrap_or(u64::MAX);
+    let phase = step.saturating_mul(behind.into()) % period;
+    let passed = (now.as_micros() + period - phase) % period;
+    now.after(Duration::from_micros(period - passed))
+}
--- a/crates/core/src/peering/routes.rs
+++ b/crates/core/src/peering/routes.rs
@@ -8,7 +8,12 @@
 /// Targets whose distances are kept.
 const MAX_TARGETS: usize = 64;
 
-type Distances = collections::BTreeMap<name::Name, u16>;
+/// How many links lie between each entry and one target.
+#[derive(Debug)]
+struct Distances {
+    near: collections::BTreeMap<name::Name, u16>,
+    most: u16,
+}
 
 /// Ways through the links to one node.
 #[derive(Debug, Default)]
@@ -31,6 +36,13 @@
         &self.topology
     }
 
+    /// Returns how many links the longest way to the target has before it passes this node.
+    pub fn behind(&mut self, own: &name::Name, target: &name::Name) -> u16 {
+        let distances = self.to(target);
+        let distance = distances.near.get(own).copied();
+        distances.most - distance.unwrap_or(distances.most)
+    }
+
     /// Returns the linked peer nearest to the target, if it is nearer than this node.
     pub fn closer(
         &mut self,
@@ -38,9 +50,9 @@
         target: &name::Name,
         links: &links::Links,
     ) -> Option<name::Name> {
-        let limit = self.to(target).get(own).copied()?;
+        let limit = self.to(target).near.get(own).copied()?;
         let hop = self.nearest(target, links)?;
-        let distance = self.to(target).get(&hop).copied()?;
+        let distance = self.to(target).near.get(&hop).copied()?;
         (distance < limit).then_some(hop)
     }
 
@@ -49,7 +61,7 @@
         if links.get(target).is_some() {
             return Some(target.clone());
         }
-        let distances = self.to(target);
+        let distances = &self.to(target).near;
         links
             .iter()
             .filter(|(_, link)| !link.leaf)
@@ -63,8 +75,10 @@
             self.distances.clear();
         }
         let topology = &self.topology;
-        self.distances
-            .entry(target.clone())
-            .or_insert_with(|| topology.distances(target))
+        self.distances.entry(target.clone()).or_insert_with(|| {
+            let near = topology.distances(target);
+            let most = near.values().max().copied().unwrap_or(0);
+            Distances { near, most }
+        })
     }
 }
--- a/crates/core/src/peering/state.rs
+++ b/crates/core/src/peering/state.rs
@@ -109,7 +109,10 @@
                 );
             }
             Input::Publish(document) => self.publish(now, document, &mut outputs),
-            Input::Report(reports) => self.ledger.add(now, &reports),
+            Input::Report(reports) => {
+                let behind = self.behind(&reports);
+                self.ledger.add(now, &reports, behind);
+            }
             Input::Forward { to, body } => {
                 let from = self.own.name.clone();
                 let hops = MAX_HOPS;
@@ -440,10 +443,21 @@
         if self.parent.is_some() {
             outputs.push(Output::Reports(message.reports));
         } else {
-            self.ledger.add(now, &message.reports);
+            let behind = self.behind(&message.reports);
+            self.ledger.add(now, &message.reports, behind);
         }
     }
 
+    /// Returns how many links lie between this node and the farthest that reports through it.
+    fn behind(&mut self, reports: &[report::Report]) -> u16 {
+        let holders = reports
+            .iter()
+            .filter_map(|report| self.facts.holder(&report.service));
+        let own = &self.own.name;
+        let behind = holders.map(|holder| self.routes.behind(own, holder));
+        behind.max().unwrap_or(0)
+    }
+
     fn send_reports(&mut self, now: time::Time, outputs: &mut Vec<Output>) {
         let mut batches: collections::BTreeMap<name::Name, Vec<report::Report>> =
             collections::BTreeMap::new();
--- a/crates/core/tests/peering_patch.rs
+++ b/crates/core/tests/peering_patch.rs
@@ -44,6 +44,7 @@
 #[rstest]
 #[case::other_generation(document(3, b"base"))]
 #[case::other_body(document(1, b"another base that is long enough to copy from"))]
+#[case::other_upstream(document(1, &upstreams(5, Some(4))))]
 #[case::short_body(document(1, b""))]
 fn patch_refuses_base(#[case] held: peering::Document) {
     let base = document(1, &upstreams(5, None));
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -435,3 +435,53 @@
     assert_eq!(quarantine.admit(later, 0, 1).pass, poison::Pass::Free);
     assert_ne!(quarantine.admit(later, 9_999, 2).pass, poison::Pass::Free);
 }
+
+fn blocked(fingerprint: u64, upstream: u64) -> fact::Fact {
+    fact::Fact::Blocked {
+        fingerprint,
+        upstream: engine(upstream),
+    }
+}
+
+#[test]
+fn admit_blocks_at_once_after_death_in_turn() {
+    let mut quarantine = poison::Quarantine::new(entry_name(0));
+    quarantine.died(at(10), 7, 0, &engine(1));
+    assert_eq!(quarantine.admit(at(1_000), 7, 1).pass, poison::Pass::Alone);
+    let effects = quarantine.died(at(1_010), 7, 1, &engine(2));
+    assert!(effects.contains(&poison::Effect::Learn(blocked(7, 2))));
+    assert_eq!(
+        quarantine.admit(at(1_010), 7, 2).pass,
+        poison::Pass::Blocked
+    );
+}
+
+#[rstest]
+#[case::explained(Some(blocked(8, 2)), poison::Pass::Alone)]
+#[case::explained_first_death(Some(blocked(8, 1)), poison::Pass::Alone)]
+#[case::other_cause(Some(blocked(8, 3)), poison::Pass::Blocked)]
+#[case::unexplained(None, poison::Pass::Blocked)]
+fn judgement_waits_for_another_cause(
+    #[case] learned: Option<fact::Fact>,
+    #[case] want: poison::Pass,
+) {
+    let mut quarantine = poison::Quarantine::new(entry_name(0));
+    // Two copies of one body are under way beside others when their upstreams die.
+    quarantine.died(at(10), 7, 0, &engine(1));
+    quarantine.died(at(20), 7, 1, &engine(2));
+    assert_eq!(quarantine.admit(at(30), 7, 2).pass, poison::Pass::Wait);
+    if let Some(fact) = learned {
+        quarantine.learn(at(40), &fact);
+    }
+    quarantine.released(at(50), 2);
+    quarantine.tick(at(1_500));
+    assert_eq!(quarantine.admit(at(1_500), 7, 3).pass, want);
+}
+
+#[test]
+fn death_explained_before_it_is_seen_is_no_sign() {
+    let mut quarantine = poison::Quarantine::new(entry_name(0));
+    quarantine.learn(at(10), &blocked(8, 2));
+    assert!(quarantine.died(at(20), 7, 0, &engine(2)).is_empty());
+    assert_eq!(quarantine.admit(at(30), 7, 1).pass, poison::Pass::Free);
+}
