Judge what is in force by the platform's instance list

Cause: entries write their status once for each configuration, so a rule by age hid them after 30 s, and the reports of replaced instances stay in the store. Ruled out: an age limit, which would need a heartbeat of writes from each node. Change: a failure domain counts the listed entries that are not leaving; it is in force there once each of them reports the generation. Upstreams listed as leaving show too. The reader of the state and its view are apart. Conclusion: `drain` says that the drain is ordered, since no process reads the order yet.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -160,6 +160,22 @@
         }
     }
 
+    /// Lists the instances that the platform knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no answer in time.
+    pub fn instances(&self) -> Result<Vec<store::Instance>, error::Error> {
+        let mut pacer = Pacer::new(self.deadline);
+        loop {
+            match self.platform.instances() {
+                store::Reply::Instances { instances, .. } => return Ok(instances),
+                _ if pacer.pause() => {}
+                _ => return Err(error::Error::Unreachable("list of instances".to_owned())),
+            }
+        }
+    }
+
     fn listing(&self, call: impl Fn() -> store::Reply) -> Result<Listing, error::Error> {
         let mut pacer = Pacer::new(self.deadline);
         loop {
--- a/crates/ctl/src/drain.rs
+++ b/crates/ctl/src/drain.rs
@@ -99,9 +99,9 @@
             format!("conflict: {upstream} was drained again meanwhile; nothing was changed\n")
         }
         (Action::Start, outcome::Outcome::Unchanged) => format!("{upstream} is drained already\n"),
-        (Action::Start, _) => format!("{upstream} gets no new work\n"),
+        (Action::Start, _) => format!("drain of {upstream} is ordered\n"),
         (Action::Undo, outcome::Outcome::Unchanged) => format!("{upstream} is not drained\n"),
-        (Action::Undo, _) => format!("{upstream} may get work again\n"),
+        (Action::Undo, _) => format!("drain of {upstream} is taken back\n"),
     }
 }
 
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod status;
 pub mod table;
 pub mod view;
+pub mod viewer;
 pub mod wait;
--- a/crates/ctl/src/platform.rs
+++ b/crates/ctl/src/platform.rs
@@ -1,4 +1,4 @@
-//! The platform's object API over HTTP.
+//! The platform's object API and instance list over HTTP.
 
 use std::io;
 use std::io::Read;
@@ -32,6 +32,12 @@
     objects: Vec<store::Entry>,
 }
 
+#[derive(serde::Deserialize)]
+struct Instances {
+    revision: u64,
+    instances: Vec<store::Instance>,
+}
+
 impl Platform {
     /// Names the platform; no connection is opened.
     pub const fn new(address: net::SocketAddr) -> Self {
@@ -66,6 +72,11 @@
         )))
     }
 
+    /// Lists the instances that the platform knows, without a retry.
+    pub fn instances(&self) -> store::Reply {
+        reply(self.try_instances())
+    }
+
     fn try_read(&self, key: &str) -> io::Result<store::Reply> {
         let request = self.request(model::Method::GET, &format!("/objects/{key}"));
         let response = send(request, model::Body::empty(), CALL_TIMEOUT)?;
@@ -126,6 +137,19 @@
         })
     }
 
+    fn try_instances(&self) -> io::Result<store::Reply> {
+        let request = self.request(model::Method::GET, "/instances");
+        let response = send(request, model::Body::empty(), CALL_TIMEOUT)?;
+        if response.status() != model::StatusCode::OK {
+            return Err(unexpected(response.status()));
+        }
+        let instances: Instances = serde_json::from_slice(&body(response, MAX_LIST_BYTES)?)?;
+        Ok(store::Reply::Instances {
+            revision: instances.revision,
+            instances: instances.instances,
+        })
+    }
+
     fn request(&self, method: model::Method, path: &str) -> model::request::Builder {
         let uri = format!("http://{}{path}", self.address);
         model::Request::builder().method(method).uri(uri)
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -22,6 +22,7 @@
 use crate::settings;
 use crate::status;
 use crate::view;
+use crate::viewer;
 use crate::wait;
 
 /// Clears a terminal and goes to its first cell.
@@ -77,7 +78,7 @@
             }
             command::Command::Apply { generation, wait } => self.apply(*generation, *wait),
             command::Command::Status { watch: false } => {
-                let view = view::Viewer::default().view(&self.client()?)?;
+                let view = viewer::Viewer::default().view(&self.client()?)?;
                 Ok(report::Report::done(view.to_string(), json!(view)))
             }
             command::Command::Status { watch: true } => self.watch(),
@@ -165,7 +166,7 @@
     ///
     /// An outage of the platform does not end it.
     fn watch(&mut self) -> Result<report::Report, error::Error> {
-        let mut viewer = view::Viewer::default();
+        let mut viewer = viewer::Viewer::default();
         let mut shown = None;
         loop {
             let client = self.client()?;
@@ -182,7 +183,7 @@
     fn watch_once(
         &mut self,
         client: &client::Client,
-        viewer: &mut view::Viewer,
+        viewer: &mut viewer::Viewer,
         shown: &mut Option<view::View>,
     ) -> Result<(), error::Error> {
         let revision = client.list(status::PREFIX)?.revision;
--- a/crates/ctl/src/view.rs
+++ b/crates/ctl/src/view.rs
@@ -1,24 +1,17 @@
-//! The state of a deployment, put together from stored objects.
+//! The state of a deployment.
 
 use std::collections;
 use std::fmt;
 
 use guavausher_core::declaration;
 use guavausher_core::name;
-use guavausher_core::store;
 use guavausher_core::time;
 
-use crate::client;
-use crate::drain;
-use crate::error;
 use crate::history;
 use crate::operation;
 use crate::rollout;
-use crate::status;
 use crate::table;
-
-/// A report older than this, in microseconds, no longer counts against its failure domain.
-const STALE_MICROS: u64 = 30_000_000;
+use crate::viewer;
 
 /// The state of a deployment.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
@@ -44,11 +37,13 @@
 pub struct Domain {
     /// Name.
     pub name: name::Name,
-    /// The lowest generation in force at its instances; `None` if none reports.
+    /// The lowest generation that its instances report; `None` if none does.
     pub generation: Option<u64>,
-    /// Instances that reported lately.
+    /// Listed instances of the system that are not leaving.
     pub instances: usize,
-    /// Those of them that take requests.
+    /// Those of them that report.
+    pub reports: usize,
+    /// Those of them that took requests when they reported.
     pub ready: usize,
 }
 
@@ -65,112 +60,29 @@
     pub rollout: Option<rollout::Rollout>,
 }
 
-/// The progress of rollouts by service.
-pub type Rollouts = collections::BTreeMap<name::Name, rollout::Rollout>;
-
-/// Reads stored objects and keeps their bodies until they change.
-#[derive(Debug, Default)]
-pub struct Viewer {
-    reports: collections::BTreeMap<name::Name, Report>,
-}
-
-#[derive(Debug)]
-struct Report {
-    version: store::Version,
-    status: status::Status,
-}
-
-impl Viewer {
-    /// Reads what changed and returns the state.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the platform gives no answer or nothing is stored.
-    pub fn view(&mut self, client: &client::Client) -> Result<View, error::Error> {
-        let stored = history::current(client)?.ok_or(error::Error::Unapplied)?;
-        let rollouts = read_rollouts(client)?;
-        let drained = client.list(drain::PREFIX)?.objects;
-        self.refresh(client)?;
-        let drained = drained
-            .iter()
-            .filter_map(|entry| entry.key.strip_prefix(drain::PREFIX));
-        let reports = self.reports.values().map(|report| &report.status);
-        let statuses: Vec<_> = reports.cloned().collect();
-        let mut view = View::new(&stored, &statuses, &rollouts, operation::now());
-        view.leaving.extend(drained.map(name::Name::from));
-        Ok(view)
-    }
-
-    /// Reads the reports whose version changed; one that is not readable is left out.
-    fn refresh(&mut self, client: &client::Client) -> Result<(), error::Error> {
-        let entries = client.list(status::PREFIX)?.objects;
-        let keys: collections::BTreeSet<_> = entries.iter().map(|entry| &entry.key).collect();
-        self.reports.retain(|key, _| keys.contains(key));
-        for entry in &entries {
-            let known = self.reports.get(&entry.key);
-            if known.is_some_and(|report| report.version == entry.version) {
-                continue;
-            }
-            let Some(object) = client.read(&entry.key)? else {
-                continue;
-            };
-            if let Ok(status) = serde_json::from_slice(&object.body) {
-                let version = object.version;
-                self.reports
-                    .insert(entry.key.clone(), Report { version, status });
-            }
-        }
-        Ok(())
-    }
-}
-
-fn read_rollouts(client: &client::Client) -> Result<Rollouts, error::Error> {
-    let Some(object) = client.read(rollout::KEY)? else {
-        return Ok(Rollouts::new());
-    };
-    serde_json::from_slice(&object.body).map_err(|error| error::Error::Unreadable {
-        key: rollout::KEY.to_owned(),
-        message: error.to_string(),
-    })
-}
-
 impl View {
     /// Puts the state together.
-    pub fn new(
-        stored: &history::Stored,
-        statuses: &[status::Status],
-        rollouts: &Rollouts,
-        now: time::Time,
-    ) -> Self {
+    pub fn new(stored: &history::Stored, observed: &viewer::Observed) -> Self {
         let declaration = &stored.envelope.declaration;
-        let fresh = |status: &&status::Status| {
-            let age = now.as_micros().saturating_sub(status.at.as_micros());
-            age <= STALE_MICROS
-        };
-        let fresh: Vec<_> = statuses.iter().filter(fresh).collect();
-        let domains = declaration
-            .domains
-            .iter()
-            .map(|domain| Domain::new(&domain.name, &fresh));
-        let service = |service| Service::new(service, declaration, rollouts);
-        let services = declaration.services.iter().map(service);
+        let domain = |domain: &declaration::Domain| Domain::new(&domain.name, observed);
+        let service = |service| Service::new(service, declaration, &observed.rollouts);
         Self {
             site: declaration.site.clone(),
             generation: stored.generation,
             author: stored.envelope.author.clone(),
             at: stored.envelope.at,
-            domains: domains.collect(),
-            services: services.collect(),
-            leaving: fresh
-                .iter()
-                .flat_map(|status| status.leaving.clone())
-                .collect(),
+            domains: declaration.domains.iter().map(domain).collect(),
+            services: declaration.services.iter().map(service).collect(),
+            leaving: observed.leaving(),
         }
     }
 
     /// Returns whether every failure domain reports the generation or a later one.
     pub fn is_in_force(&self, generation: u64) -> bool {
-        let reached = |domain: &Domain| domain.generation.is_some_and(|seen| seen >= generation);
+        let reached = |domain: &Domain| {
+            let whole = domain.reports == domain.instances;
+            whole && domain.generation.is_some_and(|seen| seen >= generation)
+        };
         self.domains.iter().all(reached)
     }
 
@@ -181,14 +93,15 @@
         service.rollout.as_ref()
     }
 
-    fn domain_table(&self) -> table::Table<4> {
-        let mut table = table::Table::new(["DOMAIN", "IN FORCE", "INSTANCES", "READY"]);
+    fn domain_table(&self) -> table::Table<5> {
+        let mut table = table::Table::new(["DOMAIN", "IN FORCE", "INSTANCES", "REPORTS", "READY"]);
         for domain in &self.domains {
             let generation = domain.generation.map(|generation| generation.to_string());
             table.push([
                 domain.name.to_string(),
                 generation.unwrap_or_else(|| "-".to_owned()),
                 domain.instances.to_string(),
+                domain.reports.to_string(),
                 domain.ready.to_string(),
             ]);
         }
@@ -213,14 +126,16 @@
 }
 
 impl Domain {
-    fn new(name: &name::Name, fresh: &[&status::Status]) -> Self {
-        let own = fresh.iter().filter(|status| status.domain == *name);
-        let own: Vec<_> = own.collect();
+    fn new(name: &name::Name, observed: &viewer::Observed) -> Self {
+        let entries = observed.entries(name);
+        let reports = entries.iter().filter_map(|entry| observed.status(entry));
+        let reports: Vec<_> = reports.collect();
         Self {
             name: name.clone(),
-            generation: own.iter().map(|status| status.generation).min(),
-            instances: own.len(),
-            ready: own.iter().filter(|status| status.ready).count(),
+            generation: reports.iter().map(|status| status.generation).min(),
+            instances: entries.len(),
+            reports: reports.len(),
+            ready: reports.iter().filter(|status| status.ready).count(),
         }
     }
 }
@@ -229,7 +144,7 @@
     fn new(
         service: &declaration::Service,
         declaration: &declaration::Declaration,
-        rollouts: &Rollouts,
+        rollouts: &viewer::Rollouts,
     ) -> Self {
         let runs = |up: &&declaration::Upstream| {
             up.service == service.name && up.version == service.version
--- a/crates/ctl/src/wait.rs
+++ b/crates/ctl/src/wait.rs
@@ -11,6 +11,7 @@
 use crate::rollout;
 use crate::status;
 use crate::view;
+use crate::viewer;
 
 /// What to wait for.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -68,7 +69,9 @@
         let generation = self.generation.unwrap_or(view.generation);
         let domain = |domain: &view::Domain| {
             let seen = domain.generation.map(|seen| seen.to_string());
-            format!("{} {}", domain.name, seen.unwrap_or_else(|| "-".to_owned()))
+            let seen = seen.unwrap_or_else(|| "-".to_owned());
+            let (reports, instances) = (domain.reports, domain.instances);
+            format!("{} {seen} ({reports} of {instances})", domain.name)
         };
         let domains: Vec<_> = view.domains.iter().map(domain).collect();
         let mut text = format!("generation {generation}: {}", domains.join(", "));
@@ -98,7 +101,7 @@
     goal: &Goal,
     mut show: impl FnMut(&str),
 ) -> Result<report::Report, error::Error> {
-    let mut viewer = view::Viewer::default();
+    let mut viewer = viewer::Viewer::default();
     let mut shown = String::new();
     loop {
         let revision = client.list(status::PREFIX)?.revision;
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -5,23 +5,23 @@
 use std::thread;
 
 use guavactl::exit;
-use guavactl::operation;
 use rstest::rstest;
 
 const DOMAINS: [&str; 3] = ["altan-ulgii", "bayanzurkh", "tolgoit"];
 
-fn report(session: &support::Session, domain: &str, generation: u64, age_seconds: u64) {
-    let at = operation::now().as_micros() - age_seconds * 1_000_000;
+/// Lists an entry of its failure domain and stores its report.
+fn report(session: &support::Session, domain: &str, entry: &str, generation: u64) {
+    session.register(entry, domain, "entry", false);
     let body = format!(
-        "{{\"generation\":{generation},\"instance\":\"entry-1\",\"domain\":\"{domain}\",\
-         \"ready\":true,\"leaving\":[\"verse-3\"],\"at\":{at}}}"
+        "{{\"generation\":{generation},\"instance\":\"{entry}\",\"domain\":\"{domain}\",\
+         \"ready\":true,\"leaving\":[\"verse-3\"],\"at\":1}}"
     );
-    session.store(&format!("status/{domain}/entry-1"), &body);
+    session.store(&format!("status/{domain}/{entry}"), &body);
 }
 
 fn report_all(session: &support::Session, generation: u64) {
     for domain in DOMAINS {
-        report(session, domain, generation, 0);
+        report(session, domain, &format!("entry-{domain}"), generation);
     }
 }
 
@@ -128,27 +128,36 @@
 fn status_shows_state() {
     let session = support::Session::start("status_shows_state");
     session.run("batu", "apply");
-    report(&session, "tolgoit", 1, 0);
-    report(&session, "bayanzurkh", 1, 3_600);
+    report(&session, "tolgoit", "entry-1", 1);
+    report(&session, "tolgoit", "entry-2", 0);
+    session.register("entry-3", "tolgoit", "entry", false);
+    report(&session, "bayanzurkh", "entry-4", 1);
+    session.register("entry-4", "bayanzurkh", "entry", true);
+    session.register("verse-9", "bayanzurkh", "upstream", true);
     rollout(&session, "v2", "ramp");
     session.run("batu", "drain kiosk-2");
     let ran = session.run("batu", "status");
     assert!(ran.out.contains("erdene: generation 1 by batu"), "{ran:?}");
     assert!(
-        ran.out.contains("tolgoit      1         1          1\n"),
+        ran.out
+            .contains("tolgoit      0         3          2        2\n"),
         "{ran:?}"
     );
     assert!(
-        ran.out.contains("bayanzurkh   -         0          0\n"),
+        ran.out
+            .contains("bayanzurkh   -         0          0        0\n"),
         "{ran:?}"
     );
     assert!(
         ran.out.contains("v2  5.0%   ramp   2026-12-04T11:00:00Z"),
         "{ran:?}"
     );
-    assert!(ran.out.contains("LEAVING  kiosk-2, verse-3"), "{ran:?}");
+    assert!(
+        ran.out.contains("LEAVING  kiosk-2, verse-3, verse-9"),
+        "{ran:?}"
+    );
     let json = session.run("batu", "status --json").json();
-    assert_eq!(json["domains"][2]["generation"], 1);
+    assert_eq!(json["domains"][2]["generation"], 0);
 }
 
 #[test]
@@ -166,7 +175,7 @@
     assert!(ran.out.contains("accepted: generation 1"), "{ran:?}");
     assert!(ran.out.contains("reached: generation 1"), "{ran:?}");
     assert!(
-        ran.err.contains("altan-ulgii -, bayanzurkh -, tolgoit -"),
+        ran.err.contains("altan-ulgii - (0 of 0), bayanzurkh"),
         "{ran:?}"
     );
 }
@@ -228,6 +237,21 @@
     assert!(ran.err.contains("`verse-scribe` has no rollout"), "{ran:?}");
 }
 
+/// One entry of a failure domain does not report at all, until it is listed as leaving.
+#[test]
+fn wait_needs_every_entry() {
+    let session = support::Session::start("wait_needs_every_entry");
+    session.run("batu", "apply");
+    report_all(&session, 1);
+    session.register("entry-9", "tolgoit", "entry", false);
+    let ran = session.run("batu", "wait --timeout 1");
+    assert_eq!(ran.exit, exit::Exit::Refused, "{ran:?}");
+    assert!(ran.out.contains("tolgoit 1 (1 of 2)"), "{ran:?}");
+    session.register("entry-9", "tolgoit", "entry", true);
+    let ran = session.run("batu", "wait --timeout 1");
+    assert_eq!(ran.exit, exit::Exit::Done, "{ran:?}");
+}
+
 #[test]
 fn wait_ignores_older() {
     let session = support::Session::start("wait_ignores_older");
@@ -246,7 +270,7 @@
     let ran = session.run("saran", "drain verse-1");
     assert_eq!(
         (ran.exit, ran.out.as_str()),
-        (exit::Exit::Done, "verse-1 gets no new work\n")
+        (exit::Exit::Done, "drain of verse-1 is ordered\n")
     );
     assert!(session.read("drain/verse-1").is_some());
     let ran = session.run("saran", "drain verse-1");
@@ -273,7 +297,7 @@
     session.run("batu", "drain verse-1");
     session.fault(&format!("{{\"lose_next\":{lost}}}"));
     let ran = session.run("batu", "drain verse-1 --undo");
-    assert_eq!(ran.out, "verse-1 may get work again\n", "{ran:?}");
+    assert_eq!(ran.out, "drain of verse-1 is taken back\n", "{ran:?}");
     assert!(session.read("drain/verse-1").is_none());
     let audit = session.run("batu", "audit --json --limit 1").json();
     assert_eq!(audit[0]["action"], "undo-drain");
--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -61,12 +61,25 @@
 
     /// Sets faults of the platform.
     pub fn fault(&self, json: &str) {
+        self.post("/standin/faults", json);
+    }
+
+    /// Adds an instance to the platform's list.
+    pub fn register(&self, name: &str, domain: &str, kind: &str, leaving: bool) {
+        let json = format!(
+            "{{\"name\":\"{name}\",\"address\":\"127.0.0.1:1\",\"domain\":\"{domain}\",\
+             \"kind\":\"{kind}\",\"leaving\":{leaving}}}"
+        );
+        self.post("/instances", &json);
+    }
+
+    fn post(&self, path: &str, json: &str) {
         let request = oxhttp::model::Request::builder()
             .method("POST")
-            .uri(format!("http://{}/standin/faults", self.address()))
+            .uri(format!("http://{}{path}", self.address()))
             .body(oxhttp::model::Body::from(json.to_owned()))
             .expect("request");
-        let response = oxhttp::Client::new().request(request).expect("faults");
+        let response = oxhttp::Client::new().request(request).expect("answer");
         assert!(response.status().is_success(), "{}", response.status());
     }
 
--- a/crates/ctl/tests/watch.rs
+++ b/crates/ctl/tests/watch.rs
@@ -6,13 +6,11 @@
 use std::io::BufRead;
 use std::process;
 
-use guavactl::operation;
-
 fn report(session: &support::Session, generation: u64) {
-    let at = operation::now().as_micros();
+    session.register("entry-1", "tolgoit", "entry", false);
     let body = format!(
         "{{\"generation\":{generation},\"instance\":\"entry-1\",\"domain\":\"tolgoit\",\
-         \"ready\":true,\"at\":{at}}}"
+         \"ready\":true}}"
     );
     session.store("status/tolgoit/entry-1", &body);
 }
