Let rollouts and halts govern versions at the entry, and test the reducer

Cause: the entry gave every request the declared version and told nobody how versions fared. Ruled out: halting by the controller alone, since it cannot act while the store is down. Change: the version of each request comes from the split in force; each end of an attempt is a sample for the monitor, whose halts spread as facts; sums go to the peers each second while a rollout is under way. Failures of an upstream that is leaving count against nobody. Missed deadlines count against the version.

--- a/crates/core/src/flight.rs
+++ b/crates/core/src/flight.rs
@@ -26,6 +26,8 @@
     pub timer: time::Time,
     /// Attempts since the last progress.
     pub tries: u32,
+    /// The version that it was given.
+    pub version: Option<name::Name>,
     /// Upstreams that failed it.
     pub excluded: Vec<name::Name>,
     /// Next token that the caller lacks.
--- a/crates/core/src/reduce.rs
+++ b/crates/core/src/reduce.rs
@@ -7,6 +7,7 @@
 mod link;
 mod quarantine;
 mod record;
+pub(crate) mod review;
 mod status;
 mod timer;
 
--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -87,6 +87,7 @@
         deadline,
         timer: deadline,
         tries: 0,
+        version: None,
         excluded: Vec::new(),
         offset: request.offset,
         started: false,
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -5,10 +5,9 @@
 use crate::declaration;
 use crate::effect;
 use crate::event;
-use crate::fact;
 use crate::flight;
 use crate::ledger;
-use crate::reduce::{launch, quarantine, record};
+use crate::reduce::{launch, quarantine, record, review};
 use crate::refusal;
 use crate::retry;
 use crate::routing;
@@ -60,6 +59,21 @@
     );
 }
 
+/// Counts a missed deadline against the version that was running the request.
+pub fn blame_late(state: &mut state::State, now: Time, id: u64) {
+    let flight = state.flights.get(&id);
+    let Some(flight::Stage::Running(running)) = flight.map(|f| f.stage.clone()) else {
+        return;
+    };
+    if !is_leaving(state, &running) {
+        let end = review::End {
+            failed: true,
+            tokens: 0,
+        };
+        review::record(state, now, id, &running, end);
+    }
+}
+
 /// Stops the attempt under way.
 pub fn cancel(state: &mut state::State, now: Time, id: u64) {
     if let Some(running) = take_running(state, id) {
@@ -89,6 +103,11 @@
     let Some(running) = take_running(state, id) else {
         return;
     };
+    let end = review::End {
+        failed: finish.failed,
+        tokens: finish.tokens,
+    };
+    review::record(state, now, id, &running, end);
     let outcome = match finish.failed {
         true => routing::Outcome::Failed,
         false => routing::Outcome::Finished {
@@ -134,22 +153,37 @@
     state
         .fleet
         .end(now, running.attempt, routing::Outcome::Failed);
-    if failure.died {
-        suspect(state, now, id, &running);
+    if !is_leaving(state, &running) {
+        blame(state, now, id, &running, failure);
     }
     go_on(state, now, id, running, failure);
 }
 
-/// Notes that an upstream died under the request, unless it was leaving anyway.
-fn suspect(state: &mut state::State, now: Time, id: u64, running: &flight::Running) {
-    let leaving = fact::Fact::Leaving {
-        upstream: running.choice.upstream.clone(),
-        incarnation: running.choice.incarnation,
-    };
-    if state.peering.knows(&leaving) {
-        return;
-    }
-    let Some(flight) = state.flights.get(&id) else {
+fn is_leaving(state: &state::State, running: &flight::Running) -> bool {
+    let latch = state.leaving.get(&running.choice.upstream);
+    latch.is_some_and(|incarnation| *incarnation >= running.choice.incarnation)
+}
+
+/// Counts a failure against the version and a death against the request too.
+fn blame(
+    state: &mut state::State,
+    now: Time,
+    id: u64,
+    running: &flight::Running,
+    failure: event::Failure,
+) {
+    let tokens = failure.offset.saturating_sub(offset(state, id));
+    review::record(
+        state,
+        now,
+        id,
+        running,
+        review::End {
+            failed: true,
+            tokens,
+        },
+    );
+    let Some(flight) = state.flights.get(&id).filter(|_| failure.died) else {
         return;
     };
     let fingerprint = flight.request.fingerprint;
--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -5,8 +5,9 @@
 use crate::effect;
 use crate::flight;
 use crate::ledger;
+use crate::name;
 use crate::poison;
-use crate::reduce::{arrival, quarantine, record};
+use crate::reduce::{arrival, quarantine, record, review};
 use crate::refusal;
 use crate::routing;
 use crate::state;
@@ -79,15 +80,30 @@
             arrival::not_run(refusal::Code::Deadline, Some(now)),
         );
     }
-    let query = flight.query(version(state, flight));
+    let version = version(state, now, id);
+    let Some(flight) = state.flights.get(&id) else {
+        return;
+    };
+    let query = flight.query(version);
     match state.fleet.choose(now, &query) {
         Ok(choice) => send(state, now, id, &query, choice),
         Err(exhausted) => wait_or_refuse(state, now, id, exhausted),
     }
 }
 
-fn version(_state: &state::State, flight: &flight::Flight) -> Option<crate::name::Name> {
-    Some(flight.service.version.clone())
+/// Returns the version of a request; one that was halted since is replaced.
+fn version(state: &mut state::State, now: Time, id: u64) -> Option<name::Name> {
+    let flight = state.flights.get(&id)?;
+    let service = flight.service.clone();
+    let given = flight
+        .version
+        .clone()
+        .filter(|v| !state.split.is_halted(&service.name, v));
+    let version =
+        given.unwrap_or_else(|| review::version(state, now, &service.name, &service.version));
+    let flight = state.flights.get_mut(&id)?;
+    flight.version = Some(version);
+    flight.version.clone()
 }
 
 fn send(
--- a/crates/core/src/reduce/link.rs
+++ b/crates/core/src/reduce/link.rs
@@ -6,7 +6,7 @@
 use crate::fact;
 use crate::name;
 use crate::peering;
-use crate::reduce::{document, quarantine, status};
+use crate::reduce::{document, quarantine, review, status};
 use crate::state;
 use crate::store;
 use crate::time;
@@ -48,7 +48,14 @@
             let effects = state.quarantine.learn(now, fact);
             quarantine::apply(state, now, effects);
         }
-        fact::Fact::Halted { .. } | fact::Fact::Holder { .. } => {}
+        fact::Fact::Halted {
+            service,
+            version,
+            generation,
+        } => {
+            state.split.halt(service, version, *generation);
+        }
+        fact::Fact::Holder { .. } => {}
     }
 }
 
@@ -56,7 +63,7 @@
     let result = match document.topic {
         peering::Topic::Config => adopt_config(state, now, document),
         peering::Topic::Members => adopt_members(state, now, document),
-        peering::Topic::Rollouts => Ok(()),
+        peering::Topic::Rollouts => review::adopt(state, now, &document.body),
     };
     if let Err(fault) = result {
         let key = name::Name::from(format!("{:?}", document.topic));
--- /dev/null
+++ b/crates/core/src/reduce/review.rs
@@ -0,0 +1,110 @@
+//! Evidence about versions: samples, halts by this entry alone and sums for the controller.
+
+use std::time;
+
+use crate::flight;
+use crate::name;
+use crate::peering;
+use crate::reduce::{self, link};
+use crate::rollout;
+use crate::state;
+use crate::time::Time;
+
+/// How often the evidence is judged while a rollout is under way.
+const JUDGE_PERIOD: time::Duration = time::Duration::from_millis(250);
+
+/// How often the sums go to the controller while a rollout is under way.
+const REPORT_PERIOD: time::Duration = time::Duration::from_secs(1);
+
+/// How long a halt holds.
+const HALT_HOLD: time::Duration = time::Duration::from_secs(7 * 24 * 3_600);
+
+/// When the evidence is looked at again.
+#[derive(Clone, Copy, Debug)]
+pub struct Review {
+    /// When it is judged.
+    pub judge: Time,
+    /// When the sums are reported.
+    pub report: Time,
+}
+
+/// How an attempt ended, as far as its version is to blame.
+#[derive(Clone, Copy, Debug)]
+pub struct End {
+    /// Whether the upstream failed the request.
+    pub failed: bool,
+    /// Tokens that the attempt brought.
+    pub tokens: u32,
+}
+
+/// Takes over the rollouts in force.
+pub fn adopt(state: &mut state::State, now: Time, body: &[u8]) -> Result<(), String> {
+    let book = rollout::Book::decode(body).map_err(|e| e.to_string())?;
+    let statuses = book.list();
+    state.split.adopt(&statuses);
+    state.monitor.adopt(&statuses);
+    let active = statuses.iter().any(|s| !s.phase.is_end());
+    let fresh = Review {
+        judge: now.after(JUDGE_PERIOD),
+        report: now.after(REPORT_PERIOD),
+    };
+    state.review = active.then(|| state.review.unwrap_or(fresh));
+    Ok(())
+}
+
+/// Returns the version that the next request of a service gets.
+pub fn version(
+    state: &mut state::State,
+    now: Time,
+    service: &name::Name,
+    declared: &name::Name,
+) -> name::Name {
+    if state.review.is_some() {
+        state.split.expire(now);
+    }
+    state.split.choose(service, declared)
+}
+
+/// Records the end of an attempt.
+pub fn record(state: &mut state::State, now: Time, id: u64, running: &flight::Running, end: End) {
+    let Some(flight) = state.flights.get(&id) else {
+        return;
+    };
+    let first = running.first.or((!end.failed).then_some(now));
+    let micros = |from: Time, to: Time| from.until(to).as_micros() as u64;
+    let gaps = u64::from(end.tokens.saturating_sub(1));
+    let sample = rollout::Sample {
+        failed: end.failed,
+        first: first.map_or(0, |first| micros(running.began, first)),
+        expected: micros(running.began, running.choice.expected),
+        gap: first
+            .map_or(0, |first| micros(first, now))
+            .checked_div(gaps)
+            .unwrap_or(0),
+        loaded: state.fleet.is_loaded(now, &running.choice.upstream),
+    };
+    let service = flight.service.name.clone();
+    let route = flight.route.name.clone();
+    state
+        .monitor
+        .record(now, &service, &running.choice.version, &route, sample);
+}
+
+/// Judges the evidence and reports the sums where that is due.
+pub fn tick(state: &mut state::State, now: Time) {
+    let Some(mut review) = state.review else {
+        return;
+    };
+    if review.judge <= now {
+        review.judge = now.after(JUDGE_PERIOD);
+        for fact in state.monitor.faults(now) {
+            reduce::learn(state, now, fact, now.after(HALT_HOLD));
+        }
+    }
+    if review.report <= now {
+        review.report = now.after(REPORT_PERIOD);
+        let reports = state.monitor.drain();
+        link::peer(state, now, peering::Input::Report(reports));
+    }
+    state.review = Some(review);
+}
--- a/crates/core/src/reduce/timer.rs
+++ b/crates/core/src/reduce/timer.rs
@@ -6,7 +6,7 @@
 use crate::flight;
 use crate::ledger;
 use crate::peering;
-use crate::reduce::{attempt, document, launch, link, quarantine, record};
+use crate::reduce::{attempt, document, launch, link, quarantine, record, review};
 use crate::refusal;
 use crate::state;
 use crate::time::Time;
@@ -23,6 +23,7 @@
     link::peer(state, now, peering::Input::Tick);
     record::drive(state, now, ledger::Input::Tick);
     document::make_due_calls(state, now);
+    review::tick(state, now);
     let effects = state.quarantine.tick(now);
     quarantine::apply(state, now, effects);
     while let Some(timer) = state.timers.first().copied().filter(|t| t.at <= now) {
@@ -126,6 +127,9 @@
         launch::refuse(state, id, refusal);
         return state.set_timer(id, now.after(launch::CLAIM_GRACE));
     }
+    if refusal.code == refusal::Code::Deadline {
+        attempt::blame_late(state, now, id);
+    }
     attempt::cancel(state, now, id);
     launch::give_up(state, now, id, refusal);
 }
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -274,6 +274,16 @@
         Some(self.upstreams[*slot].incarnation)
     }
 
+    /// Tells whether at least three quarters of an upstream's slots are in use.
+    pub fn is_loaded(&self, now: time::Time, upstream: &name::Name) -> bool {
+        let Some(&slot) = self.index.get(upstream) else {
+            return false;
+        };
+        let upstream = &self.upstreams[slot];
+        let used = upstream.tally.total(now).saturating_mul(4);
+        used >= upstream.slots(now).saturating_mul(3)
+    }
+
     /// Takes a higher incarnation into use with a slow start.
     pub fn returned(&mut self, now: time::Time, upstream: &name::Name, incarnation: u64) {
         if let Some(&slot) = self.index.get(upstream) {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -10,7 +10,9 @@
 use crate::name;
 use crate::peering;
 use crate::poison;
+use crate::reduce::review;
 use crate::retry;
+use crate::rollout;
 use crate::routing;
 use crate::store;
 use crate::time;
@@ -50,6 +52,12 @@
     pub revisions: collections::BTreeMap<peering::Topic, u64>,
     /// Upstreams known to be leaving, with the highest such incarnation.
     pub leaving: collections::BTreeMap<name::Name, u64>,
+    /// The version of each request while a rollout moves a service.
+    pub split: rollout::Split,
+    /// Evidence about versions.
+    pub monitor: rollout::Monitor,
+    /// When the evidence is looked at again; none without a rollout under way.
+    pub review: Option<review::Review>,
     /// The status object as last written.
     pub status: Status,
     /// A planned stop.
@@ -125,6 +133,9 @@
             watched: collections::BTreeSet::new(),
             revisions: collections::BTreeMap::new(),
             leaving: collections::BTreeMap::new(),
+            split: rollout::Split::new(),
+            monitor: rollout::Monitor::new(),
+            review: None,
             status: Status::default(),
             stop: None,
             out: Vec::new(),
@@ -154,6 +165,7 @@
             self.later.first_key_value().map(|(at, _)| *at),
             self.ledger.wake(),
             self.admission.wake(),
+            self.review.map(|r| r.judge.min(r.report)),
             self.stop.map(|s| s.deadline),
         ];
         sources
--- /dev/null
+++ b/crates/core/tests/reduce.rs
@@ -0,0 +1,403 @@
+//! The reducer of an entry: verdicts, retries, orders, leaving upstreams, rollouts and stops.
+
+mod bench;
+
+use std::time::Duration;
+
+use bench::{Bench, CANDLE, Objects, VERSE};
+use guavausher_core::{effect, event, fact, name, peering, refusal, rollout, verdict};
+use rstest::rstest;
+
+const NOT_RUN: verdict::Verdict = verdict::Verdict::NotRun;
+const MAY_HAVE_RUN: verdict::Verdict = verdict::Verdict::MayHaveRun;
+
+fn leave(bench: &mut Bench, upstream: &name::Name) {
+    let fact = fact::Fact::Leaving {
+        upstream: upstream.clone(),
+        incarnation: 1,
+    };
+    let expiry = bench.now.after(Duration::from_secs(60));
+    bench.event(event::Event::Peer(peering::Input::Learn { fact, expiry }));
+}
+
+#[rstest]
+#[case::unknown_path("/v1/nothing", refusal::Code::NoRoute)]
+fn arrive_refuses_unknown(#[case] path: &str, #[case] code: refusal::Code) {
+    let mut bench = Bench::erdene();
+    let id = bench.arrive(path, None);
+    let refusals = bench.refusals(id);
+    assert_eq!(refusals.len(), 1);
+    assert_eq!((refusals[0].code, refusals[0].verdict), (code, NOT_RUN));
+}
+
+/// What a caller is told after the only upstreams tried have failed.
+#[rstest]
+#[case::read_not_run(VERSE, None, NOT_RUN, true)]
+#[case::read_may_have_run(VERSE, None, MAY_HAVE_RUN, true)]
+#[case::keyed_not_run(CANDLE, Some("k"), NOT_RUN, true)]
+#[case::keyed_deduplicated_may_have_run(CANDLE, Some("k"), MAY_HAVE_RUN, true)]
+#[case::unkeyed_not_run(CANDLE, None, NOT_RUN, false)]
+#[case::unkeyed_may_have_run(CANDLE, None, MAY_HAVE_RUN, false)]
+fn fail_retries_only_what_may_be_repeated(
+    #[case] path: &str,
+    #[case] key: Option<&str>,
+    #[case] verdict: verdict::Verdict,
+    #[case] retried: bool,
+) {
+    let mut bench = Bench::erdene();
+    let mut store = Objects::default();
+    let id = bench.arrive(path, key);
+    bench.serve(&mut store);
+    let first = bench.dispatches(id)[0].clone();
+    bench.fail(&first, verdict, false);
+    assert_eq!(bench.dispatches(id).len(), if retried { 2 } else { 1 });
+    if retried {
+        assert_ne!(bench.dispatches(id)[1].upstream, first.upstream);
+    } else {
+        assert_eq!(bench.refusals(id)[0].verdict, verdict);
+    }
+}
+
+/// A service that does not deduplicate: an unclear end is final, for the caller and every resend.
+#[test]
+fn fail_unclear_order_is_never_sent_again() {
+    let mut declaration = bench::declaration();
+    declaration
+        .services
+        .iter_mut()
+        .for_each(|s| s.deduplicates = false);
+    let mut bench = Bench::declared(&declaration);
+    let mut store = Objects::default();
+    let id = bench.arrive(CANDLE, Some("k"));
+    bench.serve(&mut store);
+    let first = bench.dispatches(id)[0].clone();
+    bench.fail(&first, MAY_HAVE_RUN, true);
+    bench.serve(&mut store);
+    assert_eq!(bench.refusals(id)[0].verdict, MAY_HAVE_RUN);
+    assert_eq!(bench.dispatches(id).len(), 1);
+
+    let again = bench.arrive(CANDLE, Some("k"));
+    bench.serve(&mut store);
+    assert!(bench.dispatches(again).is_empty());
+    assert_eq!(bench.refusals(again)[0].code, refusal::Code::KeyUnclear);
+}
+
+#[test]
+fn arrive_order_is_claimed_before_it_is_sent() {
+    let mut bench = Bench::erdene();
+    let id = bench.arrive(CANDLE, Some("k"));
+    assert!(
+        bench.dispatches(id).is_empty(),
+        "nothing is sent before the claim is written"
+    );
+    bench.serve(&mut Objects::default());
+    assert_eq!(bench.dispatches(id).len(), 1);
+}
+
+#[rstest]
+#[case::refused(NOT_RUN)]
+#[case::unclear(MAY_HAVE_RUN)]
+fn arrive_order_in_store_outage_is_refused_as_not_run(#[case] outage: verdict::Verdict) {
+    let mut bench = Bench::erdene();
+    let id = bench.arrive(CANDLE, Some("k"));
+    bench.cut(outage);
+    assert!(bench.dispatches(id).is_empty());
+    let refusal = bench.refusals(id)[0];
+    assert_eq!(
+        (refusal.code, refusal.verdict),
+        (refusal::Code::Unrecorded, NOT_RUN)
+    );
+    assert!(refusal.retry_at.is_some_and(|at| at > bench.now));
+
+    let verse = bench.arrive(VERSE, None);
+    assert_eq!(
+        bench.dispatches(verse).len(),
+        1,
+        "what needs no agreement goes on"
+    );
+}
+
+#[test]
+fn finish_order_answers_once_recorded_or_after_a_short_wait() {
+    let mut bench = Bench::erdene();
+    let mut store = Objects::default();
+    let id = bench.arrive(CANDLE, Some("k"));
+    bench.serve(&mut store);
+    let dispatch = bench.dispatches(id)[0].clone();
+    bench.finish(&dispatch);
+    assert!(!bench.relayed(id));
+    bench.wait(500);
+    assert!(
+        bench.relayed(id),
+        "a slow store holds a paid answer back only for a moment"
+    );
+}
+
+#[test]
+fn deadline_of_order_keeps_the_run_and_records_its_end() {
+    let mut bench = Bench::erdene();
+    let mut store = Objects::default();
+    let id = bench.arrive(CANDLE, Some("k"));
+    bench.serve(&mut store);
+    let dispatch = bench.dispatches(id)[0].clone();
+    bench.wait(6_000);
+    assert_eq!(bench.refusals(id)[0].verdict, MAY_HAVE_RUN);
+    bench.finish(&dispatch);
+    bench.serve(&mut store);
+    let again = bench.arrive(CANDLE, Some("k"));
+    bench.serve(&mut store);
+    let replayed = |e: &effect::Effect| matches!(e, effect::Effect::Replay { request, .. } if *request == again);
+    assert!(
+        bench.effects.iter().any(replayed),
+        "the resend gets the late answer"
+    );
+    assert!(bench.dispatches(again).is_empty());
+}
+
+#[test]
+fn fail_midway_resumes_at_the_offset() {
+    let mut bench = Bench::erdene();
+    let id = bench.arrive(VERSE, None);
+    let first = bench.dispatches(id)[0].clone();
+    bench.signal(&first, event::Signal::First);
+    let failure = event::Failure {
+        verdict: MAY_HAVE_RUN,
+        died: true,
+        offset: 4,
+    };
+    bench.signal(&first, event::Signal::Failed(failure));
+    // The request is suspect now and waits for its turn alone.
+    (0..20).for_each(|_| bench.wait(500));
+    let second = &bench.dispatches(id)[1];
+    assert_eq!(second.offset, 4);
+    assert_ne!(second.upstream, first.upstream);
+}
+
+#[test]
+fn learn_leaving_stops_new_work_and_keeps_the_old() {
+    let mut bench = Bench::erdene();
+    let id = bench.arrive(VERSE, None);
+    let running = bench.dispatches(id)[0].clone();
+    leave(&mut bench, &running.upstream);
+    for _ in 0..50 {
+        let id = bench.arrive(VERSE, None);
+        let all = bench.dispatches(id);
+        assert!(all.iter().all(|d| d.upstream != running.upstream));
+    }
+    assert!(bench.refusals(id).is_empty());
+    bench.finish(&running);
+    assert!(bench.relayed(id));
+}
+
+#[test]
+fn learn_leaving_holds_over_a_flapping_list_and_a_new_configuration() {
+    let mut bench = Bench::erdene();
+    let upstream = name::Name::from("kiosk-1");
+    leave(&mut bench, &upstream);
+    let listed = r#"[{"name":"kiosk-1","address":"127.0.0.1:21101","domain":"altan-ulgii","kind":"upstream","leaving":false,"incarnation":1}]"#;
+    bench.publish(peering::Topic::Members, 1, listed.into());
+    bench.configure(2, &bench::declaration());
+    let mut store = Objects::default();
+    for number in 0..30 {
+        let id = bench.arrive(CANDLE, Some(&format!("k{number}")));
+        bench.serve(&mut store);
+        assert!(bench.dispatches(id).iter().all(|d| d.upstream != upstream));
+    }
+}
+
+#[test]
+fn publish_older_configuration_is_refused() {
+    let mut bench = Bench::erdene();
+    let mut second = bench::declaration();
+    second.routes.retain(|r| r.path != VERSE);
+    bench.configure(2, &second);
+    bench.configure(1, &bench::declaration());
+    let id = bench.arrive(VERSE, None);
+    assert_eq!(bench.refusals(id)[0].code, refusal::Code::NoRoute);
+}
+
+#[test]
+fn publish_malformed_configuration_keeps_the_former() {
+    let mut bench = Bench::erdene();
+    bench.publish(peering::Topic::Config, 2, b"{".to_vec());
+    let id = bench.arrive(VERSE, None);
+    assert_eq!(bench.dispatches(id).len(), 1);
+    let rejected = |e: &effect::Effect| matches!(e, effect::Effect::Rejected { .. });
+    assert!(bench.effects.iter().any(rejected));
+}
+
+#[test]
+fn split_gives_the_canary_its_share_and_nothing_after_a_halt() {
+    let mut declaration = bench::declaration();
+    let engines = declaration.upstreams.iter_mut();
+    engines
+        .filter(|u| u.name.as_str() >= "verse-5")
+        .for_each(|u| u.version = "v2".into());
+    let mut bench = Bench::declared(&declaration);
+    bench.publish(
+        peering::Topic::Rollouts,
+        1,
+        bench::rollout(100, rollout::Phase::Canary),
+    );
+    let mut canaries = 0;
+    for _ in 0..200 {
+        let id = bench.arrive(VERSE, None);
+        let dispatch = bench.dispatches(id)[0].clone();
+        canaries += usize::from(dispatch.version.as_str() == "v2");
+        bench.finish(&dispatch);
+        bench.wait(50);
+    }
+    assert_eq!(canaries, 20, "one in ten of 200");
+
+    let fact = fact::Fact::Halted {
+        service: "verse-scribe".into(),
+        version: "v2".into(),
+        generation: 1,
+    };
+    let expiry = bench.now.after(Duration::from_secs(60));
+    bench.event(event::Event::Peer(peering::Input::Learn { fact, expiry }));
+    for _ in 0..50 {
+        let id = bench.arrive(VERSE, None);
+        assert_eq!(bench.dispatches(id)[0].version.as_str(), "v1");
+        bench.wait(50);
+    }
+}
+
+#[test]
+fn monitor_halts_a_failing_version_without_the_store() {
+    let mut declaration = bench::declaration();
+    let engines = declaration.upstreams.iter_mut();
+    engines
+        .filter(|u| u.name.as_str() >= "verse-5")
+        .for_each(|u| u.version = "v2".into());
+    let mut bench = Bench::declared(&declaration);
+    bench.publish(
+        peering::Topic::Rollouts,
+        1,
+        bench::rollout(100, rollout::Phase::Canary),
+    );
+    let mut bad = 0;
+    for _ in 0..600 {
+        let id = bench.arrive(VERSE, None);
+        let dispatch = bench.dispatches(id)[0].clone();
+        if dispatch.version.as_str() == "v2" {
+            bad += 1;
+            bench.fail(&dispatch, MAY_HAVE_RUN, false);
+            let again = bench.dispatches(id).pop().unwrap();
+            bench.finish(&again);
+        } else {
+            bench.signal(&dispatch, event::Signal::First);
+            bench.finish(&dispatch);
+        }
+        bench.wait(50);
+    }
+    let halted = bench
+        .effects
+        .iter()
+        .any(|e| matches!(e, effect::Effect::Send { .. }));
+    assert!(
+        bad < 40,
+        "the bad version got {bad} requests; peers told: {halted}"
+    );
+    let fact = fact::Fact::Halted {
+        service: "verse-scribe".into(),
+        version: "v2".into(),
+        generation: 1,
+    };
+    assert!(bench.state.peering.knows(&fact));
+}
+
+#[test]
+fn stop_finishes_streams_and_refuses_new_requests() {
+    let mut bench = Bench::erdene();
+    let id = bench.arrive(VERSE, None);
+    let dispatch = bench.dispatches(id)[0].clone();
+    bench.signal(&dispatch, event::Signal::First);
+    let deadline = bench.now.after(Duration::from_secs(30));
+    bench.event(event::Event::Stop { deadline });
+    assert_eq!(bench.state.unready(), Some("stopping"));
+    let early = bench.arrive(VERSE, None);
+    assert_eq!(
+        bench.dispatches(early).len(),
+        1,
+        "the balancer does not know yet"
+    );
+    bench.wait(4_000);
+    let late = bench.arrive(VERSE, None);
+    assert_eq!(bench.refusals(late)[0].code, refusal::Code::Stopping);
+    assert!(
+        !bench
+            .effects
+            .iter()
+            .any(|e| matches!(e, effect::Effect::Stopped))
+    );
+    let second = bench.dispatches(early)[0].clone();
+    bench.finish(&second);
+    bench.finish(&dispatch);
+    assert!(bench.relayed(id) && bench.relayed(early));
+    assert!(
+        bench
+            .effects
+            .iter()
+            .any(|e| matches!(e, effect::Effect::Stopped))
+    );
+}
+
+#[test]
+fn stop_at_its_end_tells_open_streams_to_reconnect() {
+    let mut bench = Bench::erdene();
+    let id = bench.arrive(VERSE, None);
+    let dispatch = bench.dispatches(id)[0].clone();
+    bench.signal(&dispatch, event::Signal::First);
+    let deadline = bench.now.after(Duration::from_secs(10));
+    bench.event(event::Event::Stop { deadline });
+    bench.wait(8_000);
+    let refusal = bench.refusals(id)[0];
+    assert_eq!(
+        (refusal.code, refusal.verdict),
+        (refusal::Code::Stopping, MAY_HAVE_RUN)
+    );
+}
+
+/// A crasher among innocents: two upstreams at most, the final answer at once, nobody else lost.
+#[test]
+fn died_twice_blocks_the_crasher_and_frees_the_innocent() {
+    let mut bench = Bench::erdene();
+    let crasher = bench.arrive_with(VERSE, None, 666);
+    let innocents: Vec<u64> = (0..50)
+        .map(|n| bench.arrive_with(VERSE, None, 1_000 + n))
+        .collect();
+    let mut dead: Vec<name::Name> = Vec::new();
+    for _ in 0..4_000 {
+        let open: Vec<_> = std::iter::once(crasher)
+            .chain(innocents.iter().copied())
+            .filter(|id| !bench.relayed(*id) && bench.refusals(*id).is_empty())
+            .filter_map(|id| bench.dispatches(id).pop())
+            .filter(|d| bench.state.attempts.contains_key(&d.attempt))
+            .collect();
+        if open.is_empty() && bench.state.flights.is_empty() {
+            break;
+        }
+        let crash = open
+            .iter()
+            .find(|d| d.request == crasher)
+            .map(|d| d.upstream.clone());
+        for dispatch in open {
+            if crash.as_ref() == Some(&dispatch.upstream) {
+                bench.fail(&dispatch, MAY_HAVE_RUN, true);
+            } else {
+                bench.finish(&dispatch);
+            }
+        }
+        dead.extend(crash);
+        bench.wait(100);
+    }
+    assert!(dead.len() <= 2, "the crasher reached {dead:?}");
+    assert_eq!(bench.refusals(crasher).len(), 1);
+    let lost = innocents.iter().filter(|id| !bench.relayed(**id)).count();
+    for id in innocents.iter().filter(|id| !bench.relayed(**id)) { eprintln!("{:?} {}", bench.refusals(*id), bench.dispatches(*id).len()); }
+    assert_eq!(lost, 0, "innocents lost or blocked");
+    let again = bench.arrive_with(VERSE, None, 666);
+    assert_eq!(bench.refusals(again)[0].code, refusal::Code::Blocked);
+    assert!(bench.dispatches(again).is_empty());
+}
