Hold heavy workspaces back and steer the fleet by one window a service

Cause: beside a workspace at ten times its share the others' first tokens were refused or queued in engines (54 times the 95th percentile of alone). Ruled out: windows for each engine (rounding made the entry's capacity swing between 14 and 41 slots); tiers by present use alone (a polite workspace's burst looked like the heavy one). Change: one window a service and node that aims at the node's part of 15/16 of the slots; tiers by share and by recent offered demand; a waiting flow that may not run does not hold up one that may; prompts that miss a cache count six more times in the rank; the wait of a request with an uncertain total is a softplus. The trace lets conversations end instead of returning for ever.

--- a/crates/bench/src/request.rs
+++ b/crates/bench/src/request.rs
@@ -16,6 +16,8 @@
     pub workspace: usize,
     /// Delay of the first token in microseconds.
     pub first: Option<u64>,
+    /// Delay until the first dispatch in microseconds.
+    pub sent: Option<u64>,
     /// When the last token came, in microseconds.
     pub last: u64,
     /// Tokens that came.
--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -47,6 +47,8 @@
     pub recomputed: u64,
     /// Times of all attempts in microseconds.
     pub attempts: Vec<u64>,
+    /// Loads at all reports.
+    pub loads: Vec<routing::Load>,
 }
 
 /// A run in progress.
@@ -58,6 +60,7 @@
     engines: Vec<engine::Engine>,
     entries: Vec<entry::Entry>,
     events: collections::BinaryHeap<cmp::Reverse<Scheduled>>,
+    loads: Vec<routing::Load>,
     now: u64,
     order: u64,
     outputs: Vec<Vec<engine::Output>>,
@@ -127,6 +130,7 @@
         requests: sim.requests,
         recomputed: sim.engines.iter().map(|engine| engine.recomputed).sum(),
         attempts: sim.attempts,
+        loads: sim.loads,
     }
 }
 
@@ -151,6 +155,7 @@
             engines: vec![engine::Engine::default(); setup.engines.len()],
             entries: entries.collect(),
             events: collections::BinaryHeap::new(),
+            loads: Vec::new(),
             now: 0,
             order: 0,
             outputs: vec![Vec::new(); setup.engines.len()],
@@ -308,6 +313,8 @@
         self.attempts.push(self.now);
         self.requests[index].attempts += 1;
         self.requests[index].engine = Some(engine);
+        let sent = self.now - self.requests[index].at;
+        self.requests[index].sent.get_or_insert(sent);
         let job = engine::Job {
             attempt,
             blocks: self.arrivals[index].blocks.clone(),
@@ -486,6 +493,7 @@
             return;
         }
         let load = self.engines[engine].load(self.time());
+        self.loads.push(load);
         let event = self.engines[engine].take_event();
         for entry in 0..self.entries.len() {
             let at = self.now + self.rng.random_range(REPORT_DELAY.0..REPORT_DELAY.1);
--- a/crates/bench/src/trace.rs
+++ b/crates/bench/src/trace.rs
@@ -17,7 +17,7 @@
 const MAX_BLOCKS: u32 = 192;
 /// Share of arrivals that ask a quick question, in percent.
 const QUICK_PERCENT: u32 = 60;
-/// Share of arrivals that continue a conversation, in percent.
+/// Share of answers that are followed by another turn, in percent.
 const CONTINUE_PERCENT: u32 = 70;
 /// Shortest time between two turns in microseconds.
 const THINK_MICROS: u64 = 20_000_000;
@@ -100,11 +100,10 @@
         if at >= demand.length {
             return arrivals;
         }
-        let goes_on = rng.random_range(0..100) < CONTINUE_PERCENT;
         let ready = open
             .front()
             .is_some_and(|conversation| conversation.ready <= at);
-        let mut conversation = match (goes_on && ready).then(|| open.pop_front()).flatten() {
+        let mut conversation = match ready.then(|| open.pop_front()).flatten() {
             Some(conversation) => conversation,
             None => {
                 next += 1;
@@ -139,7 +138,8 @@
         });
         conversation.blocks = total;
         conversation.ready = at + THINK_MICROS;
-        if total < MAX_BLOCKS {
+        let goes_on = rng.random_range(0..100) < CONTINUE_PERCENT;
+        if goes_on && total < MAX_BLOCKS {
             open.push_back(conversation);
         }
     }
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod queue;
 mod refusal;
+mod shares;
 mod ticket;
 
 pub use decision::Decision;
--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -96,17 +96,18 @@
             return self.refuse(now, &ticket, reason, now.after(MAX_RETRY));
         };
         let queue = self.queues.entry(ticket.service.clone()).or_default();
-        let wait = queue.wait(&ticket);
+        let weight = limits.weight;
+        queue.see(now, &ticket, weight);
+        let wait = queue.wait(now, &ticket, weight);
         if limits.open >= limits.concurrency {
             return self.refuse(now, &ticket, refusal::Reason::Concurrency, now.after(wait));
         }
         if let Err(fits_at) = limits.bucket.take(now, limits.rate) {
             return self.refuse(now, &ticket, refusal::Reason::Rate, fits_at);
         }
-        let weight = limits.weight;
-        if queue.has_room(now, &ticket) {
+        if queue.has_room(now, &ticket, weight) {
             limits.open += 1;
-            queue.run(now, &ticket, weight);
+            queue.run(&ticket, weight);
             let held = Held {
                 ticket,
                 granted: Some(now),
@@ -122,7 +123,7 @@
             return self.refuse(now, &ticket, refusal::Reason::Deadline, now.after(wait));
         }
         limits.open += 1;
-        queue.push(now, ticket.clone(), last, weight);
+        queue.push(ticket.clone(), last, weight);
         self.tickets.insert(
             ticket.request,
             Held {
@@ -172,13 +173,13 @@
         }
         for ticket in expired {
             self.tickets.remove(&ticket.request);
+            let mut weight = 1;
             if let Some(limits) = self.workspaces.get_mut(&ticket.workspace) {
                 limits.open = limits.open.saturating_sub(1);
+                weight = limits.weight;
             }
-            let wait = self
-                .queues
-                .get(&ticket.service)
-                .map(|queue| queue.wait(&ticket));
+            let queue = self.queues.get(&ticket.service);
+            let wait = queue.map(|queue| queue.wait(now, &ticket, weight));
             let retry_at = now.after(wait.unwrap_or(MAX_RETRY));
             let refusal = self.refusal(now, &ticket, refusal::Reason::Deadline, retry_at);
             turn.refused.push(refusal);
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::time::Duration;
 
+use super::shares;
 use super::ticket;
 use crate::declaration;
 use crate::name;
@@ -20,6 +21,8 @@
 const HOLD_MICROS: f64 = 1_000_000.0;
 /// Slots kept for the quick class and for other workspaces, as a divisor of capacity.
 const RESERVE_DIVISOR: u32 = 8;
+/// Time in which offered demand fades to about a third.
+const DEMAND_MEMORY: Duration = Duration::from_secs(20);
 /// How long a class or workspace counts as present after its last ticket.
 const PRESENCE: Duration = Duration::from_secs(10);
 
@@ -47,6 +50,7 @@
 /// Requests of one workspace and class.
 #[derive(Clone, Debug, Default)]
 struct Flow {
+    demand: f64,
     finish: u64,
     running: u32,
     seen: time::Time,
@@ -62,9 +66,26 @@
 }
 
 impl Queue {
-    /// Returns whether a ticket may run at once, without passing anyone who waits.
-    pub fn has_room(&self, now: time::Time, ticket: &ticket::Ticket) -> bool {
-        self.waiting == 0 && self.fits(now, &key(ticket))
+    /// Returns whether a ticket may run at once, without passing anyone who could run too.
+    pub fn has_room(&self, now: time::Time, ticket: &ticket::Ticket, weight: u32) -> bool {
+        let key = key(ticket);
+        if self
+            .flows
+            .get(&key)
+            .is_some_and(|flow| !flow.tickets.is_empty())
+        {
+            return false;
+        }
+        let mut shares = self.shares(now);
+        shares.add(&ticket.workspace, weight, 0, 0.0);
+        if !self.fits(now, &key, &shares) {
+            return false;
+        }
+        let mut waiting = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| !flow.tickets.is_empty());
+        !waiting.any(|(other, _)| self.fits(now, other, &shares))
     }
 
     /// Returns whether another ticket of this workspace and class may wait.
@@ -74,27 +95,27 @@
     }
 
     /// Returns the expected wait of a ticket offered now.
-    pub fn wait(&self, ticket: &ticket::Ticket) -> Duration {
-        let own = self.flows.get(&key(ticket));
-        let mine = own.map_or(0, |flow| flow.tickets.len()) + 1;
-        let weight = own.map_or(1, |flow| flow.weight).max(1);
-        let ahead: f64 = self
-            .flows
-            .iter()
-            .map(|(other, flow)| {
-                let turns = mine as f64 * f64::from(flow.weight.max(1)) / f64::from(weight);
-                let turns = turns * class_share(other.priority, ticket.priority);
-                turns.min(flow.tickets.len() as f64)
-            })
-            .sum();
+    pub fn wait(&self, now: time::Time, ticket: &ticket::Ticket, weight: u32) -> Duration {
+        let key = key(ticket);
+        let mut shares = self.shares(now);
+        shares.add(&key.workspace, weight, 0, 0.0);
+        let tier = shares.tier(&key.workspace, self.capacity);
+        let mine = 1 + self.flows.get(&key).map_or(0, |flow| flow.tickets.len());
+        let rivals = self.flows.iter().filter(|(other, flow)| {
+            !flow.tickets.is_empty() && shares.tier(&other.workspace, self.capacity) <= tier
+        });
+        let ahead = rivals.map(|(other, flow)| {
+            let ratio = f64::from(flow.weight.max(1)) / f64::from(weight.max(1));
+            let turns = mine as f64 * ratio * class_share(other.priority, key.priority);
+            turns.min(flow.tickets.len() as f64)
+        });
         let hold = self.hold.unwrap_or(HOLD_MICROS);
-        let micros = hold * (ahead + 1.0) / f64::from(self.capacity.max(1));
+        let micros = hold * (ahead.sum::<f64>() + 1.0) / f64::from(self.capacity.max(1));
         Duration::from_micros(micros as u64)
     }
 
     /// Adds a ticket to its flow.
-    pub fn push(&mut self, now: time::Time, ticket: ticket::Ticket, last: time::Time, weight: u32) {
-        self.see(now, &ticket, weight);
+    pub fn push(&mut self, ticket: ticket::Ticket, last: time::Time, weight: u32) {
         let clock = self.clock;
         let cost = u64::from(ticket.cost.max(1)) * 1024 / u64::from(weight.max(1));
         let flow = self.flows.entry(key(&ticket)).or_default();
@@ -109,8 +130,7 @@
     }
 
     /// Counts a ticket that runs at once.
-    pub fn run(&mut self, now: time::Time, ticket: &ticket::Ticket, weight: u32) {
-        self.see(now, ticket, weight);
+    pub fn run(&mut self, ticket: &ticket::Ticket, weight: u32) {
         let clock = self.clock;
         let cost = u64::from(ticket.cost.max(1)) * 1024 / u64::from(weight.max(1));
         let flow = self.flows.entry(key(ticket)).or_default();
@@ -120,19 +140,7 @@
 
     /// Takes the next ticket that may run.
     pub fn pop(&mut self, now: time::Time) -> Option<ticket::Ticket> {
-        let quick = self.next(now, declaration::Priority::Quick);
-        let long = self.next(now, declaration::Priority::Long);
-        let long_turn = self.granted >= QUICK_GRANTS;
-        let picked = match (quick, long) {
-            (Some(quick), Some(long)) => {
-                if long_turn {
-                    long
-                } else {
-                    quick
-                }
-            }
-            (quick, long) => quick.or(long)?,
-        };
+        let picked = self.next(now)?;
         self.granted = match picked.priority {
             declaration::Priority::Quick => self.granted.saturating_add(1),
             declaration::Priority::Long => 0,
@@ -201,24 +209,29 @@
         waiting.map(|waiting| waiting.last).min()
     }
 
-    fn next(&self, now: time::Time, priority: declaration::Priority) -> Option<Key> {
-        let flows = self
+    /// Returns the flow whose turn it is: the lightest workspaces first, then by class.
+    fn next(&self, now: time::Time) -> Option<Key> {
+        let shares = self.shares(now);
+        let waiting = self
             .flows
             .iter()
-            .filter(|(key, _)| key.priority == priority);
-        let heads = flows.filter_map(|(key, flow)| Some((key, flow.tickets.front()?.start)));
-        let fitting = heads.filter(|(key, _)| self.fits(now, key));
-        fitting
-            .min_by_key(|&(_, start)| start)
-            .map(|(key, _)| key.clone())
+            .filter(|(_, flow)| !flow.tickets.is_empty());
+        let fitting = waiting.filter(|(key, _)| self.fits(now, key, &shares));
+        let long_turn = self.granted >= QUICK_GRANTS;
+        let best = fitting.min_by_key(|(key, flow)| {
+            let tier = shares.tier(&key.workspace, self.capacity);
+            let later = (key.priority == declaration::Priority::Long) != long_turn;
+            (
+                tier,
+                later,
+                flow.tickets.front().map(|waiting| waiting.start),
+            )
+        });
+        best.map(|(key, _)| key.clone())
     }
 
-    /// Applies the reserves: for the quick class, and for workspaces below their share.
-    fn fits(&self, now: time::Time, key: &Key) -> bool {
-        let free = self.capacity.saturating_sub(self.running);
-        if free == 0 {
-            return false;
-        }
+    /// Applies the reserves: for the quick class, and for workspaces within their share.
+    fn fits(&self, now: time::Time, key: &Key, shares: &shares::Shares) -> bool {
         let reserve = self.capacity / RESERVE_DIVISOR;
         let quick_near = self
             .quick_seen
@@ -229,34 +242,31 @@
         {
             return false;
         }
-        free > reserve || self.is_below_share(now, key)
+        let limit = match shares.tier(&key.workspace, self.capacity) {
+            shares::Tier::Within => self.capacity + reserve,
+            shares::Tier::Beyond => self.capacity,
+            shares::Tier::Heavy => self.capacity - reserve,
+        };
+        self.running < limit
     }
 
-    fn is_below_share(&self, now: time::Time, key: &Key) -> bool {
-        let mut weights = collections::BTreeMap::new();
-        let mut mine = 0;
-        for (other, flow) in &self.flows {
-            let present =
-                flow.running > 0 || !flow.tickets.is_empty() || flow.seen.after(PRESENCE) > now;
-            if present || other.workspace == key.workspace {
-                weights.insert(&other.workspace, flow.weight.max(1));
-            }
-            if other.workspace == key.workspace {
-                mine += flow.running;
+    fn shares(&self, now: time::Time) -> shares::Shares {
+        let mut shares = shares::Shares::default();
+        for (key, flow) in &self.flows {
+            if flow.running > 0 || !flow.tickets.is_empty() || flow.seen.after(PRESENCE) > now {
+                shares.add(&key.workspace, flow.weight, flow.running, flow.demand(now));
             }
         }
-        let total: u32 = weights.values().sum();
-        let weight = weights.get(&key.workspace).copied().unwrap_or(1);
-        let alone = weights.len() <= 1;
-        let share = u64::from(self.capacity) * u64::from(weight) / u64::from(total.max(1));
-        alone || u64::from(mine) < share.max(1)
+        shares
     }
 
-    fn see(&mut self, now: time::Time, ticket: &ticket::Ticket, weight: u32) {
+    /// Notes an offered ticket, whether or not it is admitted.
+    pub fn see(&mut self, now: time::Time, ticket: &ticket::Ticket, weight: u32) {
         if ticket.priority == declaration::Priority::Quick {
             self.quick_seen = Some(now);
         }
         let flow = self.flows.entry(key(ticket)).or_default();
+        flow.demand = flow.demand(now) + f64::from(ticket.cost);
         flow.seen = now;
         flow.weight = weight;
     }
@@ -271,6 +281,14 @@
     }
 }
 
+impl Flow {
+    /// Returns the recently offered tokens, older ones counting less.
+    fn demand(&self, now: time::Time) -> f64 {
+        let age = self.seen.until(now).as_secs_f64() / DEMAND_MEMORY.as_secs_f64();
+        self.demand * (-age).exp()
+    }
+}
+
 fn key(ticket: &ticket::Ticket) -> Key {
     Key {
         priority: ticket.priority,
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -16,6 +16,7 @@
 mod tally;
 mod upstream;
 mod weights;
+mod window;
 
 pub use cache_event::CacheEvent;
 pub use choice::Choice;
--- a/crates/core/src/routing/estimate.rs
+++ b/crates/core/src/routing/estimate.rs
@@ -73,8 +73,8 @@
     }
 
     /// Returns the wait of a request that has this many before it without a slot.
-    pub fn wait(&self, ahead: u32, slots: u32) -> Duration {
-        micros(self.hold * f64::from(ahead) / f64::from(slots.max(1)))
+    pub fn wait(&self, ahead: f64, slots: u32) -> Duration {
+        micros(self.hold * ahead / f64::from(slots.max(1)))
     }
 
     /// Returns the learned lateness beyond what load explains.
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -18,6 +18,7 @@
 use super::region;
 use super::upstream;
 use super::weights;
+use super::window;
 use crate::declaration;
 use crate::name;
 use crate::time;
@@ -42,6 +43,7 @@
     rng: rngs::SmallRng,
     upstreams: Vec<upstream::Upstream>,
     weights: weights::Weights,
+    windows: collections::BTreeMap<name::Name, window::Window>,
 }
 
 /// A usable upstream with its rank; less is better.
@@ -65,6 +67,7 @@
             rng: rngs::SmallRng::seed_from_u64(seed),
             upstreams: Vec::new(),
             weights: weights::Weights::default(),
+            windows: collections::BTreeMap::new(),
         }
     }
 
@@ -225,7 +228,9 @@
             }
             outcome::Outcome::Refused => {
                 upstream.health.refuse(now);
-                upstream.tally.refuse();
+                if let Some(window) = self.windows.get_mut(&upstream.declared.service) {
+                    window.refuse();
+                }
                 upstream.prefix.remove(&state.blocks);
             }
             outcome::Outcome::Failed => upstream.health.fail(now),
@@ -236,7 +241,7 @@
     /// Takes a lagged load report.
     pub fn report(&mut self, now: time::Time, upstream: &name::Name, load: load::Load) {
         if let Some(&slot) = self.index.get(upstream) {
-            self.upstreams[slot].report(now, load, &mut self.rng);
+            self.upstreams[slot].report(now, load);
         }
     }
 
@@ -287,7 +292,21 @@
     }
 
     /// Returns how many requests of a service this node may have in progress now.
-    pub fn capacity(&self, now: time::Time, service: &name::Name) -> u32 {
+    pub fn capacity(&mut self, now: time::Time, service: &name::Name) -> u32 {
+        if self
+            .windows
+            .get(service)
+            .is_some_and(|window| window.is_due(now))
+        {
+            let usage = self.usage(now, service);
+            if let Some(window) = self.windows.get_mut(service) {
+                window.update(now, usage);
+            }
+        }
+        self.windows.get(service).map_or(0, window::Window::slots)
+    }
+
+    fn usage(&self, now: time::Time, service: &name::Name) -> window::Usage {
         let pool = self
             .pools
             .get(service)
@@ -297,8 +316,11 @@
             .iter()
             .map(|&slot| &self.upstreams[slot])
             .filter(|u| u.is_open());
-        let each = open.map(|u| u.tally.own().saturating_add(u.room(now)));
-        each.fold(0, u32::saturating_add)
+        open.fold(window::Usage::default(), |sum, upstream| window::Usage {
+            own: sum.own + upstream.tally.own(),
+            total: sum.total + upstream.tally.total(now),
+            slots: sum.slots + upstream.slots(now),
+        })
     }
 
     /// Returns the bytes of state on the heap.
@@ -321,6 +343,13 @@
             });
         self.holders = holders::Holders::new(self.upstreams.len());
         self.pools.clear();
+        self.windows
+            .retain(|service, _| self.defaults.contains_key(service));
+        for service in self.defaults.keys() {
+            self.windows
+                .entry(service.clone())
+                .or_insert(window::Window::new());
+        }
         for (slot, upstream) in self.upstreams.iter().enumerate() {
             let service = upstream.declared.service.clone();
             self.pools.entry(service).or_default().push(slot);
@@ -352,7 +381,7 @@
             && !query.excluded.contains(&upstream.declared.name)
             && (panic || !upstream.health.is_ejected(now))
             && !upstream.health.is_paused(now)
-            && upstream.room(now) > 0
+            && upstream.has_room(now, query.prompt, upstream.prefix.cached(&query.blocks))
     }
 
     fn sticky(&self, query: &query::Query) -> Option<usize> {
@@ -368,7 +397,7 @@
             .prompt
             .saturating_sub(upstream.prefix.cached(&query.blocks));
         let expected = upstream.expected(now, uncached);
-        let mut rank = expected;
+        let mut rank = expected + upstream.estimate.prefill(uncached) * self.weights.recompute;
         if self.regions.is_hot(now, &upstream.declared.domain) {
             rank += self.weights.reclaim;
         }
@@ -395,7 +424,10 @@
             .iter()
             .map(|&slot| &self.upstreams[slot])
             .filter(|u| u.is_open());
-        let waits = open.map(|u| u.estimate.wait(u.ahead(now).max(1), u.slots(now)));
+        let waits = open.map(|u| {
+            u.estimate
+                .wait(f64::from(u.ahead(now).max(1)), u.slots(now))
+        });
         let wait = waits.min().unwrap_or(MAX_RETRY).clamp(MIN_RETRY, MAX_RETRY);
         exhausted::Exhausted {
             retry_at: now.after(wait),
--- a/crates/core/src/routing/prefix.rs
+++ b/crates/core/src/routing/prefix.rs
@@ -3,7 +3,7 @@
 use super::BLOCK_TOKENS;
 
 /// Sets of the table; a power of two.
-const SETS: usize = 512;
+const SETS: usize = 1024;
 /// Entries of one set.
 const WAYS: usize = 8;
 /// Gaps in the event stream after which an entry is no longer believed.
--- a/crates/core/src/routing/upstream.rs
+++ b/crates/core/src/routing/upstream.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use rand::rngs;
-
 use super::estimate;
 use super::health;
 use super::load;
@@ -14,6 +12,14 @@
 
 /// How long a new upstream takes to get its full share.
 const SLOW_START: Duration = Duration::from_secs(10);
+/// Cached requests that may wait at an upstream, as a divisor of its slots.
+const QUEUE_DIVISOR: u32 = 8;
+/// Standard deviation of the total, in requests.
+const MIN_DEVIATION: f64 = 0.5;
+/// The same for each slot.
+const SLOT_DEVIATION: f64 = 0.1;
+/// Makes the softplus function resemble the mean excess of a normal distribution.
+const SHARPNESS: f64 = 1.7;
 
 /// One upstream with everything learned about it.
 #[derive(Clone, Debug)]
@@ -34,12 +40,11 @@
 impl Upstream {
     /// Builds an upstream that is at full share from `warm_at` on.
     pub fn new(declared: declaration::Upstream, warm_at: time::Time) -> Self {
-        let tally = tally::Tally::new(declared.slots);
         Self {
             declared,
             incarnation: 0,
             leaving: None,
-            tally,
+            tally: tally::Tally::default(),
             prefix: prefix::Prefix::default(),
             health: health::Health::default(),
             estimate: estimate::Estimate::default(),
@@ -74,7 +79,7 @@
             return;
         }
         self.incarnation = incarnation;
-        self.tally.reset(self.declared.slots);
+        self.tally.reset();
         self.prefix.clear();
         self.health = health::Health::default();
         self.estimate = estimate::Estimate::default();
@@ -82,11 +87,10 @@
     }
 
     /// Takes a load report; one of a newer incarnation implies the return.
-    pub fn report(&mut self, now: time::Time, load: load::Load, rng: &mut rngs::SmallRng) {
+    pub fn report(&mut self, now: time::Time, load: load::Load) {
         self.returned(now, load.incarnation);
         if load.incarnation == self.incarnation {
-            let slots = self.warm(now, load.slots);
-            self.tally.report(load, slots, rng);
+            self.tally.report(load);
         }
     }
 
@@ -95,9 +99,18 @@
         self.warm(now, self.tally.slots().unwrap_or(self.declared.slots))
     }
 
-    /// Returns how many more requests this node may send.
-    pub fn room(&self, now: time::Time) -> u32 {
-        self.tally.room(now, self.slots(now))
+    /// Returns whether a request with this many cached prompt tokens fits.
+    ///
+    /// One with most of its prompt cached may wait for a slot rather than compute it elsewhere.
+    pub fn has_room(&self, now: time::Time, prompt: u32, cached: u32) -> bool {
+        let is_cached = u64::from(cached) * 4 >= u64::from(prompt.max(1)) * 3;
+        let slots = self.slots(now);
+        let limit = if is_cached {
+            slots + slots.div_ceil(QUEUE_DIVISOR)
+        } else {
+            slots
+        };
+        self.tally.total(now) < limit
     }
 
     /// Returns how many requests wait for a slot before a new one.
@@ -106,9 +119,18 @@
         after.saturating_sub(self.slots(now))
     }
 
+    /// Returns the mean of [`Upstream::ahead`] when the total is uncertain, because reports lag
+    /// and other nodes dispatch meanwhile.
+    fn likely_ahead(&self, now: time::Time) -> f64 {
+        let slots = f64::from(self.slots(now));
+        let deviation = MIN_DEVIATION + slots * SLOT_DEVIATION;
+        let excess = (f64::from(self.tally.total(now)) + 1.0 - slots) / deviation;
+        deviation * (1.0 + (excess * SHARPNESS).exp()).ln() / SHARPNESS
+    }
+
     /// Returns the expected time to first token of a request with uncached prompt tokens.
     pub fn expected(&self, now: time::Time, uncached: u32) -> Duration {
-        let wait = self.estimate.wait(self.ahead(now), self.slots(now));
+        let wait = self.estimate.wait(self.likely_ahead(now), self.slots(now));
         let prefill = self.estimate.prefill(self.pending.saturating_add(uncached));
         wait + prefill + self.round_trip() + self.estimate.bias()
     }
--- a/crates/core/src/routing/weights.rs
+++ b/crates/core/src/routing/weights.rs
@@ -5,6 +5,8 @@
 /// Exchange rates between time to first token and the other aims.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Weights {
+    /// How often the time to compute prompt tokens counts again, for the streams it delays.
+    pub recompute: u32,
     /// Delay accepted to run at half the price.
     pub price: time::Duration,
     /// Delay accepted to stay out of a failure domain that is being reclaimed.
@@ -14,6 +16,7 @@
 impl Default for Weights {
     fn default() -> Self {
         Self {
+            recompute: 6,
             price: time::Duration::from_millis(20),
             reclaim: time::Duration::from_millis(400),
         }
