--- a/crates/core/src/routing/tally.rs
+++ b/crates/core/src/routing/tally.rs
@@ -54,17 +54,13 @@
         self.own
     }
 
-    /// Returns requests that other nodes are believed to have there.
-    pub fn others(&self, now: time::Time) -> u32 {
-        match self.report {
-            Some(load) if load.at.until(now) < MAX_AGE => self.others,
-            _ => 0,
-        }
-    }
-
     /// Returns all requests believed to be there.
     pub fn total(&self, now: time::Time) -> u32 {
-        self.own.saturating_add(self.others(now))
+        let others = match self.report {
+            Some(load) if load.at.until(now) < MAX_AGE => self.others,
+            _ => 0,
+        };
+        self.own.saturating_add(others)
     }
 
     /// Returns the reported slots.
@@ -73,7 +69,7 @@
     }
 
     /// Forgets the report, for a new incarnation.
-    pub fn clear_report(&mut self) {
+    pub fn reset(&mut self) {
         self.report = None;
         self.others = 0;
     }
--- a/crates/core/src/routing/upstream.rs
+++ b/crates/core/src/routing/upstream.rs
@@ -12,8 +12,14 @@
 
 /// How long a new upstream takes to get its full share.
 const SLOW_START: Duration = Duration::from_secs(10);
-/// Requests that may wait at an upstream, as a divisor of its slots.
-const QUEUE_DIVISOR: u32 = 4;
+/// Cached requests that may wait at an upstream, as a divisor of its slots.
+const QUEUE_DIVISOR: u32 = 8;
+/// Standard deviation of the total, in requests.
+const MIN_DEVIATION: f64 = 0.5;
+/// The same for each slot.
+const SLOT_DEVIATION: f64 = 0.1;
+/// Makes the softplus function resemble the mean excess of a normal distribution.
+const SHARPNESS: f64 = 1.7;
 
 /// One upstream with everything learned about it.
 #[derive(Clone, Debug)]
@@ -73,7 +79,7 @@
             return;
         }
         self.incarnation = incarnation;
-        self.tally.clear_report();
+        self.tally.reset();
         self.prefix.clear();
         self.health = health::Health::default();
         self.estimate = estimate::Estimate::default();
@@ -90,17 +96,21 @@
 
     /// Returns the slots usable now, fewer during slow start.
     pub fn slots(&self, now: time::Time) -> u32 {
-        let slots = self.tally.slots().unwrap_or(self.declared.slots).max(1);
-        let left = now.until(self.warm_at).as_secs_f64() / SLOW_START.as_secs_f64();
-        let share = 1.0 - 0.75 * left.clamp(0.0, 1.0);
-        ((f64::from(slots) * share) as u32).max(1)
+        self.warm(now, self.tally.slots().unwrap_or(self.declared.slots))
     }
 
-    /// Returns how many more requests fit, waiting ones included.
-    pub fn room(&self, now: time::Time) -> u32 {
+    /// Returns whether a request with this many cached prompt tokens fits.
+    ///
+    /// One with most of its prompt cached may wait for a slot rather than compute it elsewhere.
+    pub fn has_room(&self, now: time::Time, prompt: u32, cached: u32) -> bool {
+        let is_cached = u64::from(cached) * 4 >= u64::from(prompt.max(1)) * 3;
         let slots = self.slots(now);
-        let limit = slots.saturating_add(slots.div_ceil(QUEUE_DIVISOR));
-        limit.saturating_sub(self.tally.total(now))
+        let limit = if is_cached {
+            slots + slots.div_ceil(QUEUE_DIVISOR)
+        } else {
+            slots
+        };
+        self.tally.total(now) < limit
     }
 
     /// Returns how many requests wait for a slot before a new one.
@@ -109,11 +119,36 @@
         after.saturating_sub(self.slots(now))
     }
 
+    /// Returns the mean of [`Upstream::ahead`] when the total is uncertain, because reports lag
+    /// and other nodes dispatch meanwhile.
+    fn likely_ahead(&self, now: time::Time) -> f64 {
+        let slots = f64::from(self.slots(now));
+        let deviation = MIN_DEVIATION + slots * SLOT_DEVIATION;
+        let excess = (f64::from(self.tally.total(now)) + 1.0 - slots) / deviation;
+        deviation * (1.0 + (excess * SHARPNESS).exp()).ln() / SHARPNESS
+    }
+
     /// Returns the expected time to first token of a request with uncached prompt tokens.
     pub fn expected(&self, now: time::Time, uncached: u32) -> Duration {
-        let wait = self.estimate.wait(self.ahead(now), self.slots(now));
+        let wait = self.estimate.wait(self.likely_ahead(now), self.slots(now));
         let prefill = self.estimate.prefill(self.pending.saturating_add(uncached));
-        let link = self.link.saturating_mul(2);
-        wait + prefill + link + self.estimate.bias()
+        wait + prefill + self.round_trip() + self.estimate.bias()
+    }
+
+    /// Learns from a first token that came after `delay` in place of `expected`.
+    pub fn first_token(&mut self, delay: Duration, expected: Duration, prefill: u32, direct: bool) {
+        let link = self.round_trip();
+        let (delay, expected) = (delay.saturating_sub(link), expected.saturating_sub(link));
+        self.estimate.first_token(delay, expected, prefill, direct);
+    }
+
+    fn warm(&self, now: time::Time, slots: u32) -> u32 {
+        let left = now.until(self.warm_at).as_secs_f64() / SLOW_START.as_secs_f64();
+        let share = 1.0 - 0.75 * left.clamp(0.0, 1.0);
+        ((f64::from(slots.max(1)) * share) as u32).max(1)
+    }
+
+    const fn round_trip(&self) -> Duration {
+        self.link.saturating_mul(2)
     }
 }
--- a/crates/ctl/src/wait.rs
+++ b/crates/ctl/src/wait.rs
@@ -11,6 +11,7 @@
 use crate::rollout;
 use crate::status;
 use crate::view;
+use crate::viewer;
 
 /// What to wait for.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -33,6 +34,20 @@
 }
 
 impl Goal {
+    /// Refuses a rollout that is neither declared nor stored.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service has no rollout.
+    pub fn check(&self, view: &view::View) -> Result<(), error::Error> {
+        match &self.rollout {
+            Some(service) if view.rollout(service).is_none() => {
+                Err(error::Error::Rollout(service.clone()))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Returns how far the state is from the goal.
     pub fn progress(&self, view: &view::View) -> Progress {
         let generation = self.generation.unwrap_or(view.generation);
@@ -43,7 +58,6 @@
             return Progress::Reached;
         };
         match view.rollout(service) {
-            Some(rollout) if rollout.generation < generation => Progress::Waiting,
             Some(rollout) if rollout.phase.as_str() == rollout::DONE => Progress::Reached,
             Some(rollout) if rollout.is_final() => Progress::Failed,
             _ => Progress::Waiting,
@@ -55,14 +69,19 @@
         let generation = self.generation.unwrap_or(view.generation);
         let domain = |domain: &view::Domain| {
             let seen = domain.generation.map(|seen| seen.to_string());
-            format!("{} {}", domain.name, seen.unwrap_or_else(|| "-".to_owned()))
+            let seen = seen.unwrap_or_else(|| "-".to_owned());
+            let (reports, instances) = (domain.reports, domain.instances);
+            format!("{} {seen} ({reports} of {instances})", domain.name)
         };
         let domains: Vec<_> = view.domains.iter().map(domain).collect();
         let mut text = format!("generation {generation}: {}", domains.join(", "));
         if let Some(service) = &self.rollout {
             let phase = match view.rollout(service) {
-                Some(rollout) => format!("{} at {} of 1000", rollout.phase, rollout.share),
-                None => "no rollout yet".to_owned(),
+                Some(rollout) if rollout.reason.is_empty() => rollout.cells()[1..3].join(" "),
+                Some(rollout) => {
+                    format!("{}, {}", rollout.cells()[1..3].join(" "), rollout.reason)
+                }
+                None => "no rollout".to_owned(),
             };
             text.push_str(&format!("; {service}: {phase}"));
         }
@@ -70,7 +89,7 @@
     }
 }
 
-/// Waits until the goal is reached or failed, or the client's time is up.
+/// Waits until the goal is reached or failed, or the client's deadline has passed.
 ///
 /// Calls `show` with a line whenever the progress changes.
 ///
@@ -82,19 +101,19 @@
     goal: &Goal,
     mut show: impl FnMut(&str),
 ) -> Result<report::Report, error::Error> {
-    let deadline = time::Instant::now() + client.timeout();
-    let mut viewer = view::Viewer::new(client);
+    let mut viewer = viewer::Viewer::default();
     let mut shown = String::new();
     loop {
         let revision = client.list(status::PREFIX)?.revision;
-        let view = viewer.view()?;
+        let view = viewer.view(client)?;
+        goal.check(&view)?;
         let line = goal.describe(&view);
         if line != shown {
             show(&line);
             shown = line;
         }
         match goal.progress(&view) {
-            Progress::Waiting if time::Instant::now() < deadline => {
+            Progress::Waiting if time::Instant::now() < client.deadline() => {
                 client.watch(status::PREFIX, revision)?;
             }
             progress => return Ok(ending(progress, goal, &view)),
