Add guavausher-controller beside each entry

Cause: the reducer of the controller needed its shell: a process of its own, so that its death does not cut the data path. Change: it links as a leaf to its entry's peer port, gets configuration, members, rollouts, facts and reports there, makes its store calls and orders on small pools, and gives its leases back on SIGTERM.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod clock;
+pub mod controller;
 pub mod entry;
 pub mod logging;
 pub mod peers;
