--- a/crates/core/src/flight.rs
+++ b/crates/core/src/flight.rs
@@ -49,8 +49,8 @@
     Claiming,
     /// Its turn to run alone.
     Quarantined,
-    /// An upstream to go on with.
-    Backoff,
+    /// An upstream to go on with, until this time.
+    Backoff(time::Time),
     /// The upstream's answer.
     Running(Running),
     /// The record of its end.
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -202,6 +202,10 @@
     running: flight::Running,
     failure: event::Failure,
 ) {
+    if !failure.died {
+        let effects = state.quarantine.released(now, id);
+        quarantine::apply(state, now, effects);
+    }
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
@@ -211,6 +215,12 @@
     }
     flight.excluded.push(running.choice.upstream);
     flight.stage = flight::Stage::Queued;
+    let timer = if flight.started {
+        Time::MAX
+    } else {
+        flight.deadline
+    };
+    state.set_timer(id, timer);
     if may_retry(state, now, id, failure) {
         return launch::launch(state, now, id);
     }
@@ -221,7 +231,10 @@
     };
     let delay = retry::backoff(id, 0).max(launch::RETRY_WAIT);
     let retry_at = Some(now.after(delay));
-    let code = refusal::Code::UpstreamFailed;
+    let code = match verdict {
+        verdict::Verdict::NotRun => refusal::Code::NoUpstream,
+        _ => refusal::Code::UpstreamFailed,
+    };
     launch::give_up(
         state,
         now,
--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -23,7 +23,10 @@
 /// How long a broken stream may look for an upstream to go on at.
 pub const RESUME_WAIT: time::Duration = time::Duration::from_secs(10);
 
-/// How often a broken stream looks for an upstream.
+/// How long a new request may wait for a slot that admission took for free.
+const SLOT_WAIT: time::Duration = time::Duration::from_secs(1);
+
+/// How often a waiting request looks for an upstream.
 const RESUME_POLL: time::Duration = time::Duration::from_millis(100);
 
 /// Takes the next step with an admitted request.
@@ -54,7 +57,7 @@
         return;
     };
     if let Err(exhausted) = state.fleet.choose(now, &flight.query(None)) {
-        return give_up(state, now, id, no_upstream(exhausted));
+        return wait_or_refuse(state, now, id, exhausted);
     }
     let claim = ledger::Claim {
         request: id,
@@ -146,39 +149,38 @@
     state.emit(effect::Effect::Dispatch(dispatch));
 }
 
-/// A broken stream waits a little for an upstream; anything else is refused at once.
+/// A broken stream waits for an upstream, and a new request for the moment in which a full pool
+/// frees a slot; anything else is refused at once.
 fn wait_or_refuse(state: &mut state::State, now: Time, id: u64, exhausted: routing::Exhausted) {
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
-    if !flight.started {
-        return give_up(state, now, id, no_upstream(exhausted));
-    }
-    if !matches!(flight.stage, flight::Stage::Backoff) {
-        flight.deadline = now.after(RESUME_WAIT);
-        flight.stage = flight::Stage::Backoff;
-        flight.excluded.clear();
-    }
-    if now >= flight.deadline {
-        let verdict = verdict::Verdict::MayHaveRun;
-        let retry_at = Some(exhausted.retry_at);
-        let code = refusal::Code::UpstreamFailed;
-        return give_up(
-            state,
-            now,
-            id,
-            refusal::Refusal {
-                code,
-                verdict,
-                retry_at,
-            },
-        );
+    let limit = match flight.stage {
+        flight::Stage::Backoff(limit) => limit,
+        _ if flight.started => now.after(RESUME_WAIT),
+        _ => flight.deadline.min(now.after(SLOT_WAIT)),
+    };
+    let hopeless = !flight.started && exhausted.retry_at > limit;
+    if now >= limit || hopeless {
+        let refusal = no_upstream(flight, exhausted);
+        return give_up(state, now, id, refusal);
     }
-    state.set_timer(id, now.after(RESUME_POLL));
+    flight.stage = flight::Stage::Backoff(limit);
+    flight.excluded.clear();
+    state.set_timer(id, now.after(RESUME_POLL).min(limit));
 }
 
-fn no_upstream(exhausted: routing::Exhausted) -> refusal::Refusal {
-    arrival::not_run(refusal::Code::NoUpstream, Some(exhausted.retry_at))
+fn no_upstream(flight: &flight::Flight, exhausted: routing::Exhausted) -> refusal::Refusal {
+    let retry_at = Some(exhausted.retry_at);
+    if !flight.started {
+        return arrival::not_run(refusal::Code::NoUpstream, retry_at);
+    }
+    let verdict = verdict::Verdict::MayHaveRun;
+    refusal::Refusal {
+        code: refusal::Code::UpstreamFailed,
+        verdict,
+        retry_at,
+    }
 }
 
 /// Gives the final answer and ends the flight, releasing an unused claim.
--- a/crates/core/src/reduce/timer.rs
+++ b/crates/core/src/reduce/timer.rs
@@ -86,7 +86,7 @@
     };
     match flight.stage {
         flight::Stage::Recording => record::relay(state, now, id),
-        flight::Stage::Backoff => launch::dispatch(state, now, id),
+        flight::Stage::Backoff(_) => launch::launch(state, now, id),
         _ if flight.detached => {
             let refusal = late(state, now, id);
             attempt::cancel(state, now, id);
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -5,27 +5,32 @@
 use crate::name;
 use crate::time;
 
-/// Length of one bucket in microseconds.
-const BUCKET_MICROS: u64 = 250_000;
-/// Buckets remembered.
-const BUCKETS: u64 = 8;
-/// Requests that must be recent for each retry allowed beyond the first.
-const REQUESTS_EACH: u32 = 12;
-
-/// Allows retries as a share of each service's recent requests.
+/// Credit that one request earns; a retry costs [`RETRY_COST`].
+const REQUEST_CREDIT: u32 = 1;
+/// Credit that one retry costs: a twentieth of the requests may be retried in the long run.
+const RETRY_COST: u32 = 20;
+/// Credit of a service that has had no request yet.
+const FIRST_CREDIT: u32 = 8 * RETRY_COST;
+/// The most credit that a service saves up.
+const MAX_CREDIT: u32 = 16 * RETRY_COST;
+
+/// Allows retries as a share of each service's requests.
+///
+/// Requests earn credit and retries spend it. What is saved up lets a service with few requests
+/// survive a single fault; an outage is amplified by the share and that one-off reserve alone.
 ///
-/// The window is two seconds, so that a long outage is amplified by little more than the share.
+/// ```
+/// use guavausher_core::name;
+/// use guavausher_core::retry;
+/// use guavausher_core::time;
+/// let mut budget = retry::Budget::new();
+/// let service = name::Name::from("verse-scribe");
+/// budget.record(time::Time::default(), &service);
+/// assert!(budget.spend(time::Time::default(), &service));
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
-    services: collections::BTreeMap<name::Name, Window>,
-}
-
-/// Counts of one service in a ring of buckets.
-#[derive(Clone, Copy, Debug, Default)]
-struct Window {
-    newest: u64,
-    requests: [u32; BUCKETS as usize],
-    retries: [u32; BUCKETS as usize],
+    credits: collections::BTreeMap<name::Name, u32>,
 }
 
 impl Budget {
@@ -35,44 +40,21 @@
     }
 
     /// Counts a request that is not a retry.
-    pub fn record(&mut self, now: time::Time, service: &name::Name) {
-        let window = self.window(now, service);
-        let place = (window.newest % BUCKETS) as usize;
-        window.requests[place] = window.requests[place].saturating_add(1);
+    pub fn record(&mut self, _now: time::Time, service: &name::Name) {
+        let credit = self.credits.get(service).copied().unwrap_or(FIRST_CREDIT);
+        let credit = (credit + REQUEST_CREDIT).min(MAX_CREDIT);
+        self.credits.insert(service.clone(), credit);
     }
 
     /// Takes one retry from the budget; returns whether it may be made.
-    pub fn spend(&mut self, now: time::Time, service: &name::Name) -> bool {
-        let window = self.window(now, service);
-        let requests: u32 = window.requests.iter().sum();
-        let retries: u32 = window.retries.iter().sum();
-        if retries >= requests.div_ceil(REQUESTS_EACH) {
+    pub fn spend(&mut self, _now: time::Time, service: &name::Name) -> bool {
+        let Some(credit) = self.credits.get_mut(service) else {
+            return false;
+        };
+        if *credit < RETRY_COST {
             return false;
         }
-        window.retries[(window.newest % BUCKETS) as usize] += 1;
+        *credit -= RETRY_COST;
         true
     }
-
-    fn window(&mut self, now: time::Time, service: &name::Name) -> &mut Window {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), Window::default());
-        }
-        let window = self.services.entry(service.clone()).or_default();
-        window.advance(now.as_micros() / BUCKET_MICROS);
-        window
-    }
-}
-
-impl Window {
-    fn advance(&mut self, bucket: u64) {
-        if bucket <= self.newest {
-            return;
-        }
-        for passed in (self.newest + 1..=bucket).rev().take(BUCKETS as usize) {
-            let place = (passed % BUCKETS) as usize;
-            self.requests[place] = 0;
-            self.retries[place] = 0;
-        }
-        self.newest = bucket;
-    }
 }
--- a/crates/core/src/routing/upstream.rs
+++ b/crates/core/src/routing/upstream.rs
@@ -10,6 +10,10 @@
 use crate::declaration;
 use crate::time;
 
+/// The incarnation of an upstream of which nothing has been heard; the first word of it is no
+/// return.
+const UNKNOWN: u64 = 0;
+
 /// How long a new upstream takes to get its full share.
 const SLOW_START: Duration = Duration::from_secs(10);
 /// Cached requests that may wait at an upstream, as a divisor of its slots.
@@ -42,7 +46,7 @@
     pub fn new(declared: declaration::Upstream, warm_at: time::Time) -> Self {
         Self {
             declared,
-            incarnation: 0,
+            incarnation: UNKNOWN,
             leaving: None,
             tally: tally::Tally::default(),
             prefix: prefix::Prefix::default(),
@@ -78,7 +82,11 @@
         if incarnation <= self.incarnation {
             return;
         }
+        let known = self.incarnation != UNKNOWN;
         self.incarnation = incarnation;
+        if !known {
+            return;
+        }
         self.tally.reset();
         self.prefix.clear();
         self.health = health::Health::default();
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -116,6 +116,8 @@
 
 impl State {
     /// Returns the state of an entry that has just started.
+    ///
+    /// The seed must differ from that of every other process, since claims carry it.
     pub fn new(own: peering::Member, seed: u64) -> Self {
         Self {
             config: None,
--- a/crates/core/tests/reduce.rs
+++ b/crates/core/tests/reduce.rs
@@ -359,6 +359,26 @@
     );
 }
 
+/// The turn of a suspect ends where its upstream cannot be reached, and it gets another one.
+#[test]
+fn fail_of_suspect_in_its_turn_gives_it_another() {
+    let mut bench = Bench::erdene();
+    let id = bench.arrive(VERSE, None);
+    let first = bench.dispatches(id)[0].clone();
+    bench.signal(&first, event::Signal::First);
+    let failure = event::Failure {
+        verdict: MAY_HAVE_RUN,
+        died: true,
+        offset: 4,
+    };
+    bench.signal(&first, event::Signal::Failed(failure));
+    (0..20).for_each(|_| bench.wait(100));
+    let second = bench.dispatches(id)[1].clone();
+    bench.fail(&second, NOT_RUN, false);
+    (0..40).for_each(|_| bench.wait(100));
+    assert_eq!(bench.dispatches(id).len(), 3);
+}
+
 /// A crasher among innocents: two upstreams at most, the final answer at once, nobody else lost.
 #[test]
 fn died_twice_blocks_the_crasher_and_frees_the_innocent() {
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -30,16 +30,32 @@
 }
 
 #[test]
-fn budget_allows_single_retry() {
+fn budget_of_quiet_service_allows_a_few_retries_and_no_more() {
     let service = name::Name::from("guava-model");
     let now = time::Time::from_millis(1_000_000);
     let mut budget = retry::Budget::new();
-    assert!(!budget.spend(now, &service));
+    assert!(!budget.spend(now, &service), "no request, no retry");
     budget.record(now, &service);
-    assert!(budget.spend(now, &service));
+    let allowed = (0..100).filter(|_| budget.spend(now, &service)).count();
+    assert_eq!(allowed, 8);
+    (0..19).for_each(|_| budget.record(now, &service));
+    assert!(
+        budget.spend(now, &service),
+        "twenty requests earn one retry"
+    );
     assert!(!budget.spend(now, &service));
 }
 
+#[test]
+fn budget_saves_up_a_bounded_reserve() {
+    let service = name::Name::from("guava-model");
+    let now = time::Time::from_millis(1_000_000);
+    let mut budget = retry::Budget::new();
+    (0..10_000).for_each(|_| budget.record(now, &service));
+    let allowed = (0..100).filter(|_| budget.spend(now, &service)).count();
+    assert_eq!(allowed, 16);
+}
+
 #[rstest]
 #[case::first(0, 20)]
 #[case::third(2, 80)]
--- a/crates/node/src/bin/guavausher-entry/cli.rs
+++ b/crates/node/src/bin/guavausher-entry/cli.rs
@@ -2,7 +2,7 @@
 
 use std::process;
 
-use guavausher_core::peering;
+use guavausher_core::{name, peering};
 use guavausher_node::{clock, entry, peers, settings, store};
 
 const PROGRAM: settings::Program = settings::Program {
@@ -46,6 +46,12 @@
             default: None,
             help: "Address of the platform's service",
         },
+        settings::Setting {
+            flag: "--peers",
+            kind: settings::Kind::Peers,
+            default: Some(""),
+            help: "Other entries to ask while the platform's list cannot be had",
+        },
         settings::Setting {
             flag: "--key",
             kind: settings::Kind::Secret,
@@ -151,6 +157,7 @@
         listen: values.address("--listen")?,
         admin: values.address("--admin-listen")?,
         own,
+        seeds: values.peers("--peers")?.into_iter().map(seed).collect(),
         key,
         threads: values.size("--threads")?,
         store,
@@ -162,6 +169,17 @@
     })
 }
 
+/// Failure domain and region of a seed are learned from its link.
+fn seed(peer: settings::Peer) -> peering::Member {
+    peering::Member {
+        name: peer.name,
+        domain: name::Name::default(),
+        region: name::Name::default(),
+        address: peer.address,
+        incarnation: 0,
+    }
+}
+
 fn incarnation(stated: u64) -> u64 {
     match stated {
         0 => clock::Clock::start().now().as_micros(),
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -40,6 +40,8 @@
     pub admin: net::SocketAddr,
     /// This entry as its peers see it; its address is the peer port.
     pub own: peering::Member,
+    /// Entries to ask before the platform's list is known, for a start during its outage.
+    pub seeds: Vec<peering::Member>,
     /// Key that all processes of the deployment share.
     pub key: peers::Key,
     /// Threads that carry requests.
@@ -72,11 +74,13 @@
         .build()?;
     let peers = peers::start(peer_config(&config), peer_events)?;
     admin::serve(config.admin, readiness.clone(), registry)?;
+    // Claims and attempts of two processes must never look alike, whatever their settings say.
+    let writer = rand::random();
     let front = front::Front {
         clock,
         events: events.clone(),
         metrics: metrics.clone(),
-        writer: config.own.incarnation,
+        writer,
         next: sync::Arc::default(),
     };
     runtime.spawn(stop_on_signal(clock, events, config.grace));
@@ -93,7 +97,7 @@
         links,
         metrics,
     };
-    driver.run(config.own);
+    driver.run(config.own, writer, config.seeds);
     runtime.shutdown_timeout(time::Duration::from_secs(1));
     Ok(())
 }
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -1,5 +1,7 @@
 //! Answers in HTTP form.
 
+use std::convert;
+
 use bytes::Bytes;
 use guavausher_core::{ledger, refusal, time, verdict};
 use http_body_util::combinators;
@@ -19,16 +21,7 @@
 pub const EVENT_STREAM: &str = "text/event-stream";
 
 /// The body of an answer.
-pub type Body = combinators::BoxBody<Bytes, Broken>;
-
-/// A token stream ended before its answer was whole.
-#[derive(Debug, displaydoc::Display)]
-pub enum Broken {
-    /// the answer ended before it was whole; reconnect with last-event-id
-    Cut,
-}
-
-impl std::error::Error for Broken {}
+pub type Body = combinators::BoxBody<Bytes, convert::Infallible>;
 
 /// An answer that is known as a whole.
 #[derive(Clone, Debug)]
@@ -103,7 +96,7 @@
 
     /// Builds the HTTP response.
     pub fn response(self, id: u64) -> hyper::Response<Body> {
-        let body = Full::new(self.body).map_err(|never| match never {}).boxed();
+        let body = Full::new(self.body).boxed();
         let mut builder = hyper::Response::builder()
             .status(self.status)
             .header(header::CONTENT_TYPE, self.media)
--- a/crates/node/src/entry/caller.rs
+++ b/crates/node/src/entry/caller.rs
@@ -29,23 +29,14 @@
     /// The version that answers.
     pub version: String,
     /// The body.
-    pub chunks: mpsc::Receiver<Chunk>,
-}
-
-/// A piece of a token stream.
-#[derive(Debug)]
-pub enum Chunk {
-    /// Whole events.
-    Events(Bytes),
-    /// The answer is cut here.
-    Cut,
+    pub chunks: mpsc::Receiver<Bytes>,
 }
 
 /// Where the answer stands.
 #[derive(Debug)]
 enum Stage {
     Waiting(oneshot::Sender<Head>),
-    Streaming(mpsc::Sender<Chunk>),
+    Streaming(mpsc::Sender<Bytes>),
     Ended,
 }
 
@@ -93,7 +84,7 @@
         let Stage::Streaming(chunks) = &self.stage else {
             return Err(Gone);
         };
-        let sent = tokio::time::timeout(STALL, chunks.send(Chunk::Events(events))).await;
+        let sent = tokio::time::timeout(STALL, chunks.send(events)).await;
         sent.map_err(|_| Gone)?.map_err(|_| Gone)
     }
 
@@ -120,8 +111,8 @@
                 let mut event = b"event: error\ndata: ".to_vec();
                 event.extend(answer::refusal_json(refusal, now));
                 event.extend(b"\n\n");
-                let _ = chunks.try_send(Chunk::Events(Bytes::from(event)));
-                let _ = chunks.try_send(Chunk::Cut);
+                // A full channel means a stalled caller, who sees the missing end.
+                let _ = chunks.try_send(Bytes::from(event));
             }
             Stage::Ended => {}
         }
--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -51,10 +51,11 @@
 
 impl Driver {
     /// Runs the reducer until a planned stop is over.
-    pub fn run(self, own: peering::Member) {
-        let seed = own.incarnation;
-        let mut state = state::State::new(own, seed);
+    pub fn run(self, own: peering::Member, writer: u64, seeds: Vec<peering::Member>) {
+        let mut state = state::State::new(own, writer);
         let mut tasks = Tasks::default();
+        let seeds = event::Event::Peer(peering::Input::Members(seeds));
+        self.step(&mut state, &mut tasks, seeds);
         let mut run = self.step(&mut state, &mut tasks, event::Event::Start);
         while run == Run::On {
             let event = self.next(&state, &mut tasks);
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -145,21 +145,18 @@
         .unwrap_or_else(|_| lost().response(id))
 }
 
-/// The body of a token stream; a cut becomes an error that resets the connection.
-struct Chunks(mpsc::Receiver<caller::Chunk>);
+/// The body of a token stream.
+struct Chunks(mpsc::Receiver<Bytes>);
 
 impl body::Body for Chunks {
     type Data = Bytes;
-    type Error = answer::Broken;
+    type Error = convert::Infallible;
 
     fn poll_frame(
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Result<body::Frame<Bytes>, answer::Broken>>> {
+    ) -> task::Poll<Option<Result<body::Frame<Bytes>, convert::Infallible>>> {
         let chunk = task::ready!(self.0.poll_recv(context));
-        task::Poll::Ready(chunk.map(|chunk| match chunk {
-            caller::Chunk::Events(events) => Ok(body::Frame::data(events)),
-            caller::Chunk::Cut => Err(answer::Broken::Cut),
-        }))
+        task::Poll::Ready(chunk.map(|chunk| Ok(body::Frame::data(chunk))))
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,11 +6,13 @@
 
 mod error;
 mod kind;
+mod peer;
 mod program;
 mod values;
 
 pub use error::Error;
 pub use kind::Kind;
+pub use peer::Peer;
 pub use program::{Outcome, Program};
 pub use values::Values;
 
--- a/crates/node/src/settings/kind.rs
+++ b/crates/node/src/settings/kind.rs
@@ -6,6 +6,8 @@
 
 use guavausher_core::name;
 
+use crate::settings::peer;
+
 /// What the value of a setting must look like.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -31,6 +33,8 @@
     Level,
     /// A name of letters, digits, dots, dashes and underscores.
     Name,
+    /// Instances as `NAME=IP:PORT`, separated by commas; may be empty.
+    Peers,
     /// A key of at least 16 bytes; never printed.
     Secret,
 }
@@ -49,6 +53,7 @@
             }
             Self::Level => text.parse::<log::LevelFilter>().is_ok(),
             Self::Name => is_name(text),
+            Self::Peers => peers(text).is_some(),
             Self::Secret => text.len() >= MIN_SECRET_BYTES,
         }
     }
@@ -71,6 +76,7 @@
             Self::Millis { min, max } => write!(f, "milliseconds from {min} to {max}"),
             Self::Level => f.write_str("off, error, warn, info, debug or trace"),
             Self::Name => f.write_str("a name of letters, digits, '.', '-' and '_'"),
+            Self::Peers => f.write_str("NAME=IP:PORT pairs separated by commas, or nothing"),
             Self::Secret => write!(f, "a key of at least {MIN_SECRET_BYTES} bytes"),
         }
     }
@@ -85,6 +91,22 @@
         .collect()
 }
 
+/// Parses instances separated by commas.
+pub(super) fn peers(text: &str) -> Option<Vec<peer::Peer>> {
+    text.split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+        .map(|part| {
+            let (name, address) = part.split_once('=')?;
+            let name = Some(name).filter(|name| is_name(name))?;
+            Some(peer::Peer {
+                name: name::Name::from(name),
+                address: address.parse().ok()?,
+            })
+        })
+        .collect()
+}
+
 /// Parses milliseconds.
 pub(super) fn millis(text: &str) -> Option<time::Duration> {
     text.parse().ok().map(time::Duration::from_millis)
--- a/crates/node/src/settings/values.rs
+++ b/crates/node/src/settings/values.rs
@@ -6,7 +6,7 @@
 
 use guavausher_core::name;
 
-use crate::settings::{Error, kind};
+use crate::settings::{Error, kind, peer};
 
 /// The checked values of all settings of one program.
 ///
@@ -36,6 +36,15 @@
         self.get(flag, kind::addresses)
     }
 
+    /// Returns a list of instances.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the setting is not declared as instances.
+    pub fn peers(&self, flag: &'static str) -> Result<Vec<peer::Peer>, Error> {
+        self.get(flag, kind::peers)
+    }
+
     /// Returns a whole number.
     ///
     /// # Errors
