Stop free resumes while most upstreams fail, and sample three candidates

Ruled out: ejection alone (a panic threshold must keep the pool usable). Change: Fleet::is_failing tells that over two fifths of the upstreams failed last; resumes then need the retry budget, which is one in twenty now.

--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -5,6 +5,7 @@
 
 use guavausher_core::admission;
 use guavausher_core::name;
+use guavausher_core::retry;
 use guavausher_core::routing;
 use guavausher_core::time;
 use rand::Rng as _;
@@ -35,6 +36,8 @@
 pub const MAX_ATTEMPTS: u32 = 15;
 /// Retries that a baseline makes.
 const BASELINE_RETRIES: u32 = 2;
+/// Longest time that a cut stream waits for a chance to resume, in microseconds.
+const RESUME_MICROS: u64 = 20_000_000;
 /// Time after the last arrival in which answers may end, in microseconds.
 const TAIL_MICROS: u64 = 30_000_000;
 
@@ -113,6 +116,7 @@
     },
     Wake(usize),
     Again(usize),
+    Resume(usize),
     Fault(setup::Kind),
 }
 
@@ -191,7 +195,13 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Arrive(index) | Event::Again(index) => self.arrive(index),
+            Event::Arrive(index) => {
+                let (now, entry) = (self.time(), self.arrivals[index].entry);
+                self.entries[entry].budget.record(now, &self.service);
+                self.arrive(index);
+            }
+            Event::Again(index) => self.arrive(index),
+            Event::Resume(request) => self.resume(request),
             Event::Reach { engine, job } => self.reach(engine, job),
             Event::Step(engine) => self.step(engine),
             Event::First { request, attempt } => self.first(request, attempt),
@@ -462,6 +472,18 @@
         if self.may_retry(request) {
             return self.dispatch(request);
         }
+        self.give_up(request);
+    }
+
+    /// Lets a stream wait for a chance to resume; refuses anything else.
+    fn give_up(&mut self, request: usize) {
+        let (now, entry) = (self.time(), self.arrivals[request].entry);
+        let waits = self.requests[request].first.is_some()
+            && self.now < self.requests[request].last + RESUME_MICROS;
+        if waits && self.policy == entry::Policy::Core {
+            let delay = retry::backoff(request as u64, self.requests[request].attempts + 3);
+            return self.push(self.now + delay.as_micros() as u64, Event::Resume(request));
+        }
         self.requests[request].refused = true;
         self.entries[entry]
             .admission
@@ -469,14 +491,22 @@
         self.poll(entry);
     }
 
+    fn resume(&mut self, request: usize) {
+        match self.may_retry(request) {
+            true => self.dispatch(request),
+            false => self.give_up(request),
+        }
+    }
+
     fn may_retry(&mut self, request: usize) -> bool {
         let (now, entry) = (self.time(), self.arrivals[request].entry);
         let made = self.requests[request].attempts;
         if self.policy != entry::Policy::Core {
             return made <= BASELINE_RETRIES;
         }
-        let resumes = self.requests[request].first.is_some();
-        made < MAX_ATTEMPTS && (resumes || self.entries[entry].budget.spend(now, &self.service))
+        let streaming = self.requests[request].first.is_some();
+        let free = streaming && !self.entries[entry].fleet.is_failing(&self.service);
+        made < MAX_ATTEMPTS && (free || self.entries[entry].budget.spend(now, &self.service))
     }
 
     fn is_current(&self, request: usize, attempt: u64) -> bool {
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -10,7 +10,7 @@
 /// Buckets remembered.
 const BUCKETS: u64 = 8;
 /// Requests that must be recent for each retry allowed beyond the first.
-const REQUESTS_EACH: u32 = 12;
+const REQUESTS_EACH: u32 = 20;
 
 /// Allows retries as a share of each service's recent requests.
 ///
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -24,7 +24,11 @@
 use crate::time;
 
 /// Upstreams sampled at random for one decision.
-const SAMPLES: usize = 5;
+const SAMPLES: usize = 3;
+/// A service fails when more than this many of [`FAILING_DIVISOR`] parts of its upstreams do.
+const FAILING_FACTOR: usize = 2;
+/// See [`FAILING_FACTOR`].
+const FAILING_DIVISOR: usize = 5;
 /// Shortest time after which a caller is asked to come back.
 const MIN_RETRY: Duration = Duration::from_millis(50);
 /// Longest time after which a caller is asked to come back.
@@ -206,6 +210,7 @@
         let delay = state.started.until(now);
         let expected = state.started.until(state.expected);
         upstream.first_token(delay, expected, state.prefill, state.direct);
+        upstream.health.succeed();
     }
 
     /// Ends an attempt.
@@ -306,6 +311,22 @@
         self.windows.get(service).map_or(0, window::Window::slots)
     }
 
+    /// Returns whether the last attempts failed at so many upstreams of a service that more
+    /// attempts only add load.
+    ///
+    /// While this holds, a stream that lost its upstream needs the retry budget to resume.
+    pub fn is_failing(&self, service: &name::Name) -> bool {
+        let pool = self
+            .pools
+            .get(service)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
+        let failing = pool
+            .iter()
+            .filter(|&&slot| self.upstreams[slot].health.is_failing());
+        failing.count() * FAILING_DIVISOR > pool.len() * FAILING_FACTOR
+    }
+
     fn usage(&self, now: time::Time, service: &name::Name) -> window::Usage {
         let pool = self
             .pools
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -47,6 +47,11 @@
         self.paused = now.after(REFUSAL_PAUSE);
     }
 
+    /// Returns whether the last attempt failed.
+    pub const fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Returns whether the upstream is ejected.
     pub fn is_ejected(&self, now: time::Time) -> bool {
         self.until > now
