--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod admission;
 pub mod config;
+pub mod control;
 pub mod declaration;
 pub mod effect;
 pub mod event;
