--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -16,6 +16,10 @@
 const MAX_RETRY: Duration = Duration::from_secs(30);
 /// Shortest time after which a caller is asked to come back, in microseconds.
 const MIN_RETRY_MICROS: u64 = 50_000;
+/// Time before the deadline that an upstream needs, at most.
+const SERVICE: Duration = Duration::from_secs(1);
+/// The same as a part of the time to the deadline, as a divisor.
+const SERVICE_DIVISOR: u32 = 2;
 /// Largest share of the retry time added as jitter.
 const JITTER: f64 = 0.5;
 
@@ -92,17 +96,18 @@
             return self.refuse(now, &ticket, reason, now.after(MAX_RETRY));
         };
         let queue = self.queues.entry(ticket.service.clone()).or_default();
-        let wait = queue.wait(&ticket);
+        let weight = limits.weight;
+        queue.see(now, &ticket, weight);
+        let wait = queue.wait(now, &ticket, weight);
         if limits.open >= limits.concurrency {
             return self.refuse(now, &ticket, refusal::Reason::Concurrency, now.after(wait));
         }
         if let Err(fits_at) = limits.bucket.take(now, limits.rate) {
             return self.refuse(now, &ticket, refusal::Reason::Rate, fits_at);
         }
-        let weight = limits.weight;
-        if queue.has_room(now, &ticket) {
+        if queue.has_room(now, &ticket, weight) {
             limits.open += 1;
-            queue.run(now, &ticket, weight);
+            queue.run(&ticket, weight);
             let held = Held {
                 ticket,
                 granted: Some(now),
@@ -113,11 +118,12 @@
         if queue.is_full(&ticket) {
             return self.refuse(now, &ticket, refusal::Reason::QueueFull, now.after(wait));
         }
-        if now.after(wait) > ticket.deadline {
+        let last = last_grant(now, ticket.deadline);
+        if now.after(wait) > last {
             return self.refuse(now, &ticket, refusal::Reason::Deadline, now.after(wait));
         }
         limits.open += 1;
-        queue.push(now, ticket.clone(), weight);
+        queue.push(ticket.clone(), last, weight);
         self.tickets.insert(
             ticket.request,
             Held {
@@ -167,13 +173,13 @@
         }
         for ticket in expired {
             self.tickets.remove(&ticket.request);
+            let mut weight = 1;
             if let Some(limits) = self.workspaces.get_mut(&ticket.workspace) {
                 limits.open = limits.open.saturating_sub(1);
+                weight = limits.weight;
             }
-            let wait = self
-                .queues
-                .get(&ticket.service)
-                .map(|queue| queue.wait(&ticket));
+            let queue = self.queues.get(&ticket.service);
+            let wait = queue.map(|queue| queue.wait(now, &ticket, weight));
             let retry_at = now.after(wait.unwrap_or(MAX_RETRY));
             let refusal = self.refusal(now, &ticket, refusal::Reason::Deadline, retry_at);
             turn.refused.push(refusal);
@@ -215,3 +221,10 @@
         }
     }
 }
+
+/// Returns the latest time at which a grant can still meet a deadline.
+fn last_grant(now: time::Time, deadline: time::Time) -> time::Time {
+    let left = now.until(deadline);
+    let service = SERVICE.min(left / SERVICE_DIVISOR);
+    now.after(left.saturating_sub(service))
+}
--- a/crates/core/src/peering/state.rs
+++ b/crates/core/src/peering/state.rs
@@ -63,6 +63,7 @@
     beat: time::Time,
     learned: time::Time,
     grace: Option<time::Time>,
+    waited: bool,
     read: bool,
     synced: bool,
     sequence: u64,
@@ -108,7 +109,10 @@
                 );
             }
             Input::Publish(document) => self.publish(now, document, &mut outputs),
-            Input::Report(reports) => self.ledger.add(now, &reports),
+            Input::Report(reports) => {
+                let behind = self.behind(&reports);
+                self.ledger.add(now, &reports, behind);
+            }
             Input::Forward { to, body } => {
                 let from = self.own.name.clone();
                 let hops = MAX_HOPS;
@@ -130,11 +134,15 @@
     /// Returns when the next `Tick` is due at the latest.
     pub fn wake(&self) -> time::Time {
         let fetches = self.fetches.iter().flatten().map(|fetch| fetch.deadline);
-        let grace = self.grace.filter(|_| !self.synced);
+        let grace = self.grace.filter(|_| !self.synced && !self.waited);
+        let watch = match self.parent {
+            Some(_) => time::Time::MAX,
+            None => self.watch.wake(),
+        };
         fetches
             .chain(grace)
             .chain([self.beat, self.links.wake(), self.ledger.wake()])
-            .chain([self.facts.wake(), self.watch.wake()])
+            .chain([self.facts.wake(), watch])
             .min()
             .unwrap_or(time::Time::MAX)
     }
@@ -182,6 +190,7 @@
             beat: time::Time::default(),
             learned: time::Time::default(),
             grace: None,
+            waited: false,
             read: false,
             synced: false,
             sequence: 0,
@@ -434,10 +443,21 @@
         if self.parent.is_some() {
             outputs.push(Output::Reports(message.reports));
         } else {
-            self.ledger.add(now, &message.reports);
+            let behind = self.behind(&message.reports);
+            self.ledger.add(now, &message.reports, behind);
         }
     }
 
+    /// Returns how many links lie between this node and the farthest that reports through it.
+    fn behind(&mut self, reports: &[report::Report]) -> u16 {
+        let holders = reports
+            .iter()
+            .filter_map(|report| self.facts.holder(&report.service));
+        let own = &self.own.name;
+        let behind = holders.map(|holder| self.routes.behind(own, holder));
+        behind.max().unwrap_or(0)
+    }
+
     fn send_reports(&mut self, now: time::Time, outputs: &mut Vec<Output>) {
         let mut batches: collections::BTreeMap<name::Name, Vec<report::Report>> =
             collections::BTreeMap::new();
@@ -531,6 +551,7 @@
     }
 
     fn check_synced(&mut self, now: time::Time) {
+        self.waited |= self.grace.is_some_and(|grace| grace <= now);
         if self.synced {
             return;
         }
@@ -539,7 +560,7 @@
             return;
         }
         let vouched = self.links.any_synced();
-        let waited = self.members.len() == 1 || self.grace.is_some_and(|grace| grace <= now);
+        let waited = self.members.len() == 1 || self.waited;
         self.synced = vouched || (self.read && waited);
     }
 
--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -77,7 +77,8 @@
 
     /// Decides about a request before each of its dispatches.
     pub fn admit(&mut self, now: time::Time, fingerprint: u64, request: u64) -> Admission {
-        let mut effects = self.tick(now);
+        self.suspicions.sweep(now);
+        let mut effects = Vec::new();
         let pass = match self.suspicions.standing(fingerprint) {
             suspicions::Standing::Free => Pass::Free,
             suspicions::Standing::Blocked => Pass::Blocked,
@@ -125,6 +126,30 @@
         effects
     }
 
+    /// Takes the first token of a request, which lets the next turn begin.
+    pub fn started(&mut self, now: time::Time, request: u64) -> Vec<Effect> {
+        let Some(running) = self.running.get_mut(&request).filter(|r| r.solo > now) else {
+            return Vec::new();
+        };
+        running.solo = now;
+        let turn = Turn {
+            fingerprint: running.fingerprint,
+            request,
+        };
+        if running.owner != self.own {
+            let to = running.owner.clone();
+            return vec![Effect::Send {
+                to,
+                note: Note::Started(turn),
+            }];
+        }
+        self.turns.pass(&turns::Seat {
+            entry: self.own.clone(),
+            turn,
+        });
+        self.tick(now)
+    }
+
     /// Takes the whole answer to a request, which clears it if it ran in its turn.
     pub fn finished(&mut self, now: time::Time, request: u64) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -157,6 +182,7 @@
         match note {
             Note::Ask(turn) => effects.extend(self.asked(turns::Seat { entry, turn })),
             Note::Grant(turn) => effects.extend(self.granted(now, entry, turn)),
+            Note::Started(turn) => self.turns.pass(&turns::Seat { entry, turn }),
             Note::Done { turn, outcome } => {
                 if outcome == Outcome::Finished {
                     self.suspicions.clear(now, turn.fingerprint);
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -18,6 +18,7 @@
 use super::region;
 use super::upstream;
 use super::weights;
+use super::window;
 use crate::declaration;
 use crate::name;
 use crate::time;
@@ -42,6 +43,7 @@
     rng: rngs::SmallRng,
     upstreams: Vec<upstream::Upstream>,
     weights: weights::Weights,
+    windows: collections::BTreeMap<name::Name, window::Window>,
 }
 
 /// A usable upstream with its rank; less is better.
@@ -58,13 +60,14 @@
             attempts: collections::HashMap::new(),
             clock: time::Time::default(),
             defaults: collections::BTreeMap::new(),
-            holders: holders::Holders::new(),
+            holders: holders::Holders::new(0),
             index: collections::HashMap::new(),
             pools: collections::BTreeMap::new(),
             regions: region::Regions::new(domain),
             rng: rngs::SmallRng::seed_from_u64(seed),
             upstreams: Vec::new(),
             weights: weights::Weights::default(),
+            windows: collections::BTreeMap::new(),
         }
     }
 
@@ -176,6 +179,7 @@
             incarnation: upstream.incarnation,
             started: now,
             uncached,
+            prefill: upstream.pending,
             direct,
             streaming: false,
             expected: choice.expected,
@@ -199,11 +203,9 @@
         if state.incarnation != upstream.incarnation {
             return;
         }
-        let late = now.as_micros() as i64 - state.expected.as_micros() as i64;
         let delay = state.started.until(now);
-        upstream
-            .estimate
-            .first_token(delay, late, state.uncached, state.direct);
+        let expected = state.started.until(state.expected);
+        upstream.first_token(delay, expected, state.prefill, state.direct);
     }
 
     /// Ends an attempt.
@@ -226,6 +228,9 @@
             }
             outcome::Outcome::Refused => {
                 upstream.health.refuse(now);
+                if let Some(window) = self.windows.get_mut(&upstream.declared.service) {
+                    window.refuse();
+                }
                 upstream.prefix.remove(&state.blocks);
             }
             outcome::Outcome::Failed => upstream.health.fail(now),
@@ -268,6 +273,22 @@
         }
     }
 
+    /// Returns the incarnation of an upstream that is in use.
+    pub fn incarnation(&self, upstream: &name::Name) -> Option<u64> {
+        let slot = self.index.get(upstream)?;
+        Some(self.upstreams[*slot].incarnation)
+    }
+
+    /// Tells whether at least three quarters of an upstream's slots are in use.
+    pub fn is_loaded(&self, now: time::Time, upstream: &name::Name) -> bool {
+        let Some(&slot) = self.index.get(upstream) else {
+            return false;
+        };
+        let upstream = &self.upstreams[slot];
+        let used = upstream.tally.total(now).saturating_mul(4);
+        used >= upstream.slots(now).saturating_mul(3)
+    }
+
     /// Takes a higher incarnation into use with a slow start.
     pub fn returned(&mut self, now: time::Time, upstream: &name::Name, incarnation: u64) {
         if let Some(&slot) = self.index.get(upstream) {
@@ -287,7 +308,21 @@
     }
 
     /// Returns how many requests of a service this node may have in progress now.
-    pub fn capacity(&self, now: time::Time, service: &name::Name) -> u32 {
+    pub fn capacity(&mut self, now: time::Time, service: &name::Name) -> u32 {
+        if self
+            .windows
+            .get(service)
+            .is_some_and(|window| window.is_due(now))
+        {
+            let usage = self.usage(now, service);
+            if let Some(window) = self.windows.get_mut(service) {
+                window.update(now, usage);
+            }
+        }
+        self.windows.get(service).map_or(0, window::Window::slots)
+    }
+
+    fn usage(&self, now: time::Time, service: &name::Name) -> window::Usage {
         let pool = self
             .pools
             .get(service)
@@ -297,8 +332,11 @@
             .iter()
             .map(|&slot| &self.upstreams[slot])
             .filter(|u| u.is_open());
-        let each = open.map(|u| u.tally.own().saturating_add(u.room(now)));
-        each.fold(0, u32::saturating_add)
+        open.fold(window::Usage::default(), |sum, upstream| window::Usage {
+            own: sum.own + upstream.tally.own(),
+            total: sum.total + upstream.tally.total(now),
+            slots: sum.slots + upstream.slots(now),
+        })
     }
 
     /// Returns the bytes of state on the heap.
@@ -319,8 +357,15 @@
                 }
                 None => false,
             });
-        self.holders.clear();
+        self.holders = holders::Holders::new(self.upstreams.len());
         self.pools.clear();
+        self.windows
+            .retain(|service, _| self.defaults.contains_key(service));
+        for service in self.defaults.keys() {
+            self.windows
+                .entry(service.clone())
+                .or_insert(window::Window::new());
+        }
         for (slot, upstream) in self.upstreams.iter().enumerate() {
             let service = upstream.declared.service.clone();
             self.pools.entry(service).or_default().push(slot);
@@ -352,7 +397,7 @@
             && !query.excluded.contains(&upstream.declared.name)
             && (panic || !upstream.health.is_ejected(now))
             && !upstream.health.is_paused(now)
-            && upstream.room(now) > 0
+            && upstream.has_room(now, query.prompt, upstream.prefix.cached(&query.blocks))
     }
 
     fn sticky(&self, query: &query::Query) -> Option<usize> {
@@ -368,7 +413,7 @@
             .prompt
             .saturating_sub(upstream.prefix.cached(&query.blocks));
         let expected = upstream.expected(now, uncached);
-        let mut rank = expected;
+        let mut rank = expected + upstream.estimate.prefill(uncached) * self.weights.recompute;
         if self.regions.is_hot(now, &upstream.declared.domain) {
             rank += self.weights.reclaim;
         }
@@ -395,7 +440,10 @@
             .iter()
             .map(|&slot| &self.upstreams[slot])
             .filter(|u| u.is_open());
-        let waits = open.map(|u| u.estimate.wait(u.ahead(now).max(1), u.slots(now)));
+        let waits = open.map(|u| {
+            u.estimate
+                .wait(f64::from(u.ahead(now).max(1)), u.slots(now))
+        });
         let wait = waits.min().unwrap_or(MAX_RETRY).clamp(MIN_RETRY, MAX_RETRY);
         exhausted::Exhausted {
             retry_at: now.after(wait),
