--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -125,6 +125,30 @@
         effects
     }
 
+    /// Takes the first token of a request, which lets the next turn begin.
+    pub fn started(&mut self, now: time::Time, request: u64) -> Vec<effect::Effect> {
+        let Some(running) = self.running.get_mut(&request).filter(|r| r.solo > now) else {
+            return Vec::new();
+        };
+        running.solo = now;
+        let turn = effect::Turn {
+            fingerprint: running.fingerprint,
+            request,
+        };
+        if running.owner != self.own {
+            let to = running.owner.clone();
+            return vec![effect::Effect::Send {
+                to,
+                note: effect::Note::Started(turn),
+            }];
+        }
+        self.turns.pass(&turns::Seat {
+            entry: self.own.clone(),
+            turn,
+        });
+        self.tick(now)
+    }
+
     /// Takes the whole answer to a request, which clears it if it ran in its turn.
     pub fn finished(&mut self, now: time::Time, request: u64) -> Vec<effect::Effect> {
         let mut effects = Vec::new();
@@ -162,6 +186,7 @@
         match note {
             effect::Note::Ask(turn) => effects.extend(self.asked(turns::Seat { entry, turn })),
             effect::Note::Grant(turn) => effects.extend(self.granted(now, entry, turn)),
+            effect::Note::Started(turn) => self.turns.pass(&turns::Seat { entry, turn }),
             effect::Note::Done { turn, outcome } => {
                 if outcome == effect::Outcome::Finished {
                     self.suspicions.clear(now, turn.fingerprint);
