Export the counts of the peers' links at /metrics

Cause: bytes on the links could not be read from a running entry. Conclusion: scripts can read them.

--- a/crates/bench/src/bin/peering_cost/sockets.rs
+++ b/crates/bench/src/bin/peering_cost/sockets.rs
@@ -108,13 +108,13 @@
 fn traffic(handles: &[sync::Arc<peers::Handle>]) -> u64 {
     let of = |handle: &sync::Arc<peers::Handle>| {
         let counters = handle.counters();
-        peers::Counters::get(&counters.sent_bytes) + peers::Counters::get(&counters.received_bytes)
+        counters.sent_bytes.get() + counters.received_bytes.get()
     };
     handles.iter().map(of).sum()
 }
 
 fn links(handle: &peers::Handle) -> u64 {
-    peers::Counters::get(&handle.counters().links)
+    handle.counters().links.get()
 }
 
 /// Returns the seconds of processor time that this process has used.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -71,6 +71,7 @@
         .enable_all()
         .build()?;
     let peers = peers::start(peer_config(&config), peer_events)?;
+    peers.counters().register(&mut registry);
     admin::serve(config.admin, readiness.clone(), registry)?;
     let front = front::Front {
         clock,
--- a/crates/node/src/peers/accept.rs
+++ b/crates/node/src/peers/accept.rs
@@ -6,7 +6,7 @@
 use tokio::sync as async_sync;
 use tokio::{net, time};
 
-use super::{counted, counters, error, headers, hub, link};
+use super::{counted, error, headers, hub, link};
 
 /// Bytes that a peer may send ahead of this process reading them.
 pub const WINDOW_BYTES: u32 = 256 * 1024;
@@ -89,7 +89,7 @@
             },
         }),
         Err(error) => {
-            counters::Counters::add(&shared.counters.refused, 1);
+            shared.counters.refused.inc();
             log::warn!("refused a connection to the peers' port: {error}");
             drop(request);
             connection.graceful_shutdown();
--- a/crates/node/src/peers/counted.rs
+++ b/crates/node/src/peers/counted.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::pin;
-use std::sync;
 use std::task;
 
 use tokio::io as async_io;
@@ -14,15 +13,12 @@
 #[derive(Debug)]
 pub struct Counted {
     stream: net::TcpStream,
-    counters: sync::Arc<counters::Counters>,
+    counters: counters::Counters,
 }
 
 impl Counted {
     /// Wraps a connection; small frames leave at once.
-    pub fn new(
-        stream: net::TcpStream,
-        counters: sync::Arc<counters::Counters>,
-    ) -> io::Result<Self> {
+    pub fn new(stream: net::TcpStream, counters: counters::Counters) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         Ok(Self { stream, counters })
     }
@@ -37,7 +33,7 @@
         let before = buffer.filled().len();
         let polled = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
         let more = buffer.filled().len() - before;
-        counters::Counters::add(&self.counters.received_bytes, more as u64);
+        self.counters.received_bytes.inc_by(more as u64);
         polled
     }
 }
@@ -50,7 +46,7 @@
     ) -> task::Poll<io::Result<usize>> {
         let polled = pin::Pin::new(&mut self.stream).poll_write(context, buffer);
         if let task::Poll::Ready(Ok(written)) = &polled {
-            counters::Counters::add(&self.counters.sent_bytes, *written as u64);
+            self.counters.sent_bytes.inc_by(*written as u64);
         }
         polled
     }
--- a/crates/node/src/peers/handle.rs
+++ b/crates/node/src/peers/handle.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub struct Handle {
     orders: mpsc::Sender<command::Command>,
-    counters: sync::Arc<counters::Counters>,
+    counters: counters::Counters,
     address: Option<net::SocketAddr>,
     stopping: sync::Arc<atomic::AtomicBool>,
     thread: Option<thread::JoinHandle<()>>,
@@ -40,7 +40,7 @@
         .build()?;
     let (orders, ordered) = mpsc::channel(MAX_ORDERS);
     let (inner, received) = mpsc::channel(MAX_INNER);
-    let counters = sync::Arc::new(counters::Counters::default());
+    let counters = counters::Counters::default();
     let stopping = sync::Arc::new(atomic::AtomicBool::new(false));
     let shared = link::Shared {
         config: sync::Arc::new(config),
@@ -90,13 +90,13 @@
     }
 
     /// Returns the counts.
-    pub fn counters(&self) -> &sync::Arc<counters::Counters> {
+    pub fn counters(&self) -> &counters::Counters {
         &self.counters
     }
 
     fn order(&self, command: command::Command) {
         if self.orders.try_send(command).is_err() {
-            counters::Counters::add(&self.counters.dropped_messages, 1);
+            self.counters.dropped_messages.inc();
         }
     }
 }
--- a/crates/node/src/peers/hub.rs
+++ b/crates/node/src/peers/hub.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::{task, time};
 
-use super::{command, counters, dial, error, event, link};
+use super::{command, dial, error, event, link};
 
 /// Wait before a full or failing party is tried again.
 pub const PAUSE: Duration = Duration::from_millis(5);
@@ -141,13 +141,13 @@
 
     async fn send(&mut self, to: name::Name, message: &peering::Message) -> Result<(), Gone> {
         let Some(up) = self.up.get(&to) else {
-            counters::Counters::add(&self.shared.counters.dropped_messages, 1);
+            self.shared.counters.dropped_messages.inc();
             return Ok(());
         };
         let frame = match peer::encode(message) {
             Ok(frame) => frame,
             Err(error) => {
-                counters::Counters::add(&self.shared.counters.dropped_messages, 1);
+                self.shared.counters.dropped_messages.inc();
                 log::error!("a message to {to} was dropped: {error}");
                 return Ok(());
             }
@@ -159,10 +159,10 @@
             .fetch_add(length, atomic::Ordering::Relaxed);
         let fits = waiting == 0 || waiting + length <= self.shared.config.limits.queue;
         if fits && up.queue.frames.try_send(frame).is_ok() {
-            counters::Counters::add(&self.shared.counters.sent_messages, 1);
+            self.shared.counters.sent_messages.inc();
             return Ok(());
         }
-        counters::Counters::add(&self.shared.counters.slow, 1);
+        self.shared.counters.slow.inc();
         log::warn!("the link to {to} is closed: {}", error::Error::Slow);
         let id = up.id;
         self.down(to, id).await
@@ -174,8 +174,7 @@
 
     fn count_links(&self) {
         let links = self.up.len() as u64;
-        let count = &self.shared.counters.links;
-        count.store(links, atomic::Ordering::Relaxed);
+        self.shared.counters.links.set(links);
     }
 
     async fn tell(&self, mut event: event::Event) -> Result<(), Gone> {
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -22,7 +22,7 @@
     /// Settings.
     pub config: sync::Arc<config::Config>,
     /// Counts.
-    pub counters: sync::Arc<counters::Counters>,
+    pub counters: counters::Counters,
     /// The thread's own queue.
     pub commands: mpsc::Sender<command::Command>,
     /// Whether the owner has dropped the links.
@@ -86,8 +86,8 @@
 
 fn count(shared: &Shared, error: &error::Error) {
     match error {
-        error::Error::Frame(_) => counters::Counters::add(&shared.counters.malformed, 1),
-        error::Error::Timeout(_) => counters::Counters::add(&shared.counters.slow, 1),
+        error::Error::Frame(_) => _ = shared.counters.malformed.inc(),
+        error::Error::Timeout(_) => _ = shared.counters.slow.inc(),
         _ => {}
     }
 }
@@ -158,7 +158,7 @@
             Err(error) => return error,
         }
         let skipped = decoder.skipped() - skipped;
-        counters::Counters::add(&shared.counters.skipped_messages, skipped);
+        shared.counters.skipped_messages.inc_by(skipped);
         if !decoder.is_partial() {
             deadline = None;
         } else if deadline.is_none() {
@@ -175,7 +175,7 @@
 ) -> Result<usize, error::Error> {
     let mut passed = 0;
     while let Some(message) = decoder.next_message()? {
-        counters::Counters::add(&shared.counters.received_messages, 1);
+        shared.counters.received_messages.inc();
         let peer = peer.clone();
         let received = command::Command::Received { peer, id, message };
         if shared.commands.send(received).await.is_err() {
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -65,8 +65,8 @@
     let b = node::plain("entry-b");
     a.handle.link(b.member.clone());
     a.wait_unlinked("entry-b");
-    b.wait_count(|counters| peers::Counters::get(&counters.refused), 1);
-    assert_eq!(peers::Counters::get(&b.handle.counters().links), 0);
+    b.wait_count(|counters| counters.refused.get(), 1);
+    assert_eq!(b.handle.counters().links.get(), 0);
     assert!(b.events.is_empty());
 }
 
@@ -92,7 +92,7 @@
     a.wait_linked(&b);
     b.wait_linked(&a);
     for node in [&a, &b] {
-        assert_eq!(peers::Counters::get(&node.handle.counters().links), 1);
+        assert_eq!(node.handle.counters().links.get(), 1);
     }
     // Whichever link stays, it carries messages both ways.
     for (from, to) in [(&a, &b), (&b, &a)] {
@@ -134,10 +134,7 @@
     a.handle.unlink(&b.member.name);
     b.wait_unlinked("entry-a");
     a.handle.send(&b.member.name, facts(1));
-    a.wait_count(
-        |counters| peers::Counters::get(&counters.dropped_messages),
-        1,
-    );
+    a.wait_count(|counters| counters.dropped_messages.get(), 1);
 }
 
 #[rstest]
@@ -168,7 +165,7 @@
     let (a, b) = (node::plain("entry-a"), node::plain("entry-b"));
     a.handle.link(node::member("entry-c", b.member.address, 1));
     a.wait_unlinked("entry-c");
-    assert_eq!(peers::Counters::get(&a.handle.counters().links), 0);
+    assert_eq!(a.handle.counters().links.get(), 0);
 }
 
 #[test]
--- a/crates/node/tests/peers/faults.rs
+++ b/crates/node/tests/peers/faults.rs
@@ -91,7 +91,7 @@
     let raw = open(node.member.address, speak(bytes));
     assert_eq!(raw.status, 200);
     node.wait_unlinked("entry-raw");
-    node.wait_count(|counters| peers::Counters::get(&counters.malformed), 1);
+    node.wait_count(|counters| counters.malformed.get(), 1);
 }
 
 #[test]
@@ -99,7 +99,7 @@
     let node = node::start("entry-a", node::KEY, quick());
     let _raw = open(node.member.address, speak(&[0, 0, 1]));
     node.wait_unlinked("entry-raw");
-    node.wait_count(|counters| peers::Counters::get(&counters.slow), 1);
+    node.wait_count(|counters| counters.slow.get(), 1);
 }
 
 #[test]
@@ -111,10 +111,7 @@
     let _raw = open(node.member.address, speak(&bytes));
     let message = |event: &peers::Event| matches!(event, peers::Event::Message { message, .. } if *message == heartbeat);
     node.wait("heartbeat", message);
-    node.wait_count(
-        |counters| peers::Counters::get(&counters.skipped_messages),
-        1,
-    );
+    node.wait_count(|counters| counters.skipped_messages.get(), 1);
 }
 
 #[test]
@@ -126,7 +123,7 @@
     };
     let raw = open(node.member.address, script);
     assert_eq!(raw.status, http::StatusCode::UPGRADE_REQUIRED.as_u16());
-    assert_eq!(peers::Counters::get(&node.handle.counters().links), 0);
+    assert_eq!(node.handle.counters().links.get(), 0);
 }
 
 #[test]
@@ -145,7 +142,7 @@
     }
     node.wait_unlinked("entry-raw");
     // The queue holds 4 MB; what is sent beyond that ends the link.
-    let sent = peers::Counters::get(&node.handle.counters().sent_messages);
+    let sent = node.handle.counters().sent_messages.get();
     assert!(sent <= 6, "{sent}");
 }
 
