--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -73,6 +73,7 @@
         .enable_all()
         .build()?;
     let peers = peers::start(peer_config(&config), peer_events)?;
+    peers.counters().register(&mut registry);
     admin::serve(config.admin, readiness.clone(), registry)?;
     // Claims and attempts of two processes must never look alike, whatever their settings say.
     let writer = rand::random();
