--- a/crates/core/src/declaration/read.rs
+++ b/crates/core/src/declaration/read.rs
@@ -28,7 +28,9 @@
 const MAX_RATE: u32 = 1_000_000;
 const MAX_SHARE: u32 = 1_000;
 const MAX_SLOTS: u32 = 65_536;
-const MAX_TIMEOUT_MILLIS: u64 = 3_600_000;
+const MAX_TARGET_MILLIS: u64 = 3_600_000;
+/// Entries end a request well before its idempotency key is forgotten.
+const MAX_TIMEOUT_MILLIS: u64 = 300_000;
 const MAX_WEIGHT: u32 = 1_000;
 const MAX_POLICY_WEIGHT: u32 = 100;
 const RESERVED_PATHS: [&str; 3] = ["/livez", "/metrics", "/readyz"];
@@ -105,10 +107,10 @@
         policy.latency = fields.small("latency", 0..=MAX_POLICY_WEIGHT);
     }
     if fields.has("target") {
-        policy.target = fields.number("target", 1..=MAX_TIMEOUT_MILLIS);
+        policy.target = fields.number("target", 1..=MAX_TARGET_MILLIS);
     }
     if fields.has("gap") {
-        policy.gap = fields.number("gap", 1..=MAX_TIMEOUT_MILLIS);
+        policy.gap = fields.number("gap", 1..=MAX_TARGET_MILLIS);
     }
     if policy.cost == 0 && policy.latency == 0 {
         fields.report("cost", problem::Problem::Weightless);
--- a/crates/core/tests/declaration.rs
+++ b/crates/core/tests/declaration.rs
@@ -125,6 +125,12 @@
     "`rate` is 0, out of range; write a number from 1 to"
 )]
 #[case::negative("timeout = 8000", "timeout = -1", 34, "`timeout` is -1, out of range")]
+#[case::timeout(
+    "timeout = 8000",
+    "timeout = 300001",
+    34,
+    "write a number from 1 to 300000"
+)]
 #[case::share("share = 50", "share = 1001", 38, "write a number from 1 to 1000")]
 #[case::choice(
     "kind = \"model\"",
