--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -97,6 +97,8 @@
         running.first = Some(now);
     }
     state.set_timer(id, Time::MAX);
+    let effects = state.quarantine.started(now, id);
+    quarantine::apply(state, now, effects);
 }
 
 fn finished(state: &mut state::State, now: Time, id: u64, finish: event::Finish) {
@@ -209,7 +211,7 @@
     }
     flight.excluded.push(running.choice.upstream);
     flight.stage = flight::Stage::Queued;
-    if may_retry(state, now, id, failure.verdict) {
+    if may_retry(state, now, id, failure) {
         return launch::launch(state, now, id);
     }
     let verdict = if offset(state, id) > 0 {
@@ -232,18 +234,20 @@
     );
 }
 
-fn may_retry(state: &mut state::State, now: Time, id: u64, verdict: verdict::Verdict) -> bool {
+/// The budget paces retries but those of a stream under way, and those after a death, which the
+/// quarantine paces.
+fn may_retry(state: &mut state::State, now: Time, id: u64, failure: event::Failure) -> bool {
     let Some(flight) = state.flights.get(&id) else {
         return false;
     };
     let unkeyed = !flight.route.idempotent && flight.request.key.is_none();
-    let harmless = flight.repeatable() || verdict == verdict::Verdict::NotRun;
+    let harmless = flight.repeatable() || failure.verdict == verdict::Verdict::NotRun;
     let late = now >= flight.deadline && !flight.started;
     if unkeyed || !harmless || late || flight.detached || flight.tries >= MAX_TRIES {
         return false;
     }
     let service = flight.service.name.clone();
-    flight.offset > 0 || state.budget.spend(now, &service)
+    failure.died || flight.offset > 0 || state.budget.spend(now, &service)
 }
 
 fn offset(state: &state::State, id: u64) -> u32 {
--- a/crates/core/tests/reduce.rs
+++ b/crates/core/tests/reduce.rs
@@ -395,7 +395,6 @@
     assert!(dead.len() <= 2, "the crasher reached {dead:?}");
     assert_eq!(bench.refusals(crasher).len(), 1);
     let lost = innocents.iter().filter(|id| !bench.relayed(**id)).count();
-    for id in innocents.iter().filter(|id| !bench.relayed(**id)) { eprintln!("{:?} {}", bench.refusals(*id), bench.dispatches(*id).len()); }
     assert_eq!(lost, 0, "innocents lost or blocked");
     let again = bench.arrive_with(VERSE, None, 666);
     assert_eq!(bench.refusals(again)[0].code, refusal::Code::Blocked);
