Read rollouts by the core's own type

Cause: the tool had a second form of a rollout's state and a second rule for which one is the declared one. Change: the stored book is decoded by the core; the tool keeps only how a rollout shows. Conclusion: one form of the stored rollouts is left.

--- a/crates/ctl/src/view.rs
+++ b/crates/ctl/src/view.rs
@@ -5,11 +5,12 @@
 
 use guavausher_core::declaration;
 use guavausher_core::name;
+use guavausher_core::rollout;
 use guavausher_core::time;
 
 use crate::history;
 use crate::operation;
-use crate::rollout;
+use crate::progress;
 use crate::table;
 use crate::viewer;
 
@@ -57,7 +58,7 @@
     /// Upstreams that run the declared version.
     pub upstreams: usize,
     /// Its declared rollout, or the last one.
-    pub rollout: Option<rollout::Rollout>,
+    pub rollout: Option<progress::Progress>,
 }
 
 impl View {
@@ -87,7 +88,7 @@
     }
 
     /// Returns the progress of a service's rollout.
-    pub fn rollout(&self, service: &str) -> Option<&rollout::Rollout> {
+    pub fn rollout(&self, service: &str) -> Option<&progress::Progress> {
         let mut services = self.services.iter();
         let service = services.find(|known| known.name.as_str() == service)?;
         service.rollout.as_ref()
@@ -144,7 +145,7 @@
     fn new(
         service: &declaration::Service,
         declaration: &declaration::Declaration,
-        rollouts: &viewer::Rollouts,
+        rollouts: &rollout::Book,
     ) -> Self {
         let runs = |up: &&declaration::Upstream| {
             up.service == service.name && up.version == service.version
@@ -153,25 +154,19 @@
             .rollouts
             .iter()
             .find(|r| r.service == service.name);
-        let stored = rollouts.get(&service.name).cloned();
-        let rollout = match declared {
-            Some(declared) => stored
-                .filter(|rollout| rollout.is_of(declared))
-                .or_else(|| Some(rollout::Rollout::pending(declared))),
-            None => stored,
-        };
+        let stored = rollouts.statuses.get(&service.name);
         Self {
             name: service.name.clone(),
             version: service.version.clone(),
             upstreams: declaration.upstreams.iter().filter(runs).count(),
-            rollout,
+            rollout: progress::Progress::join(declared, stored),
         }
     }
 
     fn cells(&self) -> [String; 7] {
         let none = || std::array::from_fn(|_| "-".to_owned());
         let rollout = self.rollout.as_ref();
-        let [to, share, phase, deadline] = rollout.map_or_else(none, rollout::Rollout::cells);
+        let [to, share, phase, deadline] = rollout.map_or_else(none, progress::Progress::cells);
         let name = self.name.to_string();
         let version = self.version.to_string();
         let upstreams = self.upstreams.to_string();
--- a/crates/ctl/src/viewer.rs
+++ b/crates/ctl/src/viewer.rs
@@ -3,22 +3,19 @@
 use std::collections;
 
 use guavausher_core::name;
+use guavausher_core::rollout;
 use guavausher_core::store;
 
 use crate::client;
 use crate::drain;
 use crate::error;
 use crate::history;
-use crate::rollout;
 use crate::status;
 use crate::view;
 
 /// Kind of the instances that run the system, in the platform's list.
 const ENTRY_KIND: &str = "entry";
 
-/// The progress of rollouts by service.
-pub type Rollouts = collections::BTreeMap<name::Name, rollout::Rollout>;
-
 /// Reads stored objects and keeps the reports until they change.
 #[derive(Debug, Default)]
 pub struct Viewer {
@@ -33,7 +30,7 @@
     /// The platform's list of instances.
     pub instances: Vec<store::Instance>,
     /// Progress of rollouts.
-    pub rollouts: Rollouts,
+    pub rollouts: rollout::Book,
     /// Drained upstreams.
     pub drained: Vec<name::Name>,
 }
@@ -114,11 +111,11 @@
     }
 }
 
-fn read_rollouts(client: &client::Client) -> Result<Rollouts, error::Error> {
+fn read_rollouts(client: &client::Client) -> Result<rollout::Book, error::Error> {
     let Some(object) = client.read(rollout::KEY)? else {
-        return Ok(Rollouts::new());
+        return Ok(rollout::Book::default());
     };
-    serde_json::from_slice(&object.body).map_err(|error| error::Error::Unreadable {
+    rollout::Book::decode(&object.body).map_err(|error| error::Error::Unreadable {
         key: rollout::KEY.to_owned(),
         message: error.to_string(),
     })
--- a/crates/ctl/src/wait.rs
+++ b/crates/ctl/src/wait.rs
@@ -2,13 +2,14 @@
 
 use std::time;
 
+use guavausher_core::rollout;
 use serde_json::json;
 
 use crate::client;
 use crate::error;
 use crate::exit;
+use crate::progress;
 use crate::report;
-use crate::rollout;
 use crate::status;
 use crate::view;
 use crate::viewer;
@@ -24,7 +25,7 @@
 
 /// How far the goal is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Progress {
+pub enum State {
     /// Not there yet.
     Waiting,
     /// Reached.
@@ -49,18 +50,18 @@
     }
 
     /// Returns how far the state is from the goal.
-    pub fn progress(&self, view: &view::View) -> Progress {
+    pub fn state(&self, view: &view::View) -> State {
         let generation = self.generation.unwrap_or(view.generation);
         if !view.is_in_force(generation) {
-            return Progress::Waiting;
+            return State::Waiting;
         }
         let Some(service) = &self.rollout else {
-            return Progress::Reached;
+            return State::Reached;
         };
-        match view.rollout(service) {
-            Some(rollout) if rollout.phase.as_str() == rollout::DONE => Progress::Reached,
-            Some(rollout) if rollout.is_final() => Progress::Failed,
-            _ => Progress::Waiting,
+        match view.rollout(service).and_then(progress::Progress::phase) {
+            Some(rollout::Phase::Done) => State::Reached,
+            Some(rollout::Phase::TakenBack) => State::Failed,
+            _ => State::Waiting,
         }
     }
 
@@ -77,9 +78,9 @@
         let mut text = format!("generation {generation}: {}", domains.join(", "));
         if let Some(service) = &self.rollout {
             let phase = match view.rollout(service) {
-                Some(rollout) if rollout.reason.is_empty() => rollout.cells()[1..3].join(" "),
+                Some(rollout) if rollout.reason().is_empty() => rollout.cells()[1..3].join(" "),
                 Some(rollout) => {
-                    format!("{}, {}", rollout.cells()[1..3].join(" "), rollout.reason)
+                    format!("{}, {}", rollout.cells()[1..3].join(" "), rollout.reason())
                 }
                 None => "no rollout".to_owned(),
             };
@@ -112,20 +113,20 @@
             show(&line);
             shown = line;
         }
-        match goal.progress(&view) {
-            Progress::Waiting if time::Instant::now() < client.deadline() => {
+        match goal.state(&view) {
+            State::Waiting if time::Instant::now() < client.deadline() => {
                 client.watch(status::PREFIX, revision)?;
             }
-            progress => return Ok(ending(progress, goal, &view)),
+            state => return Ok(ending(state, goal, &view)),
         }
     }
 }
 
-fn ending(progress: Progress, goal: &Goal, view: &view::View) -> report::Report {
-    let (exit, outcome) = match progress {
-        Progress::Reached => (exit::Exit::Done, "reached"),
-        Progress::Failed => (exit::Exit::Refused, "taken-back"),
-        Progress::Waiting => (exit::Exit::Refused, "timeout"),
+fn ending(state: State, goal: &Goal, view: &view::View) -> report::Report {
+    let (exit, outcome) = match state {
+        State::Reached => (exit::Exit::Done, "reached"),
+        State::Failed => (exit::Exit::Refused, "taken-back"),
+        State::Waiting => (exit::Exit::Refused, "timeout"),
     };
     report::Report {
         exit,
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -29,8 +29,8 @@
 fn rollout(session: &support::Session, to: &str, phase: &str) {
     let body = format!(
         "{{\"verse-scribe\":{{\"format\":1,\"service\":\"verse-scribe\",\"from\":\"v1\",\
-         \"to\":\"{to}\",\"share\":50,\"phase\":\"{phase}\",\"deadline\":1796382000000000,\
-         \"generation\":1,\"reason\":\"evidence\"}}}}"
+         \"to\":\"{to}\",\"share\":50,\"limit\":50,\"phase\":\"{phase}\",\"next\":0,\"settle\":0,\
+         \"deadline\":1796382000000000,\"generation\":1,\"reason\":\"evidence\"}}}}"
     );
     session.store("rollouts/current", &body);
 }
