--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,4 +1,3 @@
 //! Encodings between the processes of the system; no input and no output.
 
-pub mod note;
 pub mod peer;
