Compute candidates once a list and prove the lease check of a service

Change: places are computed when the list changes; after a conflict the rollouts are read 200 ms later, not at once. Seen failing with the lease check off: reduce_decides_only_with_lease_of_service.

--- a/crates/core/src/control/rollouts.rs
+++ b/crates/core/src/control/rollouts.rs
@@ -20,6 +20,8 @@
 const MAX_REPORTS: usize = 8_192;
 /// Halts that are kept.
 const MAX_HALTS: usize = 1_024;
+/// Time before the stored rollouts are read after another write came first.
+const CONFLICT_WAIT: Duration = Duration::from_millis(200);
 /// Writes with an unknown end that are kept.
 const MAX_DOUBTS: usize = 16;
 
@@ -251,6 +253,7 @@
                 Vec::new()
             }
             store::Reply::Conflict => {
+                self.next = now.after(CONFLICT_WAIT);
                 self.stored = None;
                 Vec::new()
             }
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -17,7 +17,8 @@
 pub struct State {
     owner: name::Name,
     leases: Vec<lease::Lease>,
-    members: Vec<peering::Member>,
+    /// Place among the candidates for each lease.
+    turns: Vec<Option<usize>>,
     config: Option<Config>,
     requests: request::Requests,
     rollouts: rollouts::Rollouts,
@@ -43,7 +44,7 @@
             generation,
             declaration,
         } => state.configure(generation, declaration),
-        event::Event::Members(members) => state.members = members,
+        event::Event::Members(members) => state.compete(&members),
         event::Event::Rollouts { version, book } => {
             let version = Some(version).filter(|version| *version > 0);
             let steps = state.rollouts.adopt(version, book);
@@ -66,7 +67,7 @@
         let lease = |shard| lease::Lease::new(shard, owner.clone(), writer);
         Self {
             leases: (0..lease::SHARDS).map(lease).collect(),
-            members: Vec::new(),
+            turns: Vec::new(),
             config: None,
             requests: request::Requests::default(),
             rollouts: rollouts::Rollouts::new(writer),
@@ -94,6 +95,14 @@
         }
     }
 
+    fn compete(&mut self, members: &[peering::Member]) {
+        let turn = |shard| {
+            let candidates = lease::candidates(members, shard);
+            candidates.iter().position(|name| *name == self.owner)
+        };
+        self.turns = (0..lease::SHARDS).map(turn).collect();
+    }
+
     fn answer(
         &mut self,
         now: time::Time,
@@ -137,10 +146,8 @@
     }
 
     fn renew(&mut self, now: time::Time, effects: &mut Vec<effect::Effect>) {
-        for shard in 0..lease::SHARDS {
-            let candidates = lease::candidates(&self.members, shard);
-            let turn = candidates.iter().position(|name| *name == self.owner);
-            let index = usize::try_from(shard).unwrap_or(usize::MAX);
+        for (index, shard) in (0..lease::SHARDS).enumerate() {
+            let turn = self.turns.get(index).copied().flatten();
             let lease = self.leases.get_mut(index);
             let outputs = lease.map(|lease| lease.tick(now, turn));
             self.follow_lease(shard, outputs.unwrap_or_default(), effects);
--- a/crates/core/tests/control/rollouts.rs
+++ b/crates/core/tests/control/rollouts.rs
@@ -160,3 +160,28 @@
     assert_eq!(details.len(), steps.len(), "{details:#?}");
     assert_eq!(details.len(), 6, "{details:#?}");
 }
+
+#[test]
+fn reduce_decides_only_with_lease_of_service() {
+    let mut world = world::World::new(&declared());
+    for index in 0..world::NODES {
+        let shard = guavausher_core::lease::shard(&name::Name::from(world::SERVICE));
+        let members: Vec<_> = (0..world::NODES).map(world::member).collect();
+        let first = &guavausher_core::lease::candidates(&members, shard)[0];
+        world.paused[index] = world::member(index).name == *first;
+    }
+    let shards = |world: &world::World| -> usize {
+        let nodes = world.nodes.iter().flatten();
+        nodes.map(|node| node.shards(world.now).len()).sum()
+    };
+    while shards(&world) == 0 {
+        assert!(world.status().is_none());
+        world.step(&[]);
+    }
+    while world.holder().is_none() {
+        assert!(world.status().is_none(), "decided without the lease");
+        world.step(&[]);
+    }
+    world.step(&[]);
+    assert!(world.status().is_some());
+}
