Pace resumes while a service fails, renew the status, and make request ids unique

Cause: resumes of broken streams were free of the retry budget even while most upstreams failed; an entry's status was written only with a new configuration, so `ready` could stay false; request ids counted from 1 at every entry. Change: the router's verdict that a service fails governs resumes; the status is written again when readiness or a leaving upstream changes; ids of requests and attempts carry the process's number.

--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -224,6 +224,9 @@
     if may_retry(state, now, id, failure) {
         return launch::launch(state, now, id);
     }
+    if launch::may_wait(state, now, id) {
+        return launch::hold(state, now, id);
+    }
     let verdict = if offset(state, id) > 0 {
         verdict::Verdict::MayHaveRun
     } else {
@@ -248,7 +251,7 @@
 }
 
 /// The budget paces retries but those of a stream under way, and those after a death, which the
-/// quarantine paces.
+/// quarantine paces; while most of the service's upstreams fail, it paces all.
 fn may_retry(state: &mut state::State, now: Time, id: u64, failure: event::Failure) -> bool {
     let Some(flight) = state.flights.get(&id) else {
         return false;
@@ -260,7 +263,8 @@
         return false;
     }
     let service = flight.service.name.clone();
-    failure.died || flight.offset > 0 || state.budget.spend(now, &service)
+    let free = (failure.died || flight.offset > 0) && !state.fleet.is_failing(&service);
+    free || state.budget.spend(now, &service)
 }
 
 fn offset(state: &state::State, id: u64) -> u32 {
--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -149,6 +149,41 @@
     state.emit(effect::Effect::Dispatch(dispatch));
 }
 
+/// Tells whether a broken stream may wait for its service to recover.
+pub fn may_wait(state: &state::State, now: Time, id: u64) -> bool {
+    let Some(flight) = state.flights.get(&id).filter(|f| f.started && !f.detached) else {
+        return false;
+    };
+    let open = match flight.stage {
+        flight::Stage::Backoff(limit) => now < limit,
+        _ => true,
+    };
+    open && flight.repeatable() && state.fleet.is_failing(&flight.service.name)
+}
+
+/// Lets a broken stream wait.
+pub fn hold(state: &mut state::State, now: Time, id: u64) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    if !matches!(flight.stage, flight::Stage::Backoff(_)) {
+        flight.stage = flight::Stage::Backoff(now.after(RESUME_WAIT));
+    }
+    state.set_timer(id, now.after(RESUME_POLL));
+}
+
+/// Goes on with a waiting request; while its service fails, only as the retry budget allows.
+pub fn go_on(state: &mut state::State, now: Time, id: u64) {
+    let Some(flight) = state.flights.get(&id) else {
+        return;
+    };
+    let service = flight.service.name.clone();
+    if may_wait(state, now, id) && !state.budget.spend(now, &service) {
+        return hold(state, now, id);
+    }
+    launch(state, now, id);
+}
+
 /// A broken stream waits for an upstream, and a new request for the moment in which a full pool
 /// frees a slot; anything else is refused at once.
 fn wait_or_refuse(state: &mut state::State, now: Time, id: u64, exhausted: routing::Exhausted) {
--- a/crates/core/src/reduce/link.rs
+++ b/crates/core/src/reduce/link.rs
@@ -43,6 +43,7 @@
             let latch = state.leaving.entry(upstream.clone()).or_default();
             *latch = (*latch).max(*incarnation);
             state.fleet.leave(upstream, *incarnation);
+            status::plan(state, now);
         }
         fact::Fact::Suspect { .. } | fact::Fact::Blocked { .. } | fact::Fact::Cleared { .. } => {
             let effects = state.quarantine.learn(now, fact);
--- a/crates/core/src/reduce/status.rs
+++ b/crates/core/src/reduce/status.rs
@@ -33,6 +33,13 @@
     document::put_off(state, at, state::Purpose::Status);
 }
 
+/// Plans a write if the entry has become ready or unready since the last one.
+pub fn tick(state: &mut state::State, now: Time) {
+    if state.status.ready != state.unready().is_none() && state.config.is_some() {
+        plan(state, now);
+    }
+}
+
 /// Writes the status.
 pub fn write(state: &mut state::State, now: Time) {
     let generation = state.config.as_ref().map_or(0, |c| c.generation);
@@ -51,6 +58,7 @@
         body,
     };
     state.status.generation = generation;
+    state.status.ready = state.unready().is_none();
     state.call(state::Purpose::Status, call);
 }
 
--- a/crates/core/src/reduce/timer.rs
+++ b/crates/core/src/reduce/timer.rs
@@ -6,7 +6,7 @@
 use crate::flight;
 use crate::ledger;
 use crate::peering;
-use crate::reduce::{attempt, document, launch, link, quarantine, record, review};
+use crate::reduce::{attempt, document, launch, link, quarantine, record, review, status};
 use crate::refusal;
 use crate::state;
 use crate::time::Time;
@@ -24,6 +24,7 @@
     record::drive(state, now, ledger::Input::Tick);
     document::make_due_calls(state, now);
     review::tick(state, now);
+    status::tick(state, now);
     let effects = state.quarantine.tick(now);
     quarantine::apply(state, now, effects);
     while let Some(timer) = state.timers.first().copied().filter(|t| t.at <= now) {
@@ -86,7 +87,7 @@
     };
     match flight.stage {
         flight::Stage::Recording => record::relay(state, now, id),
-        flight::Stage::Backoff(_) => launch::launch(state, now, id),
+        flight::Stage::Backoff(_) => launch::go_on(state, now, id),
         _ if flight.detached => {
             let refusal = late(state, now, id);
             attempt::cancel(state, now, id);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -110,6 +110,8 @@
     pub version: Option<store::Version>,
     /// The generation that it states.
     pub generation: u64,
+    /// Whether it states that the entry is ready.
+    pub ready: bool,
     /// Whether a write is planned or under way.
     pub pending: bool,
 }
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -95,7 +95,7 @@
     }
 
     /// Builds the HTTP response.
-    pub fn response(self, id: u64) -> hyper::Response<Body> {
+    pub fn response(self, id: &str) -> hyper::Response<Body> {
         let body = Full::new(self.body).boxed();
         let mut builder = hyper::Response::builder()
             .status(self.status)
--- a/crates/node/src/entry/conduct.rs
+++ b/crates/node/src/entry/conduct.rs
@@ -146,7 +146,7 @@
         dispatch: &effect::Dispatch,
     ) -> Option<event::Signal> {
         let front = &self.front;
-        let id = exchange::attempt_id(front.writer, dispatch.attempt);
+        let id = exchange::unique_id(front.writer, dispatch.attempt);
         let opened = tokio::select! {
             opened = exchange::open(front.clock, front.writer, dispatch, &self.intake) => opened,
             () = caller.closed() => return None,
@@ -293,7 +293,7 @@
         } = open;
         let (head, body) = response.into_parts();
         let own = head.headers.get("x-attempt-id").is_none_or(|id| {
-            id.as_bytes() == exchange::attempt_id(front.writer, dispatch.attempt).as_bytes()
+            id.as_bytes() == exchange::unique_id(front.writer, dispatch.attempt).as_bytes()
         });
         if head.status.is_server_error() || !own {
             return WholeEnd::failed(sent.fail(), false);
--- a/crates/node/src/entry/exchange.rs
+++ b/crates/node/src/entry/exchange.rs
@@ -106,9 +106,9 @@
     }
 }
 
-/// Returns the id of an attempt, unique over all entries.
-pub fn attempt_id(writer: u64, attempt: u64) -> String {
-    format!("{writer:x}-{attempt}")
+/// Returns the id of a request or attempt of this process, unique over all processes.
+pub fn unique_id(writer: u64, number: u64) -> String {
+    format!("{writer:x}-{number}")
 }
 
 /// Reads the load report in the head of an answer.
@@ -147,8 +147,8 @@
     let mut builder = hyper::Request::post(intake.request.path.as_str())
         .header(header::HOST, dispatch.address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
-        .header(answer::REQUEST_ID, intake.request.id)
-        .header("x-attempt-id", attempt_id(writer, dispatch.attempt))
+        .header(answer::REQUEST_ID, unique_id(writer, intake.request.id))
+        .header("x-attempt-id", unique_id(writer, dispatch.attempt))
         .header("x-workspace", intake.request.workspace.as_str())
         .header("x-priority", dispatch.priority.as_str())
         .header("x-deadline-ms", deadline)
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
 use crate::clock;
-use crate::entry::{answer, caller, command, conduct, intake, metrics};
+use crate::entry::{answer, caller, command, conduct, exchange, intake, metrics};
 
 /// Connections of callers at once.
 const MAX_CONNECTIONS: usize = 16_384;
@@ -88,9 +88,10 @@
         let now = self.clock.now();
         let id = self.next.fetch_add(1, atomic::Ordering::Relaxed) + 1;
         self.metrics.requests.inc();
+        let shown = exchange::unique_id(self.writer, id);
         let intake = match intake::read(id, now, http).await {
             Ok(intake) => intake,
-            Err(whole) => return whole.response(id),
+            Err(whole) => return whole.response(&shown),
         };
         let (head, first) = oneshot::channel();
         let (commands, seat) = mpsc::channel(command::MAX_COMMANDS);
@@ -103,7 +104,7 @@
             .try_send(command::Input::Arrived(arrival))
             .is_err()
         {
-            return busy().response(id);
+            return busy().response(&shown);
         }
         let work = conduct::Task {
             intake,
@@ -114,9 +115,9 @@
         };
         tokio::spawn(work.run());
         match first.await {
-            Ok(caller::Head::Whole(whole)) => whole.response(id),
-            Ok(caller::Head::Stream(stream)) => respond(id, stream),
-            Err(_) => lost().response(id),
+            Ok(caller::Head::Whole(whole)) => whole.response(&shown),
+            Ok(caller::Head::Stream(stream)) => respond(&shown, stream),
+            Err(_) => lost().response(&shown),
         }
     }
 }
@@ -135,7 +136,7 @@
     answer::Whole::error(502, "entry-ended", message, verdict::Verdict::MayHaveRun)
 }
 
-fn respond(id: u64, stream: caller::Stream) -> hyper::Response<answer::Body> {
+fn respond(id: &str, stream: caller::Stream) -> hyper::Response<answer::Body> {
     hyper::Response::builder()
         .header(header::CONTENT_TYPE, answer::EVENT_STREAM)
         .header(header::CACHE_CONTROL, "no-store")
