Let one trial through in an outage instead of one for each partition

Cause: the backoff stood in each of the 64 partitions, so an entry under orders tried the store up to 64 times in 5 s; 380 entries would make some 4,900 calls a second in an outage and as many at once when it ends. Ruled out: a longer backoff for each partition, since it only shifts the number and delays recovery. Change: one breaker for each entry lets a single call through, spread by jitter over 0.1 to 5 s; a partition waits alone only for a log that cannot be read. Before and after: 60,000 orders in a minute of outage at one entry: without the breaker the test fails on its bound of 40 calls; with it it passes. Conclusion: at 380 entries a trial each 2.5 to 5 s is at most 152 calls a second.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -8,6 +8,7 @@
 //! A writer must hold the whole log up to the version that it replaces. If a write ends unclear,
 //! the log is read again and a claim counts only if its own operation stands in it.
 
+mod breaker;
 mod claim;
 mod input;
 mod kept;
@@ -17,6 +18,7 @@
 mod segment;
 mod table;
 
+pub use breaker::Breaker;
 pub use claim::Claim;
 pub use input::Input;
 pub use kept::Kept;
--- a/crates/core/src/ledger/partition.rs
+++ b/crates/core/src/ledger/partition.rs
@@ -14,11 +14,8 @@
 /// How long a claim may wait to be written.
 const CLAIM_WAIT: time::Duration = time::Duration::from_secs(2);
 
-/// First wait after a failed store call; it doubles up to [`MAX_BACKOFF`].
-const MIN_BACKOFF: time::Duration = time::Duration::from_millis(200);
-
-/// Longest wait after a failed store call.
-const MAX_BACKOFF: time::Duration = time::Duration::from_secs(5);
+/// Wait after a log that could not be read.
+const RETRY_WAIT: time::Duration = time::Duration::from_millis(200);
 
 /// Bytes of ends that go into one write.
 const MAX_BATCH_BYTES: usize = 256 << 10;
@@ -37,7 +34,6 @@
     waiting: Vec<Waiting>,
     closing: Vec<record::Record>,
     batch: Batch,
-    failures: u32,
     retry_at: Time,
 }
 
@@ -104,7 +100,6 @@
             waiting: Vec::new(),
             closing: Vec::new(),
             batch: Batch::default(),
-            failures: 0,
             retry_at: Time::default(),
         }
     }
@@ -117,10 +112,6 @@
         operation: record::Operation,
         out: &mut Vec<output::Output>,
     ) {
-        if now < self.retry_at {
-            let retry_at = self.retry_at.max(now.after(ledger::OUTAGE_WAIT));
-            return deny(out, claim.request, output::Reason::Unrecorded { retry_at });
-        }
         if self.waiting.len() >= ledger::MAX_WAITING {
             let retry_at = now.after(ledger::BUSY_WAIT);
             return deny(out, claim.request, output::Reason::Crowded { retry_at });
@@ -133,15 +124,11 @@
             fresh: false,
             denied: false,
         });
-        self.advance(now, out);
     }
 
     /// Takes in the end of a claim.
-    pub fn close(&mut self, now: Time, record: record::Record, out: &mut Vec<output::Output>) {
+    pub fn close(&mut self, record: record::Record) {
         self.closing.push(record);
-        if now >= self.retry_at {
-            self.advance(now, out);
-        }
     }
 
     /// Takes in the reply to this partition's only call under way.
@@ -153,10 +140,9 @@
             Phase::Deleting => self.deleted(),
             other => self.phase = other,
         }
-        self.advance(now, out);
     }
 
-    /// Denies claims that waited too long and goes on after a backoff.
+    /// Denies claims that waited too long.
     pub fn tick(&mut self, now: Time, out: &mut Vec<output::Output>) {
         let retry_at = now.after(ledger::OUTAGE_WAIT);
         for late in self
@@ -183,31 +169,31 @@
             }
             !late
         });
-        if now >= self.retry_at {
-            self.advance(now, out);
-        }
     }
 
-    /// Returns when [`Partition::tick`] has something to do.
-    pub fn wake(&self) -> Option<Time> {
-        let limits = self
-            .waiting
-            .iter()
-            .chain(self.batch.claims.iter().filter(|w| !w.denied));
-        let first = limits.map(|w| w.limit).min();
-        let retry = self.idle_with_work().then_some(self.retry_at);
-        first.into_iter().chain(retry).min()
+    /// Returns when [`Partition::tick`] denies the next claim.
+    pub fn deny_at(&self) -> Option<Time> {
+        let written = self.batch.claims.iter().filter(|w| !w.denied);
+        self.waiting.iter().chain(written).map(|w| w.limit).min()
+    }
+
+    /// Returns from when on the next call may be made, if there is one to make.
+    pub fn call_at(&self) -> Option<Time> {
+        self.has_work().then_some(self.retry_at)
     }
 
-    fn idle_with_work(&self) -> bool {
+    /// Tells whether a call should be made as soon as the store may be called.
+    pub fn is_due(&self, now: Time) -> bool {
+        self.has_work() && now >= self.retry_at
+    }
+
+    fn has_work(&self) -> bool {
         matches!(self.phase, Phase::Cold | Phase::Idle)
             && !(self.closing.is_empty() && self.waiting.is_empty())
     }
 
-    fn advance(&mut self, now: Time, out: &mut Vec<output::Output>) {
-        if !self.idle_with_work() || now < self.retry_at {
-            return;
-        }
+    /// Makes the next call.
+    pub fn advance(&mut self, now: Time, out: &mut Vec<output::Output>) {
         if self.phase == Phase::Cold {
             return self.list(out);
         }
@@ -465,6 +451,7 @@
             }
             _ => {
                 self.phase = Phase::Idle;
+                self.retry_at = now.after(RETRY_WAIT);
                 self.refuse_batch(now, false, out);
             }
         }
@@ -472,7 +459,6 @@
 
     fn commit(&mut self, now: Time, version: store::Version, out: &mut Vec<output::Output>) {
         self.phase = Phase::Idle;
-        self.failures = 0;
         let batch = mem::take(&mut self.batch);
         self.version = Some(version);
         self.install(batch.written);
@@ -487,13 +473,13 @@
 
     fn fail(&mut self, now: Time, out: &mut Vec<output::Output>) {
         self.phase = Phase::Cold;
+        self.retry_at = now.after(RETRY_WAIT);
         self.refuse_batch(now, true, out);
     }
 
     /// Answers every waiting claim at once; a claim that may stand in the log is given back later.
     fn refuse_batch(&mut self, now: Time, unclear: bool, out: &mut Vec<output::Output>) {
-        self.back_off(now);
-        let retry_at = self.retry_at.max(now.after(ledger::OUTAGE_WAIT));
+        let retry_at = now.after(ledger::OUTAGE_WAIT);
         let batch = mem::take(&mut self.batch);
         self.closing.splice(0..0, batch.ends);
         for waiting in batch.claims {
@@ -517,17 +503,6 @@
         }
     }
 
-    /// Spreads the next tries of entries and partitions over half of the backoff.
-    fn back_off(&mut self, now: Time) {
-        let delay = MIN_BACKOFF
-            .saturating_mul(1 << self.failures.min(8))
-            .min(MAX_BACKOFF);
-        self.failures += 1;
-        let spread = twox_hash::XxHash64::oneshot(self.id, &now.as_micros().to_le_bytes());
-        let jitter = delay.mul_f64((spread % 1_000) as f64 / 2_000.0);
-        self.retry_at = now.after(delay / 2 + jitter);
-    }
-
     fn find(&self, now: Time, waiting: &Waiting, next: &segment::Segment) -> Finding {
         let claim = &waiting.claim;
         let added = &next.records[self.segment.records.len()..];
--- a/crates/core/src/ledger/table.rs
+++ b/crates/core/src/ledger/table.rs
@@ -2,8 +2,9 @@
 
 use std::collections;
 
-use crate::ledger::{self, input, kept, output, partition, record};
+use crate::ledger::{self, breaker, input, kept, output, partition, record};
 use crate::name;
+use crate::store;
 use crate::time;
 
 /// The ledger as one entry sees it.
@@ -14,6 +15,7 @@
 pub struct Ledger {
     writer: u64,
     number: u64,
+    breaker: breaker::Breaker,
     partitions: collections::BTreeMap<u64, partition::Partition>,
     claims: collections::HashMap<record::Operation, Open>,
 }
@@ -31,6 +33,7 @@
         Self {
             writer,
             number: 0,
+            breaker: breaker::Breaker::new(writer),
             partitions: collections::BTreeMap::new(),
             claims: collections::HashMap::new(),
         }
@@ -42,15 +45,16 @@
         match input {
             input::Input::Claim(claim) => self.claim(now, claim, &mut out),
             input::Input::End { operation, kept } => {
-                self.close(now, operation, record::Step::Ended(bounded(kept)), &mut out);
+                self.close(now, operation, record::Step::Ended(bounded(kept)));
             }
             input::Input::Unclear { operation } => {
-                self.close(now, operation, record::Step::Unclear, &mut out);
+                self.close(now, operation, record::Step::Unclear);
             }
             input::Input::Release { operation } => {
-                self.close(now, operation, record::Step::Released, &mut out);
+                self.close(now, operation, record::Step::Released);
             }
             input::Input::Reply { partition, reply } => {
+                self.judge(now, &reply);
                 self.partition(partition).reply(now, reply, &mut out);
             }
             input::Input::Tick => self
@@ -58,19 +62,48 @@
                 .values_mut()
                 .for_each(|p| p.tick(now, &mut out)),
         }
+        self.advance(now, &mut out);
         self.forget_denied(&out);
         out
     }
 
     /// Returns when the next [`input::Input::Tick`] is due.
     pub fn wake(&self) -> Option<time::Time> {
-        self.partitions
+        let first = self.breaker.retry_at().unwrap_or_default();
+        let limits = self
+            .partitions
+            .values()
+            .filter_map(partition::Partition::deny_at);
+        let calls = self
+            .partitions
             .values()
-            .filter_map(partition::Partition::wake)
-            .min()
+            .filter_map(partition::Partition::call_at);
+        limits.chain(calls.map(|at| at.max(first))).min()
+    }
+
+    fn judge(&mut self, now: time::Time, reply: &store::Reply) {
+        match reply {
+            store::Reply::Failed(_) => self.breaker.fail(now),
+            _ => self.breaker.succeed(),
+        }
+    }
+
+    fn advance(&mut self, now: time::Time, out: &mut Vec<output::Output>) {
+        for partition in self.partitions.values_mut().filter(|p| p.is_due(now)) {
+            if !self.breaker.allows(now) {
+                return;
+            }
+            partition.advance(now, out);
+        }
     }
 
     fn claim(&mut self, now: time::Time, claim: ledger::Claim, out: &mut Vec<output::Output>) {
+        if let Some(at) = self.breaker.retry_at().filter(|at| now < *at) {
+            let retry_at = at.max(now.after(ledger::OUTAGE_WAIT));
+            let reason = output::Reason::Unrecorded { retry_at };
+            let request = claim.request;
+            return out.push(output::Output::Denied { request, reason });
+        }
         self.number += 1;
         let operation = record::Operation {
             writer: self.writer,
@@ -86,13 +119,7 @@
         self.partition(id).claim(now, claim, operation, out);
     }
 
-    fn close(
-        &mut self,
-        now: time::Time,
-        operation: record::Operation,
-        step: record::Step,
-        out: &mut Vec<output::Output>,
-    ) {
+    fn close(&mut self, now: time::Time, operation: record::Operation, step: record::Step) {
         let Some(open) = self.claims.remove(&operation) else {
             return;
         };
@@ -108,7 +135,7 @@
             step,
             expiry,
         };
-        self.partition(id).close(now, record, out);
+        self.partition(id).close(record);
     }
 
     fn partition(&mut self, id: u64) -> &mut partition::Partition {
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -246,6 +246,28 @@
     }
 }
 
+/// A thousand orders a second in an outage of a minute: the store sees a trial now and then.
+#[test]
+fn claim_in_long_outage_makes_few_calls() {
+    let mut entry = Entry::new(1);
+    let mut calls = 0;
+    for millis in 0..60_000 {
+        let now = START.after(Duration::from_millis(millis));
+        entry.reduce(
+            now,
+            ledger::Input::Claim(claim(millis, &format!("key-{millis}"))),
+        );
+        entry.reduce(now, ledger::Input::Tick);
+        while let Some((partition, _)) = entry.calls.pop() {
+            calls += 1;
+            let reply = store::Reply::Failed(verdict::Verdict::NotRun);
+            entry.reduce(now, ledger::Input::Reply { partition, reply });
+        }
+    }
+    assert_eq!(entry.denied.len(), 60_000, "every order is refused at once");
+    assert!(calls <= 40, "{calls} calls");
+}
+
 #[test]
 fn claim_by_holder_that_was_paused_past_its_deadline_is_not_granted() {
     let mut store = FakeStore::default();
