Plan placement and the streams of a reclaimed upstream

Cause: a reclaim needs a choice for each stream, and cost needs a fleet planned by price, reclaim history and domains. Ruled out: replacing a domain's offer at once (running instances would stop when one start is refused). Change: routing::reclaim plans finish, export or recompute, paced over the notice; placement::Planner spreads slots so that any one domain may go, grows at once, shrinks and switches late, falls back after refused starts; the benchmark uses both, with a notice of five seconds in place of ten.

--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -2,9 +2,11 @@
 
 use std::collections;
 use std::sync;
+use std::time::Duration;
 
 use guavausher_core::declaration;
 use guavausher_core::routing;
+use guavausher_core::routing::reclaim;
 use guavausher_core::time;
 
 use crate::cache;
@@ -24,6 +26,13 @@
 /// Step time for each prompt token in microseconds.
 const TOKEN_MICROS: u64 = 40;
 
+/// Speeds that entries assume when streams must leave.
+pub const SPEEDS: reclaim::Speeds = reclaim::Speeds {
+    gap: Duration::from_millis(36),
+    prefill: Duration::from_millis(40),
+    transfer: None,
+};
+
 /// A request as an engine sees it.
 #[derive(Clone, Debug)]
 pub struct Job {
--- a/crates/bench/src/reclaim.rs
+++ b/crates/bench/src/reclaim.rs
@@ -13,7 +13,7 @@
 /// When the notice comes, in microseconds.
 const NOTICE_MICROS: u64 = 60_000_000;
 /// When the instances go, in microseconds.
-const RECLAIM_MICROS: u64 = 70_000_000;
+const RECLAIM_MICROS: u64 = 65_000_000;
 /// Length of a window in microseconds.
 const WINDOW_MICROS: u64 = 10_000_000;
 /// Distance between two windows in microseconds.
--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -7,6 +7,7 @@
 use guavausher_core::name;
 use guavausher_core::retry;
 use guavausher_core::routing;
+use guavausher_core::routing::reclaim;
 use guavausher_core::time;
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -117,6 +118,7 @@
     Wake(usize),
     Again(usize),
     Resume(usize),
+    Move(u64),
     Fault(setup::Kind),
 }
 
@@ -202,6 +204,7 @@
             }
             Event::Again(index) => self.arrive(index),
             Event::Resume(request) => self.resume(request),
+            Event::Move(attempt) => self.relocate(attempt),
             Event::Reach { engine, job } => self.reach(engine, job),
             Event::Step(engine) => self.step(engine),
             Event::First { request, attempt } => self.first(request, attempt),
@@ -551,23 +554,71 @@
 
     fn fault(&mut self, kind: setup::Kind) {
         match kind {
-            setup::Kind::Notice { domain, .. } => self.notice(domain),
+            setup::Kind::Notice { domain, dies_at } => self.notice(domain, dies_at),
             setup::Kind::Reclaim { domain } => self.kill(|place| place == domain),
             setup::Kind::Outage => self.kill(|_| true),
         }
     }
 
-    fn notice(&mut self, domain: usize) {
+    /// Tells every entry that engines leave, and plans how their streams do.
+    fn notice(&mut self, domain: usize, dies_at: u64) {
+        if self.policy != entry::Policy::Core {
+            return;
+        }
         for engine in 0..self.engines.len() {
             if self.domains[engine] != domain {
                 continue;
             }
-            for entry in &mut self.entries {
-                entry.fleet.leave(&entry::engine_name(engine), 0);
+            let upstream = entry::engine_name(engine);
+            for entry in 0..self.entries.len() {
+                self.entries[entry].fleet.leave(&upstream, 0);
+                let attempts = self.entries[entry].fleet.attempts_at(&upstream);
+                self.plan_moves(&attempts, dies_at);
             }
         }
     }
 
+    fn plan_moves(&mut self, attempts: &[u64], dies_at: u64) {
+        let streams: Vec<_> = attempts
+            .iter()
+            .map(|&attempt| self.stream(attempt))
+            .collect();
+        let dies_at = time::Time::from_micros(dies_at);
+        for step in reclaim::plan(self.time(), dies_at, &streams, &engine::SPEEDS) {
+            if step.action != reclaim::Action::Finish {
+                self.push(step.at.as_micros(), Event::Move(step.attempt));
+            }
+        }
+    }
+
+    fn stream(&self, attempt: u64) -> reclaim::Stream {
+        let request = (attempt / 16) as usize;
+        let arrival = &self.arrivals[request];
+        let produced = self.requests[request].produced;
+        reclaim::Stream {
+            attempt,
+            priority: arrival.priority,
+            held: arrival.prompt + produced,
+            left: arrival.output.saturating_sub(produced),
+        }
+    }
+
+    /// Ends an attempt at an engine that leaves and goes on elsewhere.
+    fn relocate(&mut self, attempt: u64) {
+        let request = (attempt / 16) as usize;
+        if !self.is_current(request, attempt) {
+            return;
+        }
+        let (now, entry) = (self.time(), self.arrivals[request].entry);
+        let engine = self.requests[request].engine.take().unwrap_or(0);
+        self.engines[engine].cancel(attempt);
+        self.entries[entry].end(now, attempt, engine, routing::Outcome::Cancelled);
+        self.requests[request]
+            .excluded
+            .push(entry::engine_name(engine));
+        self.dispatch(request);
+    }
+
     fn kill(&mut self, hits: impl Fn(usize) -> bool) {
         for engine in 0..self.engines.len() {
             if !hits(self.domains[engine]) {
--- a/crates/bench/src/thrift.rs
+++ b/crates/bench/src/thrift.rs
@@ -1,7 +1,11 @@
 //! Measures of cost.
 
 use guavausher_core::declaration;
+use guavausher_core::name;
+use guavausher_core::placement;
+use guavausher_core::time;
 
+use crate::engine;
 use crate::entry;
 use crate::measure;
 use crate::reclaim;
@@ -14,6 +18,8 @@
 const ON_DEMAND: f64 = 1.0;
 /// Price of a reclaimable instance an hour.
 const RECLAIMABLE: f64 = 0.35;
+/// Price units in one unit of currency.
+const MILLIONTHS: f64 = 1e6;
 /// Seconds of arrivals.
 const SECONDS: u64 = 120;
 /// Engines whose capacity the demand fills.
@@ -58,9 +64,46 @@
     })
 }
 
-/// Returns engines enough after the loss of a failure domain, all reclaimable.
+/// Returns the engines that the planner wants.
 fn planned() -> Vec<setup::Site> {
-    fleet(DEMAND_ENGINES * 3 / 2 + 3, declaration::Market::Reclaimable)
+    let service = name::Name::from(setup::SERVICE);
+    let demand = placement::Demand {
+        slots: (DEMAND_ENGINES * engine::SLOTS) as u32,
+        starts: u32::MAX,
+    };
+    let mut declaration = setup::Setup::at_load(entry::Policy::Core, 0, 0, 1).declaration();
+    declaration.classes = classes();
+    let mut planner = placement::Planner::new(service);
+    let wants = planner.plan(time::Time::default(), &declaration, &demand);
+    wants.iter().flat_map(sites).collect()
+}
+
+fn sites(want: &placement::Want) -> Vec<setup::Site> {
+    let domain = setup::DOMAINS
+        .iter()
+        .position(|domain| *domain == &*want.offer.domain);
+    let site = setup::Site {
+        domain: domain.unwrap_or(0),
+        market: want.offer.market,
+    };
+    vec![site; want.count as usize]
+}
+
+fn classes() -> Vec<declaration::Class> {
+    let markets = [
+        (declaration::Market::OnDemand, ON_DEMAND),
+        (declaration::Market::Reclaimable, RECLAIMABLE),
+    ];
+    let domains = setup::DOMAINS.iter();
+    let all = domains.flat_map(|domain| {
+        markets.map(|(market, price)| declaration::Class {
+            name: name::Name::from("gpu-small"),
+            domain: name::Name::from(*domain),
+            market,
+            price: (price * MILLIONTHS) as u64,
+        })
+    });
+    all.collect()
 }
 
 fn fleet(count: usize, market: declaration::Market) -> Vec<setup::Site> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ledger;
 pub mod name;
 pub mod peering;
+pub mod placement;
 pub mod poison;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,12 @@
+//! How many instances of which class, failure domain and market serve a service.
+
+mod demand;
+mod history;
+mod offer;
+mod planner;
+mod priced;
+mod zone;
+
+pub use demand::Demand;
+pub use offer::Offer;
+pub use planner::{Planner, Want};
--- /dev/null
+++ b/crates/core/src/placement/planner.rs
@@ -0,0 +1,141 @@
+//! The planner of one service's instances.
+
+use std::collections;
+
+use super::demand;
+use super::history;
+use super::offer;
+use super::priced;
+use super::zone;
+use crate::declaration;
+use crate::name;
+use crate::time;
+
+/// Part of the slots that may be in use while the latency target holds.
+const TARGET_USE: f64 = 0.9;
+
+/// Instances wanted of one offer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Want {
+    /// The kind of instance.
+    pub offer: offer::Offer,
+    /// How many.
+    pub count: u32,
+}
+
+/// Plans the instances of one service with hysteresis.
+///
+/// The slots are spread over the failure domains so that losing any one of them leaves the
+/// target standing. In each domain the cheapest usable offer is taken, its price raised by the
+/// reclaims seen; a refused start falls back to the next one, or to the other domains.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    service: name::Name,
+    history: collections::BTreeMap<offer::Offer, history::History>,
+    zones: collections::BTreeMap<name::Name, zone::Zone>,
+}
+
+impl Planner {
+    /// Builds a planner without history.
+    pub fn new(service: name::Name) -> Self {
+        Self {
+            service,
+            history: collections::BTreeMap::new(),
+            zones: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Notes that `count` of `running` instances of an offer were reclaimed.
+    pub fn reclaimed(&mut self, now: time::Time, offer: &offer::Offer, count: u32, running: u32) {
+        let part = f64::from(count) / f64::from(running.max(1));
+        self.history
+            .entry(offer.clone())
+            .or_default()
+            .reclaim(now, part);
+        self.lose(offer, count);
+    }
+
+    /// Notes a refused start.
+    pub fn refused(&mut self, now: time::Time, offer: &offer::Offer) {
+        self.history.entry(offer.clone()).or_default().refuse(now);
+        self.lose(offer, 1);
+    }
+
+    /// Notes a start that succeeded.
+    pub fn started(&mut self, offer: &offer::Offer) {
+        self.history.entry(offer.clone()).or_default().start();
+    }
+
+    /// Plans the instances for a demand.
+    pub fn plan(
+        &mut self,
+        now: time::Time,
+        declaration: &declaration::Declaration,
+        demand: &demand::Demand,
+    ) -> Vec<Want> {
+        let offers = self.offers(now, declaration);
+        let usable = offers.values().filter(|list| list.iter().any(|p| p.usable));
+        let spare = usable.count().saturating_sub(1).max(1);
+        let needed = f64::from(demand.slots) / TARGET_USE / spare as f64;
+        let mut starts = demand.starts;
+        self.zones.retain(|domain, _| offers.contains_key(domain));
+        for (domain, list) in &offers {
+            let zone = self.zones.entry(domain.clone()).or_default();
+            zone.resize(now, needed, list, &mut starts);
+        }
+        let counts = self.zones.values().flat_map(zone::Zone::counts);
+        let wants = counts.map(|(offer, count)| Want {
+            offer: offer.clone(),
+            count,
+        });
+        wants.collect()
+    }
+
+    fn lose(&mut self, offer: &offer::Offer, count: u32) {
+        if let Some(zone) = self.zones.get_mut(&offer.domain) {
+            zone.lose(offer, count);
+        }
+    }
+
+    /// Returns the offers of each failure domain, the cheapest first.
+    fn offers(
+        &self,
+        now: time::Time,
+        declaration: &declaration::Declaration,
+    ) -> collections::BTreeMap<name::Name, Vec<priced::Priced>> {
+        let mut offers = collections::BTreeMap::<_, Vec<priced::Priced>>::new();
+        for class in &declaration.classes {
+            let offer = offer::Offer::of(class);
+            let history = self.history.get(&offer).copied().unwrap_or_default();
+            let Some(slots) = slots(declaration, &self.service, class) else {
+                continue;
+            };
+            let price = class.price as f64 * history.factor(now) / f64::from(slots);
+            let list = offers.entry(class.domain.clone()).or_default();
+            list.push(priced::Priced {
+                offer,
+                price,
+                slots,
+                usable: history.is_usable(now),
+            });
+        }
+        for list in offers.values_mut() {
+            list.sort_by(|a, b| a.price.total_cmp(&b.price));
+        }
+        offers
+    }
+}
+
+/// Returns the slots of an instance of a class, as the declared upstreams show.
+fn slots(
+    declaration: &declaration::Declaration,
+    service: &name::Name,
+    class: &declaration::Class,
+) -> Option<u32> {
+    let upstreams = declaration.upstreams.iter();
+    let of_class = upstreams.filter(|u| u.service == *service && u.class == class.name);
+    of_class
+        .map(|upstream| upstream.slots)
+        .max()
+        .filter(|&slots| slots > 0)
+}
--- /dev/null
+++ b/crates/core/src/placement/zone.rs
@@ -0,0 +1,139 @@
+//! The instances planned in one failure domain.
+
+use std::collections;
+use std::time::Duration;
+
+use super::offer;
+use super::priced;
+use crate::time;
+
+/// A new offer must cost less than this part of the dearest present one to replace it.
+const SWITCH_PRICE: f64 = 0.85;
+/// How long a new offer must stay cheaper before it replaces a present one.
+const SWITCH_DELAY: Duration = Duration::from_secs(600);
+/// How long fewer instances must be enough before some are stopped.
+const SHRINK_DELAY: Duration = Duration::from_secs(300);
+
+/// Counts of instances by offer, changed with hysteresis.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Zone {
+    counts: collections::BTreeMap<offer::Offer, u32>,
+    rival: Option<Rival>,
+    shrink_at: Option<time::Time>,
+}
+
+/// A cheaper offer that has to prove itself.
+#[derive(Clone, Debug)]
+struct Rival {
+    offer: offer::Offer,
+    switch_at: time::Time,
+}
+
+impl Zone {
+    /// Returns the planned counts.
+    pub fn counts(&self) -> impl Iterator<Item = (&offer::Offer, u32)> {
+        self.counts.iter().map(|(offer, &count)| (offer, count))
+    }
+
+    /// Forgets instances that are gone or never started.
+    pub fn lose(&mut self, offer: &offer::Offer, count: u32) {
+        if let Some(held) = self.counts.get_mut(offer) {
+            *held = held.saturating_sub(count);
+        }
+    }
+
+    /// Moves towards `needed` slots; `offers` are sorted, the cheapest first.
+    ///
+    /// It grows at once with the cheapest usable offer as far as `starts` allow, and stops the
+    /// dearest instances only when they have been superfluous for a while. A much cheaper offer
+    /// that lasts is started beside the dearer ones first.
+    pub fn resize(
+        &mut self,
+        now: time::Time,
+        needed: f64,
+        offers: &[priced::Priced],
+        starts: &mut u32,
+    ) {
+        let missing = needed - self.slots(offers);
+        let cheapest = offers.iter().find(|priced| priced.usable);
+        if let Some(priced) = cheapest.filter(|_| missing > 0.0) {
+            self.grow(priced, missing, starts);
+        }
+        if let Some(priced) = cheapest.filter(|priced| self.is_due(now, priced, offers)) {
+            let dear = self.slots_dearer(priced, offers);
+            self.grow(priced, dear, starts);
+        }
+        self.shrink(now, needed, offers);
+        self.counts.retain(|_, count| *count > 0);
+    }
+
+    fn slots(&self, offers: &[priced::Priced]) -> f64 {
+        let counts = offers.iter().map(|p| (p, self.count(&p.offer)));
+        counts
+            .map(|(priced, count)| f64::from(count * priced.slots))
+            .sum()
+    }
+
+    fn count(&self, offer: &offer::Offer) -> u32 {
+        self.counts.get(offer).copied().unwrap_or(0)
+    }
+
+    fn grow(&mut self, priced: &priced::Priced, slots: f64, starts: &mut u32) {
+        let wanted = (slots / f64::from(priced.slots)).ceil() as u32;
+        let added = wanted.min(*starts);
+        *starts -= added;
+        *self.counts.entry(priced.offer.clone()).or_default() += added;
+    }
+
+    /// Returns slots of instances that cost much more than an offer.
+    fn slots_dearer(&self, cheap: &priced::Priced, offers: &[priced::Priced]) -> f64 {
+        let dear = offers
+            .iter()
+            .filter(|p| cheap.price < p.price * SWITCH_PRICE);
+        dear.map(|p| f64::from(self.count(&p.offer) * p.slots))
+            .sum()
+    }
+
+    /// Returns whether an offer has been much cheaper than some instances for long enough.
+    fn is_due(
+        &mut self,
+        now: time::Time,
+        cheap: &priced::Priced,
+        offers: &[priced::Priced],
+    ) -> bool {
+        if self.slots_dearer(cheap, offers) <= 0.0 {
+            self.rival = None;
+            return false;
+        }
+        let known = self.rival.take().filter(|rival| rival.offer == cheap.offer);
+        let rival = known.unwrap_or_else(|| Rival {
+            offer: cheap.offer.clone(),
+            switch_at: now.after(SWITCH_DELAY),
+        });
+        let due = rival.switch_at <= now;
+        if !due {
+            self.rival = Some(rival);
+        }
+        due
+    }
+
+    fn shrink(&mut self, now: time::Time, needed: f64, offers: &[priced::Priced]) {
+        let mut spare = self.slots(offers) - needed;
+        let removable = |zone: &Self, spare: f64| {
+            let mut dearest = offers.iter().rev().filter(|p| zone.count(&p.offer) > 0);
+            dearest.find(|p| f64::from(p.slots) <= spare).cloned()
+        };
+        if removable(self, spare).is_none() {
+            self.shrink_at = None;
+            return;
+        }
+        if *self.shrink_at.get_or_insert(now.after(SHRINK_DELAY)) > now {
+            return;
+        }
+        while let Some(priced) = removable(self, spare) {
+            self.lose(&priced.offer, 1);
+            spare -= f64::from(priced.slots);
+        }
+        self.shrink_at = None;
+    }
+}
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -12,6 +12,7 @@
 mod outcome;
 mod prefix;
 mod query;
+pub mod reclaim;
 mod region;
 mod tally;
 mod upstream;
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -311,6 +311,20 @@
         self.windows.get(service).map_or(0, window::Window::slots)
     }
 
+    /// Returns this node's attempts in progress at an upstream, in order.
+    pub fn attempts_at(&self, upstream: &name::Name) -> Vec<u64> {
+        let Some(&slot) = self.index.get(upstream) else {
+            return Vec::new();
+        };
+        let there = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.slot == slot);
+        let mut attempts: Vec<_> = there.map(|(&id, _)| id).collect();
+        attempts.sort_unstable();
+        attempts
+    }
+
     /// Returns whether the last attempts failed at so many upstreams of a service that more
     /// attempts only add load.
     ///
