--- a/crates/core/src/routing/upstream.rs
+++ b/crates/core/src/routing/upstream.rs
@@ -10,6 +10,10 @@
 use crate::declaration;
 use crate::time;
 
+/// The incarnation of an upstream of which nothing has been heard; the first word of it is no
+/// return.
+const UNKNOWN: u64 = 0;
+
 /// How long a new upstream takes to get its full share.
 const SLOW_START: Duration = Duration::from_secs(10);
 /// Requests of other nodes expected for each own one that no report shows yet.
@@ -44,7 +48,7 @@
     pub fn new(declared: declaration::Upstream, warm_at: time::Time) -> Self {
         Self {
             declared,
-            incarnation: 0,
+            incarnation: UNKNOWN,
             leaving: None,
             tally: tally::Tally::default(),
             prefix: prefix::Prefix::default(),
@@ -80,7 +84,11 @@
         if incarnation <= self.incarnation {
             return;
         }
+        let known = self.incarnation != UNKNOWN;
         self.incarnation = incarnation;
+        if !known {
+            return;
+        }
         self.tally.reset();
         self.prefix.clear();
         self.health = health::Health::default();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder replaced by the first real module.
+//! Encodings between the processes of the system; no input and no output.
+
+pub mod peer;
