--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ledger;
 pub mod name;
 pub mod peering;
+pub mod placement;
 pub mod poison;
 pub mod prompt;
 pub mod reduce;
