--- a/scripts/latency.sh
+++ b/scripts/latency.sh
@@ -77,7 +77,7 @@
     echo no || echo yes
 }
 
-start platform "$BIN/standin-platform" --listen $PLATFORM
+start platform "$BIN/standin-platform" --listen $PLATFORM --call-ms 5
 start engine "$BIN/standin-engine" --listen $ENGINE --incarnation 1 --token-ms 20 --slots 4096 --threads 2
 start service "$BIN/standin-service" --listen $SERVICE --incarnation 1 --slots 4096 --deduplicate --threads 2
 until_true 10 curl -sf "http://$PLATFORM/instances"
@@ -118,6 +118,17 @@
 cost 'straight (processor of the service)' "$PID_service" $SERVICE
 cost 'entry (processor of the entry)' "$PID_entry" $ENTRY
 
+writes() { curl -sf "http://$PLATFORM/standin/calls" | field '' write; }
+load paid $ENTRY --duration 1 >/dev/null || true
+before=$(writes)
+load paid $ENTRY >"$DIR/paid" || true
+after=$(writes)
+echo
+echo "orders with a key at 200 a second for 10 s, ledger in a platform whose calls take 5 ms"
+awk -v sent="$(field '' sent <"$DIR/paid")" -v ok="$(field '' ok <"$DIR/paid")" -v w=$((after - before)) \
+  -v p="$(field answer p50_ms <"$DIR/paid")" -v q="$(field answer p95_ms <"$DIR/paid")" \
+  'BEGIN { printf "%d of %d answered, p50 %.2f ms, p95 %.2f ms, %.2f writes an order\n", ok, sent, p, q, ok ? w / ok : 0 }'
+
 echo
 hold() { # streams; notes the entry's resident memory while they are open, and how many are
   load hold $ENTRY --rate "$1" >"$DIR/hold" &
