--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -5,7 +5,9 @@
 
 use guavausher_core::admission;
 use guavausher_core::name;
+use guavausher_core::retry;
 use guavausher_core::routing;
+use guavausher_core::routing::reclaim;
 use guavausher_core::time;
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -35,6 +37,8 @@
 pub const MAX_ATTEMPTS: u32 = 15;
 /// Retries that a baseline makes.
 const BASELINE_RETRIES: u32 = 2;
+/// Longest time that a cut stream waits for a chance to resume, in microseconds.
+const RESUME_MICROS: u64 = 20_000_000;
 /// Time after the last arrival in which answers may end, in microseconds.
 const TAIL_MICROS: u64 = 30_000_000;
 
@@ -113,6 +117,8 @@
     },
     Wake(usize),
     Again(usize),
+    Resume(usize),
+    Move(u64),
     Fault(setup::Kind),
 }
 
@@ -191,7 +197,14 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Arrive(index) | Event::Again(index) => self.arrive(index),
+            Event::Arrive(index) => {
+                let (now, entry) = (self.time(), self.arrivals[index].entry);
+                self.entries[entry].budget.record(now, &self.service);
+                self.arrive(index);
+            }
+            Event::Again(index) => self.arrive(index),
+            Event::Resume(request) => self.resume(request),
+            Event::Move(attempt) => self.relocate(attempt),
             Event::Reach { engine, job } => self.reach(engine, job),
             Event::Step(engine) => self.step(engine),
             Event::First { request, attempt } => self.first(request, attempt),
@@ -462,6 +475,18 @@
         if self.may_retry(request) {
             return self.dispatch(request);
         }
+        self.give_up(request);
+    }
+
+    /// Lets a stream wait for a chance to resume; refuses anything else.
+    fn give_up(&mut self, request: usize) {
+        let (now, entry) = (self.time(), self.arrivals[request].entry);
+        let waits = self.requests[request].first.is_some()
+            && self.now < self.requests[request].last + RESUME_MICROS;
+        if waits && self.policy == entry::Policy::Core {
+            let delay = retry::backoff(request as u64, self.requests[request].attempts + 3);
+            return self.push(self.now + delay.as_micros() as u64, Event::Resume(request));
+        }
         self.requests[request].refused = true;
         self.entries[entry]
             .admission
@@ -469,14 +494,22 @@
         self.poll(entry);
     }
 
+    fn resume(&mut self, request: usize) {
+        match self.may_retry(request) {
+            true => self.dispatch(request),
+            false => self.give_up(request),
+        }
+    }
+
     fn may_retry(&mut self, request: usize) -> bool {
         let (now, entry) = (self.time(), self.arrivals[request].entry);
         let made = self.requests[request].attempts;
         if self.policy != entry::Policy::Core {
             return made <= BASELINE_RETRIES;
         }
-        let resumes = self.requests[request].first.is_some();
-        made < MAX_ATTEMPTS && (resumes || self.entries[entry].budget.spend(now, &self.service))
+        let streaming = self.requests[request].first.is_some();
+        let free = streaming && !self.entries[entry].fleet.is_failing(&self.service);
+        made < MAX_ATTEMPTS && (free || self.entries[entry].budget.spend(now, &self.service))
     }
 
     fn is_current(&self, request: usize, attempt: u64) -> bool {
@@ -521,23 +554,71 @@
 
     fn fault(&mut self, kind: setup::Kind) {
         match kind {
-            setup::Kind::Notice { domain, .. } => self.notice(domain),
+            setup::Kind::Notice { domain, dies_at } => self.notice(domain, dies_at),
             setup::Kind::Reclaim { domain } => self.kill(|place| place == domain),
             setup::Kind::Outage => self.kill(|_| true),
         }
     }
 
-    fn notice(&mut self, domain: usize) {
+    /// Tells every entry that engines leave, and plans how their streams do.
+    fn notice(&mut self, domain: usize, dies_at: u64) {
+        if self.policy != entry::Policy::Core {
+            return;
+        }
         for engine in 0..self.engines.len() {
             if self.domains[engine] != domain {
                 continue;
             }
-            for entry in &mut self.entries {
-                entry.fleet.leave(&entry::engine_name(engine), 0);
+            let upstream = entry::engine_name(engine);
+            for entry in 0..self.entries.len() {
+                self.entries[entry].fleet.leave(&upstream, 0);
+                let attempts = self.entries[entry].fleet.attempts_at(&upstream);
+                self.plan_moves(&attempts, dies_at);
+            }
+        }
+    }
+
+    fn plan_moves(&mut self, attempts: &[u64], dies_at: u64) {
+        let streams: Vec<_> = attempts
+            .iter()
+            .map(|&attempt| self.stream(attempt))
+            .collect();
+        let dies_at = time::Time::from_micros(dies_at);
+        for step in reclaim::plan(self.time(), dies_at, &streams, &engine::SPEEDS) {
+            if step.action != reclaim::Action::Finish {
+                self.push(step.at.as_micros(), Event::Move(step.attempt));
             }
         }
     }
 
+    fn stream(&self, attempt: u64) -> reclaim::Stream {
+        let request = (attempt / 16) as usize;
+        let arrival = &self.arrivals[request];
+        let produced = self.requests[request].produced;
+        reclaim::Stream {
+            attempt,
+            priority: arrival.priority,
+            held: arrival.prompt + produced,
+            left: arrival.output.saturating_sub(produced),
+        }
+    }
+
+    /// Ends an attempt at an engine that leaves and goes on elsewhere.
+    fn relocate(&mut self, attempt: u64) {
+        let request = (attempt / 16) as usize;
+        if !self.is_current(request, attempt) {
+            return;
+        }
+        let (now, entry) = (self.time(), self.arrivals[request].entry);
+        let engine = self.requests[request].engine.take().unwrap_or(0);
+        self.engines[engine].cancel(attempt);
+        self.entries[entry].end(now, attempt, engine, routing::Outcome::Cancelled);
+        self.requests[request]
+            .excluded
+            .push(entry::engine_name(engine));
+        self.dispatch(request);
+    }
+
     fn kill(&mut self, hits: impl Fn(usize) -> bool) {
         for engine in 0..self.engines.len() {
             if !hits(self.domains[engine]) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod admission;
 pub mod config;
+pub mod control;
 pub mod declaration;
 pub mod effect;
 pub mod event;
@@ -24,6 +25,7 @@
 pub mod ledger;
 pub mod name;
 pub mod peering;
+pub mod placement;
 pub mod poison;
 pub mod prompt;
 pub mod reduce;
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -202,6 +202,10 @@
     running: flight::Running,
     failure: event::Failure,
 ) {
+    if !failure.died {
+        let effects = state.quarantine.released(now, id);
+        quarantine::apply(state, now, effects);
+    }
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
@@ -211,9 +215,18 @@
     }
     flight.excluded.push(running.choice.upstream);
     flight.stage = flight::Stage::Queued;
+    let timer = if flight.started {
+        Time::MAX
+    } else {
+        flight.deadline
+    };
+    state.set_timer(id, timer);
     if may_retry(state, now, id, failure) {
         return launch::launch(state, now, id);
     }
+    if launch::may_wait(state, now, id) {
+        return launch::hold(state, now, id);
+    }
     let verdict = if offset(state, id) > 0 {
         verdict::Verdict::MayHaveRun
     } else {
@@ -221,7 +234,10 @@
     };
     let delay = retry::backoff(id, 0).max(launch::RETRY_WAIT);
     let retry_at = Some(now.after(delay));
-    let code = refusal::Code::UpstreamFailed;
+    let code = match verdict {
+        verdict::Verdict::NotRun => refusal::Code::NoUpstream,
+        _ => refusal::Code::UpstreamFailed,
+    };
     launch::give_up(
         state,
         now,
@@ -235,7 +251,7 @@
 }
 
 /// The budget paces retries but those of a stream under way, and those after a death, which the
-/// quarantine paces.
+/// quarantine paces; while most of the service's upstreams fail, it paces all.
 fn may_retry(state: &mut state::State, now: Time, id: u64, failure: event::Failure) -> bool {
     let Some(flight) = state.flights.get(&id) else {
         return false;
@@ -247,7 +263,8 @@
         return false;
     }
     let service = flight.service.name.clone();
-    failure.died || flight.offset > 0 || state.budget.spend(now, &service)
+    let free = (failure.died || flight.offset > 0) && !state.fleet.is_failing(&service);
+    free || state.budget.spend(now, &service)
 }
 
 fn offset(state: &state::State, id: u64) -> u32 {
--- a/crates/core/src/routing/upstream.rs
+++ b/crates/core/src/routing/upstream.rs
@@ -10,8 +10,14 @@
 use crate::declaration;
 use crate::time;
 
+/// The incarnation of an upstream of which nothing has been heard; the first word of it is no
+/// return.
+const UNKNOWN: u64 = 0;
+
 /// How long a new upstream takes to get its full share.
 const SLOW_START: Duration = Duration::from_secs(10);
+/// Requests of other nodes expected for each own one that no report shows yet.
+const RIVALS: f64 = 4.0;
 /// Cached requests that may wait at an upstream, as a divisor of its slots.
 const QUEUE_DIVISOR: u32 = 8;
 /// Standard deviation of the total, in requests.
@@ -42,7 +48,7 @@
     pub fn new(declared: declaration::Upstream, warm_at: time::Time) -> Self {
         Self {
             declared,
-            incarnation: 0,
+            incarnation: UNKNOWN,
             leaving: None,
             tally: tally::Tally::default(),
             prefix: prefix::Prefix::default(),
@@ -78,7 +84,11 @@
         if incarnation <= self.incarnation {
             return;
         }
+        let known = self.incarnation != UNKNOWN;
         self.incarnation = incarnation;
+        if !known {
+            return;
+        }
         self.tally.reset();
         self.prefix.clear();
         self.health = health::Health::default();
@@ -124,7 +134,10 @@
     fn likely_ahead(&self, now: time::Time) -> f64 {
         let slots = f64::from(self.slots(now));
         let deviation = MIN_DEVIATION + slots * SLOT_DEVIATION;
-        let excess = (f64::from(self.tally.total(now)) + 1.0 - slots) / deviation;
+        let excess =
+            (f64::from(self.tally.total(now)) + f64::from(self.tally.unreported()) * RIVALS + 1.0
+                - slots)
+                / deviation;
         deviation * (1.0 + (excess * SHARPNESS).exp()).ln() / SHARPNESS
     }
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -110,12 +110,16 @@
     pub version: Option<store::Version>,
     /// The generation that it states.
     pub generation: u64,
+    /// Whether it states that the entry is ready.
+    pub ready: bool,
     /// Whether a write is planned or under way.
     pub pending: bool,
 }
 
 impl State {
     /// Returns the state of an entry that has just started.
+    ///
+    /// The seed must differ from that of every other process, since claims carry it.
     pub fn new(own: peering::Member, seed: u64) -> Self {
         Self {
             config: None,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -40,6 +40,8 @@
     pub admin: net::SocketAddr,
     /// This entry as its peers see it; its address is the peer port.
     pub own: peering::Member,
+    /// Entries to ask before the platform's list is known, for a start during its outage.
+    pub seeds: Vec<peering::Member>,
     /// Key that all processes of the deployment share.
     pub key: peers::Key,
     /// Threads that carry requests.
@@ -71,12 +73,15 @@
         .enable_all()
         .build()?;
     let peers = peers::start(peer_config(&config), peer_events)?;
+    peers.counters().register(&mut registry);
     admin::serve(config.admin, readiness.clone(), registry)?;
+    // Claims and attempts of two processes must never look alike, whatever their settings say.
+    let writer = rand::random();
     let front = front::Front {
         clock,
         events: events.clone(),
         metrics: metrics.clone(),
-        writer: config.own.incarnation,
+        writer,
         next: sync::Arc::default(),
     };
     runtime.spawn(stop_on_signal(clock, events, config.grace));
@@ -93,7 +98,7 @@
         links,
         metrics,
     };
-    driver.run(config.own);
+    driver.run(config.own, writer, config.seeds);
     runtime.shutdown_timeout(time::Duration::from_secs(1));
     Ok(())
 }
