--- a/crates/node/src/peers/hub.rs
+++ b/crates/node/src/peers/hub.rs
@@ -152,20 +152,27 @@
                 return Ok(());
             }
         };
+        let queue = &up.queue;
         let length = frame.len();
-        let waiting = up
-            .queue
-            .waiting
-            .fetch_add(length, atomic::Ordering::Relaxed);
+        let waiting = queue.waiting.fetch_add(length, atomic::Ordering::Relaxed);
         let fits = waiting == 0 || waiting + length <= self.shared.config.limits.queue;
-        if fits && up.queue.frames.try_send(frame).is_ok() {
-            self.shared.counters.sent_messages.inc();
-            return Ok(());
+        match queue.frames.try_send(frame) {
+            Ok(()) if fits => {
+                self.shared.counters.sent_messages.inc();
+                Ok(())
+            }
+            Err(mpsc::error::TrySendError::Closed(_)) => {
+                // The connection has ended, and the word of it is on its way here.
+                self.shared.counters.dropped_messages.inc();
+                Ok(())
+            }
+            _ => {
+                self.shared.counters.slow.inc();
+                log::warn!("the link to {to} is closed: {}", error::Error::Slow);
+                let id = up.id;
+                self.down(to, id).await
+            }
         }
-        self.shared.counters.slow.inc();
-        log::warn!("the link to {to} is closed: {}", error::Error::Slow);
-        let id = up.id;
-        self.down(to, id).await
     }
 
     fn is_current(&self, peer: &name::Name, id: u64) -> bool {
