--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -21,8 +21,10 @@
 PIDS=()
 
 stop_all() {
-  [ ${#PIDS[@]} -gt 0 ] && kill -KILL "${PIDS[@]}" 2>/dev/null
-  wait 2>/dev/null
+  if [ ${#PIDS[@]} -gt 0 ]; then
+    disown -a
+    kill -KILL "${PIDS[@]}" 2>/dev/null
+  fi
   PIDS=()
 }
 trap 'stop_all; [ -n "${CAPACITY_KEEP:-}" ] || rm -rf "$DIR"' EXIT
@@ -83,6 +85,9 @@
   curl -s "http://$PLATFORM/standin/calls" | grep -o ':[0-9]*' | tr -d : |
     awk '{ sum += $1 } END { printf "%d", sum }'
 }
+kinds() { # calls of each kind so far
+  curl -s "http://$PLATFORM/standin/calls" | tr -d '{}"' | tr ',:' '\n ' | grep -v ' 0$'
+}
 faults() { curl -sf -X POST "http://$PLATFORM/standin/faults" -H 'content-type: application/json' -d "$1"; }
 rate() { awk -v n="$1" -v t="$2" -v d="${3:-1}" 'BEGIN { printf "%.2f", n / t / d }'; }
 millis() { date +%s%3N; }
@@ -102,13 +107,16 @@
   apply 1
   until_true 60 all_ready "$n" || echo "not all of $n entries became ready"
   sleep 10
+  kinds >"$DIR/kinds"
   before_bytes=$(peer_bytes "$n") before_ticks=$(ticks) before_calls=$(calls)
   sleep $REST_SECONDS
   local bytes=$(($(peer_bytes "$n") - before_bytes)) used=$(($(ticks) - before_ticks))
   local rest=$(($(calls) - before_calls))
   echo "$n entries at rest: $(rate "$bytes" $REST_SECONDS "$n") B/s to and from peers," \
     "$(rate "$used" $REST_SECONDS "$n")% of a core, at most $(resident) KB resident an entry;" \
-    "$(rate $rest $REST_SECONDS) store calls/s in all"
+    "$(rate $rest $REST_SECONDS) store calls/s in all:" \
+    "$(kinds | awk -v t=$REST_SECONDS 'NR == FNR { old[$1] = $2; next }
+      $2 > old[$1] { printf " %s %.2f", $1, ($2 - old[$1]) / t }' "$DIR/kinds" -)"
   before_calls=$(calls) began=$(millis)
   apply 2
   until_true 30 all_in_force "$n" 2 || echo "generation 2 is not in force everywhere"
