Remember that an earlier attempt may have run

Cause: a refusal took its verdict from the last attempt alone. A verse whose first attempt failed after it was sent, and which then found no upstream until its deadline, was refused as not run; likewise one blocked or refused by the quarantine after a death. Found by a random sequence through three entries: arrive, fail as may-have-run, wait past the deadline. Ruled out: only the deadline being wrong; the quarantine and the lack of an upstream were too. Change: a flight notes that an ended attempt may have run it; every refusal passes one function that turns not-run into may-have-run then, and the claim is closed as unclear instead of released. Conclusion: not-run is said only of requests of which no attempt may have run.

--- a/crates/core/src/flight.rs
+++ b/crates/core/src/flight.rs
@@ -34,6 +34,8 @@
     pub offset: u32,
     /// Whether a token or the whole answer has come.
     pub started: bool,
+    /// Whether an attempt that has ended may have run it.
+    pub unclear: bool,
     /// Whether the caller has its final answer or has gone.
     pub detached: bool,
     /// The claim of its idempotency key.
--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -91,6 +91,7 @@
         excluded: Vec::new(),
         offset: request.offset,
         started: false,
+        unclear: false,
         detached: false,
         claim: None,
         request,
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -213,6 +213,7 @@
         flight.offset = failure.offset;
         flight.tries = 0;
     }
+    flight.unclear |= failure.verdict != verdict::Verdict::NotRun;
     flight.excluded.push(running.choice.upstream);
     flight.stage = flight::Stage::Queued;
     let timer = if flight.started {
@@ -227,7 +228,7 @@
     let verdict = if offset(state, id) > 0 {
         verdict::Verdict::MayHaveRun
     } else {
-        failure.verdict
+        launch::truth(state, id, failure.verdict)
     };
     let delay = retry::backoff(id, 0).max(launch::RETRY_WAIT);
     let retry_at = Some(now.after(delay));
--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -185,8 +185,9 @@
 
 /// Gives the final answer and ends the flight, releasing an unused claim.
 pub fn give_up(state: &mut state::State, now: Time, id: u64, refusal: refusal::Refusal) {
+    let verdict = truth(state, id, refusal.verdict);
     refuse(state, id, refusal);
-    close_claim(state, now, id, refusal.verdict);
+    close_claim(state, now, id, verdict);
     end(state, now, id, false);
 }
 
@@ -202,8 +203,19 @@
     record::drive(state, now, input);
 }
 
+/// Returns what may be said of a request after all of its attempts, given a verdict on the last.
+pub fn truth(state: &state::State, id: u64, last: verdict::Verdict) -> verdict::Verdict {
+    match last {
+        verdict::Verdict::NotRun if state.flights.get(&id).is_some_and(|f| f.unclear) => {
+            verdict::Verdict::MayHaveRun
+        }
+        _ => last,
+    }
+}
+
 /// Gives a final answer unless the caller has one.
-pub fn refuse(state: &mut state::State, id: u64, refusal: refusal::Refusal) {
+pub fn refuse(state: &mut state::State, id: u64, mut refusal: refusal::Refusal) {
+    refusal.verdict = truth(state, id, refusal.verdict);
     if state.flights.get(&id).is_some_and(|f| f.detached) {
         return;
     }
