Keep the deadline of a request that waits for its turn

Cause: a request that backed off and then had to wait for its turn in the quarantine had no timer any more, since the one that woke it was spent; an order of 5 s was answered after up to 120 s, the quarantine's own patience. Change: waiting for a turn sets the timer to the deadline, or to none for a stream under way. Conclusion: the answer comes by the deadline.

--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -41,13 +41,26 @@
     let admission = state.quarantine.admit(now, fingerprint, id);
     match admission.pass {
         poison::Pass::Free | poison::Pass::Alone => dispatch(state, now, id),
-        poison::Pass::Wait => set_stage(state, id, flight::Stage::Quarantined),
+        poison::Pass::Wait => await_turn(state, id),
         poison::Pass::Blocked => quarantine::block(state, now, id),
         poison::Pass::Full => quarantine::refuse(state, now, id),
     }
     quarantine::apply(state, now, admission.effects);
 }
 
+/// Waits for a turn until the deadline; a stream under way waits as long as the quarantine lets it.
+fn await_turn(state: &mut state::State, id: u64) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    flight.stage = flight::Stage::Quarantined;
+    let timer = match flight.started {
+        true => Time::MAX,
+        false => flight.deadline,
+    };
+    state.set_timer(id, timer);
+}
+
 /// Claims the idempotency key, unless no upstream could take the request anyway.
 fn claim(state: &mut state::State, now: Time, id: u64) {
     let Some(flight) = state.flights.get(&id) else {
