Make one store call of a kind at a time

Cause: an entry that was restarted read the instance list at its start and again when it began to watch; each reply planned the next read, so it read the list twice a second from then on, and once more often after each further loss of its links. The watches of documents and notices doubled in the same way when they were given up and taken up again. Found by random sequences: a restart and 5 s without links leave two reads of the list under way. Ruled out: merging plans for the same instant, which was there; replies differ in time. Change: no second watch or wait for notices beside one under way; a second read comes 100 ms later, since the one under way may miss the change; of two alike plans only the earlier is kept. Conclusion: at most one call of a kind is under way at each step of the random sequences.

--- a/crates/core/src/reduce/document.rs
+++ b/crates/core/src/reduce/document.rs
@@ -23,19 +23,22 @@
 /// Shortest wait after a failed call; up to as much again is added by jitter.
 const RETRY_WAIT: time::Duration = time::Duration::from_secs(1);
 
+/// How long after a read under way another one of the same document is made.
+const READ_AGAIN: time::Duration = time::Duration::from_millis(100);
+
 /// How long a leaving fact holds.
 const LEAVING_HOLD: time::Duration = time::Duration::from_secs(3_600);
 
 /// Reads each document once.
 pub fn start(state: &mut state::State, now: Time) {
     for topic in peering::Topic::ALL {
-        read(state, topic);
+        read(state, now, topic);
     }
     link::peer(state, now, peering::Input::Tick);
 }
 
 /// Begins or ends the watch of a topic.
-pub fn watch(state: &mut state::State, topic: peering::Topic, active: bool) {
+pub fn watch(state: &mut state::State, now: Time, topic: peering::Topic, active: bool) {
     if !active {
         state.watched.remove(&topic);
         return;
@@ -45,11 +48,8 @@
     }
     match topic {
         peering::Topic::Members => {
-            read(state, topic);
-            state.call(
-                state::Purpose::Notices(0),
-                store::Call::Notices { since: 0 },
-            );
+            read(state, now, topic);
+            await_notices(state, 0);
         }
         _ => wait(state, topic),
     }
@@ -80,41 +80,63 @@
     }
 }
 
-/// Puts a call off.
+/// Puts a call off; of two alike only the earlier one is made.
 pub fn put_off(state: &mut state::State, at: Time, purpose: state::Purpose) {
-    let due = state.later.entry(at).or_default();
-    if !due.contains(&purpose) {
-        due.push(purpose);
+    let alike = |p: &state::Purpose| p.is_alike(purpose);
+    let planned = state
+        .later
+        .iter()
+        .find_map(|(at, due)| due.iter().any(alike).then_some(*at));
+    if planned.is_some_and(|planned| planned <= at) {
+        return;
     }
+    state.later.retain(|_, due| {
+        due.retain(|p| !alike(p));
+        !due.is_empty()
+    });
+    state.later.entry(at).or_default().push(purpose);
 }
 
 fn make(state: &mut state::State, now: Time, purpose: state::Purpose) {
     match purpose {
-        state::Purpose::Document(topic) => read(state, topic),
+        state::Purpose::Document(topic) => read(state, now, topic),
         state::Purpose::Watch(topic) => wait(state, topic),
-        state::Purpose::Notices(since) => {
-            state.call(purpose, store::Call::Notices { since });
-        }
+        state::Purpose::Notices(since) => await_notices(state, since),
         state::Purpose::Status => status::write(state, now),
         state::Purpose::StatusRead => status::read(state),
         state::Purpose::Ledger(_) => {}
     }
 }
 
-fn read(state: &mut state::State, topic: peering::Topic) {
+/// Reads a document; beside a read under way, which may miss the latest change, somewhat later.
+fn read(state: &mut state::State, now: Time, topic: peering::Topic) {
+    let purpose = state::Purpose::Document(topic);
+    if state.is_under_way(purpose) {
+        return put_off(state, now.after(READ_AGAIN), purpose);
+    }
     let call = match key(topic) {
         Some(key) => store::Call::Read {
             key: name::Name::from(key),
         },
         None => store::Call::Instances,
     };
-    state.call(state::Purpose::Document(topic), call);
+    state.call(purpose, call);
+}
+
+fn await_notices(state: &mut state::State, since: u64) {
+    let purpose = state::Purpose::Notices(since);
+    if !state.is_under_way(purpose) {
+        state.call(purpose, store::Call::Notices { since });
+    }
 }
 
 fn wait(state: &mut state::State, topic: peering::Topic) {
     let (Some(key), true) = (key(topic), state.watched.contains(&topic)) else {
         return;
     };
+    if state.is_under_way(state::Purpose::Watch(topic)) {
+        return;
+    }
     let since = state.revisions.get(&topic).copied().unwrap_or(0);
     let prefix = name::Name::from(key);
     state.call(
@@ -175,7 +197,7 @@
     state.revisions.insert(topic, revision);
     let own = |entry: &store::Entry| Some(entry.key.as_str()) == key(topic);
     if objects.iter().any(own) {
-        read(state, topic);
+        read(state, now, topic);
     }
     wait(state, topic);
 }
@@ -188,8 +210,7 @@
         leaving(state, now, notice.instance, None);
     }
     if state.watched.contains(&peering::Topic::Members) {
-        let call = store::Call::Notices { since: next };
-        state.call(state::Purpose::Notices(next), call);
+        await_notices(state, next);
     }
 }
 
--- a/crates/core/src/reduce/link.rs
+++ b/crates/core/src/reduce/link.rs
@@ -28,7 +28,7 @@
         peering::Output::Unlink(name) => state.emit(effect::Effect::Unlink(name)),
         peering::Output::Learned { fact } => learned(state, now, &fact),
         peering::Output::Adopted(document) => adopted(state, now, &document),
-        peering::Output::Watch { topic, active } => document::watch(state, topic, active),
+        peering::Output::Watch { topic, active } => document::watch(state, now, topic, active),
         peering::Output::Delivered { from, body } => quarantine::receive(state, now, &from, &body),
         peering::Output::Reports(_) => {}
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -114,6 +114,16 @@
     pub pending: bool,
 }
 
+impl Purpose {
+    /// Tells whether one call for the two of them is enough.
+    pub fn is_alike(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::Notices(_), Self::Notices(_)) => true,
+            _ => self == other,
+        }
+    }
+}
+
 impl State {
     /// Returns the state of an entry that has just started.
     ///
@@ -190,6 +200,11 @@
         });
     }
 
+    /// Tells whether a call for this purpose has no reply yet.
+    pub(crate) fn is_under_way(&self, purpose: Purpose) -> bool {
+        self.calls.values().any(|p| p.is_alike(purpose))
+    }
+
     pub(crate) fn new_attempt(&mut self, request: u64) -> u64 {
         self.next_attempt += 1;
         self.attempts.insert(self.next_attempt, request);
