--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -41,13 +41,26 @@
     let admission = state.quarantine.admit(now, fingerprint, id);
     match admission.pass {
         poison::Pass::Free | poison::Pass::Alone => dispatch(state, now, id),
-        poison::Pass::Wait => set_stage(state, id, flight::Stage::Quarantined),
+        poison::Pass::Wait => await_turn(state, id),
         poison::Pass::Blocked => quarantine::block(state, now, id),
         poison::Pass::Full => quarantine::refuse(state, now, id),
     }
     quarantine::apply(state, now, admission.effects);
 }
 
+/// Waits for a turn until the deadline; a stream under way waits as long as the quarantine lets it.
+fn await_turn(state: &mut state::State, id: u64) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    flight.stage = flight::Stage::Quarantined;
+    let timer = match flight.started {
+        true => Time::MAX,
+        false => flight.deadline,
+    };
+    state.set_timer(id, timer);
+}
+
 /// Claims the idempotency key, unless no upstream could take the request anyway.
 fn claim(state: &mut state::State, now: Time, id: u64) {
     let Some(flight) = state.flights.get(&id) else {
@@ -220,8 +233,9 @@
 
 /// Gives the final answer and ends the flight, releasing an unused claim.
 pub fn give_up(state: &mut state::State, now: Time, id: u64, refusal: refusal::Refusal) {
+    let verdict = truth(state, id, refusal.verdict);
     refuse(state, id, refusal);
-    close_claim(state, now, id, refusal.verdict);
+    close_claim(state, now, id, verdict);
     end(state, now, id, false);
 }
 
@@ -237,8 +251,19 @@
     record::drive(state, now, input);
 }
 
+/// Returns what may be said of a request after all of its attempts, given a verdict on the last.
+pub fn truth(state: &state::State, id: u64, last: verdict::Verdict) -> verdict::Verdict {
+    match last {
+        verdict::Verdict::NotRun if state.flights.get(&id).is_some_and(|f| f.unclear) => {
+            verdict::Verdict::MayHaveRun
+        }
+        _ => last,
+    }
+}
+
 /// Gives a final answer unless the caller has one.
-pub fn refuse(state: &mut state::State, id: u64, refusal: refusal::Refusal) {
+pub fn refuse(state: &mut state::State, id: u64, mut refusal: refusal::Refusal) {
+    refusal.verdict = truth(state, id, refusal.verdict);
     if state.flights.get(&id).is_some_and(|f| f.detached) {
         return;
     }
