Split the fleet, keep latches over declarations, and weigh price and risk

Cause: the fleet's file held membership, ranking and events; a changed or removed declaration lost the leaving latch; price had no weight; one leaving instance made its whole failure domain suspect; wake could lie in the past. Ruled out: recounting ejections in each decision (only when nothing is usable). Change: roster, pool and chooser apart; latches of undeclared upstreams are kept, at most 4,096; price and the reclaimed part of a domain count in the rank; up to twelve draws find three usable samples.

--- /dev/null
+++ b/crates/core/src/routing/chooser.rs
@@ -0,0 +1,165 @@
+//! One choice among the upstreams of a pool.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+use rand::rngs;
+
+use super::choice;
+use super::exhausted;
+use super::holders;
+use super::query;
+use super::region;
+use super::upstream;
+use super::weights;
+use crate::declaration;
+use crate::name;
+use crate::time;
+
+/// Usable upstreams sampled at random for one decision.
+const SAMPLES: usize = 3;
+/// Upstreams drawn to find these at most.
+const DRAWS: usize = 12;
+/// Shortest time after which a caller is asked to come back.
+const MIN_RETRY: Duration = Duration::from_millis(50);
+/// Longest time after which a caller is asked to come back.
+const MAX_RETRY: Duration = Duration::from_secs(30);
+
+/// Everything that one choice looks at.
+pub(super) struct Chooser<'a> {
+    pub now: time::Time,
+    pub query: &'a query::Query,
+    pub version: Option<&'a name::Name>,
+    pub pool: &'a [usize],
+    pub upstreams: &'a [upstream::Upstream],
+    pub holders: &'a holders::Holders,
+    pub regions: &'a region::Regions,
+    pub weights: &'a weights::Weights,
+}
+
+/// A usable upstream with its rank; less is better.
+struct Candidate<'a> {
+    upstream: &'a upstream::Upstream,
+    expected: Duration,
+    rank: Duration,
+}
+
+impl<'a> Chooser<'a> {
+    /// Picks the sticky upstream, or the best of some random ones and those that hold the prompt.
+    ///
+    /// Only if none of these is usable are all looked at, and only if none at all is usable and
+    /// most are ejected, the ejected ones too.
+    ///
+    /// # Errors
+    /// Returns the time to come back when no upstream has room.
+    pub fn choose(
+        &self,
+        sticky: Option<usize>,
+        rng: &mut rngs::SmallRng,
+    ) -> Result<choice::Choice, exhausted::Exhausted> {
+        let best = self
+            .best(sticky.into_iter(), false)
+            .or_else(|| self.best(self.candidates(rng), false))
+            .or_else(|| self.best(self.pool.iter().copied(), false))
+            .or_else(|| {
+                self.best(
+                    self.pool.iter().copied().filter(|_| self.is_panicking()),
+                    true,
+                )
+            });
+        match best {
+            Some(best) => Ok(self.choice(&best)),
+            None => Err(self.exhausted()),
+        }
+    }
+
+    fn candidates<'r>(&'r self, rng: &'r mut rngs::SmallRng) -> impl Iterator<Item = usize> + 'r {
+        let draws = if self.pool.is_empty() { 0 } else { DRAWS };
+        let drawn = (0..draws).map(|_| self.pool[rng.random_range(0..self.pool.len())]);
+        let usable = drawn.filter(|&slot| self.is_usable(&self.upstreams[slot], false));
+        usable
+            .take(SAMPLES)
+            .chain(self.holders.deepest(&self.query.blocks))
+    }
+
+    fn best(&self, slots: impl Iterator<Item = usize>, panic: bool) -> Option<Candidate<'a>> {
+        let upstreams = slots.filter_map(|slot| self.upstreams.get(slot));
+        let usable = upstreams.filter(|upstream| self.is_usable(upstream, panic));
+        usable
+            .map(|upstream| self.rank(upstream))
+            .min_by_key(|candidate| candidate.rank)
+    }
+
+    fn is_usable(&self, upstream: &upstream::Upstream, panic: bool) -> bool {
+        let query = self.query;
+        upstream.is_open()
+            && self.is_in_pool(upstream)
+            && !query.excluded.contains(&upstream.declared.name)
+            && (panic || !upstream.health.is_ejected(self.now))
+            && !upstream.health.is_paused(self.now)
+            && upstream.has_room(
+                self.now,
+                query.prompt,
+                upstream.prefix.cached(&query.blocks),
+            )
+    }
+
+    fn is_in_pool(&self, upstream: &upstream::Upstream) -> bool {
+        let declared = &upstream.declared;
+        let fits = self
+            .version
+            .is_none_or(|version| *version == declared.version);
+        fits && declared.service == self.query.service
+    }
+
+    fn is_panicking(&self) -> bool {
+        let all = self.pool.iter().map(|&slot| &self.upstreams[slot]);
+        let ejected = all.filter(|upstream| upstream.health.is_ejected(self.now));
+        ejected.count() * 2 > self.pool.len()
+    }
+
+    fn rank(&self, upstream: &'a upstream::Upstream) -> Candidate<'a> {
+        let cached = upstream.prefix.cached(&self.query.blocks);
+        let uncached = self.query.prompt.saturating_sub(cached);
+        let expected = upstream.expected(self.now, uncached);
+        let crowding = upstream.estimate.prefill(uncached) * self.weights.recompute;
+        let price = self.weights.price.mul_f64(upstream.doublings);
+        Candidate {
+            upstream,
+            expected,
+            rank: expected + crowding + price + self.risk(upstream),
+        }
+    }
+
+    /// Returns the time that the risk of a reclaim is worth.
+    fn risk(&self, upstream: &upstream::Upstream) -> Duration {
+        if upstream.declared.market == declaration::Market::OnDemand {
+            return Duration::ZERO;
+        }
+        let heat = self.regions.heat(self.now, &upstream.declared.domain);
+        self.weights.reclaim.mul_f64(heat)
+    }
+
+    fn choice(&self, candidate: &Candidate<'_>) -> choice::Choice {
+        let upstream = candidate.upstream;
+        choice::Choice {
+            upstream: upstream.declared.name.clone(),
+            version: upstream.declared.version.clone(),
+            address: upstream.declared.address,
+            incarnation: upstream.incarnation,
+            expected: self.now.after(candidate.expected),
+        }
+    }
+
+    fn exhausted(&self) -> exhausted::Exhausted {
+        let all = self.pool.iter().map(|&slot| &self.upstreams[slot]);
+        let waits = all.filter(|upstream| upstream.is_open()).map(|upstream| {
+            let ahead = f64::from(upstream.ahead(self.now).max(1));
+            upstream.estimate.wait(ahead, upstream.slots(self.now))
+        });
+        let wait = waits.min().unwrap_or(MAX_RETRY).clamp(MIN_RETRY, MAX_RETRY);
+        exhausted::Exhausted {
+            retry_at: self.now.after(wait),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/pool.rs
@@ -0,0 +1,35 @@
+//! The upstreams of one service.
+
+use std::collections;
+
+use crate::name;
+
+/// Indices of the upstreams of one service, by version.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pool {
+    /// The version that gets traffic when none is asked for.
+    pub version: Option<name::Name>,
+    /// Upstreams of all versions.
+    pub all: Vec<usize>,
+    versions: collections::BTreeMap<name::Name, Vec<usize>>,
+}
+
+impl Pool {
+    /// Adds an upstream that runs a version.
+    pub fn push(&mut self, version: &name::Name, slot: usize) {
+        self.all.push(slot);
+        self.versions.entry(version.clone()).or_default().push(slot);
+    }
+
+    /// Returns the upstreams of a version, or all.
+    pub fn of(&self, version: Option<&name::Name>) -> &[usize] {
+        match version {
+            Some(version) => self
+                .versions
+                .get(version)
+                .map(Vec::as_slice)
+                .unwrap_or_default(),
+            None => &self.all,
+        }
+    }
+}
--- a/crates/core/src/routing/region.rs
+++ b/crates/core/src/routing/region.rs
@@ -13,7 +13,7 @@
 const REGIONAL: Duration = Duration::from_millis(5);
 /// One-way delay between regions.
 const REMOTE: Duration = Duration::from_millis(30);
-/// How long one reclaim makes its failure domain suspect.
+/// How long a reclaim makes its failure domain suspect.
 const HEAT: Duration = Duration::from_secs(30);
 
 /// What is known of the failure domains.
@@ -21,7 +21,14 @@
 pub(super) struct Regions {
     home: name::Name,
     regions: collections::BTreeMap<name::Name, name::Name>,
-    hot: collections::BTreeMap<name::Name, time::Time>,
+    hot: collections::BTreeMap<name::Name, Heat>,
+}
+
+/// Recent reclaims in one failure domain.
+#[derive(Clone, Copy, Debug, Default)]
+struct Heat {
+    part: f64,
+    until: time::Time,
 }
 
 impl Regions {
@@ -52,13 +59,19 @@
         }
     }
 
-    /// Notes a reclaim in a failure domain.
-    pub fn reclaim(&mut self, now: time::Time, domain: &name::Name) {
-        self.hot.insert(domain.clone(), now.after(HEAT));
+    /// Notes that a part of a failure domain's reclaimable instances leaves.
+    pub fn reclaim(&mut self, now: time::Time, domain: &name::Name, part: f64) {
+        let present = self.heat(now, domain);
+        let heat = Heat {
+            part: (present + part).min(1.0),
+            until: now.after(HEAT),
+        };
+        self.hot.insert(domain.clone(), heat);
     }
 
-    /// Returns whether instances of a failure domain were reclaimed lately.
-    pub fn is_hot(&self, now: time::Time, domain: &name::Name) -> bool {
-        self.hot.get(domain).is_some_and(|&until| until > now)
+    /// Returns the part of a failure domain that was reclaimed lately.
+    pub fn heat(&self, now: time::Time, domain: &name::Name) -> f64 {
+        let heat = self.hot.get(domain).filter(|heat| heat.until > now);
+        heat.map_or(0.0, |heat| heat.part)
     }
 }
--- /dev/null
+++ b/crates/core/src/routing/roster.rs
@@ -0,0 +1,149 @@
+//! Which upstreams there are.
+
+use std::collections;
+
+use super::pool;
+use super::query;
+use super::region;
+use super::upstream;
+use crate::declaration;
+use crate::name;
+use crate::time;
+
+/// Latches of undeclared upstreams that are remembered at most.
+const MAX_RETIRED: usize = 4_096;
+
+/// All declared upstreams by index, name and service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Roster {
+    /// Upstreams; their indices last until the next declaration.
+    pub upstreams: Vec<upstream::Upstream>,
+    index: collections::HashMap<name::Name, usize>,
+    pools: collections::BTreeMap<name::Name, pool::Pool>,
+    retired: collections::HashMap<name::Name, u64>,
+}
+
+impl Roster {
+    /// Takes over a declaration; returns the new index of each former one that is unchanged.
+    pub fn declare(
+        &mut self,
+        warm_at: time::Time,
+        declaration: &declaration::Declaration,
+        regions: &region::Regions,
+    ) -> Vec<Option<usize>> {
+        let known = std::mem::take(&mut self.index);
+        let old = std::mem::take(&mut self.upstreams);
+        let mut moves = vec![None; old.len()];
+        let mut old: Vec<_> = old.into_iter().map(Some).collect();
+        for declared in &declaration.upstreams {
+            let from = known.get(&declared.name).copied();
+            let former = from.and_then(|slot| old[slot].take());
+            let unchanged = former.as_ref().is_some_and(|f| f.declared == *declared);
+            if let Some(slot) = from.filter(|_| unchanged) {
+                moves[slot] = Some(self.upstreams.len());
+            }
+            let retired = self.retired.remove(&declared.name);
+            let mut upstream = match former {
+                Some(former) if unchanged => former,
+                former => upstream::Upstream::new(declared.clone(), warm_at, former.as_ref()),
+            };
+            upstream.leaving = upstream.leaving.max(retired);
+            upstream.link = regions.link(&declared.domain);
+            upstream.price = price(declaration, declared);
+            self.index
+                .insert(declared.name.clone(), self.upstreams.len());
+            self.upstreams.push(upstream);
+        }
+        for gone in old.into_iter().flatten() {
+            if let Some(leaving) = gone.leaving {
+                self.retire(&gone.declared.name, leaving);
+            }
+        }
+        self.regroup(declaration);
+        moves
+    }
+
+    /// Returns the index of an upstream.
+    pub fn find(&self, upstream: &name::Name) -> Option<usize> {
+        self.index.get(upstream).copied()
+    }
+
+    /// Returns an upstream by name.
+    pub fn get(&self, upstream: &name::Name) -> Option<&upstream::Upstream> {
+        Some(&self.upstreams[self.find(upstream)?])
+    }
+
+    /// Returns an upstream by name, to change it.
+    pub fn get_mut(&mut self, upstream: &name::Name) -> Option<&mut upstream::Upstream> {
+        let slot = self.find(upstream)?;
+        Some(&mut self.upstreams[slot])
+    }
+
+    /// Returns the version that a query means: its own or the declared one.
+    pub fn version<'a>(&'a self, query: &'a query::Query) -> Option<&'a name::Name> {
+        let pool = self.pools.get(&query.service);
+        let declared = pool.and_then(|pool| pool.version.as_ref());
+        query.version.as_ref().or(declared)
+    }
+
+    /// Returns the indices of a service's upstreams, of one version where it is given.
+    pub fn pool(&self, service: &name::Name, version: Option<&name::Name>) -> &[usize] {
+        self.pools
+            .get(service)
+            .map(|pool| pool.of(version))
+            .unwrap_or_default()
+    }
+
+    /// Returns a service's upstreams of all versions.
+    pub fn all(&self, service: &name::Name) -> impl Iterator<Item = &upstream::Upstream> {
+        let slots = self.pools.get(service).map(|pool| pool.all.as_slice());
+        slots
+            .unwrap_or_default()
+            .iter()
+            .map(|&slot| &self.upstreams[slot])
+    }
+
+    /// Returns the declared services.
+    pub fn services(&self) -> impl Iterator<Item = &name::Name> {
+        self.pools.keys()
+    }
+
+    /// Remembers the latch of an upstream that is not declared.
+    pub fn retire(&mut self, upstream: &name::Name, incarnation: u64) {
+        if self.retired.len() >= MAX_RETIRED && !self.retired.contains_key(upstream) {
+            return;
+        }
+        let known = self.retired.entry(upstream.clone()).or_default();
+        *known = incarnation.max(*known);
+    }
+
+    fn regroup(&mut self, declaration: &declaration::Declaration) {
+        self.pools.clear();
+        for service in &declaration.services {
+            let pool = self.pools.entry(service.name.clone()).or_default();
+            pool.version = Some(service.version.clone());
+        }
+        for (slot, upstream) in self.upstreams.iter().enumerate() {
+            let declared = &upstream.declared;
+            let pool = self.pools.entry(declared.service.clone()).or_default();
+            pool.push(&declared.version, slot);
+        }
+        for pool in self.pools.values() {
+            let prices = pool.all.iter().map(|&slot| self.upstreams[slot].price);
+            let cheapest = prices.filter(|&price| price > 0).min().unwrap_or(0);
+            for &slot in &pool.all {
+                self.upstreams[slot].compare_price(cheapest);
+            }
+        }
+    }
+}
+
+fn price(declaration: &declaration::Declaration, upstream: &declaration::Upstream) -> u64 {
+    let mut classes = declaration.classes.iter();
+    let class = classes.find(|class| {
+        class.name == upstream.class
+            && class.domain == upstream.domain
+            && class.market == upstream.market
+    });
+    class.map_or(0, |class| class.price)
+}
--- a/crates/core/src/routing/upstream.rs
+++ b/crates/core/src/routing/upstream.rs
@@ -40,16 +40,23 @@
     pub pending: u32,
     pub link: Duration,
     pub price: u64,
+    pub doublings: f64,
     warm_at: time::Time,
 }
 
 impl Upstream {
     /// Builds an upstream that is at full share from `warm_at` on.
-    pub fn new(declared: declaration::Upstream, warm_at: time::Time) -> Self {
+    ///
+    /// One that replaces a former one of its name keeps that one's incarnation and latch.
+    pub fn new(
+        declared: declaration::Upstream,
+        warm_at: time::Time,
+        former: Option<&Self>,
+    ) -> Self {
         Self {
             declared,
-            incarnation: UNKNOWN,
-            leaving: None,
+            incarnation: former.map_or(UNKNOWN, |former| former.incarnation),
+            leaving: former.and_then(|former| former.leaving),
             tally: tally::Tally::default(),
             prefix: prefix::Prefix::default(),
             health: health::Health::default(),
@@ -57,10 +64,21 @@
             pending: 0,
             link: Duration::ZERO,
             price: 0,
+            doublings: 0.0,
             warm_at,
         }
     }
 
+    /// Notes how often the price doubles the cheapest one.
+    pub fn compare_price(&mut self, cheapest: u64) {
+        let known = self.price > 0 && cheapest > 0;
+        self.doublings = if known {
+            (self.price as f64 / cheapest as f64).log2()
+        } else {
+            0.0
+        };
+    }
+
     /// Returns when an upstream that starts now is at full share.
     pub fn warm_after(now: time::Time) -> time::Time {
         now.after(SLOW_START)
--- a/crates/core/src/routing/weights.rs
+++ b/crates/core/src/routing/weights.rs
@@ -9,7 +9,7 @@
     pub recompute: u32,
     /// Delay accepted to run at half the price.
     pub price: time::Duration,
-    /// Delay accepted to stay out of a failure domain that is being reclaimed.
+    /// Delay accepted to stay out of a failure domain that is wholly being reclaimed.
     pub reclaim: time::Duration,
 }
 
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -212,3 +212,115 @@
     let choice = fleet.choose(later, &query(&[])).expect("room");
     assert_eq!(choice.upstream, name("engine-1"));
 }
+
+#[rstest]
+#[case::changed(true, true)]
+#[case::removed_and_back(true, false)]
+#[case::before_declared(false, true)]
+fn leave_outlives_declaration(#[case] declared_first: bool, #[case] stays: bool) {
+    let mut fleet = routing::Fleet::new(name("tolgoit"), 7);
+    if declared_first {
+        fleet.declare(NOW, &declaration(1));
+    }
+    fleet.leave(&name("engine-0"), 0);
+    if !stays {
+        fleet.declare(NOW, &declaration(0));
+    }
+    let mut changed = declaration(1);
+    changed.upstreams[0].slots = 9;
+    fleet.declare(NOW, &changed);
+    assert!(fleet.choose(NOW, &query(&[])).is_err(), "latch lost");
+    fleet.returned(NOW, &name("engine-0"), 1);
+    assert!(fleet.choose(NOW, &query(&[])).is_ok());
+}
+
+#[test]
+fn choose_prefers_cheap_when_equal() {
+    let mut dear = declaration(20);
+    for upstream in &mut dear.upstreams[1..] {
+        upstream.class = name("gpu-large");
+    }
+    let class = |text: &str, price| declaration::Class {
+        name: name(text),
+        domain: name("tolgoit"),
+        market: declaration::Market::Reclaimable,
+        price,
+    };
+    dear.classes = vec![class("gpu-small", 100), class("gpu-large", 800)];
+    dear.upstreams.truncate(2);
+    let mut fleet = routing::Fleet::new(name("tolgoit"), 7);
+    fleet.declare(NOW, &dear);
+    let picks = (0..50).filter(|_| {
+        let choice = fleet.choose(NOW, &query(&[])).expect("room");
+        choice.upstream == name("engine-0")
+    });
+    assert!(picks.count() >= 40, "price ignored");
+}
+
+#[test]
+fn choose_avoids_reclaimed_domain() {
+    let mut two = declaration(8);
+    for upstream in &mut two.upstreams[..4] {
+        upstream.domain = name("altan-ulgii");
+    }
+    let mut fleet = routing::Fleet::new(name("tolgoit"), 7);
+    fleet.declare(NOW, &two);
+    assert!(fleet.choose(NOW, &query(&[])).is_ok());
+    for index in 0..3 {
+        fleet.leave(&name(&format!("engine-{index}")), 0);
+    }
+    let picks = (0..50).filter(|_| {
+        let choice = fleet.choose(NOW, &query(&[])).expect("room");
+        choice.upstream == name("engine-3")
+    });
+    assert!(picks.count() <= 2, "the reclaimed domain still gets work");
+}
+
+#[test]
+fn wake_lies_ahead() {
+    let mut fleet = fleet(1);
+    assert_eq!(fleet.wake(), None);
+    let choice = fleet.choose(NOW, &query(&[])).expect("room");
+    fleet.start(NOW, 1, &choice, &query(&[]));
+    fleet.end(NOW, 1, routing::Outcome::Refused);
+    assert!(fleet.wake().is_some_and(|at| at > NOW));
+    let later = time::Time::from_millis(60_000);
+    assert!(fleet.choose(later, &query(&[])).is_ok());
+    assert_eq!(fleet.wake(), None);
+}
+
+#[test]
+fn capacity_follows_others_load() {
+    let mut fleet = fleet(10);
+    let service = name("verse-scribe");
+    let free = fleet.capacity(NOW, &service);
+    let mut now = NOW;
+    for _ in 0..100 {
+        now = now.after(std::time::Duration::from_millis(100));
+        for index in 0..10 {
+            fleet.report(now, &name(&format!("engine-{index}")), load(0, 4, now));
+        }
+        fleet.capacity(now, &service);
+    }
+    let full = fleet.capacity(now, &service);
+    assert!(
+        full <= 4 && free >= 10,
+        "{free} slots free, {full} when others fill them"
+    );
+    assert!(full >= 1, "a node must be able to start");
+}
+
+#[test]
+fn is_failing_needs_many_upstreams() {
+    let mut fleet = fleet(10);
+    let service = name("verse-scribe");
+    let mut tried = query(&[]);
+    for attempt in 0..5 {
+        assert!(!fleet.is_failing(&service), "failing after {attempt} of 10");
+        let choice = fleet.choose(NOW, &tried).expect("room");
+        tried.excluded.push(choice.upstream.clone());
+        fleet.start(NOW, attempt, &choice, &tried);
+        fleet.end(NOW, attempt, routing::Outcome::Failed);
+    }
+    assert!(fleet.is_failing(&service));
+}
