Show controllers, a drain and two rollouts in the demo

Cause: the demo ended with the second configuration; nothing showed versions moving. Ruled out: a check that only reads the final state, since a rollout without traffic is taken back by its deadline as well; the load generator runs during the drain and both rollouts. Change: nine controllers, a drained engine under load, a version that fails half its requests and a good one. Conclusion: the whole path with its control side runs as separate processes.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -24,7 +24,7 @@
   done
   jobs -rp | xargs -r kill -KILL 2>/dev/null
   wait 2>/dev/null
-  [ -n "${DEMO_KEEP:-}" ] || rm -rf "$DIR"
+  if [ -n "${DEMO_KEEP:-}" ]; then echo "kept $DIR"; else rm -rf "$DIR"; fi
 }
 trap stop_all EXIT
 
@@ -100,6 +100,8 @@
   start "entry-$i" "$BIN/guavausher-entry" --name "entry-$i" --domain "$domain" --incarnation "$i" \
     --listen "$(entry "$i")" --peer-listen "127.0.0.1:$((20100 + i))" \
     --admin-listen "127.0.0.1:$((20200 + i))"
+  start "controller-$i" "$BIN/guavausher-controller" --name "entry-$i" --domain "$domain" \
+    --entry "127.0.0.1:$((20100 + i))" --controller-listen "127.0.0.1:$((20300 + i))"
 done
 
 echo "nine entries, ten engines, three kiosks; configuration from examples/"
@@ -140,10 +142,63 @@
 [ "$ids" -eq 200 ] && [ "$unique" -eq 200 ] && grep -q 'event: done' "$DIR/long"
 check "engine verse-${victim:-?} killed in mid-stream, all 200 tokens once" $?
 
-sed 's/rate = 20, concurrency = 20/rate = 25, concurrency = 20/' examples/erdene.toml >"$DIR/erdene.toml"
+change() { # generation, file: apply and wait until it is in force everywhere
+  "$BIN/guavactl" apply --base examples/base.toml --overlay "$2" >"$DIR/apply-$1.out" 2>&1 &&
+    until_true 8 all_in_force "$1"
+}
+rollout() { # faults, verdict: moves verses from v1 to v2 on two new engines
+  for i in 11 12; do
+    curl -sf -X POST "http://127.0.0.1:$((21000 + i))/standin/faults" -d "$1" >/dev/null
+  done
+  local deadline
+  deadline=$(date -u -d "+$3 seconds" +%Y-%m-%dT%H:%M:%SZ)
+  {
+    cat examples/erdene.toml
+    for i in 11 12; do
+      printf '[upstreams.verse-%s]\nservice = "verse-scribe"\nversion = "v2"\n' "$i"
+      printf 'address = "127.0.0.1:%s"\ndomain = "tolgoit"\nclass = "gpu-large"\n' $((21000 + i))
+      printf 'market = "on-demand"\nslots = 64\n'
+    done
+    printf '[rollouts.verse-scribe]\nfrom = "v1"\nto = "v2"\nshare = 100\ndeadline = "%s"\n' "$deadline"
+  } >"$DIR/rollout.toml"
+  GENERATION=$((GENERATION + 1))
+  change "$GENERATION" "$DIR/rollout.toml" || return 1
+  "$BIN/guavactl" wait --rollout verse-scribe --timeout $(($3 + 10)) >"$DIR/wait.out" 2>&1
+  "$BIN/guavactl" status --json >"$DIR/status.out" 2>&1
+  grep -q "\"$2\"" "$DIR/status.out"
+}
+
+sed 's/rate = 20, concurrency = 20/rate = 200, concurrency = 200/' examples/erdene.toml >"$DIR/erdene.toml"
 began=$SECONDS
-"$BIN/guavactl" apply --base examples/base.toml --overlay "$DIR/erdene.toml" >"$DIR/apply2.out" 2>&1 && until_true 8 all_in_force 2
+change 2 "$DIR/erdene.toml"
 check "generation 2 is in force at all entries within 8 s ($((SECONDS - began)) s)" $?
 
+for i in 11 12; do
+  port=$((21000 + i))
+  start "verse-$i" "$BIN/standin-engine" --listen 127.0.0.1:$port --incarnation 1 --token-ms 20 \
+    --fencing --serves v2
+  register "verse-$i" 127.0.0.1:$port tolgoit upstream 1
+done
+{
+  echo 'targets = ["127.0.0.1:20001", "127.0.0.1:20002", "127.0.0.1:20003", "127.0.0.1:20004", "127.0.0.1:20005", "127.0.0.1:20006", "127.0.0.1:20007", "127.0.0.1:20008", "127.0.0.1:20009"]'
+  printf 'rate = 60.0\nduration = 70\nseed = 1\n'
+  printf '[[requests]]\nweight = 1\npath = "/v1/verse"\nworkspace = "kiosks-east"\nwords = 20\nmax_tokens = 10\n'
+} >"$DIR/load.toml"
+start load "$BIN/guavausher-load" --scenario "$DIR/load.toml"
+requests_of() { curl -s "http://127.0.0.1:$1/standin/runs" | grep -o ':' | wc -l; }
+sleep 2
+"$BIN/guavactl" drain verse-2 >"$DIR/drain.out" 2>&1
+sleep 3
+before=$(requests_of 21002)
+sleep 3
+after=$(requests_of 21002)
+[ "$before" -gt 0 ] && [ "$after" -eq "$before" ]
+check "drained engine verse-2 gets nothing new after 3 s ($before, $after)" $?
+GENERATION=2
+rollout '{"error_rate":500}' taken-back 40
+check "a bad version is taken back ($(grep -o '"share":[0-9]*' "$DIR/status.out" | head -1))" $?
+rollout '{"error_rate":0}' done 60
+check "a good version takes over by its deadline" $?
+
 echo "$PASSED passed, $FAILED failed"
 [ "$FAILED" -eq 0 ]
