Answer a resend from the ledger although no upstream can take it

Cause: a resend of an order that had run was refused as overloaded while the only upstream of its service was leaving: admission came before the ledger. Ruled out: claiming before admission, since each refused order would then cost a claim and a release in the store just when the system is overloaded. Change: before a keyed order is refused for lack of capacity, the ledger is asked for an earlier run by a claim that only reads; reads of a partition are shared and the breaker bounds them in an outage. Conclusion: the stored answer does not depend on the upstreams any more.

--- a/crates/core/src/flight.rs
+++ b/crates/core/src/flight.rs
@@ -5,6 +5,7 @@
 use crate::declaration;
 use crate::ledger;
 use crate::name;
+use crate::refusal;
 use crate::request;
 use crate::routing;
 use crate::time;
@@ -49,6 +50,8 @@
     Queued,
     /// The ledger's answer to the claim.
     Claiming,
+    /// The ledger's word on an earlier run, before this refusal is given.
+    Looking(refusal::Refusal),
     /// Its turn to run alone.
     Quarantined,
     /// An upstream to go on with, until this time.
--- a/crates/core/src/ledger/claim.rs
+++ b/crates/core/src/ledger/claim.rs
@@ -14,6 +14,8 @@
     pub fingerprint: u64,
     /// When the run has ended at the latest.
     pub deadline: time::Time,
+    /// Whether only an earlier run is looked up and nothing is claimed.
+    pub lookup: bool,
     /// Whether the upstreams deduplicate by key, so that a run of unclear end may be repeated.
     pub repeatable: bool,
 }
--- a/crates/core/src/ledger/output.rs
+++ b/crates/core/src/ledger/output.rs
@@ -50,6 +50,8 @@
         /// When to ask again.
         retry_at: time::Time,
     },
+    /// The key has not run; the answer to a lookup.
+    Absent,
     /// The key's earlier run ended unclear and is never repeated.
     Unclear,
     /// The key was used with another body.
--- a/crates/core/src/ledger/partition.rs
+++ b/crates/core/src/ledger/partition.rs
@@ -347,7 +347,7 @@
         let mut kept = Vec::new();
         let mut stale = false;
         for waiting in mem::take(&mut self.waiting) {
-            match self.find(now, &waiting, &next) {
+            match self.judge(now, &waiting, &next) {
                 Finding::Free => {
                     next.records.push(claimed(now, &waiting));
                     self.batch.claims.push(waiting);
@@ -503,6 +503,17 @@
         }
     }
 
+    /// A lookup is answered from the log as it stands now, and claims nothing.
+    fn judge(&self, now: Time, waiting: &Waiting, next: &segment::Segment) -> Finding {
+        match self.find(now, waiting, next) {
+            Finding::Free if waiting.claim.lookup && waiting.fresh => {
+                Finding::Denied(output::Reason::Absent)
+            }
+            Finding::Free if waiting.claim.lookup => Finding::Stale,
+            finding => finding,
+        }
+    }
+
     fn find(&self, now: Time, waiting: &Waiting, next: &segment::Segment) -> Finding {
         let claim = &waiting.claim;
         let added = &next.records[self.segment.records.len()..];
--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -33,8 +33,7 @@
     }
     for refused in turn.refused {
         if state.flights.contains_key(&refused.request) {
-            launch::refuse(state, refused.request, refusal_of(refused));
-            launch::end(state, now, refused.request, false);
+            launch::give_up(state, now, refused.request, refusal_of(refused));
         }
     }
 }
@@ -113,8 +112,7 @@
         admission::Decision::Admit => launch::launch(state, now, id),
         admission::Decision::Queue => {}
         admission::Decision::Refuse(refused) => {
-            launch::refuse(state, id, refusal_of(refused));
-            launch::forget(state, id);
+            launch::give_up(state, now, id, refusal_of(refused));
         }
     }
 }
--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -72,13 +72,7 @@
     if let Err(exhausted) = state.fleet.choose(now, &flight.query(None)) {
         return wait_or_refuse(state, now, id, exhausted);
     }
-    let claim = ledger::Claim {
-        request: id,
-        key,
-        fingerprint: flight.request.fingerprint,
-        deadline: flight.deadline.after(CLAIM_GRACE),
-        repeatable: flight.repeatable(),
-    };
+    let claim = claim_of(flight, key, Lookup::No);
     set_stage(state, id, flight::Stage::Claiming);
     record::drive(state, now, ledger::Input::Claim(claim));
 }
@@ -231,8 +225,55 @@
     }
 }
 
+/// Whether a claim only looks for an earlier run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Lookup {
+    No,
+    Yes,
+}
+
+fn claim_of(flight: &flight::Flight, key: name::Name, lookup: Lookup) -> ledger::Claim {
+    ledger::Claim {
+        request: flight.request.id,
+        key,
+        fingerprint: flight.request.fingerprint,
+        deadline: flight.deadline.after(CLAIM_GRACE),
+        lookup: lookup == Lookup::Yes,
+        repeatable: flight.repeatable(),
+    }
+}
+
+/// Tells whether an earlier run of the key may answer the request in place of a refusal.
+fn may_have_answer(state: &state::State, id: u64, refusal: refusal::Refusal) -> bool {
+    let lack = matches!(
+        refusal.code,
+        refusal::Code::Limited | refusal::Code::NoUpstream | refusal::Code::Overloaded
+    );
+    let waits = |f: &flight::Flight| {
+        f.needs_claim() && !f.detached && !matches!(f.stage, flight::Stage::Looking(_))
+    };
+    lack && state.flights.get(&id).is_some_and(waits)
+}
+
+fn look_up(state: &mut state::State, now: Time, id: u64, refusal: refusal::Refusal) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    let Some(key) = arrival::ledger_key(flight) else {
+        return;
+    };
+    flight.stage = flight::Stage::Looking(refusal);
+    let claim = claim_of(flight, key, Lookup::Yes);
+    record::drive(state, now, ledger::Input::Claim(claim));
+}
+
 /// Gives the final answer and ends the flight, releasing an unused claim.
+///
+/// A request that lacks only capacity gets the kept answer of an earlier run if there is one.
 pub fn give_up(state: &mut state::State, now: Time, id: u64, refusal: refusal::Refusal) {
+    if may_have_answer(state, id, refusal) {
+        return look_up(state, now, id, refusal);
+    }
     let verdict = truth(state, id, refusal.verdict);
     refuse(state, id, refusal);
     close_claim(state, now, id, verdict);
--- a/crates/core/src/reduce/record.rs
+++ b/crates/core/src/reduce/record.rs
@@ -21,7 +21,8 @@
         ledger::Output::Granted { request, operation } => granted(state, now, request, operation),
         ledger::Output::Answered { request, kept } => answered(state, now, request, kept),
         ledger::Output::Denied { request, reason } => {
-            refuse(state, now, request, refusal_of(reason));
+            let refusal = refusal_of(state, request, reason);
+            refuse(state, now, request, refusal);
         }
         ledger::Output::Recorded { operation } => recorded(state, now, operation),
         ledger::Output::Call { partition, call } => {
@@ -75,7 +76,21 @@
     launch::end(state, now, id, true);
 }
 
-fn refusal_of(reason: ledger::Reason) -> refusal::Refusal {
+/// A lookup that found no earlier run gives the refusal that it stands for.
+fn refusal_of(state: &state::State, id: u64, reason: ledger::Reason) -> refusal::Refusal {
+    let stage = state.flights.get(&id).map(|f| &f.stage);
+    match (stage, reason) {
+        (
+            Some(flight::Stage::Looking(refusal)),
+            ledger::Reason::Absent
+            | ledger::Reason::Crowded { .. }
+            | ledger::Reason::Unrecorded { .. },
+        ) => *refusal,
+        _ => refusal_by(reason),
+    }
+}
+
+fn refusal_by(reason: ledger::Reason) -> refusal::Refusal {
     let may_have_run = |code, retry_at| refusal::Refusal {
         code,
         verdict: verdict::Verdict::MayHaveRun,
@@ -86,6 +101,7 @@
             may_have_run(refusal::Code::KeyRunning, Some(retry_at))
         }
         ledger::Reason::Unclear => may_have_run(refusal::Code::KeyUnclear, None),
+        ledger::Reason::Absent => arrival::not_run(refusal::Code::NoUpstream, None),
         ledger::Reason::Mismatch => arrival::not_run(refusal::Code::KeyMismatch, None),
         ledger::Reason::Unrecorded { retry_at } | ledger::Reason::Crowded { retry_at } => {
             arrival::not_run(refusal::Code::Unrecorded, Some(retry_at))
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -157,6 +157,7 @@
         key: name::Name::from(key),
         fingerprint: 7,
         deadline: START.after(Duration::from_secs(30)),
+        lookup: false,
         repeatable: false,
     }
 }
@@ -286,6 +287,41 @@
     assert!(paused.granted.is_empty());
 }
 
+#[rstest]
+#[case::answered(true)]
+#[case::never_run(false)]
+fn claim_lookup_answers_and_claims_nothing(#[case] ran: bool) {
+    let mut store = FakeStore::default();
+    let mut first = Entry::new(1);
+    if ran {
+        first.reduce(START, ledger::Input::Claim(claim(1, "k")));
+        first.run(START, &mut store, &mut Vec::new());
+        let operation = first.granted[&1];
+        first.reduce(
+            START,
+            ledger::Input::End {
+                operation,
+                kept: kept("receipt"),
+            },
+        );
+        first.run(START, &mut store, &mut Vec::new());
+    }
+    let written = store.revision;
+    let mut second = Entry::new(2);
+    let lookup = ledger::Claim {
+        lookup: true,
+        ..claim(2, "k")
+    };
+    second.reduce(START, ledger::Input::Claim(lookup));
+    second.run(START, &mut store, &mut Vec::new());
+    assert_eq!(second.answered.contains_key(&2), ran);
+    assert_eq!(
+        second.denied.get(&2),
+        (!ran).then_some(&ledger::Reason::Absent)
+    );
+    assert_eq!(store.revision, written);
+}
+
 #[test]
 fn claim_with_other_body_is_refused() {
     let mut store = FakeStore::default();
--- a/crates/node/tests/failures.rs
+++ b/crates/node/tests/failures.rs
@@ -127,6 +127,40 @@
     assert_eq!(fleet.runs("k"), 1);
 }
 
+/// What is reclaimed while an accepted order runs, with notice or without.
+#[rstest]
+#[case::notice_to_the_upstream(|fleet: &Fleet| fleet.notice("kiosk-0"), true)]
+#[case::notice_to_the_entry(|fleet: &Fleet| fleet.entries[0].signal("-TERM"), true)]
+#[case::notice_to_both(|fleet: &Fleet| { fleet.notice("kiosk-0"); fleet.entries[0].signal("-TERM") }, true)]
+#[case::entry_killed(|fleet: &Fleet| fleet.entries[0].signal("-KILL"), false)]
+#[case::entry_killed_after_notice(
+    |fleet: &Fleet| { fleet.entries[0].signal("-TERM"); fleet.entries[0].signal("-KILL") },
+    false
+)]
+fn order_runs_on_through_reclaim(#[case] reclaim: fn(&Fleet), #[case] answered: bool) {
+    let fleet = Fleet::start(&Plan {
+        run_ms: 1_500,
+        ..Plan::default()
+    });
+    thread::scope(|scope| {
+        let caller = fleet.entries[0].caller;
+        let first = scope.spawn(move || fleet::order_at(caller, "k"));
+        wait_for("the order runs", || fleet.runs("k") == 1);
+        reclaim(&fleet);
+        let answer = first.join().expect("the caller ends");
+        let whole = answer.is_ok_and(|a| a.status == 200);
+        assert_eq!(whole, answered);
+    });
+    let again = fleet.order(1, "k");
+    let expected = if answered { 200 } else { 409 };
+    assert_eq!(again.status, expected, "{}", again.body);
+    assert_eq!(
+        again.verdict(),
+        if answered { "ran" } else { "may-have-run" }
+    );
+    assert_eq!(fleet.runs("k"), 1);
+}
+
 #[test]
 fn order_in_store_outage_is_refused_while_streams_go_on() {
     let fleet = Fleet::start(&Plan::default());
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -24,6 +24,7 @@
     pub services: usize,
     pub token_ms: u64,
     pub list_lag_ms: u64,
+    pub run_ms: u64,
     pub deduplicates: bool,
     pub crash_on_poison: bool,
 }
@@ -36,6 +37,7 @@
             services: 1,
             token_ms: 5,
             list_lag_ms: 0,
+            run_ms: 0,
             deduplicates: false,
             crash_on_poison: false,
         }
@@ -226,16 +228,7 @@
     }
 
     pub fn order(&self, entry: usize, key: &str) -> Answer {
-        let headers = [("x-workspace", "kiosks"), ("idempotency-key", key)];
-        let body = r#"{"candle":"white"}"#;
-        call(
-            "POST",
-            self.entries[entry].caller,
-            "/v1/candle",
-            &headers,
-            body,
-        )
-        .expect("an answer")
+        order_at(self.entries[entry].caller, key).expect("an answer")
     }
 
     pub fn verse(&self, entry: usize, prompt: &str, tokens: u32) -> Verse {
@@ -251,6 +244,20 @@
     }
 }
 
+/// Sends an order to an entry.
+pub fn order_at(entry: net::SocketAddr, key: &str) -> std::io::Result<Answer> {
+    let headers = [("x-workspace", "kiosks"), ("idempotency-key", key)];
+    let answer = call(
+        "POST",
+        entry,
+        "/v1/candle",
+        &headers,
+        r#"{"candle":"white"}"#,
+    )?;
+    let cut = std::io::ErrorKind::UnexpectedEof;
+    Some(answer).filter(|a| a.status > 0).ok_or(cut.into())
+}
+
 /// Sets faults of a stand-in.
 pub fn fault(standin: &handle::Handle, faults: &str) {
     let answer = call("POST", standin.address(), "/standin/faults", &[], faults);
@@ -398,6 +405,7 @@
 fn service(plan: &Plan) -> handle::Handle {
     service::start(service::Config {
         deduplicate: plan.deduplicates,
+        run_ms: plan.run_ms,
         incarnation: 1,
         ..service::Config::default()
     })
