--- a/crates/node/tests/controller/rollouts.rs
+++ b/crates/node/tests/controller/rollouts.rs
@@ -1,5 +1,6 @@
 //! Rollouts with traffic through a real entry.
 
+use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::thread;
@@ -9,6 +10,8 @@
 
 use crate::site;
 
+const ENTRIES: usize = 3;
+
 /// Callers that send one request after the other until they are dropped.
 struct Callers {
     stopping: sync::Arc<atomic::AtomicBool>,
@@ -18,8 +21,7 @@
 impl Callers {
     fn start(site: &site::Site, count: usize) -> Self {
         let stopping = sync::Arc::new(atomic::AtomicBool::new(false));
-        let address = site.callers;
-        let call = |stopping: sync::Arc<atomic::AtomicBool>| {
+        let call = |stopping: sync::Arc<atomic::AtomicBool>, address: net::SocketAddr| {
             move || {
                 let mut served = 0;
                 while !stopping.load(atomic::Ordering::Relaxed) {
@@ -31,9 +33,9 @@
                 served
             }
         };
-        let threads = (0..count)
-            .map(|_| thread::spawn(call(stopping.clone())))
-            .collect();
+        let entries = site.entries.iter().cycle().take(count);
+        let threads = entries.map(|entry| thread::spawn(call(stopping.clone(), entry.callers)));
+        let threads = threads.collect();
         Self { stopping, threads }
     }
 
@@ -47,10 +49,12 @@
     }
 }
 
-fn start(seconds: u64) -> (site::Site, jiff::Timestamp) {
+fn start(entries: usize, seconds: u64) -> (site::Site, jiff::Timestamp) {
     let deadline = jiff::Timestamp::now() + time::Duration::from_secs(seconds);
-    let site = site::Site::start(Some(deadline));
-    site::wait("entry", || std::net::TcpStream::connect(site.callers).ok());
+    let site = site::Site::start(entries, Some(deadline));
+    for entry in &site.entries {
+        site::wait("entry", || net::TcpStream::connect(entry.callers).ok());
+    }
     (site, deadline)
 }
 
@@ -62,15 +66,15 @@
 
 #[test]
 fn controller_finishes_good_version_though_killed() {
-    let (site, deadline) = start(45);
-    let controller = site.control();
+    let (site, deadline) = start(1, 45);
+    let controller = site.control(0);
     let callers = Callers::start(&site, 4);
     site::wait("ramp", || {
         site.status()
             .filter(|status| status.phase == rollout::Phase::Ramp)
     });
     drop(controller);
-    let _next = site.control();
+    let _next = site.control(0);
     let status = end(&site);
     assert!(jiff::Timestamp::now() < deadline);
     assert_eq!(status.phase, rollout::Phase::Done, "{}", status.reason);
@@ -79,9 +83,9 @@
 
 #[test]
 fn controller_halts_bad_version_while_store_is_down() {
-    let (site, _) = start(120);
-    let _controller = site.control();
-    let callers = Callers::start(&site, 4);
+    let (site, _) = start(ENTRIES, 120);
+    let _controllers: Vec<_> = (0..ENTRIES).map(|index| site.control(index)).collect();
+    let callers = Callers::start(&site, 6);
     site::wait("canary", || Some(site.moved()).filter(|moved| *moved > 10));
     site::Site::fail(&site.platform, r#"{"fail":true}"#);
     site::Site::fail(&site.new, r#"{"error_rate":1000}"#);
@@ -104,8 +108,8 @@
 #[test]
 fn controller_takes_unproven_rollout_back_by_deadline() {
     let deadline = jiff::Timestamp::now() + time::Duration::from_secs(14);
-    let site = site::Site::start(Some(deadline));
-    let _controller = site.control();
+    let site = site::Site::start(1, Some(deadline));
+    let _controller = site.control(0);
     let status = site::wait("end of the rollout", || {
         site.status().filter(|status| status.phase.is_end())
     });
--- a/crates/node/tests/controller/site.rs
+++ b/crates/node/tests/controller/site.rs
@@ -32,11 +32,21 @@
     pub platform: handle::Handle,
     pub old: handle::Handle,
     pub new: handle::Handle,
-    pub entry: Child,
+    pub entries: Vec<Entry>,
+}
+
+/// A running entry.
+pub struct Entry {
+    pub process: Child,
+    /// Address for callers.
     pub callers: net::SocketAddr,
+    name: String,
+    domain: String,
     peer_port: net::SocketAddr,
 }
 
+const DOMAINS: [&str; 3] = ["tolgoit", "altan-ulgii", "bayanzurkh"];
+
 fn free() -> net::SocketAddr {
     let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
@@ -131,7 +141,7 @@
 }
 
 impl Site {
-    pub fn start(deadline: Option<jiff::Timestamp>) -> Self {
+    pub fn start(entries: usize, deadline: Option<jiff::Timestamp>) -> Self {
         let platform = platform::start(platform::Config::default()).unwrap();
         let start = |version: &str| {
             engine::start(engine::Config {
@@ -143,38 +153,58 @@
             })
         };
         let (old, new) = (start("v7").unwrap(), start("v8").unwrap());
-        let peer_port = free();
-        let instance = format!(
-            r#"{{"name":"entry-1","address":"{peer_port}","domain":"tolgoit","kind":"entry"}}"#
-        );
-        http(platform.address(), "POST /instances HTTP/1.1", &instance);
         let upstreams = vec![upstream(&old, "v7"), upstream(&new, "v8")];
         let config = declare(upstreams, deadline).to_json().unwrap();
         let put = "PUT /objects/config/current HTTP/1.1\r\nif-none-match: *";
         http(platform.address(), put, &config);
-        let callers = free();
-        let entry = process::Command::new(env!("CARGO_BIN_EXE_guavausher-entry"))
-            .args(["--name", "entry-1", "--domain", "tolgoit", "--key", KEY])
+        let mut site = Self {
+            platform,
+            old,
+            new,
+            entries: Vec::new(),
+        };
+        for index in 0..entries {
+            let entry = site.enter(index);
+            site.entries.push(entry);
+        }
+        site
+    }
+
+    fn enter(&self, index: usize) -> Entry {
+        let (peer_port, callers) = (free(), free());
+        let name = format!("entry-{index}");
+        let domain = DOMAINS[index % DOMAINS.len()].to_owned();
+        let instance = format!(
+            r#"{{"name":"{name}","address":"{peer_port}","domain":"{domain}","kind":"entry"}}"#
+        );
+        http(
+            self.platform.address(),
+            "POST /instances HTTP/1.1",
+            &instance,
+        );
+        let process = process::Command::new(env!("CARGO_BIN_EXE_guavausher-entry"))
+            .args(["--name", &name, "--domain", &domain, "--key", KEY])
             .args(["--listen", &callers.to_string()])
             .args(["--peer-listen", &peer_port.to_string()])
             .args(["--admin-listen", &free().to_string()])
-            .args(["--platform", &platform.address().to_string()])
+            .args(["--platform", &self.platform.address().to_string()])
             .spawn()
             .unwrap();
-        Self {
-            platform,
-            old,
-            new,
-            entry: Child(entry),
+        Entry {
+            process: Child(process),
             callers,
+            name,
+            domain,
             peer_port,
         }
     }
 
-    pub fn control(&self) -> Child {
+    /// Starts a controller beside an entry.
+    pub fn control(&self, index: usize) -> Child {
+        let entry = &self.entries[index];
         let controller = process::Command::new(env!("CARGO_BIN_EXE_guavausher-controller"))
-            .args(["--name", "entry-1", "--domain", "tolgoit"])
-            .args(["--entry", &self.peer_port.to_string()])
+            .args(["--name", &entry.name, "--domain", &entry.domain])
+            .args(["--entry", &entry.peer_port.to_string()])
             .args(["--controller-listen", &free().to_string()])
             .args(["--platform", &self.platform.address().to_string()])
             .env("GUAVAUSHER_KEY", KEY)
