Measure the most whole answers a second on one core

Change: a scenario with at most 64 open requests; the measured process is held to one core. Conclusion: kept in scripts/latency.sh.

--- a/scripts/latency.sh
+++ b/scripts/latency.sh
@@ -118,6 +118,24 @@
 cost 'straight (processor of the service)' "$PID_service" $SERVICE
 cost 'entry (processor of the entry)' "$PID_entry" $ENTRY
 
+echo
+echo 'most whole answers a second, 64 open, each process held to one core'
+saturate() { # label, pid, target
+  taskset -a -cp 0 "$2" >/dev/null
+  load saturate "$3" --duration 1 >/dev/null
+  local before after
+  before=$(cpu_ticks "$2")
+  load saturate "$3" >"$DIR/saturate"
+  after=$(cpu_ticks "$2")
+  taskset -a -cp "0-$(($(nproc) - 1))" "$2" >/dev/null
+  awk -v l="$1" -v ok="$(field '' ok <"$DIR/saturate")" -v f="$(field '' failed <"$DIR/saturate")" \
+    -v p="$(field answer p50_ms <"$DIR/saturate")" -v q="$(field answer p95_ms <"$DIR/saturate")" \
+    -v t=$((after - before)) -v hz="$TICKS" \
+    'BEGIN { printf "%-34s %10.0f a second, %d failed, p50 %.2f ms, p95 %.2f ms, %.1f cpu s\n", l, ok / 5, f, p, q, t / hz }'
+}
+saturate straight "$PID_service" $SERVICE
+saturate entry "$PID_entry" $ENTRY
+
 writes() { curl -sf "http://$PLATFORM/standin/calls" | field '' write; }
 load paid $ENTRY --duration 1 >/dev/null || true
 before=$(writes)
