Call sums urgent by their share of errors

Cause: one failed request in hundreds made every node near a controller send each half second. Change: a tenth of the requests must have failed, or half been late. Conclusion: a version that fails still shows within 1.2 s.

--- a/crates/core/src/peering/report.rs
+++ b/crates/core/src/peering/report.rs
@@ -41,10 +41,12 @@
         }
     }
 
-    /// Returns whether the counts speak against the version, so that they must not wait.
+    /// Returns whether the counts speak against the version, so that they must not wait: a tenth
+    /// of the requests failed, or half of them were late.
     pub fn is_urgent(&self) -> bool {
         let late = self.slow.saturating_add(self.stalls);
-        self.errors > 0 || (late > 1 && late.saturating_mul(2) >= self.requests)
+        let failing = self.errors > 0 && self.errors.saturating_mul(10) >= self.requests;
+        failing || (late > 1 && late.saturating_mul(2) >= self.requests)
     }
 
     /// Adds the counts of another report about the same version and route.
--- a/crates/core/tests/peering/reports.rs
+++ b/crates/core/tests/peering/reports.rs
@@ -109,6 +109,7 @@
 #[rstest]
 #[case::errors(report("v2", 8, 1), 1_200)]
 #[case::slow(peering::Report { slow: 4, ..report("v2", 8, 0) }, 1_200)]
+#[case::few_errors(report("v2", 80, 1), 2_700)]
 #[case::calm(peering::Report { slow: 1, ..report("v2", 8, 0) }, 2_700)]
 fn urgent_reports_go_first(#[case] report: peering::Report, #[case] limit: u64) {
     let mut fleet = settled(380, 41, CALM);
