Thin the links between many failure domains and prove the way past frozen peers

Cause: with nine failure domains of five entries each, a node held up to eleven links. Change: two links between each two failure domains where there are more than four. Conclusion: a third of 380 nodes dead or frozen still leaves every other node reached.

--- a/crates/core/src/peering/topology.rs
+++ b/crates/core/src/peering/topology.rs
@@ -9,8 +9,12 @@
 pub const WATCHERS_IN_DOMAIN: usize = 2;
 /// Rings that connect the entries of one failure domain.
 const RINGS: u64 = 2;
-/// Links between each two failure domains.
+/// Links between each two failure domains if there are few.
 const BRIDGES: usize = 3;
+/// Links between each two failure domains if there are many.
+const FEWER_BRIDGES: usize = 2;
+/// Failure domains above which each two have fewer links.
+const FEW_DOMAINS: usize = 4;
 /// Entries tried in turn for one link.
 const CANDIDATES: usize = 8;
 
@@ -120,7 +124,7 @@
         let seed = pair_seed(&own.domain, other);
         let near = order(near, seed);
         let far = order(far, seed);
-        (0..BRIDGES.min(near.len().max(far.len())))
+        (0..self.ranks(near.len(), far.len()))
             .filter(|rank| near[rank % near.len()] == own.name)
             .map(|rank| {
                 (0..far.len())
@@ -131,11 +135,19 @@
             .collect()
     }
 
+    fn ranks(&self, near: usize, far: usize) -> usize {
+        let bridges = match self.domains.len() {
+            0..=FEW_DOMAINS => BRIDGES,
+            _ => FEWER_BRIDGES,
+        };
+        bridges.min(near.max(far))
+    }
+
     fn link_domains(&mut self, first: &name::Name, second: &name::Name) {
         let seed = pair_seed(first, second);
         let near = order(&self.domains[first], seed);
         let far = order(&self.domains[second], seed);
-        for rank in 0..BRIDGES.min(near.len().max(far.len())) {
+        for rank in 0..self.ranks(near.len(), far.len()) {
             link(
                 &mut self.edges,
                 &near[rank % near.len()],
--- a/crates/core/tests/peering.rs
+++ b/crates/core/tests/peering.rs
@@ -222,6 +222,31 @@
     assert!(took.is_some_and(|took| took <= 1900), "{took:?} ms");
 }
 
+#[rstest]
+#[case::today_one(9, 42, 8, 1_900)]
+#[case::full_tenth(380, 43, 10, 1_900)]
+#[case::full_third(380, 44, 3, 12_000)]
+fn fact_passes_frozen_members(
+    #[case] size: usize,
+    #[case] seed: u64,
+    #[case] every: usize,
+    #[case] limit: u64,
+) {
+    let mut fleet = settled(size, seed, CALM);
+    // Their links stay up, but nothing answers.
+    for index in (1..size).step_by(every) {
+        fleet.nodes[index].up = false;
+    }
+    let fact = leaving(1);
+    learn(&mut fleet, 0, &fact);
+    publish(&mut fleet, 2, 6);
+    let reached = |fleet: &fleet::Fleet| fleet.all(|node| node.state.knows(&fact));
+    let took = fleet.run_for(MINUTE, reached);
+    assert!(took.is_some_and(|took| took <= limit), "{took:?} ms");
+    let took = fleet.run_for(MINUTE, holds(6));
+    assert!(took.is_some_and(|took| took <= 8_000), "{took:?} ms");
+}
+
 #[test]
 fn restarted_member_catches_up() {
     let mut fleet = settled(9, 20, CALM);
