Let a request keep the turn in which it found no upstream

Cause: a request that got its turn in the quarantine and found every upstream busy backed off and was then admitted anew. The quarantine took this for a second request for the same turn: it waited for itself until the turn was given up, a stream under way for up to 120 s. Ruled out: the deadline timer; it is off for a stream under way, so only the turn could end the wait. Change: a turn that lasts is used again; one that is over is ended before another is asked for. Conclusion: a turn is waited for only by those who have none.

--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -81,8 +81,12 @@
         let pass = match self.suspicions.standing(fingerprint) {
             suspicions::Standing::Free => effect::Pass::Free,
             suspicions::Standing::Blocked => effect::Pass::Blocked,
+            _ if self.has_turn(now, request) => effect::Pass::Alone,
             _ if self.waiting.len() >= MAX_WAITING => effect::Pass::Full,
             _ => {
+                if self.running.contains_key(&request) {
+                    effects.extend(self.end(request, effect::Outcome::Released));
+                }
                 let waiting = Waiting {
                     fingerprint,
                     ask: self.suspicions.ready(fingerprint).max(now),
@@ -224,6 +228,12 @@
             .unwrap_or(time::Time::MAX)
     }
 
+    /// Returns whether a request still has a turn in which it found no upstream so far.
+    fn has_turn(&self, now: time::Time, request: u64) -> bool {
+        let running = self.running.get(&request);
+        running.is_some_and(|running| running.solo > now)
+    }
+
     fn settle(&mut self, now: time::Time, request: u64) -> Vec<effect::Effect> {
         let Some(waiting) = self.waiting.get_mut(&request) else {
             return Vec::new();
