--- a/crates/bench/src/bin/rollout_runs/main.rs
+++ b/crates/bench/src/bin/rollout_runs/main.rs
@@ -6,7 +6,9 @@
 mod fault;
 mod fleet;
 mod noise;
+mod outcome;
 mod run;
+mod service;
 mod table;
 
 use std::process;
--- a/crates/bench/src/bin/rollout_runs/run.rs
+++ b/crates/bench/src/bin/rollout_runs/run.rs
@@ -2,10 +2,7 @@
 
 use std::cmp;
 use std::collections;
-use std::fmt;
 
-use guavausher_core::declaration;
-use guavausher_core::name;
 use guavausher_core::rollout;
 use guavausher_core::time;
 use rand::rngs::SmallRng;
@@ -14,6 +11,8 @@
 use crate::fault;
 use crate::fleet;
 use crate::noise;
+use crate::outcome;
+use crate::service;
 
 const ENTRIES: usize = 9;
 const SECOND: u64 = 1_000_000;
@@ -23,45 +22,6 @@
 const SPREAD: u64 = SECOND / 2;
 const START: u64 = 1_000 * SECOND;
 
-/// How one rollout ended.
-#[derive(Clone, Debug)]
-pub struct Outcome {
-    /// The fault, if the version is bad.
-    pub fault: Option<fault::Fault>,
-    /// The phase at the deadline.
-    pub phase: rollout::Phase,
-    /// Why it is there.
-    pub reason: String,
-    /// Requests that met the fault, in all.
-    pub harmed: u64,
-    /// Time from the first request that met the fault to the halt, in microseconds.
-    pub noticed: u64,
-    /// Requests that one entry sent to the new version beyond the share.
-    pub excess: u64,
-    /// Time from the first halt to the last request on the new version, in microseconds.
-    pub lingered: u64,
-    /// Time left until the deadline at the end, in thousandths of the window.
-    pub spare: u64,
-}
-
-impl fmt::Display for Outcome {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let fault = self.fault.map_or_else(
-            || String::from("good"),
-            |fault| format!("{:?} {:?}", fault.trigger, fault.effect),
-        );
-        write!(
-            f,
-            "{fault} | {} | {} | harmed {} noticed {:.1} spare {}",
-            self.phase,
-            self.reason,
-            self.harmed,
-            self.noticed as f64 / 1e6,
-            self.spare
-        )
-    }
-}
-
 /// State of one run.
 pub struct Run {
     rng: SmallRng,
@@ -80,7 +40,7 @@
     crash: noise::Stretch,
     halt: Option<u64>,
     ended: Option<u64>,
-    outcome: Outcome,
+    outcome: outcome::Outcome,
 }
 
 struct Entry {
@@ -117,7 +77,7 @@
         let load = rng.random_range(if is_light { 0.05..0.15 } else { 0.5..0.75 });
         let status = rollout::start(
             time::Time::from_micros(START),
-            &declare(&mut rng, window),
+            &service::declare(&mut rng, START + window),
             7,
         );
         let entry = |_| Entry {
@@ -132,7 +92,7 @@
             onset: START + onset(fault, window),
             congestion: noise::Stretch::draw(&mut rng, window),
         };
-        let outcome = Outcome {
+        let outcome = outcome::Outcome {
             fault,
             phase: status.phase,
             reason: String::new(),
@@ -164,7 +124,7 @@
     }
 
     /// Plays the run until its deadline.
-    pub fn play(mut self) -> Outcome {
+    pub fn play(mut self) -> outcome::Outcome {
         let mut now = START - 20 * SECOND;
         self.schedule(now, Pending::Arrival);
         self.schedule(START, Pending::Adopt(self.status.clone()));
@@ -203,7 +163,7 @@
         let index = self.rng.random_range(0..ENTRIES);
         let route = pick_route(&mut self.rng);
         let entry = &mut self.entries[index];
-        let is_new = entry.split.choose(&service(), &old()) == new();
+        let is_new = entry.split.choose(&service::service(), &service::old()) == service::new();
         entry.requests += 1;
         entry.moved += u64::from(is_new);
         if is_new && self.status.phase == rollout::Phase::Canary {
@@ -231,12 +191,20 @@
     fn end(&mut self, now: u64, end: &End) {
         let upstream = &mut self.fleet.upstreams[end.upstream];
         upstream.running -= 1;
-        let version = if upstream.is_new { new() } else { old() };
+        let version = if upstream.is_new {
+            service::new()
+        } else {
+            service::old()
+        };
         let route = &fleet::route_names()[end.route];
         let now = time::Time::from_micros(now);
-        self.entries[end.entry]
-            .monitor
-            .record(now, &service(), &version, route, end.sample);
+        self.entries[end.entry].monitor.record(
+            now,
+            &service::service(),
+            &version,
+            route,
+            end.sample,
+        );
     }
 
     fn kill(&mut self, now: u64, index: usize) {
@@ -315,15 +283,17 @@
 
     fn spread_halt(&mut self) {
         for entry in &mut self.entries {
-            entry.split.halt(&service(), &new(), self.status.generation);
+            entry
+                .split
+                .halt(&service::service(), &service::new(), self.status.generation);
         }
     }
 
-    fn finish(self) -> Outcome {
+    fn finish(self) -> outcome::Outcome {
         let deadline = START + self.window;
         let left = self.ended.map_or(0, |ended| deadline.saturating_sub(ended));
         let noticed = self.halt.zip(self.shown);
-        Outcome {
+        outcome::Outcome {
             phase: self.status.phase,
             reason: self.status.reason,
             spare: left * 1_000 / self.window,
@@ -339,17 +309,6 @@
     }
 }
 
-fn declare(rng: &mut SmallRng, window: u64) -> declaration::Rollout {
-    let deadline = i64::try_from(START + window).unwrap_or(i64::MAX);
-    declaration::Rollout {
-        service: service(),
-        from: old(),
-        to: new(),
-        share: rng.random_range(40..=150),
-        deadline: jiff::Timestamp::from_microsecond(deadline).unwrap_or_default(),
-    }
-}
-
 fn onset(fault: Option<fault::Fault>, window: u64) -> u64 {
     match fault.map(|fault| fault.trigger) {
         Some(fault::Trigger::Later(part)) => window * part / 1_000,
@@ -368,15 +327,3 @@
         _ => 2,
     }
 }
-
-fn service() -> name::Name {
-    name::Name::from("verse-scribe")
-}
-
-fn old() -> name::Name {
-    name::Name::from("v1")
-}
-
-fn new() -> name::Name {
-    name::Name::from("v2")
-}
--- a/crates/bench/src/bin/rollout_runs/table.rs
+++ b/crates/bench/src/bin/rollout_runs/table.rs
@@ -2,7 +2,7 @@
 
 use guavausher_core::rollout;
 
-use crate::run;
+use crate::outcome;
 
 /// One measure with its bound.
 pub struct Row {
@@ -19,7 +19,7 @@
 }
 
 /// Computes the measures.
-pub fn rows(outcomes: &[run::Outcome]) -> Vec<Row> {
+pub fn rows(outcomes: &[outcome::Outcome]) -> Vec<Row> {
     let good = || outcomes.iter().filter(|o| o.fault.is_none());
     let bad = || outcomes.iter().filter(|o| o.fault.is_some());
     let taken = good().filter(|o| o.phase == rollout::Phase::TakenBack);
