--- a/crates/core/src/flight.rs
+++ b/crates/core/src/flight.rs
@@ -5,6 +5,7 @@
 use crate::declaration;
 use crate::ledger;
 use crate::name;
+use crate::refusal;
 use crate::request;
 use crate::routing;
 use crate::time;
@@ -34,6 +35,8 @@
     pub offset: u32,
     /// Whether a token or the whole answer has come.
     pub started: bool,
+    /// Whether an attempt that has ended may have run it.
+    pub unclear: bool,
     /// Whether the caller has its final answer or has gone.
     pub detached: bool,
     /// The claim of its idempotency key.
@@ -47,6 +50,8 @@
     Queued,
     /// The ledger's answer to the claim.
     Claiming,
+    /// The ledger's word on an earlier run, before this refusal is given.
+    Looking(refusal::Refusal),
     /// Its turn to run alone.
     Quarantined,
     /// An upstream to go on with, until this time.
