--- a/crates/bench/src/bin/peering_cost/main.rs
+++ b/crates/bench/src/bin/peering_cost/main.rs
@@ -11,6 +11,8 @@
 
 use std::process;
 
+use guavausher_core::peering;
+
 /// Fleet sizes of the table.
 const SIZES: [usize; 5] = [9, 45, 90, 190, 380];
 const HELP: &str = "\
@@ -40,6 +42,13 @@
 
 fn in_memory(seed: u64) {
     println!("seed {seed}; bytes are frames with their h2 headers, sent plus received");
+    let (old, new) = (model::config(1), model::config(2));
+    println!(
+        "a configuration of {} upstreams takes {} bytes; a change of one upstream travels as {}",
+        model::UPSTREAMS,
+        new.body.len(),
+        peering::Patch::between(&old, &new).size()
+    );
     println!("{}", load::Row::HEAD);
     for size in SIZES {
         println!("{}", load::measure(size, seed));
--- a/crates/bench/src/bin/peering_cost/model.rs
+++ b/crates/bench/src/bin/peering_cost/model.rs
@@ -11,7 +11,7 @@
 /// Failure domains of one region.
 const DOMAINS_IN_REGION: usize = 3;
 /// Upstreams in the configuration.
-const UPSTREAMS: usize = 770;
+pub const UPSTREAMS: usize = 770;
 
 /// Returns one entry; small fleets lie in fewer failure domains.
 pub fn member(index: usize, size: usize) -> peering::Member {
