--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -21,6 +21,8 @@
 const HOLD_MICROS: f64 = 1_000_000.0;
 /// Slots kept for the quick class and for other workspaces, as a divisor of capacity.
 const RESERVE_DIVISOR: u32 = 8;
+/// Slots that heavy workspaces may fill, as a divisor of capacity.
+const HEAVY_DIVISOR: u32 = 2;
 /// Time in which offered demand fades to about a third.
 const DEMAND_MEMORY: Duration = Duration::from_secs(20);
 /// How long a class or workspace counts as present after its last ticket.
@@ -245,7 +247,7 @@
         let limit = match shares.tier(&key.workspace, self.capacity) {
             shares::Tier::Within => self.capacity + reserve,
             shares::Tier::Beyond => self.capacity,
-            shares::Tier::Heavy => self.capacity - reserve,
+            shares::Tier::Heavy => (self.capacity / HEAVY_DIVISOR).max(1).min(self.capacity),
         };
         self.running < limit
     }
--- a/crates/core/src/admission/shares.rs
+++ b/crates/core/src/admission/shares.rs
@@ -4,8 +4,8 @@
 
 use crate::name;
 
-/// Demand, as a multiple of the fair part of all demand, above which a workspace is heavy.
-const HEAVY_FACTOR: f64 = 2.0;
+/// Demand for its weight, as a multiple of the others', above which a workspace is heavy.
+const HEAVY_FACTOR: f64 = 5.0;
 
 /// Use and weight of the present workspaces of one service.
 #[derive(Clone, Debug, Default)]
@@ -17,9 +17,9 @@
 /// How a workspace stands against the others; lower ones go first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Tier {
-    /// One more request stays within its share.
+    /// One more request stays within its share while others are present.
     Within,
-    /// One more request takes it beyond its share.
+    /// One more request takes it beyond its share, or it is alone.
     Beyond,
     /// It is beyond its share and asks for far more than the others.
     Heavy,
@@ -48,6 +48,9 @@
 
     /// Returns how a workspace stands for one more request.
     pub fn tier(&self, workspace: &name::Name, capacity: u32) -> Tier {
+        if self.is_alone() {
+            return Tier::Beyond;
+        }
         if !self.is_over(workspace, capacity) {
             return Tier::Within;
         }
@@ -61,19 +64,21 @@
         let Some(own) = self.uses.get(workspace) else {
             return false;
         };
-        if self.uses.len() <= 1 {
-            return false;
-        }
         let wanted = u64::from(own.running + 1) * self.weight;
         wanted > u64::from(capacity) * u64::from(own.weight)
     }
 
+    fn is_alone(&self) -> bool {
+        self.uses.len() <= 1
+    }
+
     fn is_heavy(&self, workspace: &name::Name) -> bool {
         let Some(own) = self.uses.get(workspace) else {
             return false;
         };
         let demand: f64 = self.uses.values().map(|other| other.demand).sum();
-        let fair = demand * f64::from(own.weight) / self.weight.max(1) as f64;
-        own.demand > fair * HEAVY_FACTOR
+        let others = (demand - own.demand) * f64::from(own.weight);
+        let weight = self.weight.saturating_sub(u64::from(own.weight)) as f64;
+        own.demand * weight > others * HEAVY_FACTOR
     }
 }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -211,3 +211,56 @@
         admission::Decision::Admit
     );
 }
+
+#[rstest]
+#[case::equal_demand(2, 16)]
+#[case::tenfold_demand(60, 8)]
+fn offer_holds_heavy_workspace_back(#[case] before: u64, #[case] most: usize) {
+    let mut admission = admission(16);
+    for (request, workspace) in [(1, "small"), (2, "small"), (3, "heavy"), (4, "heavy")] {
+        admission.offer(NOW, ticket(request, workspace));
+        admission.release(NOW, request, true);
+    }
+    for request in 1_000..1_000 + before {
+        admission.offer(NOW, ticket(request, "large"));
+    }
+    for request in 1_000..1_000 + before {
+        admission.release(NOW, request, false);
+    }
+    let offers = (2_000..2_004 + most as u64)
+        .filter(|&request| {
+            admission.offer(NOW, ticket(request, "large")) == admission::Decision::Admit
+        })
+        .count();
+    assert!(
+        offers <= most && offers >= most.min(7),
+        "{offers} of 16 slots"
+    );
+    assert_eq!(
+        admission.offer(NOW, ticket(3_000, "small")),
+        admission::Decision::Admit
+    );
+}
+
+#[rstest]
+#[case::alone(&[], 16)]
+#[case::no_capacity_elsewhere(&["small"], 1)]
+fn offer_never_starves_heavy(#[case] present: &[&str], #[case] capacity: u32) {
+    let mut admission = admission(capacity);
+    for (request, workspace) in (1..).zip(present) {
+        admission.offer(NOW, ticket(request, workspace));
+        admission.release(NOW, request, true);
+    }
+    let offers = (100..130).map(|request| admission.offer(NOW, ticket(request, "large")));
+    let admitted = offers
+        .filter(|decision| *decision == admission::Decision::Admit)
+        .count();
+    assert_eq!(admitted as u32, capacity);
+}
+
+#[test]
+fn offer_admits_nothing_without_capacity() {
+    let mut admission = admission(0);
+    let mut decisions = (0..5).map(|request| admission.offer(NOW, ticket(request, "large")));
+    assert!(decisions.all(|decision| decision != admission::Decision::Admit));
+}
