--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -41,13 +41,26 @@
     let admission = state.quarantine.admit(now, fingerprint, id);
     match admission.pass {
         poison::Pass::Free | poison::Pass::Alone => dispatch(state, now, id),
-        poison::Pass::Wait => set_stage(state, id, flight::Stage::Quarantined),
+        poison::Pass::Wait => await_turn(state, id),
         poison::Pass::Blocked => quarantine::block(state, now, id),
         poison::Pass::Full => quarantine::refuse(state, now, id),
     }
     quarantine::apply(state, now, admission.effects);
 }
 
+/// Waits for a turn until the deadline; a stream under way waits as long as the quarantine lets it.
+fn await_turn(state: &mut state::State, id: u64) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    flight.stage = flight::Stage::Quarantined;
+    let timer = match flight.started {
+        true => Time::MAX,
+        false => flight.deadline,
+    };
+    state.set_timer(id, timer);
+}
+
 /// Claims the idempotency key, unless no upstream could take the request anyway.
 fn claim(state: &mut state::State, now: Time, id: u64) {
     let Some(flight) = state.flights.get(&id) else {
@@ -59,13 +72,7 @@
     if let Err(exhausted) = state.fleet.choose(now, &flight.query(None)) {
         return wait_or_refuse(state, now, id, exhausted);
     }
-    let claim = ledger::Claim {
-        request: id,
-        key,
-        fingerprint: flight.request.fingerprint,
-        deadline: flight.deadline.after(CLAIM_GRACE),
-        repeatable: flight.repeatable(),
-    };
+    let claim = claim_of(flight, key, Lookup::No);
     set_stage(state, id, flight::Stage::Claiming);
     record::drive(state, now, ledger::Input::Claim(claim));
 }
@@ -218,10 +225,58 @@
     }
 }
 
+/// Whether a claim only looks for an earlier run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Lookup {
+    No,
+    Yes,
+}
+
+fn claim_of(flight: &flight::Flight, key: name::Name, lookup: Lookup) -> ledger::Claim {
+    ledger::Claim {
+        request: flight.request.id,
+        key,
+        fingerprint: flight.request.fingerprint,
+        deadline: flight.deadline.after(CLAIM_GRACE),
+        lookup: lookup == Lookup::Yes,
+        repeatable: flight.repeatable(),
+    }
+}
+
+/// Tells whether an earlier run of the key may answer the request in place of a refusal.
+fn may_have_answer(state: &state::State, id: u64, refusal: refusal::Refusal) -> bool {
+    let lack = matches!(
+        refusal.code,
+        refusal::Code::Limited | refusal::Code::NoUpstream | refusal::Code::Overloaded
+    );
+    let waits = |f: &flight::Flight| {
+        f.needs_claim() && !f.detached && !matches!(f.stage, flight::Stage::Looking(_))
+    };
+    lack && state.flights.get(&id).is_some_and(waits)
+}
+
+fn look_up(state: &mut state::State, now: Time, id: u64, refusal: refusal::Refusal) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    let Some(key) = arrival::ledger_key(flight) else {
+        return;
+    };
+    flight.stage = flight::Stage::Looking(refusal);
+    let claim = claim_of(flight, key, Lookup::Yes);
+    record::drive(state, now, ledger::Input::Claim(claim));
+}
+
 /// Gives the final answer and ends the flight, releasing an unused claim.
+///
+/// A request that lacks only capacity gets the kept answer of an earlier run if there is one.
 pub fn give_up(state: &mut state::State, now: Time, id: u64, refusal: refusal::Refusal) {
+    if may_have_answer(state, id, refusal) {
+        return look_up(state, now, id, refusal);
+    }
+    let verdict = truth(state, id, refusal.verdict);
     refuse(state, id, refusal);
-    close_claim(state, now, id, refusal.verdict);
+    close_claim(state, now, id, verdict);
     end(state, now, id, false);
 }
 
@@ -237,8 +292,19 @@
     record::drive(state, now, input);
 }
 
+/// Returns what may be said of a request after all of its attempts, given a verdict on the last.
+pub fn truth(state: &state::State, id: u64, last: verdict::Verdict) -> verdict::Verdict {
+    match last {
+        verdict::Verdict::NotRun if state.flights.get(&id).is_some_and(|f| f.unclear) => {
+            verdict::Verdict::MayHaveRun
+        }
+        _ => last,
+    }
+}
+
 /// Gives a final answer unless the caller has one.
-pub fn refuse(state: &mut state::State, id: u64, refusal: refusal::Refusal) {
+pub fn refuse(state: &mut state::State, id: u64, mut refusal: refusal::Refusal) {
+    refusal.verdict = truth(state, id, refusal.verdict);
     if state.flights.get(&id).is_some_and(|f| f.detached) {
         return;
     }
