--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -6,6 +6,7 @@
 //! and its death is no sign against the requests that ran beside it.
 
 mod effect;
+mod owners;
 mod quarantine;
 mod suspicions;
 mod turns;
--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -3,7 +3,7 @@
 use std::collections;
 use std::time::Duration;
 
-use super::{effect, suspicions, turns};
+use super::{effect, owners, suspicions, turns};
 use crate::fact;
 use crate::name;
 use crate::time;
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 pub struct Quarantine {
     own: name::Name,
-    owners: Vec<name::Name>,
+    owners: owners::Owners,
     suspicions: suspicions::Suspicions,
     turns: turns::Turns,
     waiting: collections::BTreeMap<u64, Waiting>,
@@ -62,7 +62,7 @@
     /// Builds an empty quarantine for an entry that knows of no other.
     pub fn new(own: name::Name) -> Self {
         Self {
-            owners: vec![own.clone()],
+            owners: owners::Owners::new(own.clone()),
             own,
             suspicions: suspicions::Suspicions::default(),
             turns: turns::Turns::default(),
@@ -73,16 +73,9 @@
 
     /// Takes the names of all entries; the first by hash that answers hands out the turns.
     pub fn set_members<'a>(&mut self, entries: impl IntoIterator<Item = &'a name::Name>) {
-        let rank = |entry: &name::Name| twox_hash::XxHash64::oneshot(0, entry.as_bytes());
-        let mut owners: Vec<_> = entries.into_iter().cloned().collect();
-        if owners.is_empty() {
-            owners.push(self.own.clone());
-        }
-        owners.sort_by_cached_key(rank);
-        if self.owners == owners {
+        if !self.owners.set(entries) {
             return;
         }
-        self.owners = owners;
         for waiting in self.waiting.values_mut() {
             waiting.rank = 0;
             waiting.unanswered = 0;
@@ -262,7 +255,7 @@
             request,
         };
         let asks = waiting.ask <= now;
-        let owner = owner_of(&self.owners, waiting.rank);
+        let owner = self.owners.get(waiting.rank);
         if asks {
             waiting.ask = now.after(ASK_AGAIN);
         }
@@ -313,7 +306,7 @@
         let Some(waiting) = self.waiting.get_mut(&turn.request) else {
             return;
         };
-        if owner_of(&self.owners, waiting.rank) == *from {
+        if self.owners.get(waiting.rank) == *from {
             waiting.unanswered = 0;
         }
     }
@@ -373,7 +366,7 @@
             fingerprint: waiting.fingerprint,
             request,
         };
-        let owner = owner_of(&self.owners, waiting.rank);
+        let owner = self.owners.get(waiting.rank);
         self.done(owner, turn, outcome)
     }
 
@@ -392,7 +385,3 @@
         vec![effect::Effect::Send { to: owner, note }]
     }
 }
-
-fn owner_of(owners: &[name::Name], rank: usize) -> name::Name {
-    owners[rank % owners.len()].clone()
-}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -88,6 +88,10 @@
 kinds() { # calls of each kind so far
   curl -s "http://$PLATFORM/standin/calls" | tr -d '{}"' | tr ',:' '\n ' | grep -v ' 0$'
 }
+by_kind() { # seconds since the last count of kinds
+  kinds | awk -v t="$1" 'NR == FNR { old[$1] = $2; next }
+    $2 > old[$1] { printf " %s %.2f", $1, ($2 - old[$1]) / t }' "$DIR/kinds" -
+}
 faults() { curl -sf -X POST "http://$PLATFORM/standin/faults" -H 'content-type: application/json' -d "$1"; }
 rate() { awk -v n="$1" -v t="$2" -v d="${3:-1}" 'BEGIN { printf "%.2f", n / t / d }'; }
 millis() { date +%s%3N; }
@@ -115,17 +119,18 @@
   echo "$n entries at rest: $(rate "$bytes" $REST_SECONDS "$n") B/s to and from peers," \
     "$(rate "$used" $REST_SECONDS "$n")% of a core, at most $(resident) KB resident an entry;" \
     "$(rate $rest $REST_SECONDS) store calls/s in all:" \
-    "$(kinds | awk -v t=$REST_SECONDS 'NR == FNR { old[$1] = $2; next }
-      $2 > old[$1] { printf " %s %.2f", $1, ($2 - old[$1]) / t }' "$DIR/kinds" -)"
+    "$(by_kind $REST_SECONDS)"
   before_calls=$(calls) began=$(millis)
   apply 2
   until_true 30 all_in_force "$n" 2 || echo "generation 2 is not in force everywhere"
   echo "$n entries: a change is in force everywhere after $(($(millis) - began)) ms" \
     "(with the checks, one curl an entry); $(($(calls) - before_calls)) store calls"
   faults '{"fail":true}' >/dev/null
+  kinds >"$DIR/kinds"
   before_calls=$(calls)
   sleep 20
-  echo "$n entries in an outage: $(rate $(($(calls) - before_calls)) 20) store calls/s refused"
+  echo "$n entries in an outage: $(rate $(($(calls) - before_calls)) 20) store calls/s refused:" \
+    "$(by_kind 20)"
   faults '{}' >/dev/null
   local second most=0 now last
   last=$(calls)
