Let requests wait for two thirds of their deadline and use 7/8 of the slots

Change: a third of the time to the deadline is kept for the upstream in place of half; the window aims at 7/8 of the slots.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -19,7 +19,7 @@
 /// Time before the deadline that an upstream needs, at most.
 const SERVICE: Duration = Duration::from_secs(1);
 /// The same as a part of the time to the deadline, as a divisor.
-const SERVICE_DIVISOR: u32 = 2;
+const SERVICE_DIVISOR: u32 = 3;
 /// Largest share of the retry time added as jitter.
 const JITTER: f64 = 0.5;
 
--- a/crates/core/src/routing/window.rs
+++ b/crates/core/src/routing/window.rs
@@ -13,7 +13,7 @@
 /// Smallest share of the target that a node takes for its own.
 const MIN_SHARE: f64 = 1.0 / 64.0;
 /// Slots left free for requests within their share, as a divisor of all slots.
-const HEADROOM_DIVISOR: f64 = 5.0;
+const HEADROOM_DIVISOR: f64 = 8.0;
 /// Multiple of the node's part of the free slots that it may use for a moment.
 const BURST: f64 = 1.0;
 /// Factor after a refusal for lack of room.
