Keep the deadline of an order whose claim follows a wait

Cause: an order that backed off for lack of an upstream had spent its timer when its claim was made. In a slow store it was answered when the ledger gave up, up to 2 s after the claim, even if its own deadline was earlier; and a claim could begin after the deadline. Ruled out: the deadline in the claim itself, which is meant to outlast the request's by its grace. Change: claiming sets the timer to the deadline; past it the order is refused as not run. Conclusion: an order is answered by its deadline also in a slow store.

--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -69,6 +69,11 @@
     let Some(key) = arrival::ledger_key(flight) else {
         return;
     };
+    let deadline = flight.deadline;
+    if now >= deadline {
+        let refusal = arrival::not_run(refusal::Code::Deadline, Some(now));
+        return give_up(state, now, id, refusal);
+    }
     if let Err(exhausted) = state.fleet.choose(now, &flight.query(None)) {
         return wait_or_refuse(state, now, id, exhausted);
     }
@@ -76,10 +81,11 @@
         request: id,
         key,
         fingerprint: flight.request.fingerprint,
-        deadline: flight.deadline.after(CLAIM_GRACE),
+        deadline: deadline.after(CLAIM_GRACE),
         repeatable: flight.repeatable(),
     };
     set_stage(state, id, flight::Stage::Claiming);
+    state.set_timer(id, deadline);
     record::drive(state, now, ledger::Input::Claim(claim));
 }
 
