Check the promises at three entries under random sequences of events

Cause: no test put several entries before one store through faults in any order. Change: three entries' reducers share a store; the test holds every reply, message, link and upstream. Steps: requests of three kinds and callers that go; upstreams that do not run, may have run, die, refuse, err, stay silent or speak late; calls lost, refused, delayed or with a lost answer; old instance lists; messages lost, doubled and reordered; links cut; pauses, restarts, stale configurations, leaving facts and flapping lists, rollouts, halts and planned stops.

--- /dev/null
+++ b/crates/core/tests/invariants.rs
@@ -0,0 +1,217 @@
+//! What must hold at three entries before one store under any sequence of events.
+
+mod bench;
+
+#[path = "invariants/audit.rs"]
+mod audit;
+#[path = "invariants/node.rs"]
+mod node;
+#[path = "invariants/platform.rs"]
+mod platform;
+#[path = "invariants/step.rs"]
+mod step;
+#[path = "invariants/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use guavausher_core::{event, fact, name, peering, poison, request, store, verdict};
+use proptest::prelude::*;
+use proptest::test_runner;
+use rstest::rstest;
+use step::{Kind, Signal, Step};
+
+const CASES: u32 = 60;
+/// Runs after which a short wait for a slot is expected.
+const QUICK_RUNS: u32 = 40;
+const STEPS: usize = 200;
+
+fn number<T: std::str::FromStr>(variable: &str, default: T) -> T {
+    let value = std::env::var(variable).ok();
+    value.and_then(|v| v.parse().ok()).unwrap_or(default)
+}
+
+fn config() -> test_runner::Config {
+    test_runner::Config {
+        cases: number("SOAK_CASES", CASES),
+        failure_persistence: None,
+        max_shrink_iters: 4_000,
+        rng_seed: test_runner::RngSeed::Fixed(number("SOAK_SEED", 1)),
+        ..test_runner::Config::default()
+    }
+}
+
+/// Sequences that once broke a promise, in few steps.
+#[rstest]
+#[case::restarted_entry_reads_the_list_once(
+    true,
+    vec![Step::Restart { entry: 0 }, Step::Wait { millis: 5_000 }]
+)]
+#[case::order_that_backed_off_is_not_claimed_after_its_deadline(
+    false,
+    vec![
+        Step::Leaving { entry: 0, upstream: 2 },
+        Step::List { upstream: 3, leaving: true, next: false },
+        Step::Wait { millis: 1_000 },
+        Step::Arrive { entry: 1, kind: Kind::Order { key: 0 }, body: 0 },
+        Step::Flow,
+        Step::Signal { pick: 0, signal: Signal::Refused },
+        Step::Arrive { entry: 1, kind: Kind::Order { key: 0 }, body: 0 },
+        Step::Wait { millis: 5_001 },
+    ]
+)]
+fn replay_keeps_every_promise(#[case] deduplicates: bool, #[case] steps: Vec<Step>) {
+    let domains = node::APART;
+    let mut world = world::World::new(world::Plan {
+        deduplicates,
+        domains,
+    });
+    steps.into_iter().for_each(|step| world.step(step));
+    world.settle();
+    assert_eq!(world.faults, Vec::<String>::new());
+}
+
+/// The last of several attempts was not run, but an earlier one may have.
+#[test]
+fn fail_after_an_unclear_attempt_is_not_said_to_be_not_run() {
+    let mut bench = bench::Bench::erdene();
+    let id = bench.arrive(bench::VERSE, None);
+    let mut verdict = verdict::Verdict::MayHaveRun;
+    while bench.refusals(id).is_empty() {
+        let last = bench.dispatches(id).pop().expect("a dispatch");
+        bench.fail(&last, verdict, false);
+        verdict = verdict::Verdict::NotRun;
+    }
+    assert!(bench.dispatches(id).len() > 1);
+    assert_eq!(bench.refusals(id)[0].verdict, verdict::Verdict::MayHaveRun);
+}
+
+/// A request backs off, becomes suspect and then waits for a turn that another entry never gives.
+#[test]
+fn tick_refuses_at_the_deadline_what_waits_for_its_turn() {
+    let mut declaration = bench::declaration();
+    let kept = ["verse-1", "verse-2"];
+    declaration
+        .upstreams
+        .retain(|u| kept.contains(&u.name.as_str()));
+    let mut bench = bench::Bench::declared(&declaration);
+    let other = store::Instance {
+        name: name::Name::from("entry-2"),
+        address: node::address(1),
+        domain: name::Name::from("tolgoit"),
+        kind: name::Name::from("entry"),
+        leaving: false,
+        incarnation: 1,
+    };
+    let members = serde_json::to_vec(&[other]).expect("a list");
+    bench.publish(peering::Topic::Members, 1, members);
+    for _ in 0..QUICK_RUNS {
+        let id = bench.arrive(bench::VERSE, None);
+        let sent = bench.dispatches(id).pop().expect("a dispatch");
+        bench.wait(20);
+        bench.finish(&sent);
+    }
+    let id = bench.arrive_with(bench::VERSE, None, 7);
+    for _ in kept {
+        let last = bench.dispatches(id).pop().expect("a dispatch");
+        bench.signal(&last, event::Signal::Refused);
+    }
+    let fact = fact::Fact::Suspect {
+        fingerprint: 7,
+        upstream: name::Name::from("verse-9"),
+    };
+    let expiry = bench.now.after(Duration::from_secs(600));
+    bench.event(event::Event::Peer(peering::Input::Learn { fact, expiry }));
+    let stage = |bench: &bench::Bench| format!("{:?}", bench.state.flights[&id].stage);
+    assert!(stage(&bench).starts_with("Backoff"), "{}", stage(&bench));
+    bench.wait(200);
+    assert_eq!(stage(&bench), "Quarantined");
+    bench.wait(8_000);
+    assert_eq!(bench.dispatches(id).len(), kept.len());
+    assert_eq!(bench.refusals(id).len(), 1);
+}
+
+/// An order backs off before its claim, and then the store does not reply.
+#[test]
+fn tick_refuses_at_the_deadline_what_is_claimed_late() {
+    let mut bench = bench::Bench::erdene();
+    let first = bench.arrive(bench::CANDLE, Some("first"));
+    bench.serve(&mut bench::Objects::default());
+    for _ in 0..3 {
+        let last = bench.dispatches(first).pop().expect("a dispatch");
+        bench.signal(&last, event::Signal::Refused);
+    }
+    let deadline = bench.now.after(Duration::from_millis(1_500));
+    let second = request::Request {
+        id: 100,
+        key: Some(name::Name::from("second")),
+        deadline: Some(deadline),
+        ..bench.state.flights[&first].request.clone()
+    };
+    let id = second.id;
+    bench.event(event::Event::Arrived(second));
+    let stage = |bench: &bench::Bench| format!("{:?}", bench.state.flights[&id].stage);
+    assert!(stage(&bench).starts_with("Backoff"), "{}", stage(&bench));
+    while stage(&bench).starts_with("Backoff") {
+        bench.wait(100);
+    }
+    assert_eq!(stage(&bench), "Claiming");
+    while bench.now < deadline {
+        assert!(bench.refusals(id).is_empty());
+        bench.wait(100);
+    }
+    assert_eq!(bench.refusals(id).len(), 1);
+}
+
+/// A turn that another entry gave is not asked for again while it lasts.
+#[test]
+fn admit_again_in_a_turn_of_another_entry_needs_no_other() {
+    let owner = name::Name::from("entry-2");
+    let mut quarantine = poison::Quarantine::new(name::Name::from("entry-1"));
+    quarantine.set_members([&owner]);
+    let now = bench::START;
+    quarantine.died(now, 7, 1, &name::Name::from("engine-1"));
+    let later = now.after(Duration::from_secs(1));
+    assert_eq!(quarantine.admit(later, 7, 2).pass, poison::Pass::Wait);
+    let turn = poison::Turn {
+        fingerprint: 7,
+        request: 2,
+    };
+    let effects = quarantine.receive(later, &owner, poison::Note::Grant(turn));
+    assert_eq!(effects, vec![poison::Effect::StartAlone(2)]);
+    let soon = later.after(Duration::from_millis(100));
+    let again = quarantine.admit(soon, 7, 2);
+    assert_eq!((again.pass, again.effects), (poison::Pass::Alone, vec![]));
+}
+
+/// A request that finds no upstream in its turn keeps it, and asks anew once it is over.
+#[test]
+fn admit_again_in_its_turn_needs_no_other() {
+    let own = name::Name::from("entry-1");
+    let mut quarantine = poison::Quarantine::new(own);
+    let now = bench::START;
+    quarantine.died(now, 7, 1, &name::Name::from("engine-1"));
+    for millis in [1_000, 1_100, 9_000] {
+        let later = now.after(Duration::from_millis(millis));
+        assert_eq!(quarantine.admit(later, 7, 2).pass, poison::Pass::Alone);
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn reduce_keeps_every_promise(
+        deduplicates in prop::bool::weighted(0.25),
+        domains in prop::sample::select(vec![node::APART, node::TOGETHER]),
+        steps in prop::collection::vec(step::step(), 1..STEPS),
+    ) {
+        let mut world = world::World::new(world::Plan { deduplicates, domains });
+        for step in steps {
+            world.step(step);
+            prop_assert!(world.faults.is_empty(), "{}", world.faults.join("; "));
+        }
+        world.settle();
+        prop_assert!(world.faults.is_empty(), "{}", world.faults.join("; "));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/invariants/observe.rs
@@ -0,0 +1,205 @@
+//! What is seen of an event at an entry, and the checks of it.
+
+use guavausher_core::{declaration, effect, event, fact, name, peering, reduce, rollout};
+
+use super::super::audit;
+use super::super::node;
+use super::super::step;
+use super::{Attempt, Call, NEW, Packet, World};
+
+impl World {
+    pub(super) fn event(&mut self, entry: usize, event: event::Event) {
+        let node = &mut self.nodes[entry];
+        if node.stopped {
+            return;
+        }
+        if let Some(inbox) = &mut node.inbox {
+            inbox.push(event);
+            return;
+        }
+        let known = self.known(entry);
+        let effects = reduce::reduce(&mut self.nodes[entry].state, self.now, event);
+        let state = &self.nodes[entry].state;
+        let checks = [
+            audit::forward(&known, state, &effects),
+            audit::few_calls(state),
+        ];
+        checks.into_iter().for_each(|v| self.note(v));
+        for effect in effects {
+            self.effect(entry, &known, effect);
+        }
+        self.count_shares(entry);
+        if !self.plan.deduplicates {
+            self.note(audit::one_run(&self.book));
+        }
+    }
+
+    pub(super) fn effect(&mut self, entry: usize, known: &audit::Known, effect: effect::Effect) {
+        let process = self.nodes[entry].process;
+        match effect {
+            effect::Effect::Dispatch(sent) => self.sent(entry, known, sent),
+            effect::Effect::Cancel { attempt, .. } => self.over(process, attempt),
+            effect::Effect::Ended { request } => {
+                if let Some(asked) = self.book.get_mut(&(process, request)) {
+                    asked.ended = true;
+                }
+            }
+            effect::Effect::Refuse { request, refusal } => {
+                self.answer((process, request), audit::Answer::Refused(refusal));
+            }
+            effect::Effect::Replay { request, .. } => {
+                self.answer((process, request), audit::Answer::Replayed);
+            }
+            effect::Effect::Relay { request } => {
+                self.answer((process, request), audit::Answer::Relayed);
+            }
+            effect::Effect::Call { id, call } => self.calls.push(Call {
+                entry,
+                process,
+                id,
+                call,
+            }),
+            effect::Effect::Send { to, message } => {
+                if let Some(to) = node::number(&to) {
+                    self.packets.push(Packet {
+                        from: entry,
+                        to,
+                        message,
+                    });
+                }
+            }
+            effect::Effect::Link(member) => {
+                if let Some(to) = node::number(&member.name) {
+                    self.dials.push((entry, to));
+                }
+            }
+            effect::Effect::Unlink(name) => {
+                if let Some(to) = node::number(&name) {
+                    self.unlink(entry, to);
+                }
+            }
+            effect::Effect::Stopped => self.nodes[entry].stopped = true,
+            effect::Effect::InForce { .. } | effect::Effect::Rejected { .. } => {}
+        }
+    }
+
+    pub(super) fn sent(&mut self, entry: usize, known: &audit::Known, sent: effect::Dispatch) {
+        let process = self.nodes[entry].process;
+        let id = (process, sent.request);
+        let run = audit::Run {
+            attempt: sent.attempt,
+            end: None,
+        };
+        let Some(asked) = self.book.get_mut(&id) else {
+            return self.note(Err(format!("{id:?} was sent and did not ask")));
+        };
+        asked.runs.push(run);
+        let state = &self.nodes[entry].state;
+        let checks = [
+            audit::sent_once(id, asked),
+            audit::not_blocked(known, asked),
+            audit::not_halted(known, &sent),
+            audit::not_leaving(known, state, &sent),
+        ];
+        checks.into_iter().for_each(|v| self.note(v));
+        self.live.push(Attempt {
+            entry,
+            process,
+            sent,
+            started: false,
+        });
+    }
+
+    pub(super) fn answer(&mut self, id: audit::Id, answer: audit::Answer) {
+        self.note(audit::one_answer(id, self.book.get(&id)));
+        let Some(asked) = self.book.get_mut(&id) else {
+            return;
+        };
+        asked.answers.push(answer);
+        let checks = [
+            audit::true_verdict(id, asked),
+            audit::own_answer(&self.book, id),
+        ];
+        checks.into_iter().for_each(|v| self.note(v));
+    }
+
+    pub(super) fn note(&mut self, verdict: audit::Verdict) {
+        self.faults.extend(verdict.err());
+    }
+
+    pub(super) fn known(&self, entry: usize) -> audit::Known {
+        let state = &self.nodes[entry].state;
+        let blocked = |fingerprint: &u64| {
+            let by = |upstream: &declaration::Upstream| fact::Fact::Blocked {
+                fingerprint: *fingerprint,
+                upstream: upstream.name.clone(),
+            };
+            let mut facts = self.declaration.upstreams.iter().map(by);
+            facts.any(|fact| state.peering.knows(&fact))
+        };
+        let mut leaving = state.leaving.clone();
+        for instance in &self.instances {
+            let knows = |incarnation: &u64| {
+                let upstream = instance.name.clone();
+                let incarnation = *incarnation;
+                state.peering.knows(&fact::Fact::Leaving {
+                    upstream,
+                    incarnation,
+                })
+            };
+            if let Some(highest) = (0..=instance.incarnation).rev().find(knows) {
+                let latch = leaving.entry(instance.name.clone()).or_default();
+                *latch = (*latch).max(highest);
+            }
+        }
+        let status = self.status(entry);
+        let halts = |status: &&rollout::Status| {
+            let mut later = self
+                .rollouts
+                .values()
+                .filter(|s| s.generation >= status.generation);
+            later.any(|s| state.peering.knows(&s.halt()))
+        };
+        audit::Known {
+            leaving,
+            blocked: (0..3).filter(blocked).collect(),
+            halted: status.filter(halts).map(|s| s.to.clone()),
+            generation: state.config.as_ref().map_or(0, |c| c.generation),
+        }
+    }
+
+    /// The state of the rollout in force at an entry.
+    pub(super) fn status(&self, entry: usize) -> Option<&rollout::Status> {
+        let generation = self.nodes[entry]
+            .state
+            .peering
+            .generation(peering::Topic::Rollouts);
+        self.rollouts.get(&generation)
+    }
+
+    /// Counts each request for the share when it is first given a version.
+    pub(super) fn count_shares(&mut self, entry: usize) {
+        let process = self.nodes[entry].process;
+        let Some(status) = self.status(entry) else {
+            return;
+        };
+        let (rollout, allowed) = (status.generation, audit::allowed(status));
+        let flights = &self.nodes[entry].state.flights;
+        let share = self.shares.entry((process, rollout)).or_default();
+        let own = self.book.range_mut((process, 0)..=(process, u64::MAX));
+        for ((_, request), asked) in own.filter(|(_, a)| a.version.is_none()) {
+            if asked.kind != step::Kind::Verse {
+                continue;
+            }
+            let given = flights.get(request).and_then(|f| f.version.clone());
+            let refused = asked.ended.then(name::Name::default);
+            asked.version = given.or(refused);
+            if let Some(version) = &asked.version {
+                share.allowed += allowed;
+                share.given += u64::from(version.as_str() == NEW) * 1_000;
+            }
+        }
+        let check = audit::within_share(share);
+        self.note(check);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/invariants/traffic.rs
@@ -0,0 +1,167 @@
+//! Callers and upstreams.
+
+use guavausher_core::{declaration, event, ledger, name, prompt, request, verdict};
+
+use super::super::audit;
+use super::super::bench;
+use super::super::step;
+use super::{Attempt, HARMLESS, LAST_ARRIVAL, World};
+
+impl World {
+    pub(super) fn arrive(&mut self, entry: usize, kind: step::Kind, body: u8) {
+        if bench::START.until(self.now) > LAST_ARRIVAL || self.nodes[entry].stopped {
+            return;
+        }
+        self.requests += 1;
+        let (path, key) = match kind {
+            step::Kind::Verse => (bench::VERSE, None),
+            step::Kind::Order { key } => (bench::CANDLE, Some(format!("key-{key}"))),
+            step::Kind::Unkeyed => (bench::CANDLE, None),
+        };
+        let request = request::Request {
+            id: self.requests,
+            path: path.to_owned(),
+            workspace: name::Name::from("kiosks-east"),
+            key: key.map(name::Name::from),
+            fingerprint: body.into(),
+            shape: prompt::shape("a few words"),
+            output: 10,
+            deadline: None,
+            offset: 0,
+        };
+        let asked = audit::Asked {
+            kind,
+            fingerprint: body.into(),
+            answers: Vec::new(),
+            abandoned: false,
+            ended: false,
+            runs: Vec::new(),
+            version: None,
+        };
+        self.book
+            .insert((self.nodes[entry].process, self.requests), asked);
+        self.event(entry, event::Event::Arrived(request));
+    }
+
+    /// A verse that is answered at once where an upstream is free.
+    pub(super) fn quick(&mut self, entry: usize) {
+        let live = self.live.len();
+        self.arrive(entry, step::Kind::Verse, HARMLESS);
+        if self.live.len() > live {
+            self.signal(self.live.len() - 1, step::Signal::Finished { kept: false });
+        }
+    }
+
+    pub(super) fn abandon(&mut self, pick: usize) {
+        let entry = pick % 3;
+        let process = self.nodes[entry].process;
+        let own = self.book.range_mut((process, 0)..=(process, u64::MAX));
+        let mut open: Vec<_> = own
+            .filter(|(_, a)| a.answers.is_empty() && !a.abandoned)
+            .collect();
+        if open.is_empty() || self.nodes[entry].inbox.is_some() {
+            return;
+        }
+        let at = pick % open.len();
+        let (id, asked) = &mut open[at];
+        let request = id.1;
+        asked.abandoned = true;
+        self.event(entry, event::Event::Abandoned { request });
+    }
+
+    pub(super) fn signal(&mut self, pick: usize, signal: step::Signal) {
+        if self.live.is_empty() {
+            return;
+        }
+        let at = pick % self.live.len();
+        if matches!(signal, step::Signal::First) {
+            if self.live[at].sent.kind == declaration::Kind::Model {
+                self.live[at].started = true;
+                let attempt = self.live[at].clone();
+                self.say(&attempt, event::Signal::First);
+            }
+            return;
+        }
+        let attempt = self.live.remove(at);
+        self.old.push(attempt.clone());
+        let (event, end) = ending(&attempt, signal);
+        if let Some(asked) = self.book.get_mut(&(attempt.process, attempt.sent.request)) {
+            let own = |run: &&mut audit::Run| run.attempt == attempt.sent.attempt;
+            if let Some(run) = asked.runs.iter_mut().find(own) {
+                run.end = Some(end);
+            }
+        }
+        self.say(&attempt, event);
+    }
+
+    pub(super) fn late(&mut self, pick: usize, signal: step::Signal) {
+        if self.old.is_empty() {
+            return;
+        }
+        let attempt = self.old[pick % self.old.len()].clone();
+        let event = match signal {
+            step::Signal::First => event::Signal::First,
+            other => ending(&attempt, other).0,
+        };
+        self.say(&attempt, event);
+    }
+
+    pub(super) fn say(&mut self, attempt: &Attempt, signal: event::Signal) {
+        if self.nodes[attempt.entry].process == attempt.process {
+            let attempt_id = attempt.sent.attempt;
+            let event = event::Event::Attempt {
+                attempt: attempt_id,
+                signal,
+            };
+            self.event(attempt.entry, event);
+        }
+    }
+
+    /// Takes an attempt from its upstream without an answer.
+    pub(super) fn over(&mut self, process: u64, attempt: u64) {
+        let own = |a: &Attempt| a.process == process && a.sent.attempt == attempt;
+        if let Some(at) = self.live.iter().position(own) {
+            let attempt = self.live.remove(at);
+            self.old.push(attempt);
+        }
+    }
+}
+
+/// What the entry hears of an attempt's end, and whether the request ran.
+fn ending(attempt: &Attempt, signal: step::Signal) -> (event::Signal, verdict::Verdict) {
+    let fail = |verdict, died, tokens: u8| {
+        let offset = attempt.sent.offset + u32::from(tokens) * u32::from(attempt.started);
+        let failure = event::Failure {
+            verdict,
+            died,
+            offset,
+        };
+        (event::Signal::Failed(failure), verdict)
+    };
+    let unclear = verdict::Verdict::MayHaveRun;
+    match signal {
+        step::Signal::Refused | step::Signal::NotRun if attempt.started => fail(unclear, false, 1),
+        step::Signal::Refused => (event::Signal::Refused, verdict::Verdict::NotRun),
+        step::Signal::NotRun => fail(verdict::Verdict::NotRun, false, 0),
+        step::Signal::MayHaveRun { tokens } => fail(unclear, false, tokens),
+        step::Signal::Died { tokens } => fail(unclear, true, tokens),
+        step::Signal::Errs => finish(true, false),
+        step::Signal::Finished { kept } => finish(false, kept),
+        step::Signal::First => (event::Signal::First, unclear),
+    }
+}
+
+fn finish(failed: bool, kept: bool) -> (event::Signal, verdict::Verdict) {
+    let kept = kept.then(|| ledger::Kept {
+        status: 200,
+        media: "application/json".into(),
+        body: Some("{}".into()),
+    });
+    let finish = event::Finish {
+        failed,
+        kept,
+        tokens: 1,
+        ..event::Finish::default()
+    };
+    (event::Signal::Finished(finish), verdict::Verdict::Ran)
+}
--- /dev/null
+++ b/crates/core/tests/invariants/world.rs
@@ -0,0 +1,285 @@
+//! Three entries before one store, with every message and reply in the hand of the test.
+
+mod observe;
+mod operators;
+mod traffic;
+mod transport;
+
+use std::collections;
+use std::sync;
+use std::time::Duration;
+
+use guavausher_core::{declaration, effect, event, fact, name, peering, rollout, store, time};
+
+use super::audit;
+use super::bench;
+use super::node;
+use super::platform;
+use super::step;
+
+const SERVICE: &str = "verse-scribe";
+const OLD: &str = "v1";
+const NEW: &str = "v2";
+const UPSTREAMS: [&str; 5] = ["verse-1", "verse-4", "kiosk-1", "kiosk-2", "verse-2"];
+const HOLD: Duration = Duration::from_secs(3_600);
+/// Keys may run again after the ledger's retention, so requests come only before this time.
+const LAST_ARRIVAL: Duration = Duration::from_secs(400);
+/// Fingerprint of bodies under which no upstream dies.
+const HARMLESS: u8 = 9;
+/// Sends the calls whose caller waits no more.
+const NOBODY: u64 = 0;
+const MAX_FLOW: u32 = 400;
+
+/// What differs between deployments.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub deduplicates: bool,
+    pub domains: node::Domains,
+}
+
+/// An attempt as its upstream sees it.
+#[derive(Clone, Debug)]
+struct Attempt {
+    entry: usize,
+    process: u64,
+    sent: effect::Dispatch,
+    started: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Call {
+    entry: usize,
+    process: u64,
+    id: u64,
+    call: store::Call,
+}
+
+#[derive(Clone, Debug)]
+struct Reply {
+    entry: usize,
+    process: u64,
+    id: u64,
+    reply: store::Reply,
+}
+
+#[derive(Clone, Debug)]
+struct Packet {
+    from: usize,
+    to: usize,
+    message: peering::Message,
+}
+
+/// The whole deployment and all that has been seen of it.
+#[derive(Debug)]
+pub struct World {
+    pub faults: Vec<String>,
+    now: time::Time,
+    nodes: Vec<node::Node>,
+    platform: platform::Platform,
+    instances: Vec<store::Instance>,
+    configs: Vec<sync::Arc<[u8]>>,
+    rollouts: collections::BTreeMap<u64, rollout::Status>,
+    book: audit::Book,
+    shares: collections::BTreeMap<audit::Id, audit::Share>,
+    live: Vec<Attempt>,
+    old: Vec<Attempt>,
+    calls: Vec<Call>,
+    replies: Vec<Reply>,
+    packets: Vec<Packet>,
+    dials: Vec<(usize, usize)>,
+    links: collections::BTreeSet<(usize, usize)>,
+    declaration: declaration::Declaration,
+    plan: Plan,
+    processes: u64,
+    requests: u64,
+}
+
+impl World {
+    /// Three ready entries.
+    pub fn new(plan: Plan) -> Self {
+        let mut declaration = bench::declaration();
+        for service in &mut declaration.services {
+            service.deduplicates &= plan.deduplicates;
+        }
+        for upstream in &mut declaration.upstreams {
+            if ["verse-4", "verse-5", "verse-6"].contains(&upstream.name.as_str()) {
+                upstream.version = name::Name::from(NEW);
+            }
+        }
+        let mut world = Self {
+            faults: Vec::new(),
+            now: bench::START,
+            nodes: (0..3)
+                .map(|e| node::Node::new(&plan.domains, e, e as u64 + 1))
+                .collect(),
+            platform: platform::Platform::default(),
+            instances: Vec::new(),
+            configs: Vec::new(),
+            rollouts: collections::BTreeMap::new(),
+            book: audit::Book::new(),
+            shares: collections::BTreeMap::new(),
+            live: Vec::new(),
+            old: Vec::new(),
+            calls: Vec::new(),
+            replies: Vec::new(),
+            packets: Vec::new(),
+            dials: Vec::new(),
+            links: collections::BTreeSet::new(),
+            declaration,
+            plan,
+            processes: 3,
+            requests: 0,
+        };
+        world.instances = world.all_instances();
+        world.platform.lists.push(world.instances.clone());
+        world.configure();
+        for entry in 0..3 {
+            world.event(entry, event::Event::Start);
+        }
+        world.flow();
+        world
+    }
+
+    pub fn step(&mut self, step: step::Step) {
+        match step {
+            step::Step::Arrive { entry, kind, body } => self.arrive(entry, kind, body),
+            step::Step::Burst { entry, count } => (0..count).for_each(|_| self.quick(entry)),
+            step::Step::Abandon { pick } => self.abandon(pick),
+            step::Step::Signal { pick, signal } => self.signal(pick, signal),
+            step::Step::Late { pick, signal } => self.late(pick, signal),
+            step::Step::Serve { pick, fate } => self.serve(pick, fate),
+            step::Step::Reply { pick } => {
+                if let Some(reply) = transport::take(&mut self.replies, pick) {
+                    self.reply(reply);
+                }
+            }
+            step::Step::Pass { pick, copies } => self.pass(pick, copies),
+            step::Step::Dial { pick, works } => self.dial(pick, works),
+            step::Step::Cut { first, second } => self.cut(first.min(second), first.max(second)),
+            step::Step::Flow => self.flow(),
+            step::Step::Wait { millis } => self.wait(Duration::from_millis(millis.into())),
+            step::Step::Pause { entry } => {
+                self.nodes[entry].inbox.get_or_insert_default();
+            }
+            step::Step::Resume { entry } => self.resume(entry),
+            step::Step::Restart { entry } => self.restart(entry),
+            step::Step::Configure => self.configure(),
+            step::Step::Stale { entry, pick } => self.stale(entry, pick),
+            step::Step::List {
+                upstream,
+                leaving,
+                next,
+            } => self.list(upstream, leaving, next),
+            step::Step::Leaving { entry, upstream } => {
+                let upstream = name::Name::from(UPSTREAMS[upstream]);
+                let incarnation = self.incarnation(&upstream);
+                let fact = fact::Fact::Leaving {
+                    upstream,
+                    incarnation,
+                };
+                self.learn(entry, fact);
+            }
+            step::Step::Rollout { phase, share } => self.rollout(phase, share),
+            step::Step::Halt { entry } => {
+                if let Some(status) = self.rollouts.values().next_back() {
+                    let halt = status.halt();
+                    self.learn(entry, halt);
+                }
+            }
+            step::Step::Stop { entry, millis } => {
+                let deadline = self.now.after(Duration::from_millis(millis.into()));
+                self.event(entry, event::Event::Stop { deadline });
+            }
+        }
+        self.replace_stopped();
+    }
+
+    /// Lets everything end without further faults and looks at what is left.
+    pub fn settle(&mut self) {
+        for entry in 0..3 {
+            self.resume(entry);
+        }
+        for second in 0..100 {
+            self.flow();
+            while second > 10 && !self.live.is_empty() {
+                self.signal(0, step::Signal::Finished { kept: true });
+            }
+            self.wait(Duration::from_secs(1));
+            self.replace_stopped();
+        }
+        self.flow();
+        for entry in 0..3 {
+            let process = self.nodes[entry].process;
+            let checks = self.book.range((process, 0)..=(process, u64::MAX));
+            let mut verdicts: Vec<_> = checks.map(|(id, a)| audit::answered(*id, a)).collect();
+            verdicts.push(audit::empty(&self.nodes[entry].state));
+            verdicts.into_iter().for_each(|v| self.note(v));
+        }
+    }
+
+    /// Works off calls, replies, dials and messages until only waiting calls are left.
+    fn flow(&mut self) {
+        for _ in 0..MAX_FLOW {
+            let calls = self.calls.len();
+            (0..calls).for_each(|_| self.serve(0, step::Fate::Served));
+            let idle = self.replies.is_empty() && self.dials.is_empty() && self.packets.is_empty();
+            if idle {
+                return;
+            }
+            while let Some(reply) = transport::take(&mut self.replies, 0) {
+                self.reply(reply);
+            }
+            for _ in 0..self.dials.len() {
+                self.dial(0, true);
+            }
+            for _ in 0..self.packets.len() {
+                self.pass(0, 1);
+            }
+        }
+    }
+
+    fn wait(&mut self, wait: Duration) {
+        self.now = self.now.after(wait);
+        for entry in 0..3 {
+            if self.nodes[entry].inbox.is_none() {
+                self.event(entry, event::Event::Tick);
+                let check = audit::in_time(&self.nodes[entry].state, self.now);
+                self.note(check);
+            }
+        }
+    }
+
+    fn resume(&mut self, entry: usize) {
+        let Some(inbox) = self.nodes[entry].inbox.take() else {
+            return;
+        };
+        for event in inbox {
+            self.event(entry, event);
+        }
+        self.event(entry, event::Event::Tick);
+    }
+
+    fn restart(&mut self, entry: usize) {
+        for other in (0..3).filter(|other| *other != entry) {
+            self.unlink(entry, other);
+        }
+        self.dials.retain(|(from, _)| *from != entry);
+        let process = self.nodes[entry].process;
+        let (lost, live) = self.live.drain(..).partition(|a| a.process == process);
+        self.live = live;
+        self.old.extend::<Vec<_>>(lost);
+        self.processes += 1;
+        self.nodes[entry] = node::Node::new(&self.plan.domains, entry, self.processes);
+        self.instances = self.all_instances_like_now();
+        self.platform.lists.push(self.instances.clone());
+        self.event(entry, event::Event::Start);
+    }
+
+    fn replace_stopped(&mut self) {
+        for entry in 0..3 {
+            if self.nodes[entry].stopped {
+                self.restart(entry);
+            }
+        }
+    }
+}
--- a/crates/node/tests/inputs.rs
+++ b/crates/node/tests/inputs.rs
@@ -192,14 +192,14 @@
         rng_seed: test_runner::RngSeed::Fixed(SEED),
         ..test_runner::Config::default()
     };
-    let count = cell::Cell::new(1);
+    let count = cell::Cell::new(1_u32);
     let result = test_runner::TestRunner::new(config).run(&bad(), |sent| {
         let status = send(caller, &sent);
         let is_error = status.is_some_and(|s| (400..600).contains(&s));
         let closed = status.is_none() && !sent.needs_answer();
         prop_assert!(is_error || closed, "{status:?}");
         count.set(count.get() + 1);
-        if count.get() % GOOD_EVERY == 0 {
+        if count.get().is_multiple_of(GOOD_EVERY) {
             prop_assert!(fleet.verse(0, "a verse", 5).is_whole(0, 5));
         }
         Ok(())
