--- a/crates/core/tests/invariants/operators.rs
+++ b/crates/core/tests/invariants/operators.rs
@@ -1,6 +1,7 @@
 //! Operators, the platform's list and the controller.
 
 use std::sync;
+use std::time::Duration;
 
 use guavausher_core::{declaration, name, peering, rollout, store};
 
@@ -49,6 +50,15 @@
         own.next().map_or(1, |i| i.incarnation)
     }
 
+    pub(super) fn notice(&mut self, upstream: usize) {
+        let notice = store::Notice {
+            seq: self.platform.notices.len() as u64,
+            instance: name::Name::from(UPSTREAMS[upstream]),
+            deadline: self.now.after(Duration::from_secs(30)),
+        };
+        self.platform.notices.push(notice);
+    }
+
     pub(super) fn rollout(&mut self, phase: u8, share: u32) {
         let last = self.rollouts.values().next_back().cloned();
         let generation =
--- a/crates/core/tests/invariants/platform.rs
+++ b/crates/core/tests/invariants/platform.rs
@@ -12,6 +12,7 @@
     revision: u64,
     changed: collections::BTreeMap<name::Name, u64>,
     pub lists: Vec<Vec<store::Instance>>,
+    pub notices: Vec<store::Notice>,
 }
 
 impl Platform {
@@ -52,7 +53,12 @@
                 revision: list as u64 + 1,
                 instances: self.lists[list].clone(),
             },
-            store::Call::Notices { .. } => return None,
+            store::Call::Notices { since } => {
+                let new = self.notices.iter().filter(|n| n.seq >= *since);
+                let notices: Vec<_> = new.cloned().collect();
+                let next = notices.last()?.seq + 1;
+                store::Reply::Notices { next, notices }
+            }
         };
         Some(reply)
     }
--- a/crates/core/tests/invariants/step.rs
+++ b/crates/core/tests/invariants/step.rs
@@ -47,6 +47,8 @@
     },
     /// An entry finds out that an upstream is leaving.
     Leaving { entry: usize, upstream: usize },
+    /// The cloud announces that it takes an instance back.
+    Notice { upstream: usize },
     /// The controller writes the state of a rollout.
     Rollout { phase: u8, share: u32 },
     /// An entry finds a fault in the new version.
@@ -117,6 +119,7 @@
             .prop_map(|(upstream, leaving, next)| Step::List { upstream, leaving, next }),
         1 => (entry.clone(), 0..5usize)
             .prop_map(|(entry, upstream)| Step::Leaving { entry, upstream }),
+        2 => (0..5usize).prop_map(|upstream| Step::Notice { upstream }),
         3 => (0..8u8, 1..1_000u32).prop_map(|(phase, share)| Step::Rollout { phase, share }),
         2 => entry.clone().prop_map(|entry| Step::Halt { entry }),
         1 => (entry, 0..12_000u32).prop_map(|(entry, millis)| Step::Stop { entry, millis }),
--- a/crates/core/tests/invariants/world.rs
+++ b/crates/core/tests/invariants/world.rs
@@ -179,6 +179,7 @@
                 };
                 self.learn(entry, fact);
             }
+            step::Step::Notice { upstream } => self.notice(upstream),
             step::Step::Rollout { phase, share } => self.rollout(phase, share),
             step::Step::Halt { entry } => {
                 if let Some(status) = self.rollouts.values().next_back() {
