Keep the deadline of an order that looks for an earlier run

Cause: the look for an earlier run of a key came after a wait whose timer was spent, so in a slow store the refusal came when the ledger gave up, up to 2 s later, past the caller's deadline. Change: the look sets the timer to the deadline; the plain test for claims covers looks too and failed before.

--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -270,6 +270,8 @@
     };
     flight.stage = flight::Stage::Looking(refusal);
     let claim = claim_of(flight, key, Lookup::Yes);
+    let deadline = flight.deadline;
+    state.set_timer(id, deadline);
     record::drive(state, now, ledger::Input::Claim(claim));
 }
 
--- a/crates/core/tests/invariants.rs
+++ b/crates/core/tests/invariants.rs
@@ -22,6 +22,7 @@
 use step::{Kind, Signal, Step};
 
 const CASES: u32 = 60;
+const KIOSKS: [&str; 3] = ["kiosk-1", "kiosk-2", "kiosk-3"];
 /// Runs after which a short wait for a slot is expected.
 const QUICK_RUNS: u32 = 40;
 const STEPS: usize = 200;
@@ -131,13 +132,19 @@
     assert_eq!(bench.refusals(id).len(), 1);
 }
 
-/// An order backs off before its claim, and then the store does not reply.
-#[test]
-fn tick_refuses_at_the_deadline_what_is_claimed_late() {
+/// An order backs off before its claim or the look for an earlier run, and then the store does not
+/// reply.
+#[rstest]
+#[case::claimed(false, "Claiming")]
+#[case::looked_up(true, "Looking")]
+fn tick_refuses_at_the_deadline_what_waits_for_the_store(
+    #[case] leaving: bool,
+    #[case] expected: &str,
+) {
     let mut bench = bench::Bench::erdene();
     let first = bench.arrive(bench::CANDLE, Some("first"));
     bench.serve(&mut bench::Objects::default());
-    for _ in 0..3 {
+    for _ in KIOSKS {
         let last = bench.dispatches(first).pop().expect("a dispatch");
         bench.signal(&last, event::Signal::Refused);
     }
@@ -152,15 +159,26 @@
     bench.event(event::Event::Arrived(second));
     let stage = |bench: &bench::Bench| format!("{:?}", bench.state.flights[&id].stage);
     assert!(stage(&bench).starts_with("Backoff"), "{}", stage(&bench));
+    for upstream in KIOSKS.into_iter().filter(|_| leaving) {
+        let upstream = name::Name::from(upstream);
+        let incarnation = 1;
+        let expiry = bench.now.after(Duration::from_secs(600));
+        let fact = fact::Fact::Leaving {
+            upstream,
+            incarnation,
+        };
+        bench.event(event::Event::Peer(peering::Input::Learn { fact, expiry }));
+    }
     while stage(&bench).starts_with("Backoff") {
         bench.wait(100);
     }
-    assert_eq!(stage(&bench), "Claiming");
+    assert!(stage(&bench).starts_with(expected), "{}", stage(&bench));
     while bench.now < deadline {
         assert!(bench.refusals(id).is_empty());
         bench.wait(100);
     }
     assert_eq!(bench.refusals(id).len(), 1);
+    assert_eq!(bench.refusals(id)[0].verdict, verdict::Verdict::NotRun);
 }
 
 /// A turn that another entry gave is not asked for again while it lasts.
