Tell the entry's own refusals from the engine's in the input tests

Cause: with the body's limit or the check of the JSON off, the malformed requests still ended in an error, the engine's. Change: eight faults, each with its status, verdict and the header or limit that the message names. Ruled out: one fleet a case; 1 of 8 fleets started at once was not ready in 30 s. Conclusion: the entry refuses these by itself, as not run.

--- a/crates/node/tests/inputs.rs
+++ b/crates/node/tests/inputs.rs
@@ -27,6 +27,13 @@
 /// Bytes of the method, path and version of [`GOOD`].
 const GOOD_HEAD: usize = "POST /v1/verse HTTP/1.1".len();
 
+const WORKSPACE: (&str, &str) = ("x-workspace", "kiosks");
+/// Longer than any name may be.
+const LONG: &str = concat!(
+    "0123456789012345678901234567890123456789012345678901234567890123456789",
+    "0123456789012345678901234567890123456789012345678901234567890123456789"
+);
+
 /// Headers that only the entry may set, with values that it never uses.
 const FORGED: [(&str, &str); 8] = [
     ("x-attempt-id", "forged-1"),
@@ -215,6 +222,60 @@
     assert!(fleet.verse(0, "a verse", 5).is_whole(0, 5));
 }
 
+/// Headers, body, expected status and a word of the message.
+type Row<'a> = (&'a [(&'a str, &'a str)], String, u16, &'a str);
+
+/// The entry refuses by itself, as not run, and names what is at fault; one entry serves the table.
+#[test]
+fn callers_port_names_the_fault() {
+    let fleet = Fleet::start(&Plan {
+        entries: 1,
+        engines: 1,
+        ..Plan::default()
+    });
+    let whole = || "{}".to_owned();
+    let table: [Row<'_>; 8] = [
+        (&[], whole(), 400, "x-workspace"),
+        (&[("x-workspace", LONG)], whole(), 400, "x-workspace"),
+        (
+            &[WORKSPACE, ("idempotency-key", LONG)],
+            whole(),
+            400,
+            "idempotency-key",
+        ),
+        (
+            &[WORKSPACE, ("x-timeout-ms", "soon")],
+            whole(),
+            400,
+            "x-timeout-ms",
+        ),
+        (
+            &[WORKSPACE, ("last-event-id", "4294967295")],
+            whole(),
+            400,
+            "last-event-id",
+        ),
+        (&[WORKSPACE], "prompt".into(), 400, "JSON"),
+        (&[WORKSPACE], "[".repeat(100_000), 400, "JSON"),
+        (
+            &[WORKSPACE],
+            format!("\"{}\"", "p".repeat(TOO_LARGE)),
+            413,
+            "1048576",
+        ),
+    ];
+    let caller = fleet.entries[0].caller;
+    for (headers, body, status, named) in table {
+        let answer = fleet::call("POST", caller, "/v1/verse", headers, &body).expect("an answer");
+        assert_eq!(
+            (answer.status, answer.verdict()),
+            (status, "not-run"),
+            "{named}"
+        );
+        assert!(answer.body.contains(named), "{}", answer.body);
+    }
+}
+
 #[rstest]
 #[case::peers(|entry: &fleet::Entry| entry.peer)]
 #[case::admin(|entry: &fleet::Entry| entry.admin)]
