--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -69,11 +69,17 @@
     let Some(key) = arrival::ledger_key(flight) else {
         return;
     };
+    let deadline = flight.deadline;
+    if now >= deadline {
+        let refusal = arrival::not_run(refusal::Code::Deadline, Some(now));
+        return give_up(state, now, id, refusal);
+    }
     if let Err(exhausted) = state.fleet.choose(now, &flight.query(None)) {
         return wait_or_refuse(state, now, id, exhausted);
     }
     let claim = claim_of(flight, key, Lookup::No);
     set_stage(state, id, flight::Stage::Claiming);
+    state.set_timer(id, deadline);
     record::drive(state, now, ledger::Input::Claim(claim));
 }
 
@@ -268,6 +274,8 @@
     };
     flight.stage = flight::Stage::Looking(refusal);
     let claim = claim_of(flight, key, Lookup::Yes);
+    let deadline = flight.deadline;
+    state.set_timer(id, deadline);
     record::drive(state, now, ledger::Input::Claim(claim));
 }
 
