Move the benchmark's events into their own module

Ruled out: splitting the loop itself over files (one type with its impls a file). Change: schedule.rs holds the events and their order; an unused record of loads is gone.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod overload;
 pub mod reclaim;
 pub mod request;
+pub mod schedule;
 pub mod setup;
 pub mod sim;
 pub mod speed;
--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -1,6 +1,5 @@
 //! Event loop of one run.
 
-use std::cmp;
 use std::collections;
 
 use guavausher_core::admission;
@@ -16,6 +15,7 @@
 use crate::engine;
 use crate::entry;
 use crate::request;
+use crate::schedule;
 use crate::setup;
 use crate::trace;
 
@@ -51,8 +51,6 @@
     pub recomputed: u64,
     /// Times of all attempts in microseconds.
     pub attempts: Vec<u64>,
-    /// Loads at all reports.
-    pub loads: Vec<routing::Load>,
 }
 
 /// A run in progress.
@@ -63,10 +61,8 @@
     end: u64,
     engines: Vec<engine::Engine>,
     entries: Vec<entry::Entry>,
-    events: collections::BinaryHeap<cmp::Reverse<Scheduled>>,
-    loads: Vec<routing::Load>,
+    events: schedule::Schedule,
     now: u64,
-    order: u64,
     outputs: Vec<Vec<engine::Output>>,
     policy: entry::Policy,
     requests: Vec<request::Request>,
@@ -76,67 +72,20 @@
     workspaces: Vec<name::Name>,
 }
 
-struct Scheduled {
-    at: u64,
-    order: u64,
-    event: Event,
-}
-
-enum Event {
-    Arrive(usize),
-    Reach {
-        engine: usize,
-        job: engine::Job,
-    },
-    Step(usize),
-    First {
-        request: usize,
-        attempt: u64,
-    },
-    Finished {
-        request: usize,
-        attempt: u64,
-        prompt: u32,
-        cached: u32,
-    },
-    Lost {
-        request: usize,
-        attempt: u64,
-        refused: bool,
-    },
-    Publish(usize),
-    Report {
-        entry: usize,
-        engine: usize,
-        load: routing::Load,
-    },
-    Cache {
-        entry: usize,
-        engine: usize,
-        event: routing::CacheEvent,
-    },
-    Wake(usize),
-    Again(usize),
-    Resume(usize),
-    Move(u64),
-    Fault(setup::Kind),
-}
-
 /// Runs a setup to its end.
 pub fn run(setup: &setup::Setup) -> Outcome {
     let mut sim = Sim::new(setup);
-    while let Some(cmp::Reverse(scheduled)) = sim.events.pop() {
-        if scheduled.at > sim.end {
+    while let Some((at, event)) = sim.events.pop() {
+        if at > sim.end {
             break;
         }
-        sim.now = scheduled.at;
-        sim.handle(scheduled.event);
+        sim.now = at;
+        sim.handle(event);
     }
     Outcome {
         requests: sim.requests,
         recomputed: sim.engines.iter().map(|engine| engine.recomputed).sum(),
         attempts: sim.attempts,
-        loads: sim.loads,
     }
 }
 
@@ -160,10 +109,8 @@
             end: setup.demand.length + TAIL_MICROS,
             engines: vec![engine::Engine::default(); setup.engines.len()],
             entries: entries.collect(),
-            events: collections::BinaryHeap::new(),
-            loads: Vec::new(),
+            events: schedule::Schedule::default(),
             now: 0,
-            order: 0,
             outputs: vec![Vec::new(); setup.engines.len()],
             policy: setup.policy,
             requests: requests.collect(),
@@ -176,39 +123,36 @@
             arrivals,
         };
         for index in 0..sim.arrivals.len() {
-            sim.push(sim.arrivals[index].at, Event::Arrive(index));
+            sim.push(sim.arrivals[index].at, schedule::Event::Arrive(index));
         }
         for index in 0..sim.engines.len() {
             let phase = sim.rng.random_range(0..REPORT_MICROS);
-            sim.push(phase, Event::Publish(index));
+            sim.push(phase, schedule::Event::Publish(index));
         }
         for fault in &setup.faults {
-            sim.push(fault.at, Event::Fault(fault.kind));
+            sim.push(fault.at, schedule::Event::Fault(fault.kind));
         }
         sim
     }
 
-    fn push(&mut self, at: u64, event: Event) {
-        self.order += 1;
-        let order = self.order;
-        self.events
-            .push(cmp::Reverse(Scheduled { at, order, event }));
+    fn push(&mut self, at: u64, event: schedule::Event) {
+        self.events.push(at, event);
     }
 
-    fn handle(&mut self, event: Event) {
+    fn handle(&mut self, event: schedule::Event) {
         match event {
-            Event::Arrive(index) => {
+            schedule::Event::Arrive(index) => {
                 let (now, entry) = (self.time(), self.arrivals[index].entry);
                 self.entries[entry].budget.record(now, &self.service);
                 self.arrive(index);
             }
-            Event::Again(index) => self.arrive(index),
-            Event::Resume(request) => self.resume(request),
-            Event::Move(attempt) => self.relocate(attempt),
-            Event::Reach { engine, job } => self.reach(engine, job),
-            Event::Step(engine) => self.step(engine),
-            Event::First { request, attempt } => self.first(request, attempt),
-            Event::Finished {
+            schedule::Event::Again(index) => self.arrive(index),
+            schedule::Event::Resume(request) => self.resume(request),
+            schedule::Event::Move(attempt) => self.relocate(attempt),
+            schedule::Event::Reach { engine, job } => self.reach(engine, job),
+            schedule::Event::Step(engine) => self.step(engine),
+            schedule::Event::First { request, attempt } => self.first(request, attempt),
+            schedule::Event::Finished {
                 request,
                 attempt,
                 prompt,
@@ -217,13 +161,13 @@
                 let outcome = routing::Outcome::Finished { prompt, cached };
                 self.finished(request, attempt, outcome);
             }
-            Event::Lost {
+            schedule::Event::Lost {
                 request,
                 attempt,
                 refused,
             } => self.lost(request, attempt, refused),
-            Event::Publish(engine) => self.publish(engine),
-            Event::Report {
+            schedule::Event::Publish(engine) => self.publish(engine),
+            schedule::Event::Report {
                 entry,
                 engine,
                 load,
@@ -235,7 +179,7 @@
                 self.entries[entry].refresh(now);
                 self.poll(entry);
             }
-            Event::Cache {
+            schedule::Event::Cache {
                 entry,
                 engine,
                 event,
@@ -245,8 +189,8 @@
                     .fleet
                     .cache(now, &entry::engine_name(engine), event);
             }
-            Event::Wake(entry) => self.poll(entry),
-            Event::Fault(kind) => self.fault(kind),
+            schedule::Event::Wake(entry) => self.poll(entry),
+            schedule::Event::Fault(kind) => self.fault(kind),
         }
     }
 
@@ -279,7 +223,10 @@
 
     fn schedule_wake(&mut self, entry: usize) {
         if let Some(at) = self.entries[entry].admission.wake() {
-            self.push(at.as_micros().max(self.now + 1), Event::Wake(entry));
+            self.push(
+                at.as_micros().max(self.now + 1),
+                schedule::Event::Wake(entry),
+            );
         }
     }
 
@@ -337,7 +284,7 @@
             priority: query.priority,
         };
         let at = self.now + self.link(entry, engine);
-        self.push(at, Event::Reach { engine, job });
+        self.push(at, schedule::Event::Reach { engine, job });
     }
 
     /// Waits for room if the deadline allows it; a resumed stream always waits.
@@ -357,7 +304,7 @@
             self.requests[index].refused = true;
             return;
         }
-        self.push(at, Event::Again(index));
+        self.push(at, schedule::Event::Again(index));
     }
 
     fn reach(&mut self, engine: usize, job: engine::Job) {
@@ -368,7 +315,7 @@
             let at = self.now + self.link(self.arrivals[request].entry, engine);
             return self.push(
                 at,
-                Event::Lost {
+                schedule::Event::Lost {
                     request,
                     attempt,
                     refused: up,
@@ -386,7 +333,7 @@
         let length = self.engines[engine].step(&mut self.seen, &mut outputs);
         self.outputs[engine] = outputs;
         self.engines[engine].busy = true;
-        self.push(self.now + length, Event::Step(engine));
+        self.push(self.now + length, schedule::Event::Step(engine));
     }
 
     fn step(&mut self, engine: usize) {
@@ -412,7 +359,7 @@
                 let first = self.requests[request].first.is_none();
                 self.requests[request].token(at);
                 if first {
-                    self.push(at, Event::First { request, attempt });
+                    self.push(at, schedule::Event::First { request, attempt });
                 }
             }
             engine::Output::Finished {
@@ -424,7 +371,7 @@
                 let at = self.now + self.link(self.arrivals[request].entry, engine);
                 self.push(
                     at,
-                    Event::Finished {
+                    schedule::Event::Finished {
                         request,
                         attempt,
                         prompt,
@@ -486,7 +433,10 @@
             && self.now < self.requests[request].last + RESUME_MICROS;
         if waits && self.policy == entry::Policy::Core {
             let delay = retry::backoff(request as u64, self.requests[request].attempts + 3);
-            return self.push(self.now + delay.as_micros() as u64, Event::Resume(request));
+            return self.push(
+                self.now + delay.as_micros() as u64,
+                schedule::Event::Resume(request),
+            );
         }
         self.requests[request].refused = true;
         self.entries[entry]
@@ -521,19 +471,18 @@
     fn publish(&mut self, engine: usize) {
         let again = self.now + REPORT_MICROS;
         if again < self.end {
-            self.push(again, Event::Publish(engine));
+            self.push(again, schedule::Event::Publish(engine));
         }
         if !self.engines[engine].up || self.policy != entry::Policy::Core {
             return;
         }
         let load = self.engines[engine].load(self.time());
-        self.loads.push(load);
         let event = self.engines[engine].take_event();
         for entry in 0..self.entries.len() {
             let at = self.now + self.rng.random_range(REPORT_DELAY.0..REPORT_DELAY.1);
             self.push(
                 at,
-                Event::Report {
+                schedule::Event::Report {
                     entry,
                     engine,
                     load,
@@ -543,7 +492,7 @@
                 let at = self.now + self.rng.random_range(CACHE_DELAY.0..CACHE_DELAY.1);
                 self.push(
                     at,
-                    Event::Cache {
+                    schedule::Event::Cache {
                         entry,
                         engine,
                         event: event.clone(),
@@ -587,7 +536,7 @@
         let dies_at = time::Time::from_micros(dies_at);
         for step in reclaim::plan(self.time(), dies_at, &streams, &engine::SPEEDS) {
             if step.action != reclaim::Action::Finish {
-                self.push(step.at.as_micros(), Event::Move(step.attempt));
+                self.push(step.at.as_micros(), schedule::Event::Move(step.attempt));
             }
         }
     }
@@ -631,7 +580,7 @@
                 let at = self.now + LOSS_MICROS;
                 self.push(
                     at,
-                    Event::Lost {
+                    schedule::Event::Lost {
                         request,
                         attempt,
                         refused: false,
@@ -649,23 +598,3 @@
         }
     }
 }
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == cmp::Ordering::Equal
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
