Split the ledger's partition into the log, the waiting claims and the calls

Cause: one file of 600 lines held the reading of the log, its meaning and the calls. Ruled out: a split by call kind, since each needs the log's fields. Change: `Log` knows segments and what they say of a claim, `Waiting` makes the records, `Partition` makes one call after the other. Behaviour and bounds are untouched. Conclusion: the rule of the log can be read alone.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -12,11 +12,13 @@
 mod claim;
 mod input;
 mod kept;
+mod log;
 mod output;
 mod partition;
 mod record;
 mod segment;
 mod table;
+mod waiting;
 
 pub use breaker::Breaker;
 pub use claim::Claim;
--- /dev/null
+++ b/crates/core/src/ledger/log.rs
@@ -0,0 +1,218 @@
+//! The known part of a partition's log.
+
+use std::collections;
+
+use crate::ledger::{self, claim, kept, output, record, segment, waiting};
+use crate::name;
+use crate::store;
+use crate::time::Time;
+
+/// A partition's log as this entry has read it.
+///
+/// The head is the only segment that is ever written; a missing version means that it does not
+/// exist yet.
+#[derive(Debug)]
+pub struct Log {
+    /// The partition.
+    pub id: u64,
+    /// Version of the head.
+    pub version: Option<store::Version>,
+    /// Content of the head.
+    pub segment: segment::Segment,
+    head: u64,
+    listed: u64,
+    sealed: Vec<Sealed>,
+    latest: collections::HashMap<name::Name, record::Record>,
+}
+
+/// A final segment.
+#[derive(Debug)]
+struct Sealed {
+    index: u64,
+    version: store::Version,
+    expiry: Time,
+}
+
+/// What the log says of a claim.
+#[derive(Debug)]
+pub enum Finding {
+    /// The key may be claimed.
+    Free,
+    /// The log must be read again before this can be said.
+    Stale,
+    /// The key has run; this is its answer.
+    Known(kept::Kept),
+    /// The claim is denied.
+    Denied(output::Reason),
+}
+
+/// Whether the log is read to its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// The head is known.
+    Complete,
+    /// The next segment must be read.
+    More,
+}
+
+impl Log {
+    /// Returns a log of which nothing is known.
+    pub fn new(id: u64) -> Self {
+        Self {
+            id,
+            version: None,
+            segment: segment::Segment::default(),
+            head: 0,
+            listed: 0,
+            sealed: Vec::new(),
+            latest: collections::HashMap::new(),
+        }
+    }
+
+    /// Returns the key of the head.
+    pub fn head_key(&self) -> name::Name {
+        segment::key(self.id, self.head)
+    }
+
+    /// Takes in the list of segments; a log whose head is not in it is read from the beginning.
+    pub fn list(&mut self, objects: &[store::Entry]) {
+        let mut indices: Vec<u64> = objects
+            .iter()
+            .filter_map(|o| segment::index(&o.key))
+            .collect();
+        indices.sort_unstable();
+        self.listed = indices.last().copied().unwrap_or(0);
+        if indices.contains(&self.head) && self.version.is_some() {
+            return;
+        }
+        *self = Self {
+            head: indices.first().copied().unwrap_or(0),
+            listed: self.listed,
+            ..Self::new(self.id)
+        };
+    }
+
+    /// Takes in that the head does not exist.
+    pub fn miss(&mut self) -> Progress {
+        if self.head < self.listed {
+            self.step();
+            return Progress::More;
+        }
+        self.version = None;
+        self.segment = segment::Segment::default();
+        Progress::Complete
+    }
+
+    /// Takes in the head, as read or as just written.
+    pub fn install(&mut self, version: store::Version, found: segment::Segment) -> Progress {
+        for record in &found.records {
+            self.latest.insert(record.key.clone(), record.clone());
+        }
+        self.version = Some(version);
+        self.segment = found;
+        if !self.segment.sealed {
+            return Progress::Complete;
+        }
+        let expiries = self.segment.records.iter().map(|r| r.expiry);
+        self.sealed.push(Sealed {
+            index: self.head,
+            version,
+            expiry: expiries.max().unwrap_or_default(),
+        });
+        self.step();
+        Progress::More
+    }
+
+    /// Returns the call that deletes the oldest segment once nothing in it can matter.
+    ///
+    /// One sealed segment always stays, so that a reader of an idle partition finds its place.
+    pub fn delete_oldest(&self, now: Time) -> Option<store::Call> {
+        let [oldest, _, ..] = self.sealed.as_slice() else {
+            return None;
+        };
+        let dead = oldest.expiry.after(ledger::RETENTION) <= now;
+        dead.then(|| store::Call::Delete {
+            key: segment::key(self.id, oldest.index),
+            expected: oldest.version,
+        })
+    }
+
+    /// Forgets the oldest sealed segment.
+    pub fn forget_oldest(&mut self) {
+        if !self.sealed.is_empty() {
+            self.sealed.remove(0);
+        }
+    }
+
+    /// Forgets records that have expired.
+    pub fn purge(&mut self, now: Time) {
+        self.latest.retain(|_, r| r.expiry > now);
+    }
+
+    /// Tells whether a record is the last word on its key.
+    pub fn holds(&self, record: &record::Record) -> bool {
+        self.latest.get(&record.key) == Some(record)
+    }
+
+    /// Tells whether the last word on a key belongs to this claim.
+    pub fn holds_claim(&self, key: &name::Name, operation: record::Operation) -> bool {
+        let found = self.latest.get(key);
+        found.is_some_and(|r| r.operation == operation)
+    }
+
+    /// A lookup is answered from the log as it stands now, and claims nothing.
+    pub fn judge(&self, now: Time, waiting: &waiting::Waiting, next: &segment::Segment) -> Finding {
+        match self.find(now, waiting, next) {
+            Finding::Free if waiting.claim.lookup && waiting.fresh => {
+                Finding::Denied(output::Reason::Absent)
+            }
+            Finding::Free if waiting.claim.lookup => Finding::Stale,
+            finding => finding,
+        }
+    }
+
+    fn find(&self, now: Time, waiting: &waiting::Waiting, next: &segment::Segment) -> Finding {
+        let claim = &waiting.claim;
+        let added = &next.records[self.segment.records.len()..];
+        if added.iter().any(|r| r.key == claim.key) {
+            let retry_at = now.after(ledger::BUSY_WAIT);
+            return Finding::Denied(output::Reason::Busy { retry_at });
+        }
+        let Some(found) = self.latest.get(&claim.key).filter(|r| r.expiry > now) else {
+            return Finding::Free;
+        };
+        if found.fingerprint != claim.fingerprint {
+            return Finding::Denied(output::Reason::Mismatch);
+        }
+        match &found.step {
+            record::Step::Released => Finding::Free,
+            record::Step::Ended(kept) => Finding::Known(kept.clone()),
+            record::Step::Unclear => unclear(claim),
+            record::Step::Claimed { .. } if !waiting.fresh && !runs_here(found, waiting) => {
+                Finding::Stale
+            }
+            record::Step::Claimed { deadline } if now < *deadline => {
+                let retry_at = now.after(ledger::BUSY_WAIT).min(*deadline);
+                Finding::Denied(output::Reason::Busy { retry_at })
+            }
+            record::Step::Claimed { .. } => unclear(claim),
+        }
+    }
+
+    fn step(&mut self) {
+        self.head += 1;
+        self.version = None;
+        self.segment = segment::Segment::default();
+    }
+}
+
+fn runs_here(found: &record::Record, waiting: &waiting::Waiting) -> bool {
+    found.operation.writer == waiting.operation.writer
+}
+
+fn unclear(claim: &claim::Claim) -> Finding {
+    if claim.repeatable {
+        return Finding::Free;
+    }
+    Finding::Denied(output::Reason::Unclear)
+}
--- a/crates/core/src/ledger/partition.rs
+++ b/crates/core/src/ledger/partition.rs
@@ -1,12 +1,10 @@
 //! One partition of the ledger: a log that is appended to by conditional update.
 
-use std::collections;
 use std::mem;
 use std::sync;
 use std::time;
 
-use crate::ledger::{self, claim, kept, output, record, segment};
-use crate::name;
+use crate::ledger::{self, claim, log, output, record, segment, waiting};
 use crate::store;
 use crate::time::Time;
 use crate::verdict;
@@ -23,15 +21,9 @@
 /// A partition as this entry knows it.
 #[derive(Debug)]
 pub struct Partition {
-    id: u64,
     phase: Phase,
-    head: u64,
-    listed: u64,
-    version: Option<store::Version>,
-    segment: segment::Segment,
-    sealed: Vec<Sealed>,
-    latest: collections::HashMap<name::Name, record::Record>,
-    waiting: Vec<Waiting>,
+    log: log::Log,
+    waiting: Vec<waiting::Waiting>,
     closing: Vec<record::Record>,
     batch: Batch,
     retry_at: Time,
@@ -54,49 +46,19 @@
     Deleting,
 }
 
-#[derive(Debug)]
-struct Sealed {
-    index: u64,
-    version: store::Version,
-    expiry: Time,
-}
-
-#[derive(Debug)]
-struct Waiting {
-    claim: claim::Claim,
-    operation: record::Operation,
-    limit: Time,
-    fresh: bool,
-    denied: bool,
-}
-
 #[derive(Debug, Default)]
 struct Batch {
-    claims: Vec<Waiting>,
+    claims: Vec<waiting::Waiting>,
     ends: Vec<record::Record>,
     written: segment::Segment,
 }
 
-/// What the known log says of a claim.
-enum Finding {
-    Free,
-    Stale,
-    Known(kept::Kept),
-    Denied(output::Reason),
-}
-
 impl Partition {
     /// Returns a partition of which nothing is known yet.
     pub fn new(id: u64) -> Self {
         Self {
-            id,
             phase: Phase::Cold,
-            head: 0,
-            listed: 0,
-            version: None,
-            segment: segment::Segment::default(),
-            sealed: Vec::new(),
-            latest: collections::HashMap::new(),
+            log: log::Log::new(id),
             waiting: Vec::new(),
             closing: Vec::new(),
             batch: Batch::default(),
@@ -117,7 +79,7 @@
             return deny(out, claim.request, output::Reason::Crowded { retry_at });
         }
         let limit = claim.deadline.min(now.after(CLAIM_WAIT));
-        self.waiting.push(Waiting {
+        self.waiting.push(waiting::Waiting {
             claim,
             operation,
             limit,
@@ -137,7 +99,10 @@
             Phase::Listing => self.listed(now, reply, out),
             Phase::Reading => self.read(now, reply, out),
             Phase::Writing => self.written(now, reply, out),
-            Phase::Deleting => self.deleted(),
+            Phase::Deleting => {
+                self.log.forget_oldest();
+                self.phase = Phase::Idle;
+            }
             other => self.phase = other,
         }
     }
@@ -203,13 +168,13 @@
     fn call(&mut self, phase: Phase, call: store::Call, out: &mut Vec<output::Output>) {
         self.phase = phase;
         out.push(output::Output::Call {
-            partition: self.id,
+            partition: self.log.id,
             call,
         });
     }
 
     fn list(&mut self, out: &mut Vec<output::Output>) {
-        let prefix = segment::prefix(self.id);
+        let prefix = segment::prefix(self.log.id);
         self.call(Phase::Listing, store::Call::List { prefix }, out);
     }
 
@@ -217,189 +182,75 @@
         let store::Reply::Listed { objects, .. } = reply else {
             return self.fail(now, out);
         };
-        let mut indices: Vec<u64> = objects
-            .iter()
-            .filter_map(|o| segment::index(&o.key))
-            .collect();
-        indices.sort_unstable();
-        self.listed = indices.last().copied().unwrap_or(0);
-        if !indices.contains(&self.head) || self.version.is_none() {
-            self.restart(indices.first().copied().unwrap_or(0));
-        }
+        self.log.list(&objects);
         self.read_head(out);
     }
 
-    fn restart(&mut self, first: u64) {
-        self.head = first;
-        self.version = None;
-        self.segment = segment::Segment::default();
-        self.sealed.clear();
-        self.latest.clear();
-    }
-
     fn read_head(&mut self, out: &mut Vec<output::Output>) {
-        let key = segment::key(self.id, self.head);
+        let key = self.log.head_key();
         self.call(Phase::Reading, store::Call::Read { key }, out);
     }
 
     fn read(&mut self, now: Time, reply: store::Reply, out: &mut Vec<output::Output>) {
-        match reply {
-            store::Reply::Found(object) => self.adopt(now, &object, out),
-            store::Reply::Missing if self.head < self.listed => {
-                self.step_head();
-                self.read_head(out);
-            }
-            store::Reply::Missing => {
-                self.version = None;
-                self.segment = segment::Segment::default();
-                self.reloaded(now, out);
-            }
-            _ => self.fail(now, out),
-        }
-    }
-
-    fn adopt(&mut self, now: Time, object: &store::Object, out: &mut Vec<output::Output>) {
-        let Ok(found) = segment::Segment::decode(&object.body) else {
-            return self.fail(now, out);
+        let progress = match reply {
+            store::Reply::Missing => self.log.miss(),
+            store::Reply::Found(object) => match segment::Segment::decode(&object.body) {
+                Ok(found) => self.log.install(object.version, found),
+                Err(_) => return self.fail(now, out),
+            },
+            _ => return self.fail(now, out),
         };
-        self.version = Some(object.version);
-        self.install(found);
-        if self.segment.sealed {
-            self.seal(object.version);
-            return self.read_head(out);
-        }
-        self.reloaded(now, out);
-    }
-
-    fn install(&mut self, found: segment::Segment) {
-        for record in &found.records {
-            self.latest.insert(record.key.clone(), record.clone());
+        match progress {
+            log::Progress::More => self.read_head(out),
+            log::Progress::Complete => self.reloaded(now, out),
         }
-        self.segment = found;
-    }
-
-    fn seal(&mut self, version: store::Version) {
-        let expiry = self
-            .segment
-            .records
-            .iter()
-            .map(|r| r.expiry)
-            .max()
-            .unwrap_or_default();
-        self.sealed.push(Sealed {
-            index: self.head,
-            version,
-            expiry,
-        });
-        self.step_head();
-    }
-
-    fn step_head(&mut self) {
-        self.head += 1;
-        self.version = None;
-        self.segment = segment::Segment::default();
     }
 
     /// Settles the write whose end was unclear by what the log now says.
     fn reloaded(&mut self, now: Time, out: &mut Vec<output::Output>) {
         self.phase = Phase::Idle;
         let batch = mem::take(&mut self.batch);
-        let (ended, open): (Vec<_>, Vec<_>) = batch
-            .ends
-            .into_iter()
-            .partition(|r| self.latest.get(&r.key) == Some(r));
+        let ends = batch.ends.into_iter();
+        let (ended, open): (Vec<_>, Vec<_>) = ends.partition(|r| self.log.holds(r));
         ended.iter().for_each(|r| recorded(out, r));
         self.closing.splice(0..0, open);
-        for claim in batch.claims {
-            self.settle(now, claim, out);
+        for waiting in batch.claims {
+            let key = &waiting.claim.key;
+            if self.log.holds_claim(key, waiting.operation) {
+                self.grant(now, waiting, out);
+            } else if !waiting.denied {
+                self.waiting.push(waiting);
+            }
         }
         self.waiting.iter_mut().for_each(|w| w.fresh = true);
     }
 
-    fn settle(&mut self, now: Time, waiting: Waiting, out: &mut Vec<output::Output>) {
-        let found = self.latest.get(&waiting.claim.key);
-        let own = found.is_some_and(|r| r.operation == waiting.operation);
-        if own {
-            return self.grant(now, waiting, out);
-        }
-        if !waiting.denied {
-            self.waiting.push(waiting);
-        }
-    }
-
-    /// Grants a written claim, or gives it back if its request was answered meanwhile.
-    fn grant(&mut self, now: Time, waiting: Waiting, out: &mut Vec<output::Output>) {
-        let request = waiting.claim.request;
-        let operation = waiting.operation;
-        if !waiting.denied && now < waiting.claim.deadline {
-            return out.push(output::Output::Granted { request, operation });
-        }
-        if !waiting.denied {
-            let retry_at = now.after(ledger::OUTAGE_WAIT);
-            deny(out, request, output::Reason::Unrecorded { retry_at });
-        }
-        self.closing.push(release(now, &waiting));
-    }
-
     fn write(&mut self, now: Time, out: &mut Vec<output::Output>) {
-        self.purge(now);
-        let mut next = self.segment.clone();
-        let mut kept = Vec::new();
-        let mut stale = false;
+        self.log.purge(now);
+        let mut next = self.log.segment.clone();
+        let mut stale = Vec::new();
         for waiting in mem::take(&mut self.waiting) {
-            match self.judge(now, &waiting, &next) {
-                Finding::Free => {
-                    next.records.push(claimed(now, &waiting));
+            match self.log.judge(now, &waiting, &next) {
+                log::Finding::Free => {
+                    next.records.push(waiting.claimed(now));
                     self.batch.claims.push(waiting);
                 }
-                Finding::Stale => {
-                    stale = true;
-                    kept.push(waiting);
-                }
-                Finding::Known(answer) => {
+                log::Finding::Stale => stale.push(waiting),
+                log::Finding::Known(kept) => {
                     let request = waiting.claim.request;
-                    out.push(output::Output::Answered {
-                        request,
-                        kept: answer,
-                    });
+                    out.push(output::Output::Answered { request, kept });
                 }
-                Finding::Denied(reason) => deny(out, waiting.claim.request, reason),
+                log::Finding::Denied(reason) => deny(out, waiting.claim.request, reason),
             }
         }
-        self.waiting = kept;
+        self.waiting = stale;
         self.take_ends(&mut next);
-        if self.batch.claims.is_empty() && self.batch.ends.is_empty() {
-            return self.rest(now, stale, out);
-        }
-        self.send(next, out);
-    }
-
-    fn rest(&mut self, now: Time, stale: bool, out: &mut Vec<output::Output>) {
-        if stale {
-            return self.list(out);
-        }
-        self.collect(now, out);
-    }
-
-    /// Deletes the oldest sealed segment once nothing in it can matter.
-    ///
-    /// One sealed segment always stays, so that a reader of an idle partition finds its place.
-    fn collect(&mut self, now: Time, out: &mut Vec<output::Output>) {
-        let [oldest, _, ..] = self.sealed.as_slice() else {
-            return;
-        };
-        if oldest.expiry.after(ledger::RETENTION) > now {
-            return;
-        }
-        let key = segment::key(self.id, oldest.index);
-        let expected = oldest.version;
-        self.call(Phase::Deleting, store::Call::Delete { key, expected }, out);
-    }
-
-    fn deleted(&mut self) {
-        self.phase = Phase::Idle;
-        if !self.sealed.is_empty() {
-            self.sealed.remove(0);
+        if !self.batch.claims.is_empty() || !self.batch.ends.is_empty() {
+            self.send(next, out);
+        } else if !self.waiting.is_empty() {
+            self.list(out);
+        } else if let Some(call) = self.log.delete_oldest(now) {
+            self.call(Phase::Deleting, call, out);
         }
     }
 
@@ -411,18 +262,42 @@
         }
         self.batch.written = next;
         let call = store::Call::Write {
-            key: segment::key(self.id, self.head),
-            expected: self.version,
+            key: self.log.head_key(),
+            expected: self.log.version,
             body: sync::Arc::from(body),
         };
         self.call(Phase::Writing, call, out);
     }
 
+    fn commit(&mut self, now: Time, version: store::Version, out: &mut Vec<output::Output>) {
+        self.phase = Phase::Idle;
+        let batch = mem::take(&mut self.batch);
+        self.log.install(version, batch.written);
+        batch.ends.iter().for_each(|r| recorded(out, r));
+        for waiting in batch.claims {
+            self.grant(now, waiting, out);
+        }
+    }
+
+    /// Grants a written claim, or gives it back if its request was answered meanwhile.
+    fn grant(&mut self, now: Time, waiting: waiting::Waiting, out: &mut Vec<output::Output>) {
+        let request = waiting.claim.request;
+        let operation = waiting.operation;
+        if !waiting.denied && now < waiting.claim.deadline {
+            return out.push(output::Output::Granted { request, operation });
+        }
+        if !waiting.denied {
+            let retry_at = now.after(ledger::OUTAGE_WAIT);
+            deny(out, request, output::Reason::Unrecorded { retry_at });
+        }
+        self.closing.push(waiting.released(now));
+    }
+
     fn take_ends(&mut self, next: &mut segment::Segment) {
         let mut bytes = 0;
         let mut rest = Vec::new();
         for record in mem::take(&mut self.closing) {
-            if !self.matters(&record) {
+            if !self.log.holds_claim(&record.key, record.operation) {
                 continue;
             }
             if bytes > MAX_BATCH_BYTES {
@@ -436,13 +311,6 @@
         self.closing = rest;
     }
 
-    /// Tells whether an end still has its claim in the log.
-    fn matters(&self, record: &record::Record) -> bool {
-        self.latest
-            .get(&record.key)
-            .is_some_and(|r| r.operation == record.operation)
-    }
-
     fn written(&mut self, now: Time, reply: store::Reply, out: &mut Vec<output::Output>) {
         match reply {
             store::Reply::Written(version) => self.commit(now, version, out),
@@ -457,20 +325,6 @@
         }
     }
 
-    fn commit(&mut self, now: Time, version: store::Version, out: &mut Vec<output::Output>) {
-        self.phase = Phase::Idle;
-        let batch = mem::take(&mut self.batch);
-        self.version = Some(version);
-        self.install(batch.written);
-        if self.segment.sealed {
-            self.seal(version);
-        }
-        batch.ends.iter().for_each(|r| recorded(out, r));
-        for waiting in batch.claims {
-            self.grant(now, waiting, out);
-        }
-    }
-
     fn fail(&mut self, now: Time, out: &mut Vec<output::Output>) {
         self.phase = Phase::Cold;
         self.retry_at = now.after(RETRY_WAIT);
@@ -484,7 +338,7 @@
         self.closing.splice(0..0, batch.ends);
         for waiting in batch.claims {
             if unclear {
-                self.closing.push(release(now, &waiting));
+                self.closing.push(waiting.released(now));
             }
             if !waiting.denied {
                 deny(
@@ -502,60 +356,6 @@
             );
         }
     }
-
-    /// A lookup is answered from the log as it stands now, and claims nothing.
-    fn judge(&self, now: Time, waiting: &Waiting, next: &segment::Segment) -> Finding {
-        match self.find(now, waiting, next) {
-            Finding::Free if waiting.claim.lookup && waiting.fresh => {
-                Finding::Denied(output::Reason::Absent)
-            }
-            Finding::Free if waiting.claim.lookup => Finding::Stale,
-            finding => finding,
-        }
-    }
-
-    fn find(&self, now: Time, waiting: &Waiting, next: &segment::Segment) -> Finding {
-        let claim = &waiting.claim;
-        let added = &next.records[self.segment.records.len()..];
-        if added.iter().any(|r| r.key == claim.key) {
-            let retry_at = now.after(ledger::BUSY_WAIT);
-            return Finding::Denied(output::Reason::Busy { retry_at });
-        }
-        let Some(found) = self.latest.get(&claim.key).filter(|r| r.expiry > now) else {
-            return Finding::Free;
-        };
-        if found.fingerprint != claim.fingerprint {
-            return Finding::Denied(output::Reason::Mismatch);
-        }
-        match &found.step {
-            record::Step::Released => Finding::Free,
-            record::Step::Ended(kept) => Finding::Known(kept.clone()),
-            record::Step::Unclear => finding_of_unclear(claim),
-            record::Step::Claimed { .. } if !waiting.fresh && !self.runs_here(found, waiting) => {
-                Finding::Stale
-            }
-            record::Step::Claimed { deadline } if now < *deadline => {
-                let retry_at = now.after(ledger::BUSY_WAIT).min(*deadline);
-                Finding::Denied(output::Reason::Busy { retry_at })
-            }
-            record::Step::Claimed { .. } => finding_of_unclear(claim),
-        }
-    }
-
-    fn runs_here(&self, found: &record::Record, waiting: &Waiting) -> bool {
-        found.operation.writer == waiting.operation.writer
-    }
-
-    fn purge(&mut self, now: Time) {
-        self.latest.retain(|_, r| r.expiry > now);
-    }
-}
-
-fn finding_of_unclear(claim: &claim::Claim) -> Finding {
-    if claim.repeatable {
-        return Finding::Free;
-    }
-    Finding::Denied(output::Reason::Unclear)
 }
 
 fn deny(out: &mut Vec<output::Output>, request: u64, reason: output::Reason) {
@@ -568,30 +368,6 @@
     });
 }
 
-fn claimed(now: Time, waiting: &Waiting) -> record::Record {
-    record_of(
-        now,
-        waiting,
-        record::Step::Claimed {
-            deadline: waiting.claim.deadline,
-        },
-    )
-}
-
-fn release(now: Time, waiting: &Waiting) -> record::Record {
-    record_of(now, waiting, record::Step::Released)
-}
-
-fn record_of(now: Time, waiting: &Waiting, step: record::Step) -> record::Record {
-    record::Record {
-        key: waiting.claim.key.clone(),
-        fingerprint: waiting.claim.fingerprint,
-        operation: waiting.operation,
-        step,
-        expiry: now.after(ledger::RETENTION),
-    }
-}
-
 fn size(record: &record::Record) -> usize {
     match &record.step {
         record::Step::Ended(kept) => kept.body.as_ref().map_or(0, String::len),
--- /dev/null
+++ b/crates/core/src/ledger/waiting.rs
@@ -0,0 +1,42 @@
+//! A claim on its way into the log.
+
+use crate::ledger::{self, claim, record};
+use crate::time::Time;
+
+/// A claim on its way into the log.
+#[derive(Debug)]
+pub struct Waiting {
+    /// What is claimed.
+    pub claim: claim::Claim,
+    /// Identifies the claim in the log.
+    pub operation: record::Operation,
+    /// When the caller is refused at the latest.
+    pub limit: Time,
+    /// Whether the log was read after the claim came.
+    pub fresh: bool,
+    /// Whether the caller has been refused.
+    pub denied: bool,
+}
+
+impl Waiting {
+    /// Returns the record that claims the key.
+    pub fn claimed(&self, now: Time) -> record::Record {
+        let deadline = self.claim.deadline;
+        self.record(now, record::Step::Claimed { deadline })
+    }
+
+    /// Returns the record that gives the claim back.
+    pub fn released(&self, now: Time) -> record::Record {
+        self.record(now, record::Step::Released)
+    }
+
+    fn record(&self, now: Time, step: record::Step) -> record::Record {
+        record::Record {
+            key: self.claim.key.clone(),
+            fingerprint: self.claim.fingerprint,
+            operation: self.operation,
+            step,
+            expiry: now.after(ledger::RETENTION),
+        }
+    }
+}
