--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -69,11 +69,17 @@
     let Some(key) = arrival::ledger_key(flight) else {
         return;
     };
+    let deadline = flight.deadline;
+    if now >= deadline {
+        let refusal = arrival::not_run(refusal::Code::Deadline, Some(now));
+        return give_up(state, now, id, refusal);
+    }
     if let Err(exhausted) = state.fleet.choose(now, &flight.query(None)) {
         return wait_or_refuse(state, now, id, exhausted);
     }
     let claim = claim_of(flight, key, Lookup::No);
     set_stage(state, id, flight::Stage::Claiming);
+    state.set_timer(id, deadline);
     record::drive(state, now, ledger::Input::Claim(claim));
 }
 
@@ -94,7 +100,11 @@
     let Some(flight) = state.flights.get(&id) else {
         return;
     };
-    let query = flight.query(version);
+    let mut query = flight.query(version);
+    query.packed = query
+        .version
+        .as_ref()
+        .is_some_and(|version| state.split.is_on_trial(&query.service, version));
     match state.fleet.choose(now, &query) {
         Ok(choice) => send(state, now, id, &query, choice),
         Err(exhausted) => wait_or_refuse(state, now, id, exhausted),
@@ -264,6 +274,8 @@
     };
     flight.stage = flight::Stage::Looking(refusal);
     let claim = claim_of(flight, key, Lookup::Yes);
+    let deadline = flight.deadline;
+    state.set_timer(id, deadline);
     record::drive(state, now, ledger::Input::Claim(claim));
 }
 
