Leave time for another upstream when one is frozen, and give tests ports of their own

One of 486 tests failed once since another process had taken an entry's port ("Address already in use"). Ruled out: a short fixed limit, since an engine answers only once the request has a slot; retrying the test, which would hide a real failure to bind. Change: a run that may be repeated gives its first upstream half of the time that is left; the id in the answer's head is checked; test processes take ports below the kernel's range, a block each, and an entry whose ports are taken all the same is started with others. Before and after: the new case of a frozen engine passes; 748 tests pass.

--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -101,4 +101,6 @@
     pub offset: u32,
     /// When the first token or whole answer is due; nothing is sent after it.
     pub deadline: time::Time,
+    /// When the answer must have begun; earlier than the deadline where another try is possible.
+    pub patience: time::Time,
 }
--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -154,6 +154,7 @@
         priority: flight.route.priority,
         offset: flight.offset,
         deadline,
+        patience: patience(flight, now, deadline),
     };
     let running = flight::Running {
         attempt,
@@ -201,6 +202,15 @@
     launch(state, now, id);
 }
 
+/// Leaves half of the time for another upstream where a run may be repeated, and waits for the end
+/// of any other run as long as it can be recorded.
+fn patience(flight: &flight::Flight, now: Time, deadline: Time) -> Time {
+    match flight.repeatable() {
+        true => now.after(now.until(deadline) / 2),
+        false => deadline.after(CLAIM_GRACE),
+    }
+}
+
 /// A broken stream waits for an upstream, and a new request for the moment in which a full pool
 /// frees a slot; anything else is refused at once.
 fn wait_or_refuse(state: &mut state::State, now: Time, id: u64, exhausted: routing::Exhausted) {
--- a/crates/node/src/entry/conduct.rs
+++ b/crates/node/src/entry/conduct.rs
@@ -159,7 +159,9 @@
         if exchange::is_refusal(&open.response) {
             return Some(refused(open));
         }
-        if !open.response.status().is_success() {
+        let headers = open.response.headers();
+        let own = exchange::is_own(headers, front.writer, dispatch.attempt);
+        if !own || !open.response.status().is_success() {
             return Some(failed(open.sent.fail(), false, dispatch.offset));
         }
         let mut reader = Reader {
@@ -292,9 +294,7 @@
             connection,
         } = open;
         let (head, body) = response.into_parts();
-        let own = head.headers.get("x-attempt-id").is_none_or(|id| {
-            id.as_bytes() == exchange::unique_id(front.writer, dispatch.attempt).as_bytes()
-        });
+        let own = exchange::is_own(&head.headers, front.writer, dispatch.attempt);
         if head.status.is_server_error() || !own {
             return WholeEnd::failed(sent.fail(), false);
         }
--- a/crates/node/src/entry/exchange.rs
+++ b/crates/node/src/entry/exchange.rs
@@ -18,9 +18,6 @@
 /// How long the opening of a connection may take.
 const CONNECT_WAIT: time::Duration = time::Duration::from_secs(1);
 
-/// How long the upstream may take to begin its answer after the request's deadline.
-const HEAD_SLACK: time::Duration = time::Duration::from_secs(30);
-
 /// An exchange that failed before the answer began.
 #[derive(Clone, Copy, Debug)]
 pub struct Broken {
@@ -88,7 +85,7 @@
         let _ = driver.await;
     }));
     let sent = unsent.send();
-    let limit = now.until(dispatch.deadline) + HEAD_SLACK;
+    let limit = now.until(dispatch.patience);
     match tokio::time::timeout(limit, sender.send_request(request)).await {
         Ok(Ok(response)) => Ok(Open {
             sent,
@@ -130,6 +127,13 @@
     })
 }
 
+/// Tells whether the answer belongs to this attempt, as far as its head says.
+pub fn is_own(headers: &header::HeaderMap, writer: u64, attempt: u64) -> bool {
+    let own = unique_id(writer, attempt);
+    let id = headers.get("x-attempt-id");
+    id.is_none_or(|id| id.as_bytes() == own.as_bytes())
+}
+
 /// Tells whether the upstream states that it did not run the request.
 pub fn is_refusal(response: &hyper::Response<body::Incoming>) -> bool {
     let verdict = response.headers().get(answer::VERDICT);
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -1,5 +1,7 @@
 //! Management address over real sockets.
 
+mod ports;
+
 use std::io::{Read, Write};
 use std::net;
 
@@ -17,9 +19,7 @@
 }
 
 fn start() -> (net::SocketAddr, admin::Readiness) {
-    let free = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = free.local_addr().unwrap();
-    drop(free);
+    let address = ports::free();
     let readiness = admin::Readiness::default();
     admin::serve(address, readiness.clone(), registry::Registry::default()).unwrap();
     (address, readiness)
--- a/crates/node/tests/controller/site.rs
+++ b/crates/node/tests/controller/site.rs
@@ -10,6 +10,8 @@
 use guavausher_core::{declaration, name, rollout, time as point};
 use guavausher_standins::{engine, handle, platform};
 
+use crate::ports;
+
 const LIMIT: time::Duration = time::Duration::from_secs(60);
 const KEY: &str = "0123456789abcdef";
 
@@ -47,11 +49,6 @@
 
 const DOMAINS: [&str; 3] = ["tolgoit", "altan-ulgii", "bayanzurkh"];
 
-fn free() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 pub fn http(address: net::SocketAddr, head: &str, body: &str) -> String {
     let mut stream = net::TcpStream::connect(address).unwrap();
     let length = body.len();
@@ -171,7 +168,7 @@
     }
 
     fn enter(&self, index: usize) -> Entry {
-        let (peer_port, callers) = (free(), free());
+        let (peer_port, callers) = (ports::free(), ports::free());
         let name = format!("entry-{index}");
         let domain = DOMAINS[index % DOMAINS.len()].to_owned();
         let instance = format!(
@@ -186,7 +183,7 @@
             .args(["--name", &name, "--domain", &domain, "--key", KEY])
             .args(["--listen", &callers.to_string()])
             .args(["--peer-listen", &peer_port.to_string()])
-            .args(["--admin-listen", &free().to_string()])
+            .args(["--admin-listen", &ports::free().to_string()])
             .args(["--platform", &self.platform.address().to_string()])
             .spawn()
             .unwrap();
@@ -205,7 +202,7 @@
         let controller = process::Command::new(env!("CARGO_BIN_EXE_guavausher-controller"))
             .args(["--name", &entry.name, "--domain", &entry.domain])
             .args(["--entry", &entry.peer_port.to_string()])
-            .args(["--controller-listen", &free().to_string()])
+            .args(["--controller-listen", &ports::free().to_string()])
             .args(["--platform", &self.platform.address().to_string()])
             .env("GUAVAUSHER_KEY", KEY)
             .spawn()
--- a/crates/node/tests/failures.rs
+++ b/crates/node/tests/failures.rs
@@ -188,6 +188,7 @@
 #[case::reset_midway(r#"{"reset_at":{"token":5}}"#)]
 #[case::crossed(r#"{"wrong_attempt":true}"#)]
 #[case::erring(r#"{"error_rate":1000}"#)]
+#[case::frozen(r#"{"freeze":true}"#)]
 fn stream_is_whole_beside_one_faulty_engine(#[case] faults: &str) {
     let fleet = Fleet::start(&Plan::default());
     fault(&fleet.engines[0], faults);
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test binary uses a part")]
 
+#[path = "../ports/mod.rs"]
+mod ports;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net;
 use std::process;
@@ -14,6 +17,9 @@
 /// Longest wait for a condition; generous, since only a failure ever takes that long.
 pub const PATIENCE: time::Duration = time::Duration::from_secs(30);
 
+/// Sets of ports that are tried for one entry.
+const PORT_TRIES: usize = 5;
+
 pub const DOMAINS: [&str; 3] = ["altan-ulgii", "tolgoit", "bayanzurkh"];
 
 /// How a deployment is made up.
@@ -130,10 +136,28 @@
     }
 
     /// Starts an entry process that the platform's list does not show.
+    ///
+    /// Another process may take a free port before the entry does; the entry ends then, and other
+    /// ports are tried.
     pub fn entry(&self, number: usize, peers: &str) -> Entry {
+        for _ in 0..PORT_TRIES {
+            let mut entry = self.spawn(number, peers);
+            let mut ended = false;
+            wait_for("the entry listens or ends", || {
+                ended = entry.child.try_wait().expect("a child").is_some();
+                ended || get(entry.admin, "/livez").is_ok() && get(entry.caller, "/").is_ok()
+            });
+            if !ended {
+                return entry;
+            }
+        }
+        panic!("no free ports in {PORT_TRIES} tries");
+    }
+
+    fn spawn(&self, number: usize, peers: &str) -> Entry {
         let name = format!("entry-{number}");
         let domain = DOMAINS[number % DOMAINS.len()];
-        let [caller, peer, admin] = free_addresses();
+        let [caller, peer, admin] = [ports::free(), ports::free(), ports::free()];
         let child = process::Command::new(env!("CARGO_BIN_EXE_guavausher-entry"))
             .args([
                 "--name",
@@ -435,9 +459,3 @@
     };
     declaration::parse(&source, None).unwrap_or_else(|faults| panic!("{faults:?}"))
 }
-
-fn free_addresses() -> [net::SocketAddr; 3] {
-    let bind = |_| net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    let listeners: Vec<net::TcpListener> = (0..3).map(bind).collect();
-    std::array::from_fn(|at| listeners[at].local_addr().expect("an address"))
-}
