Let a burst into an idle service

Cause: after idle time a node's window was one slot for a small service, so the second of two requests within 100 ms waited for the first to end; the test of it failed before the change. Change: while less than half of the slots are in use and the upstreams do not fail, a node may use a quarter of the free slots at once.

--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -325,10 +325,15 @@
             .roster
             .all(service)
             .filter(|upstream| upstream.is_open());
-        open.fold(window::Usage::default(), |sum, upstream| window::Usage {
+        let none = window::Usage {
+            failing: self.is_failing(service),
+            ..window::Usage::default()
+        };
+        open.fold(none, |sum, upstream| window::Usage {
             own: sum.own + upstream.tally.own(),
             total: sum.total + upstream.tally.total(now),
             slots: sum.slots + upstream.slots(now),
+            failing: sum.failing,
         })
     }
 }
--- a/crates/core/src/routing/window.rs
+++ b/crates/core/src/routing/window.rs
@@ -16,6 +16,8 @@
 const HEADROOM_DIVISOR: f64 = 8.0;
 /// Multiple of the node's part of the free slots that it may use for a moment.
 const BURST: f64 = 1.0;
+/// Part of the free slots that a node may use at once while most slots are free.
+const IDLE_SHARE: f64 = 0.25;
 /// Factor after a refusal for lack of room.
 const REFUSAL_CUT: f64 = 0.95;
 
@@ -39,6 +41,8 @@
     pub total: u32,
     /// Slots.
     pub slots: u32,
+    /// Whether most upstreams fail, so that few requests there say nothing.
+    pub failing: bool,
 }
 
 impl Window {
@@ -69,7 +73,14 @@
         self.size += GAIN * (target * share - self.size);
         let free = f64::from(usage.slots.saturating_sub(usage.total));
         let burst = free * share * BURST;
-        self.slots = ((self.size + burst).round() as u32).max(1).min(usage.slots);
+        let is_idle = !usage.failing && usage.total * 2 < usage.slots;
+        let least = if is_idle {
+            own + (free * IDLE_SHARE).ceil()
+        } else {
+            0.0
+        };
+        let slots = (self.size + burst).max(least).round() as u32;
+        self.slots = slots.max(1).min(usage.slots);
     }
 
     /// Gives up a little after a refusal for lack of room.
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -325,3 +325,19 @@
     }
     assert!(fleet.is_failing(&service));
 }
+
+#[test]
+fn capacity_of_idle_service_takes_burst() {
+    let mut fleet = fleet(3);
+    let service = name("verse-scribe");
+    let mut now = NOW;
+    for _ in 0..100 {
+        now = now.after(std::time::Duration::from_millis(100));
+        fleet.capacity(now, &service);
+    }
+    assert!(
+        fleet.capacity(now, &service) >= 3,
+        "{}",
+        fleet.capacity(now, &service)
+    );
+}
