Let the declared weights govern price, and use freed slots without a new request

Cause: the declaration's weights of cost and latency reached nobody; capacities were renewed only at an arrival or an end, so slots that a report freed could stay unused while requests queued. Ruled out: renewing all capacities at each event, since it only matters while something queues. Conclusion: both users' weights count now; their effect on cost is not measured yet.

--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -27,6 +27,9 @@
 
 /// Goes on with requests that admission has granted or given up.
 pub fn poll(state: &mut state::State, now: time::Time) {
+    if state.admission.wake().is_some() {
+        renew_capacities(state, now);
+    }
     let turn = state.admission.poll(now);
     for request in turn.granted {
         launch::launch(state, now, request);
@@ -38,6 +41,17 @@
     }
 }
 
+/// Lets queued requests use slots that were freed or reported since the last request.
+fn renew_capacities(state: &mut state::State, now: time::Time) {
+    let Some(config) = &state.config else {
+        return;
+    };
+    for service in &config.declaration.services {
+        let capacity = state.fleet.capacity(now, &service.name);
+        state.admission.set_capacity(now, &service.name, capacity);
+    }
+}
+
 fn admit(
     state: &state::State,
     now: time::Time,
--- a/crates/core/src/reduce/link.rs
+++ b/crates/core/src/reduce/link.rs
@@ -7,6 +7,7 @@
 use crate::name;
 use crate::peering;
 use crate::reduce::{document, quarantine, review, status};
+use crate::routing;
 use crate::state;
 use crate::store;
 use crate::time;
@@ -79,6 +80,9 @@
 ) -> Result<(), String> {
     let envelope = declaration::Envelope::from_json(&document.body).map_err(|e| e.to_string())?;
     let config = config::Config::new(document.generation, envelope.declaration);
+    state
+        .fleet
+        .weigh(routing::Weights::of(&config.declaration.policy));
     state.fleet.declare(now, &config.declaration);
     state.admission.declare(now, &config.declaration);
     for (upstream, incarnation) in &state.leaving {
--- a/crates/core/tests/reduce.rs
+++ b/crates/core/tests/reduce.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bench::{Bench, CANDLE, Objects, VERSE};
-use guavausher_core::{effect, event, fact, name, peering, refusal, rollout, verdict};
+use guavausher_core::{
+    declaration, effect, event, fact, name, peering, refusal, rollout, routing, verdict,
+};
 use rstest::rstest;
 
 const NOT_RUN: verdict::Verdict = verdict::Verdict::NotRun;
@@ -445,3 +447,39 @@
     assert_eq!(bench.refusals(again)[0].code, refusal::Code::Blocked);
     assert!(bench.dispatches(again).is_empty());
 }
+
+/// Requests wait while every slot is taken, and go on once a report shows a free one.
+#[test]
+fn report_of_free_slots_lets_waiting_requests_go() {
+    let mut declaration = bench::declaration();
+    let keep = |u: &declaration::Upstream| {
+        u.service.as_str() != "verse-scribe" || u.name.as_str() == "verse-1"
+    };
+    declaration.upstreams.retain(keep);
+    let mut bench = Bench::declared(&declaration);
+    let load = |bench: &Bench, running: u32| event::Event::Load {
+        upstream: name::Name::from("verse-1"),
+        load: routing::Load {
+            incarnation: 1,
+            queue: 0,
+            running,
+            slots: 16,
+            at: bench.now,
+        },
+    };
+    let full = load(&bench, 16);
+    bench.event(full);
+    let ids: Vec<u64> = (0..4).map(|_| bench.arrive(VERSE, None)).collect();
+    let sent = |bench: &Bench| {
+        ids.iter()
+            .filter(|id| !bench.dispatches(**id).is_empty())
+            .count()
+    };
+    let before = sent(&bench);
+    assert!(before < 4, "the report left room for {before}");
+    bench.wait(200);
+    let free = load(&bench, 0);
+    bench.event(free);
+    bench.wait(200);
+    assert_eq!(sent(&bench), 4);
+}
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -341,3 +341,17 @@
         fleet.capacity(now, &service)
     );
 }
+
+#[rstest]
+#[case::latency_only(0, 100, 0)]
+#[case::even(50, 50, 20)]
+#[case::cost_first(70, 30, 46)]
+#[case::cost_only(100, 0, 400)]
+fn weights_follow_policy(#[case] cost: u32, #[case] latency: u32, #[case] millis: u128) {
+    let policy = declaration::Policy {
+        cost,
+        latency,
+        ..declaration::Policy::default()
+    };
+    assert_eq!(routing::Weights::of(&policy).price.as_millis(), millis);
+}
