Spread status writes by the size of the fleet

Cause: 380 entries wrote their status within 2 s of a change, 190 writes a second beside the orders, and nine entries waited as long for no reason. Change: the spread is 10 ms an entry, at most 10 s. Before and after: up to 2 s at any size; now up to 90 ms at 9 entries and 3.8 s at 380, which is 100 writes a second (test with 200 changes each).

--- a/crates/core/src/reduce/status.rs
+++ b/crates/core/src/reduce/status.rs
@@ -9,8 +9,15 @@
 use crate::store;
 use crate::time::Time;
 
-/// Writes of many entries after one change are spread over this time.
-const SPREAD: time::Duration = time::Duration::from_secs(2);
+/// The time that each entry adds to the spread of the writes after one change, so that a fleet of
+/// any size makes some hundred writes a second.
+const SPREAD_EACH: time::Duration = time::Duration::from_millis(10);
+
+/// Longest spread of the writes after one change.
+const MAX_SPREAD: time::Duration = time::Duration::from_secs(10);
+
+/// Shortest wait after a failed write.
+const RETRY_WAIT: time::Duration = time::Duration::from_secs(2);
 
 /// What the status object states.
 #[derive(Debug, serde::Serialize)]
@@ -29,7 +36,7 @@
         return;
     }
     state.status.pending = true;
-    let at = now.after(document::jitter(state, now, SPREAD));
+    let at = now.after(document::jitter(state, now, spread(state)));
     document::put_off(state, at, state::Purpose::Status);
 }
 
@@ -82,7 +89,8 @@
         }
         store::Reply::Conflict => read(state),
         _ => {
-            let at = now.after(SPREAD + document::jitter(state, now, SPREAD));
+            let spread = RETRY_WAIT + spread(state);
+            let at = now.after(spread + document::jitter(state, now, spread));
             document::put_off(state, at, state::Purpose::StatusRead);
         }
     }
@@ -97,6 +105,10 @@
     }
 }
 
+fn spread(state: &state::State) -> time::Duration {
+    SPREAD_EACH.saturating_mul(state.entries).min(MAX_SPREAD)
+}
+
 fn key(state: &state::State) -> name::Name {
     name::Name::from(format!("status/{}/{}", state.own.domain, state.own.name))
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -50,6 +50,8 @@
     pub watched: collections::BTreeSet<peering::Topic>,
     /// Highest revision of the store seen by each watch.
     pub revisions: collections::BTreeMap<peering::Topic, u64>,
+    /// Number of entries in the platform's list.
+    pub entries: u32,
     /// Upstreams known to be leaving, with the highest such incarnation.
     pub leaving: collections::BTreeMap<name::Name, u64>,
     /// The version of each request while a rollout moves a service.
@@ -146,6 +148,7 @@
             later: collections::BTreeMap::new(),
             watched: collections::BTreeSet::new(),
             revisions: collections::BTreeMap::new(),
+            entries: 1,
             leaving: collections::BTreeMap::new(),
             split: rollout::Split::new(),
             monitor: rollout::Monitor::new(),
--- a/crates/core/tests/reduce.rs
+++ b/crates/core/tests/reduce.rs
@@ -483,3 +483,36 @@
     bench.wait(200);
     assert_eq!(sent(&bench), 4);
 }
+
+/// Status writes of a fleet after one change are spread by its size.
+#[rstest]
+#[case::today(9, 90)]
+#[case::two_years(380, 3_800)]
+fn plan_spreads_status_writes_by_fleet(#[case] entries: u32, #[case] millis: u64) {
+    let mut bench = Bench::erdene();
+    let list: Vec<_> = (0..entries)
+        .map(|n| format!(r#"{{"name":"entry-{n}","address":"127.0.0.1:1","domain":"altan-ulgii","kind":"entry","incarnation":1}}"#))
+        .collect();
+    bench.publish(
+        peering::Topic::Members,
+        1,
+        format!("[{}]", list.join(",")).into_bytes(),
+    );
+    bench.wait(20_000);
+    let mut latest = 0;
+    for seed in 0..200 {
+        bench.state.status.pending = false;
+        bench.state.later.clear();
+        bench.now = bench.now.after(Duration::from_micros(997 + seed));
+        bench.configure(2 + seed, &bench::declaration());
+        let status = guavausher_core::state::Purpose::Status;
+        let planned = bench
+            .state
+            .later
+            .iter()
+            .find(|(_, all)| all.contains(&status));
+        let at = *planned.expect("a write is planned").0;
+        latest = latest.max(bench.now.until(at).as_millis() as u64);
+    }
+    assert!(latest <= millis && latest > millis / 2, "{latest} ms");
+}
