Split the task of a request into its loop, token streams and whole answers

Cause: one file of 480 lines held the loop over commands, both kinds of attempt, the reader of events and the reports. Ruled out: a trait over the two kinds of attempt, since they share only the opening of the exchange. Change: conduct (the loop), tokens, whole, reader, worker and signal, one job each. Conclusion: each kind of attempt can be read alone.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,7 +13,12 @@
 mod front;
 mod intake;
 mod metrics;
+mod reader;
+mod signal;
 mod sse;
+mod tokens;
+mod whole;
+mod worker;
 
 use std::io;
 use std::net;
--- /dev/null
+++ b/crates/node/src/entry/whole.rs
@@ -0,0 +1,87 @@
+//! Attempts whose answer is relayed as a whole.
+
+use guavausher_core::{effect, event, ledger, verdict};
+use http_body_util::{BodyExt, Limited};
+
+use crate::entry::{answer, exchange, signal, worker};
+
+/// The largest whole answer in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// The end of an attempt with a whole answer.
+#[derive(Debug)]
+pub struct End {
+    /// What the reducer is told.
+    pub signal: event::Signal,
+    /// The answer, held until the reducer lets it go.
+    pub answer: Option<answer::Whole>,
+}
+
+impl End {
+    fn failed(verdict: verdict::Verdict, died: bool) -> Self {
+        Self {
+            signal: signal::failed(verdict, died, 0),
+            answer: None,
+        }
+    }
+
+    fn finished(whole: answer::Whole) -> Self {
+        let kept = ledger::Kept {
+            status: whole.status,
+            media: whole.media.clone(),
+            body: String::from_utf8(whole.body.to_vec()).ok(),
+        };
+        let finish = event::Finish {
+            kept: Some(kept),
+            ..event::Finish::default()
+        };
+        Self {
+            signal: event::Signal::Finished(finish),
+            answer: Some(whole),
+        }
+    }
+}
+
+/// Runs an attempt at a plain service and collects its answer.
+pub async fn run(worker: &worker::Worker, dispatch: &effect::Dispatch) -> End {
+    let front = &worker.front;
+    let opened = exchange::open(front.clock, front.writer, dispatch, &worker.intake).await;
+    let open = match opened {
+        Ok(open) => open,
+        Err(broken) => return End::failed(broken.verdict, broken.died),
+    };
+    worker.report_load(dispatch, &open).await;
+    if exchange::is_refusal(&open.response) {
+        return End {
+            signal: signal::refused(open),
+            answer: None,
+        };
+    }
+    let exchange::Open {
+        sent,
+        response,
+        connection,
+    } = open;
+    let (head, body) = response.into_parts();
+    let own = exchange::is_own(&head.headers, front.writer, dispatch.attempt);
+    if head.status.is_server_error() || !own {
+        return End::failed(sent.fail(), false);
+    }
+    let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    drop(connection);
+    let Ok(collected) = collected else {
+        return End::failed(sent.fail(), true);
+    };
+    let media = head.headers.get(hyper::header::CONTENT_TYPE);
+    let whole = answer::Whole {
+        status: head.status.as_u16(),
+        media: media
+            .and_then(|m| m.to_str().ok())
+            .unwrap_or("application/json")
+            .to_owned(),
+        body: collected.to_bytes(),
+        verdict: sent.finish(),
+        retry_after: None,
+    };
+    End::finished(whole)
+}
