Share the settings of the two processes and the tests' object store

Cause: five settings and the check of the key stood in both command lines, and the store with conditional writes in two test files. Ruled out: one table for both programs, since each shows only its own flags in its help. Change: settings::common with those five and the reading of the key; tests/bench/objects.rs for the store, with its faults beside it in the ledger's tests. Conclusion: a change of a shared setting is one change.

--- a/crates/core/tests/bench/mod.rs
+++ b/crates/core/tests/bench/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test binary uses a part")]
 
+mod objects;
+
 use std::sync;
 use std::time::Duration;
 
@@ -10,6 +12,8 @@
     state, store, time, verdict,
 };
 
+pub use objects::Objects;
+
 pub const START: time::Time = time::Time::from_millis(1_000_000);
 pub const CANDLE: &str = "/v1/candle";
 pub const VERSE: &str = "/v1/verse";
@@ -242,58 +246,3 @@
     let statuses = [(status.service.clone(), status)].into_iter().collect();
     rollout::Book { statuses }.encode()
 }
-
-/// Objects with conditional writes.
-#[derive(Debug, Default)]
-pub struct Objects {
-    objects: std::collections::BTreeMap<name::Name, store::Object>,
-    revision: u64,
-}
-
-impl Objects {
-    pub fn apply(&mut self, call: &store::Call) -> store::Reply {
-        match call {
-            store::Call::Read { key } => self
-                .objects
-                .get(key)
-                .cloned()
-                .map_or(store::Reply::Missing, store::Reply::Found),
-            store::Call::Write {
-                key,
-                expected,
-                body,
-            } => {
-                if self.objects.get(key).map(|o| o.version) != *expected {
-                    return store::Reply::Conflict;
-                }
-                self.revision += 1;
-                let version = self.revision;
-                self.objects.insert(
-                    key.clone(),
-                    store::Object {
-                        version,
-                        body: body.clone(),
-                    },
-                );
-                store::Reply::Written(version)
-            }
-            store::Call::List { prefix } => {
-                let own = self
-                    .objects
-                    .iter()
-                    .filter(|(k, _)| k.starts_with(prefix.as_str()));
-                let objects = own
-                    .map(|(k, o)| store::Entry {
-                        key: k.clone(),
-                        version: o.version,
-                    })
-                    .collect();
-                store::Reply::Listed {
-                    revision: self.revision,
-                    objects,
-                }
-            }
-            _ => store::Reply::Failed(verdict::Verdict::NotRun),
-        }
-    }
-}
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -1,5 +1,8 @@
 //! The ledger under store faults, races and pauses.
 
+#[path = "bench/objects.rs"]
+mod objects;
+
 use std::collections;
 use std::sync;
 use std::time::Duration;
@@ -20,78 +23,22 @@
     Refused,
 }
 
+/// A store that serves or loses calls.
 #[derive(Debug, Default)]
-struct FakeStore {
-    objects: collections::BTreeMap<name::Name, store::Object>,
-    revision: u64,
-}
+struct FakeStore(objects::Objects);
 
 impl FakeStore {
     fn serve(&mut self, call: &store::Call, fate: Fate) -> store::Reply {
         match fate {
-            Fate::Served => self.apply(call),
+            Fate::Served => self.0.apply(call),
             Fate::LostAnswer => {
-                self.apply(call);
+                self.0.apply(call);
                 store::Reply::Failed(verdict::Verdict::MayHaveRun)
             }
             Fate::LostCall => store::Reply::Failed(verdict::Verdict::MayHaveRun),
             Fate::Refused => store::Reply::Failed(verdict::Verdict::NotRun),
         }
     }
-
-    fn apply(&mut self, call: &store::Call) -> store::Reply {
-        match call {
-            store::Call::Read { key } => self
-                .objects
-                .get(key)
-                .cloned()
-                .map_or(store::Reply::Missing, store::Reply::Found),
-            store::Call::Write {
-                key,
-                expected,
-                body,
-            } => {
-                let current = self.objects.get(key).map(|o| o.version);
-                if current != *expected {
-                    return store::Reply::Conflict;
-                }
-                self.revision += 1;
-                let version = self.revision;
-                self.objects.insert(
-                    key.clone(),
-                    store::Object {
-                        version,
-                        body: body.clone(),
-                    },
-                );
-                store::Reply::Written(version)
-            }
-            store::Call::Delete { key, expected } => {
-                if self.objects.get(key).map(|o| o.version) != Some(*expected) {
-                    return store::Reply::Conflict;
-                }
-                self.objects.remove(key);
-                store::Reply::Written(0)
-            }
-            store::Call::List { prefix } => {
-                let objects = self
-                    .objects
-                    .iter()
-                    .filter(|(k, _)| k.starts_with(prefix.as_str()));
-                let objects = objects
-                    .map(|(k, o)| store::Entry {
-                        key: k.clone(),
-                        version: o.version,
-                    })
-                    .collect();
-                store::Reply::Listed {
-                    revision: self.revision,
-                    objects,
-                }
-            }
-            other => panic!("the ledger does not make this call: {other:?}"),
-        }
-    }
 }
 
 struct Entry {
@@ -306,7 +253,7 @@
         );
         first.run(START, &mut store, &mut Vec::new());
     }
-    let written = store.revision;
+    let written = store.0.revision;
     let mut second = Entry::new(2);
     let lookup = ledger::Claim {
         lookup: true,
@@ -319,7 +266,7 @@
         second.denied.get(&2),
         (!ran).then_some(&ledger::Reason::Absent)
     );
-    assert_eq!(store.revision, written);
+    assert_eq!(store.0.revision, written);
 }
 
 #[test]
@@ -354,12 +301,13 @@
     }
     assert!(
         store
+            .0
             .objects
             .values()
             .all(|o| o.body.len() < store::MAX_BODY_BYTES)
     );
     assert!(
-        store.objects.len() > 64,
+        store.0.objects.len() > 64,
         "some partition went on in a second segment"
     );
 
--- a/crates/node/src/bin/guavausher-controller/cli.rs
+++ b/crates/node/src/bin/guavausher-controller/cli.rs
@@ -17,12 +17,7 @@
             default: None,
             help: "Name of the entry beside it, as in the platform's instance list",
         },
-        settings::Setting {
-            flag: "--domain",
-            kind: settings::Kind::Name,
-            default: None,
-            help: "Failure domain of this instance",
-        },
+        settings::common::DOMAIN,
         settings::Setting {
             flag: "--entry",
             kind: settings::Kind::Address,
@@ -35,33 +30,10 @@
             default: None,
             help: "Address for /livez, /readyz and /metrics",
         },
-        settings::Setting {
-            flag: "--platform",
-            kind: settings::Kind::Address,
-            default: None,
-            help: "Address of the platform's service",
-        },
-        settings::Setting {
-            flag: "--key",
-            kind: settings::Kind::Secret,
-            default: None,
-            help: "Key that all processes of the deployment share; prefer the variable",
-        },
-        settings::Setting {
-            flag: "--store-timeout-ms",
-            kind: settings::Kind::Millis {
-                min: 50,
-                max: 60_000,
-            },
-            default: Some("2000"),
-            help: "Longest call to the platform",
-        },
-        settings::Setting {
-            flag: "--log-level",
-            kind: settings::Kind::Level,
-            default: Some("info"),
-            help: "Lowest level that is logged",
-        },
+        settings::common::PLATFORM,
+        settings::common::KEY,
+        settings::common::STORE_TIMEOUT,
+        settings::common::LOG_LEVEL,
     ],
 };
 
@@ -88,13 +60,7 @@
 /// Reads and checks the settings.
 pub fn load() -> Result<Settings, process::ExitCode> {
     let values = PROGRAM.load()?;
-    let key = values
-        .secret("--key")
-        .map_err(|error| PROGRAM.refuse(&error))?;
-    let key = peers::Key::new(&String::from_utf8_lossy(&key)).map_err(|fault| {
-        eprintln!("{}: --key: {fault}", PROGRAM.name);
-        process::ExitCode::from(settings::EXIT_STATUS)
-    })?;
+    let key = settings::common::key(&PROGRAM, &values)?;
     build(&values, key).map_err(|error| PROGRAM.refuse(&error))
 }
 
--- a/crates/node/src/bin/guavausher-entry/cli.rs
+++ b/crates/node/src/bin/guavausher-entry/cli.rs
@@ -16,12 +16,7 @@
             default: None,
             help: "Name of this instance, as in the platform's instance list",
         },
-        settings::Setting {
-            flag: "--domain",
-            kind: settings::Kind::Name,
-            default: None,
-            help: "Failure domain of this instance",
-        },
+        settings::common::DOMAIN,
         settings::Setting {
             flag: "--listen",
             kind: settings::Kind::Address,
@@ -40,24 +35,14 @@
             default: None,
             help: "Address for /livez, /readyz and /metrics",
         },
-        settings::Setting {
-            flag: "--platform",
-            kind: settings::Kind::Address,
-            default: None,
-            help: "Address of the platform's service",
-        },
+        settings::common::PLATFORM,
         settings::Setting {
             flag: "--peers",
             kind: settings::Kind::Peers,
             default: Some(""),
             help: "Other entries to ask while the platform's list cannot be had",
         },
-        settings::Setting {
-            flag: "--key",
-            kind: settings::Kind::Secret,
-            default: None,
-            help: "Key that all processes of the deployment share; prefer the variable",
-        },
+        settings::common::KEY,
         settings::Setting {
             flag: "--incarnation",
             kind: settings::Kind::Count {
@@ -73,15 +58,7 @@
             default: Some("2"),
             help: "Threads that carry requests",
         },
-        settings::Setting {
-            flag: "--store-timeout-ms",
-            kind: settings::Kind::Millis {
-                min: 50,
-                max: 60_000,
-            },
-            default: Some("2000"),
-            help: "Longest call to the platform",
-        },
+        settings::common::STORE_TIMEOUT,
         settings::Setting {
             flag: "--grace-ms",
             kind: settings::Kind::Millis {
@@ -91,12 +68,7 @@
             default: Some("25000"),
             help: "How long a planned stop may take",
         },
-        settings::Setting {
-            flag: "--log-level",
-            kind: settings::Kind::Level,
-            default: Some("info"),
-            help: "Lowest level that is logged",
-        },
+        settings::common::LOG_LEVEL,
     ],
 };
 
@@ -123,16 +95,7 @@
 /// Reads and checks the settings.
 pub fn load() -> Result<Settings, process::ExitCode> {
     let values = PROGRAM.load()?;
-    let key = values
-        .secret("--key")
-        .map_err(|error| PROGRAM.refuse(&error))?;
-    let key = match peers::Key::new(&String::from_utf8_lossy(&key)) {
-        Ok(key) => key,
-        Err(fault) => {
-            eprintln!("{}: --key: {fault}", PROGRAM.name);
-            return Err(process::ExitCode::from(settings::EXIT_STATUS));
-        }
-    };
+    let key = settings::common::key(&PROGRAM, &values)?;
     build(&values, key).map_err(|error| PROGRAM.refuse(&error))
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -4,6 +4,7 @@
 //! `GUAVAUSHER_PEER_LISTEN`; the flag wins), a kind that it is checked against at start, and a
 //! line of help.
 
+pub mod common;
 mod error;
 mod kind;
 mod peer;
