Seal ledger segments at 32 KB instead of 128 KB

Cause: each write copies and encodes the head segment, so the cost of an order grew with the size at which a segment is sealed. Ruled out: patches of a segment, since the object API writes whole objects; 16 KB, since a reader of a busy partition would then have twice as many segments to read. Change: the bound alone.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -42,7 +42,7 @@
 pub const MAX_KEPT_BYTES: usize = 16 << 10;
 
 /// The size in bytes at which a segment is sealed and the next one begins.
-pub const SEAL_BYTES: usize = 128 << 10;
+pub const SEAL_BYTES: usize = 32 << 10;
 
 /// Claims that may wait for one partition's next write.
 pub const MAX_WAITING: usize = 256;
