--- a/crates/core/src/ledger/breaker.rs
+++ b/crates/core/src/ledger/breaker.rs
@@ -1,17 +1,17 @@
 //! Protection of the store from a ledger whose calls fail.
 
-use std::time;
+use std::time::Duration;
 
-use crate::time::Time;
+use crate::time;
 
 /// First wait after a failed call; it doubles up to [`MAX_BACKOFF`].
-const MIN_BACKOFF: time::Duration = time::Duration::from_millis(200);
+const MIN_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Longest wait after a failed call.
-const MAX_BACKOFF: time::Duration = time::Duration::from_secs(5);
+const MAX_BACKOFF: Duration = Duration::from_secs(5);
 
 /// How long one trial call keeps the others waiting.
-const TRIAL: time::Duration = time::Duration::from_secs(2);
+const TRIAL: Duration = Duration::from_secs(2);
 
 /// Lets one call through now and then while the store fails, over all partitions of an entry.
 ///
@@ -30,7 +30,7 @@
 pub struct Breaker {
     seed: u64,
     failures: u32,
-    retry_at: Option<Time>,
+    retry_at: Option<time::Time>,
 }
 
 impl Breaker {
@@ -44,7 +44,7 @@
     }
 
     /// Tells whether a call may be made now; while the store fails, each yes is a trial.
-    pub fn allows(&mut self, now: Time) -> bool {
+    pub fn allows(&mut self, now: time::Time) -> bool {
         match self.retry_at {
             None => true,
             Some(retry_at) if now < retry_at => false,
@@ -56,7 +56,7 @@
     }
 
     /// Takes in a failed call.
-    pub fn fail(&mut self, now: Time) {
+    pub fn fail(&mut self, now: time::Time) {
         let delay = MIN_BACKOFF
             .saturating_mul(1 << self.failures.min(8))
             .min(MAX_BACKOFF);
@@ -73,7 +73,7 @@
     }
 
     /// Returns when the next trial may be made, if the store fails.
-    pub const fn retry_at(&self) -> Option<Time> {
+    pub const fn retry_at(&self) -> Option<time::Time> {
         self.retry_at
     }
 }
--- a/crates/core/src/ledger/log.rs
+++ b/crates/core/src/ledger/log.rs
@@ -5,7 +5,7 @@
 use crate::ledger::{self, claim, kept, output, record, segment, waiting};
 use crate::name;
 use crate::store;
-use crate::time::Time;
+use crate::time;
 
 /// A partition's log as this entry has read it.
 ///
@@ -30,7 +30,7 @@
 struct Sealed {
     index: u64,
     version: store::Version,
-    expiry: Time,
+    expiry: time::Time,
 }
 
 /// What the log says of a claim.
@@ -126,7 +126,7 @@
     /// Returns the call that deletes the oldest segment once nothing in it can matter.
     ///
     /// One sealed segment always stays, so that a reader of an idle partition finds its place.
-    pub fn delete_oldest(&self, now: Time) -> Option<store::Call> {
+    pub fn delete_oldest(&self, now: time::Time) -> Option<store::Call> {
         let [oldest, _, ..] = self.sealed.as_slice() else {
             return None;
         };
@@ -145,7 +145,7 @@
     }
 
     /// Forgets records that have expired.
-    pub fn purge(&mut self, now: Time) {
+    pub fn purge(&mut self, now: time::Time) {
         self.latest.retain(|_, r| r.expiry > now);
     }
 
@@ -161,7 +161,12 @@
     }
 
     /// A lookup is answered from the log as it stands now, and claims nothing.
-    pub fn judge(&self, now: Time, waiting: &waiting::Waiting, next: &segment::Segment) -> Finding {
+    pub fn judge(
+        &self,
+        now: time::Time,
+        waiting: &waiting::Waiting,
+        next: &segment::Segment,
+    ) -> Finding {
         match self.find(now, waiting, next) {
             Finding::Free if waiting.claim.lookup && waiting.fresh => {
                 Finding::Denied(output::Reason::Absent)
@@ -171,7 +176,12 @@
         }
     }
 
-    fn find(&self, now: Time, waiting: &waiting::Waiting, next: &segment::Segment) -> Finding {
+    fn find(
+        &self,
+        now: time::Time,
+        waiting: &waiting::Waiting,
+        next: &segment::Segment,
+    ) -> Finding {
         let claim = &waiting.claim;
         let added = &next.records[self.segment.records.len()..];
         if added.iter().any(|r| r.key == claim.key) {
--- a/crates/core/src/ledger/partition.rs
+++ b/crates/core/src/ledger/partition.rs
@@ -2,18 +2,18 @@
 
 use std::mem;
 use std::sync;
-use std::time;
+use std::time::Duration;
 
 use crate::ledger::{self, claim, log, output, record, segment, waiting};
 use crate::store;
-use crate::time::Time;
+use crate::time;
 use crate::verdict;
 
 /// How long a claim may wait to be written.
-const CLAIM_WAIT: time::Duration = time::Duration::from_secs(2);
+const CLAIM_WAIT: Duration = Duration::from_secs(2);
 
 /// Wait after a log that could not be read.
-const RETRY_WAIT: time::Duration = time::Duration::from_millis(200);
+const RETRY_WAIT: Duration = Duration::from_millis(200);
 
 /// Bytes of ends that go into one write.
 const MAX_BATCH_BYTES: usize = 256 << 10;
@@ -26,7 +26,7 @@
     waiting: Vec<waiting::Waiting>,
     closing: Vec<record::Record>,
     batch: Batch,
-    retry_at: Time,
+    retry_at: time::Time,
 }
 
 /// What the partition waits for.
@@ -62,14 +62,14 @@
             waiting: Vec::new(),
             closing: Vec::new(),
             batch: Batch::default(),
-            retry_at: Time::default(),
+            retry_at: time::Time::default(),
         }
     }
 
     /// Takes in a claim.
     pub fn claim(
         &mut self,
-        now: Time,
+        now: time::Time,
         claim: claim::Claim,
         operation: record::Operation,
         out: &mut Vec<output::Output>,
@@ -94,7 +94,7 @@
     }
 
     /// Takes in the reply to this partition's only call under way.
-    pub fn reply(&mut self, now: Time, reply: store::Reply, out: &mut Vec<output::Output>) {
+    pub fn reply(&mut self, now: time::Time, reply: store::Reply, out: &mut Vec<output::Output>) {
         match mem::replace(&mut self.phase, Phase::Cold) {
             Phase::Listing => self.listed(now, reply, out),
             Phase::Reading => self.read(now, reply, out),
@@ -108,7 +108,7 @@
     }
 
     /// Denies claims that waited too long.
-    pub fn tick(&mut self, now: Time, out: &mut Vec<output::Output>) {
+    pub fn tick(&mut self, now: time::Time, out: &mut Vec<output::Output>) {
         let retry_at = now.after(ledger::OUTAGE_WAIT);
         for late in self
             .batch
@@ -137,18 +137,18 @@
     }
 
     /// Returns when [`Partition::tick`] denies the next claim.
-    pub fn deny_at(&self) -> Option<Time> {
+    pub fn deny_at(&self) -> Option<time::Time> {
         let written = self.batch.claims.iter().filter(|w| !w.denied);
         self.waiting.iter().chain(written).map(|w| w.limit).min()
     }
 
     /// Returns from when on the next call may be made, if there is one to make.
-    pub fn call_at(&self) -> Option<Time> {
+    pub fn call_at(&self) -> Option<time::Time> {
         self.has_work().then_some(self.retry_at)
     }
 
     /// Tells whether a call should be made as soon as the store may be called.
-    pub fn is_due(&self, now: Time) -> bool {
+    pub fn is_due(&self, now: time::Time) -> bool {
         self.has_work() && now >= self.retry_at
     }
 
@@ -158,7 +158,7 @@
     }
 
     /// Makes the next call.
-    pub fn advance(&mut self, now: Time, out: &mut Vec<output::Output>) {
+    pub fn advance(&mut self, now: time::Time, out: &mut Vec<output::Output>) {
         if self.phase == Phase::Cold {
             return self.list(out);
         }
@@ -178,7 +178,7 @@
         self.call(Phase::Listing, store::Call::List { prefix }, out);
     }
 
-    fn listed(&mut self, now: Time, reply: store::Reply, out: &mut Vec<output::Output>) {
+    fn listed(&mut self, now: time::Time, reply: store::Reply, out: &mut Vec<output::Output>) {
         let store::Reply::Listed { objects, .. } = reply else {
             return self.fail(now, out);
         };
@@ -191,7 +191,7 @@
         self.call(Phase::Reading, store::Call::Read { key }, out);
     }
 
-    fn read(&mut self, now: Time, reply: store::Reply, out: &mut Vec<output::Output>) {
+    fn read(&mut self, now: time::Time, reply: store::Reply, out: &mut Vec<output::Output>) {
         let progress = match reply {
             store::Reply::Missing => self.log.miss(),
             store::Reply::Found(object) => match segment::Segment::decode(&object.body) {
@@ -207,7 +207,7 @@
     }
 
     /// Settles the write whose end was unclear by what the log now says.
-    fn reloaded(&mut self, now: Time, out: &mut Vec<output::Output>) {
+    fn reloaded(&mut self, now: time::Time, out: &mut Vec<output::Output>) {
         self.phase = Phase::Idle;
         let batch = mem::take(&mut self.batch);
         let ends = batch.ends.into_iter();
@@ -225,7 +225,7 @@
         self.waiting.iter_mut().for_each(|w| w.fresh = true);
     }
 
-    fn write(&mut self, now: Time, out: &mut Vec<output::Output>) {
+    fn write(&mut self, now: time::Time, out: &mut Vec<output::Output>) {
         self.log.purge(now);
         let mut next = self.log.segment.clone();
         let mut stale = Vec::new();
@@ -269,7 +269,7 @@
         self.call(Phase::Writing, call, out);
     }
 
-    fn commit(&mut self, now: Time, version: store::Version, out: &mut Vec<output::Output>) {
+    fn commit(&mut self, now: time::Time, version: store::Version, out: &mut Vec<output::Output>) {
         self.phase = Phase::Idle;
         let batch = mem::take(&mut self.batch);
         self.log.install(version, batch.written);
@@ -280,7 +280,7 @@
     }
 
     /// Grants a written claim, or gives it back if its request was answered meanwhile.
-    fn grant(&mut self, now: Time, waiting: waiting::Waiting, out: &mut Vec<output::Output>) {
+    fn grant(&mut self, now: time::Time, waiting: waiting::Waiting, out: &mut Vec<output::Output>) {
         let request = waiting.claim.request;
         let operation = waiting.operation;
         if !waiting.denied && now < waiting.claim.deadline {
@@ -311,7 +311,7 @@
         self.closing = rest;
     }
 
-    fn written(&mut self, now: Time, reply: store::Reply, out: &mut Vec<output::Output>) {
+    fn written(&mut self, now: time::Time, reply: store::Reply, out: &mut Vec<output::Output>) {
         match reply {
             store::Reply::Written(version) => self.commit(now, version, out),
             store::Reply::Conflict | store::Reply::Failed(verdict::Verdict::MayHaveRun) => {
@@ -325,14 +325,14 @@
         }
     }
 
-    fn fail(&mut self, now: Time, out: &mut Vec<output::Output>) {
+    fn fail(&mut self, now: time::Time, out: &mut Vec<output::Output>) {
         self.phase = Phase::Cold;
         self.retry_at = now.after(RETRY_WAIT);
         self.refuse_batch(now, true, out);
     }
 
     /// Answers every waiting claim at once; a claim that may stand in the log is given back later.
-    fn refuse_batch(&mut self, now: Time, unclear: bool, out: &mut Vec<output::Output>) {
+    fn refuse_batch(&mut self, now: time::Time, unclear: bool, out: &mut Vec<output::Output>) {
         let retry_at = now.after(ledger::OUTAGE_WAIT);
         let batch = mem::take(&mut self.batch);
         self.closing.splice(0..0, batch.ends);
--- a/crates/core/src/ledger/waiting.rs
+++ b/crates/core/src/ledger/waiting.rs
@@ -1,7 +1,7 @@
 //! A claim on its way into the log.
 
 use crate::ledger::{self, claim, record};
-use crate::time::Time;
+use crate::time;
 
 /// A claim on its way into the log.
 #[derive(Debug)]
@@ -11,7 +11,7 @@
     /// Identifies the claim in the log.
     pub operation: record::Operation,
     /// When the caller is refused at the latest.
-    pub limit: Time,
+    pub limit: time::Time,
     /// Whether the log was read after the claim came.
     pub fresh: bool,
     /// Whether the caller has been refused.
@@ -20,17 +20,17 @@
 
 impl Waiting {
     /// Returns the record that claims the key.
-    pub fn claimed(&self, now: Time) -> record::Record {
+    pub fn claimed(&self, now: time::Time) -> record::Record {
         let deadline = self.claim.deadline;
         self.record(now, record::Step::Claimed { deadline })
     }
 
     /// Returns the record that gives the claim back.
-    pub fn released(&self, now: Time) -> record::Record {
+    pub fn released(&self, now: time::Time) -> record::Record {
         self.record(now, record::Step::Released)
     }
 
-    fn record(&self, now: Time, step: record::Step) -> record::Record {
+    fn record(&self, now: time::Time, step: record::Step) -> record::Record {
         record::Record {
             key: self.claim.key.clone(),
             fingerprint: self.claim.fingerprint,
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -1,6 +1,6 @@
 //! Progress, end and failure of attempts.
 
-use std::time;
+use std::time::Duration;
 
 use crate::declaration;
 use crate::effect;
@@ -12,17 +12,17 @@
 use crate::retry;
 use crate::routing;
 use crate::state;
-use crate::time::Time;
+use crate::time;
 use crate::verdict;
 
 /// Attempts without progress after which a request is given up.
 const MAX_TRIES: u32 = 4;
 
 /// How long an answer waits for the record of its end.
-const RECORD_WAIT: time::Duration = time::Duration::from_millis(500);
+const RECORD_WAIT: Duration = Duration::from_millis(500);
 
 /// Takes in what an attempt did; an attempt that is no longer current is ignored.
-pub fn signal(state: &mut state::State, now: Time, attempt: u64, signal: event::Signal) {
+pub fn signal(state: &mut state::State, now: time::Time, attempt: u64, signal: event::Signal) {
     let Some(&id) = state.attempts.get(&attempt) else {
         return;
     };
@@ -35,7 +35,7 @@
 }
 
 /// Ends a request whose caller has gone; a claimed one runs on so that its end is recorded.
-pub fn abandon(state: &mut state::State, now: Time, id: u64) {
+pub fn abandon(state: &mut state::State, now: time::Time, id: u64) {
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
@@ -60,7 +60,7 @@
 }
 
 /// Counts a missed deadline against the version that was running the request.
-pub fn blame_late(state: &mut state::State, now: Time, id: u64) {
+pub fn blame_late(state: &mut state::State, now: time::Time, id: u64) {
     let flight = state.flights.get(&id);
     let Some(flight::Stage::Running(running)) = flight.map(|f| f.stage.clone()) else {
         return;
@@ -75,7 +75,7 @@
 }
 
 /// Stops the attempt under way.
-pub fn cancel(state: &mut state::State, now: Time, id: u64) {
+pub fn cancel(state: &mut state::State, now: time::Time, id: u64) {
     if let Some(running) = take_running(state, id) {
         state
             .fleet
@@ -87,7 +87,7 @@
     }
 }
 
-fn first(state: &mut state::State, now: Time, attempt: u64, id: u64) {
+fn first(state: &mut state::State, now: time::Time, attempt: u64, id: u64) {
     state.fleet.first_token(now, attempt);
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
@@ -96,12 +96,12 @@
     if let flight::Stage::Running(running) = &mut flight.stage {
         running.first = Some(now);
     }
-    state.set_timer(id, Time::MAX);
+    state.set_timer(id, time::Time::MAX);
     let effects = state.quarantine.started(now, id);
     quarantine::apply(state, now, effects);
 }
 
-fn finished(state: &mut state::State, now: Time, id: u64, finish: event::Finish) {
+fn finished(state: &mut state::State, now: time::Time, id: u64, finish: event::Finish) {
     let Some(running) = take_running(state, id) else {
         return;
     };
@@ -133,7 +133,7 @@
     record::drive(state, now, input);
 }
 
-fn refused(state: &mut state::State, now: Time, id: u64) {
+fn refused(state: &mut state::State, now: time::Time, id: u64) {
     let Some(running) = take_running(state, id) else {
         return;
     };
@@ -148,7 +148,7 @@
     go_on(state, now, id, running, failure);
 }
 
-fn failed(state: &mut state::State, now: Time, id: u64, failure: event::Failure) {
+fn failed(state: &mut state::State, now: time::Time, id: u64, failure: event::Failure) {
     let Some(running) = take_running(state, id) else {
         return;
     };
@@ -169,7 +169,7 @@
 /// Counts a failure against the version and a death against the request too.
 fn blame(
     state: &mut state::State,
-    now: Time,
+    now: time::Time,
     id: u64,
     running: &flight::Running,
     failure: event::Failure,
@@ -197,7 +197,7 @@
 /// Tries again where that is allowed, or gives the final answer at once.
 fn go_on(
     state: &mut state::State,
-    now: Time,
+    now: time::Time,
     id: u64,
     running: flight::Running,
     failure: event::Failure,
@@ -217,7 +217,7 @@
     flight.excluded.push(running.choice.upstream);
     flight.stage = flight::Stage::Queued;
     let timer = if flight.started {
-        Time::MAX
+        time::Time::MAX
     } else {
         flight.deadline
     };
@@ -253,7 +253,7 @@
 
 /// The budget paces retries but those of a stream under way, and those after a death, which the
 /// quarantine paces; while most of the service's upstreams fail, it paces all.
-fn may_retry(state: &mut state::State, now: Time, id: u64, failure: event::Failure) -> bool {
+fn may_retry(state: &mut state::State, now: time::Time, id: u64, failure: event::Failure) -> bool {
     let Some(flight) = state.flights.get(&id) else {
         return false;
     };
--- a/crates/core/src/reduce/document.rs
+++ b/crates/core/src/reduce/document.rs
@@ -1,7 +1,7 @@
 //! Documents and notices from the platform's store: first reads, watches and retries.
 
 use std::sync;
-use std::time;
+use std::time::Duration;
 
 use crate::fact;
 use crate::name;
@@ -9,7 +9,7 @@
 use crate::reduce::{self, link, record, status};
 use crate::state;
 use crate::store;
-use crate::time::Time;
+use crate::time;
 
 /// Object key of the configuration.
 pub const CONFIG_KEY: &str = "config/current";
@@ -18,19 +18,19 @@
 pub const ROLLOUTS_KEY: &str = "rollouts/current";
 
 /// How often a watcher reads the instance list.
-const LIST_PERIOD: time::Duration = time::Duration::from_secs(1);
+const LIST_PERIOD: Duration = Duration::from_secs(1);
 
 /// Shortest wait after a failed call; up to as much again is added by jitter.
-const RETRY_WAIT: time::Duration = time::Duration::from_secs(1);
+const RETRY_WAIT: Duration = Duration::from_secs(1);
 
 /// How long after a read under way another one of the same document is made.
-const READ_AGAIN: time::Duration = time::Duration::from_millis(100);
+const READ_AGAIN: Duration = Duration::from_millis(100);
 
 /// How long a leaving fact holds.
-const LEAVING_HOLD: time::Duration = time::Duration::from_secs(3_600);
+const LEAVING_HOLD: Duration = Duration::from_secs(3_600);
 
 /// Reads each document once.
-pub fn start(state: &mut state::State, now: Time) {
+pub fn start(state: &mut state::State, now: time::Time) {
     for topic in peering::Topic::ALL {
         read(state, now, topic);
     }
@@ -38,7 +38,7 @@
 }
 
 /// Begins or ends the watch of a topic.
-pub fn watch(state: &mut state::State, now: Time, topic: peering::Topic, active: bool) {
+pub fn watch(state: &mut state::State, now: time::Time, topic: peering::Topic, active: bool) {
     if !active {
         state.watched.remove(&topic);
         return;
@@ -56,7 +56,7 @@
 }
 
 /// Takes in a reply of the store.
-pub fn replied(state: &mut state::State, now: Time, call: u64, reply: store::Reply) {
+pub fn replied(state: &mut state::State, now: time::Time, call: u64, reply: store::Reply) {
     let Some(purpose) = state.calls.remove(&call) else {
         return;
     };
@@ -72,7 +72,7 @@
 }
 
 /// Makes the calls that were put off until now.
-pub fn make_due_calls(state: &mut state::State, now: Time) {
+pub fn make_due_calls(state: &mut state::State, now: time::Time) {
     while let Some(entry) = state.later.first_entry().filter(|e| *e.key() <= now) {
         for purpose in entry.remove() {
             make(state, now, purpose);
@@ -81,7 +81,7 @@
 }
 
 /// Puts a call off; of two alike only the earlier one is made.
-pub fn put_off(state: &mut state::State, at: Time, purpose: state::Purpose) {
+pub fn put_off(state: &mut state::State, at: time::Time, purpose: state::Purpose) {
     let alike = |p: &state::Purpose| p.is_alike(purpose);
     let planned = state
         .later
@@ -97,7 +97,7 @@
     state.later.entry(at).or_default().push(purpose);
 }
 
-fn make(state: &mut state::State, now: Time, purpose: state::Purpose) {
+fn make(state: &mut state::State, now: time::Time, purpose: state::Purpose) {
     match purpose {
         state::Purpose::Document(topic) => read(state, now, topic),
         state::Purpose::Watch(topic) => wait(state, topic),
@@ -109,7 +109,7 @@
 }
 
 /// Reads a document; beside a read under way, which may miss the latest change, somewhat later.
-fn read(state: &mut state::State, now: Time, topic: peering::Topic) {
+fn read(state: &mut state::State, now: time::Time, topic: peering::Topic) {
     let purpose = state::Purpose::Document(topic);
     if state.is_under_way(purpose) {
         return put_off(state, now.after(READ_AGAIN), purpose);
@@ -153,7 +153,7 @@
     }
 }
 
-fn came(state: &mut state::State, now: Time, topic: peering::Topic, reply: store::Reply) {
+fn came(state: &mut state::State, now: time::Time, topic: peering::Topic, reply: store::Reply) {
     match reply {
         store::Reply::Found(object) => publish(state, now, topic, object.version, object.body),
         store::Reply::Instances {
@@ -177,7 +177,7 @@
 
 fn publish(
     state: &mut state::State,
-    now: Time,
+    now: time::Time,
     topic: peering::Topic,
     generation: u64,
     body: sync::Arc<[u8]>,
@@ -190,7 +190,7 @@
     link::peer(state, now, peering::Input::Publish(document));
 }
 
-fn changed(state: &mut state::State, now: Time, topic: peering::Topic, reply: store::Reply) {
+fn changed(state: &mut state::State, now: time::Time, topic: peering::Topic, reply: store::Reply) {
     let store::Reply::Listed { revision, objects } = reply else {
         return retry(state, now, state::Purpose::Watch(topic));
     };
@@ -202,7 +202,7 @@
     wait(state, topic);
 }
 
-fn noticed(state: &mut state::State, now: Time, since: u64, reply: store::Reply) {
+fn noticed(state: &mut state::State, now: time::Time, since: u64, reply: store::Reply) {
     let store::Reply::Notices { next, notices } = reply else {
         return retry(state, now, state::Purpose::Notices(since));
     };
@@ -217,7 +217,7 @@
 /// States that an upstream's incarnation is leaving; without one, the one that is in use.
 pub fn leaving(
     state: &mut state::State,
-    now: Time,
+    now: time::Time,
     upstream: name::Name,
     incarnation: Option<u64>,
 ) {
@@ -234,7 +234,7 @@
 }
 
 /// Spreads the retries of many entries over the wait.
-fn retry(state: &mut state::State, now: Time, purpose: state::Purpose) {
+fn retry(state: &mut state::State, now: time::Time, purpose: state::Purpose) {
     let wanted = match purpose {
         state::Purpose::Document(topic) | state::Purpose::Watch(topic) => {
             state.watched.contains(&topic) || state.peering.generation(topic) == 0
@@ -251,7 +251,7 @@
 }
 
 /// Returns a wait below `limit` that differs from entry to entry.
-pub fn jitter(state: &state::State, now: Time, limit: time::Duration) -> time::Duration {
+pub fn jitter(state: &state::State, now: time::Time, limit: Duration) -> Duration {
     let seed = state.own.incarnation;
     let spread = twox_hash::XxHash64::oneshot(seed, &now.as_micros().to_le_bytes());
     limit.mul_f64((spread % 1_000) as f64 / 1_000.0)
--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -1,6 +1,6 @@
 //! From admission to the first byte: claim, quarantine, routing and dispatch.
 
-use std::time;
+use std::time::Duration;
 
 use crate::effect;
 use crate::flight;
@@ -11,26 +11,26 @@
 use crate::refusal;
 use crate::routing;
 use crate::state;
-use crate::time::Time;
+use crate::time;
 use crate::verdict;
 
 /// When a caller is asked to come back if nothing better is known.
-pub const RETRY_WAIT: time::Duration = time::Duration::from_secs(1);
+pub const RETRY_WAIT: Duration = Duration::from_secs(1);
 
 /// How long after its deadline a claimed request may still end and be recorded.
-pub const CLAIM_GRACE: time::Duration = time::Duration::from_secs(30);
+pub const CLAIM_GRACE: Duration = Duration::from_secs(30);
 
 /// How long a broken stream may look for an upstream to go on at.
-pub const RESUME_WAIT: time::Duration = time::Duration::from_secs(10);
+pub const RESUME_WAIT: Duration = Duration::from_secs(10);
 
 /// How long a new request may wait for a slot that admission took for free.
-const SLOT_WAIT: time::Duration = time::Duration::from_secs(1);
+const SLOT_WAIT: Duration = Duration::from_secs(1);
 
 /// How often a waiting request looks for an upstream.
-const RESUME_POLL: time::Duration = time::Duration::from_millis(100);
+const RESUME_POLL: Duration = Duration::from_millis(100);
 
 /// Takes the next step with an admitted request.
-pub fn launch(state: &mut state::State, now: Time, id: u64) {
+pub fn launch(state: &mut state::State, now: time::Time, id: u64) {
     let Some(flight) = state.flights.get(&id) else {
         return state.admission.release(now, id, false);
     };
@@ -55,14 +55,14 @@
     };
     flight.stage = flight::Stage::Quarantined;
     let timer = match flight.started {
-        true => Time::MAX,
+        true => time::Time::MAX,
         false => flight.deadline,
     };
     state.set_timer(id, timer);
 }
 
 /// Claims the idempotency key, unless no upstream could take the request anyway.
-fn claim(state: &mut state::State, now: Time, id: u64) {
+fn claim(state: &mut state::State, now: time::Time, id: u64) {
     let Some(flight) = state.flights.get(&id) else {
         return;
     };
@@ -84,7 +84,7 @@
 }
 
 /// Picks an upstream and sends the request there.
-pub fn dispatch(state: &mut state::State, now: Time, id: u64) {
+pub fn dispatch(state: &mut state::State, now: time::Time, id: u64) {
     let Some(flight) = state.flights.get(&id) else {
         return;
     };
@@ -112,7 +112,7 @@
 }
 
 /// Returns the version of a request; one that was halted since is replaced.
-fn version(state: &mut state::State, now: Time, id: u64) -> Option<name::Name> {
+fn version(state: &mut state::State, now: time::Time, id: u64) -> Option<name::Name> {
     let flight = state.flights.get(&id)?;
     let service = flight.service.clone();
     let given = flight
@@ -128,7 +128,7 @@
 
 fn send(
     state: &mut state::State,
-    now: Time,
+    now: time::Time,
     id: u64,
     query: &routing::Query,
     choice: routing::Choice,
@@ -168,7 +168,7 @@
 }
 
 /// Tells whether a broken stream may wait for its service to recover.
-pub fn may_wait(state: &state::State, now: Time, id: u64) -> bool {
+pub fn may_wait(state: &state::State, now: time::Time, id: u64) -> bool {
     let Some(flight) = state.flights.get(&id).filter(|f| f.started && !f.detached) else {
         return false;
     };
@@ -180,7 +180,7 @@
 }
 
 /// Lets a broken stream wait.
-pub fn hold(state: &mut state::State, now: Time, id: u64) {
+pub fn hold(state: &mut state::State, now: time::Time, id: u64) {
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
@@ -191,7 +191,7 @@
 }
 
 /// Goes on with a waiting request; while its service fails, only as the retry budget allows.
-pub fn go_on(state: &mut state::State, now: Time, id: u64) {
+pub fn go_on(state: &mut state::State, now: time::Time, id: u64) {
     let Some(flight) = state.flights.get(&id) else {
         return;
     };
@@ -204,7 +204,7 @@
 
 /// Leaves half of the time for another upstream where a run may be repeated, and waits for the end
 /// of any other run as long as it can be recorded.
-fn patience(flight: &flight::Flight, now: Time, deadline: Time) -> Time {
+fn patience(flight: &flight::Flight, now: time::Time, deadline: time::Time) -> time::Time {
     match flight.repeatable() {
         true => now.after(now.until(deadline) / 2),
         false => deadline.after(CLAIM_GRACE),
@@ -213,7 +213,12 @@
 
 /// A broken stream waits for an upstream, and a new request for the moment in which a full pool
 /// frees a slot; anything else is refused at once.
-fn wait_or_refuse(state: &mut state::State, now: Time, id: u64, exhausted: routing::Exhausted) {
+fn wait_or_refuse(
+    state: &mut state::State,
+    now: time::Time,
+    id: u64,
+    exhausted: routing::Exhausted,
+) {
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
@@ -275,7 +280,7 @@
     lack && state.flights.get(&id).is_some_and(waits)
 }
 
-fn look_up(state: &mut state::State, now: Time, id: u64, refusal: refusal::Refusal) {
+fn look_up(state: &mut state::State, now: time::Time, id: u64, refusal: refusal::Refusal) {
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
@@ -292,7 +297,7 @@
 /// Gives the final answer and ends the flight, releasing an unused claim.
 ///
 /// A request that lacks only capacity gets the kept answer of an earlier run if there is one.
-pub fn give_up(state: &mut state::State, now: Time, id: u64, refusal: refusal::Refusal) {
+pub fn give_up(state: &mut state::State, now: time::Time, id: u64, refusal: refusal::Refusal) {
     if may_have_answer(state, id, refusal) {
         return look_up(state, now, id, refusal);
     }
@@ -302,7 +307,7 @@
     end(state, now, id, false);
 }
 
-fn close_claim(state: &mut state::State, now: Time, id: u64, verdict: verdict::Verdict) {
+fn close_claim(state: &mut state::State, now: time::Time, id: u64, verdict: verdict::Verdict) {
     let claim = state.flights.get_mut(&id).and_then(|f| f.claim.take());
     let Some(operation) = claim else {
         return;
@@ -340,7 +345,7 @@
 }
 
 /// Frees what a request holds and lets the next quarantined one go.
-pub fn end(state: &mut state::State, now: Time, id: u64, completed: bool) {
+pub fn end(state: &mut state::State, now: time::Time, id: u64, completed: bool) {
     let Some(flight) = forget(state, id) else {
         return;
     };
--- a/crates/core/src/reduce/review.rs
+++ b/crates/core/src/reduce/review.rs
@@ -1,6 +1,6 @@
 //! Evidence about versions: samples, halts by this entry alone and sums for the controller.
 
-use std::time;
+use std::time::Duration;
 
 use crate::flight;
 use crate::name;
@@ -8,21 +8,21 @@
 use crate::reduce::{self, link};
 use crate::rollout;
 use crate::state;
-use crate::time::Time;
+use crate::time;
 
 /// How often the evidence is judged while a rollout is under way.
-const JUDGE_PERIOD: time::Duration = time::Duration::from_millis(250);
+const JUDGE_PERIOD: Duration = Duration::from_millis(250);
 
 /// How often the sums go to the controller while a rollout is under way.
-const REPORT_PERIOD: time::Duration = time::Duration::from_secs(1);
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
 /// When the evidence is looked at again.
 #[derive(Clone, Copy, Debug)]
 pub struct Review {
     /// When it is judged.
-    pub judge: Time,
+    pub judge: time::Time,
     /// When the sums are reported.
-    pub report: Time,
+    pub report: time::Time,
 }
 
 /// How an attempt ended, as far as its version is to blame.
@@ -35,7 +35,7 @@
 }
 
 /// Takes over the rollouts in force.
-pub fn adopt(state: &mut state::State, now: Time, body: &[u8]) -> Result<(), String> {
+pub fn adopt(state: &mut state::State, now: time::Time, body: &[u8]) -> Result<(), String> {
     let book = rollout::Book::decode(body).map_err(|e| e.to_string())?;
     let statuses = book.list();
     state.split.adopt(&statuses);
@@ -52,7 +52,7 @@
 /// Returns the version that the next request of a service gets.
 pub fn version(
     state: &mut state::State,
-    now: Time,
+    now: time::Time,
     service: &name::Name,
     declared: &name::Name,
 ) -> name::Name {
@@ -63,12 +63,18 @@
 }
 
 /// Records the end of an attempt.
-pub fn record(state: &mut state::State, now: Time, id: u64, running: &flight::Running, end: End) {
+pub fn record(
+    state: &mut state::State,
+    now: time::Time,
+    id: u64,
+    running: &flight::Running,
+    end: End,
+) {
     let Some(flight) = state.flights.get(&id) else {
         return;
     };
     let first = running.first.or((!end.failed).then_some(now));
-    let micros = |from: Time, to: Time| from.until(to).as_micros() as u64;
+    let micros = |from: time::Time, to: time::Time| from.until(to).as_micros() as u64;
     let gaps = u64::from(end.tokens.saturating_sub(1));
     let sample = rollout::Sample {
         failed: end.failed,
@@ -88,7 +94,7 @@
 }
 
 /// Judges the evidence and reports the sums where that is due.
-pub fn tick(state: &mut state::State, now: Time) {
+pub fn tick(state: &mut state::State, now: time::Time) {
     let Some(mut review) = state.review else {
         return;
     };
--- a/crates/core/src/reduce/status.rs
+++ b/crates/core/src/reduce/status.rs
@@ -1,23 +1,23 @@
 //! This entry's status object: the generation in force and what it sees leaving.
 
 use std::sync;
-use std::time;
+use std::time::Duration;
 
 use crate::name;
 use crate::reduce::document;
 use crate::state;
 use crate::store;
-use crate::time::Time;
+use crate::time;
 
 /// The time that each entry adds to the spread of the writes after one change, so that a fleet of
 /// any size makes some hundred writes a second.
-const SPREAD_EACH: time::Duration = time::Duration::from_millis(10);
+const SPREAD_EACH: Duration = Duration::from_millis(10);
 
 /// Longest spread of the writes after one change.
-const MAX_SPREAD: time::Duration = time::Duration::from_secs(10);
+const MAX_SPREAD: Duration = Duration::from_secs(10);
 
 /// Shortest wait after a failed write.
-const RETRY_WAIT: time::Duration = time::Duration::from_secs(2);
+const RETRY_WAIT: Duration = Duration::from_secs(2);
 
 /// What the status object states.
 #[derive(Debug, serde::Serialize)]
@@ -27,11 +27,11 @@
     domain: &'a str,
     ready: bool,
     leaving: Vec<&'a str>,
-    at: Time,
+    at: time::Time,
 }
 
 /// Plans a write of the status.
-pub fn plan(state: &mut state::State, now: Time) {
+pub fn plan(state: &mut state::State, now: time::Time) {
     if state.status.pending {
         return;
     }
@@ -41,14 +41,14 @@
 }
 
 /// Plans a write if the entry has become ready or unready since the last one.
-pub fn tick(state: &mut state::State, now: Time) {
+pub fn tick(state: &mut state::State, now: time::Time) {
     if state.status.ready != state.unready().is_none() && state.config.is_some() {
         plan(state, now);
     }
 }
 
 /// Writes the status.
-pub fn write(state: &mut state::State, now: Time) {
+pub fn write(state: &mut state::State, now: time::Time) {
     let generation = state.config.as_ref().map_or(0, |c| c.generation);
     let body = Body {
         generation,
@@ -76,7 +76,7 @@
 }
 
 /// Takes in the reply to a write or read of the status.
-pub fn replied(state: &mut state::State, now: Time, reply: store::Reply) {
+pub fn replied(state: &mut state::State, now: time::Time, reply: store::Reply) {
     match reply {
         store::Reply::Written(version) => written(state, now, version),
         store::Reply::Found(object) => {
@@ -96,7 +96,7 @@
     }
 }
 
-fn written(state: &mut state::State, now: Time, version: store::Version) {
+fn written(state: &mut state::State, now: time::Time, version: store::Version) {
     state.status.version = Some(version);
     state.status.pending = false;
     let current = state.config.as_ref().map_or(0, |c| c.generation);
@@ -105,7 +105,7 @@
     }
 }
 
-fn spread(state: &state::State) -> time::Duration {
+fn spread(state: &state::State) -> Duration {
     SPREAD_EACH.saturating_mul(state.entries).min(MAX_SPREAD)
 }
 
--- a/crates/core/src/reduce/timer.rs
+++ b/crates/core/src/reduce/timer.rs
@@ -1,6 +1,6 @@
 //! Deadlines of requests and the planned stop.
 
-use std::time;
+use std::time::Duration;
 
 use crate::effect;
 use crate::flight;
@@ -9,17 +9,17 @@
 use crate::reduce::{attempt, document, launch, link, quarantine, record, review, status};
 use crate::refusal;
 use crate::state;
-use crate::time::Time;
+use crate::time;
 use crate::verdict;
 
 /// How long a stopping entry still takes requests while the balancer learns of it.
-const LAME_DUCK: time::Duration = time::Duration::from_secs(3);
+const LAME_DUCK: Duration = Duration::from_secs(3);
 
 /// How long before the end of a stop the open streams are told to reconnect.
-const HANDOVER: time::Duration = time::Duration::from_secs(2);
+const HANDOVER: Duration = Duration::from_secs(2);
 
 /// Does all that is due.
-pub fn tick(state: &mut state::State, now: Time) {
+pub fn tick(state: &mut state::State, now: time::Time) {
     link::peer(state, now, peering::Input::Tick);
     record::drive(state, now, ledger::Input::Tick);
     document::make_due_calls(state, now);
@@ -34,7 +34,7 @@
 }
 
 /// Begins a planned stop; a second one can only bring the end closer.
-pub fn stop(state: &mut state::State, now: Time, deadline: Time) {
+pub fn stop(state: &mut state::State, now: time::Time, deadline: time::Time) {
     let third = now.until(deadline) / 3;
     let refuse_at = now.after(third.min(LAME_DUCK));
     let new = state::Stop {
@@ -49,7 +49,7 @@
 }
 
 /// Tells open streams to reconnect near the end of a stop, and reports when all is done.
-pub fn settle_stop(state: &mut state::State, now: Time) {
+pub fn settle_stop(state: &mut state::State, now: time::Time) {
     let Some(stop) = state.stop else {
         return;
     };
@@ -62,7 +62,7 @@
     }
 }
 
-fn hand_over(state: &mut state::State, now: Time) {
+fn hand_over(state: &mut state::State, now: time::Time) {
     let open: Vec<u64> = state
         .flights
         .iter()
@@ -81,7 +81,7 @@
     }
 }
 
-fn due(state: &mut state::State, now: Time, id: u64) {
+fn due(state: &mut state::State, now: time::Time, id: u64) {
     let Some(flight) = state.flights.get(&id) else {
         return;
     };
@@ -100,7 +100,7 @@
     }
 }
 
-fn late(state: &state::State, now: Time, id: u64) -> refusal::Refusal {
+fn late(state: &state::State, now: time::Time, id: u64) -> refusal::Refusal {
     refusal::Refusal {
         code: refusal::Code::Deadline,
         verdict: verdict_now(state, id),
@@ -117,7 +117,7 @@
 }
 
 /// Gives the final answer; a claimed run goes on for a while so that its end is recorded.
-fn expire(state: &mut state::State, now: Time, id: u64, refusal: refusal::Refusal) {
+fn expire(state: &mut state::State, now: time::Time, id: u64, refusal: refusal::Refusal) {
     let Some(flight) = state.flights.get(&id) else {
         return;
     };
