Part the reducer's launch into launching, waiting and closing

Ruled out: methods of the flight for all of it, since most steps need the whole state. Change: launch (to the first byte), wait (turn, slot, recovery) and close (final answer, what is freed); what only needs the flight or the refusal moved to those types. Conclusion: each file answers one question.

--- a/crates/core/src/flight.rs
+++ b/crates/core/src/flight.rs
@@ -1,6 +1,7 @@
 //! One request on its way through an entry.
 
 use std::sync;
+use std::time::Duration;
 
 use crate::declaration;
 use crate::ledger;
@@ -10,6 +11,9 @@
 use crate::routing;
 use crate::time;
 
+/// How long after its deadline a claimed request may still end and be recorded.
+pub const CLAIM_GRACE: Duration = Duration::from_secs(30);
+
 /// A request that has no final answer yet, or whose end is not recorded yet.
 #[derive(Clone, Debug)]
 pub struct Flight {
@@ -75,6 +79,15 @@
     pub first: Option<time::Time>,
 }
 
+/// Whether a claim only looks for an earlier run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Lookup {
+    /// It claims the key.
+    No,
+    /// It claims nothing.
+    Yes,
+}
+
 impl Flight {
     /// Returns what the router needs to know.
     pub fn query(&self, version: Option<name::Name>) -> routing::Query {
@@ -101,4 +114,24 @@
     pub fn repeatable(&self) -> bool {
         self.route.idempotent || (self.service.deduplicates && self.request.key.is_some())
     }
+
+    /// Joins workspace, service and idempotency key.
+    pub fn ledger_key(&self) -> Option<name::Name> {
+        let key = self.request.key.as_ref()?;
+        let workspace = &self.request.workspace;
+        let service = &self.service.name;
+        Some(name::Name::from(format!("{workspace}/{service}/{key}")))
+    }
+
+    /// Returns the claim of a key.
+    pub fn claim(&self, key: name::Name, lookup: Lookup) -> ledger::Claim {
+        ledger::Claim {
+            request: self.request.id,
+            key,
+            fingerprint: self.request.fingerprint,
+            deadline: self.deadline.after(CLAIM_GRACE),
+            lookup: lookup == Lookup::Yes,
+            repeatable: self.repeatable(),
+        }
+    }
 }
--- a/crates/core/src/reduce.rs
+++ b/crates/core/src/reduce.rs
@@ -2,6 +2,7 @@
 
 mod arrival;
 mod attempt;
+mod close;
 mod document;
 mod launch;
 mod link;
@@ -10,6 +11,7 @@
 pub(crate) mod review;
 mod status;
 mod timer;
+mod wait;
 
 use crate::effect;
 use crate::event;
--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -5,13 +5,11 @@
 use crate::effect;
 use crate::flight;
 use crate::ledger;
-use crate::name;
-use crate::reduce::launch;
+use crate::reduce::{close, launch};
 use crate::refusal;
 use crate::request;
 use crate::state;
 use crate::time;
-use crate::verdict;
 
 /// Takes in a request.
 pub fn arrive(state: &mut state::State, now: time::Time, request: request::Request) {
@@ -19,7 +17,7 @@
     match admit(state, now, request) {
         Ok(flight) => enter(state, now, flight),
         Err(refusal) => {
-            launch::refuse(state, id, refusal);
+            close::refuse(state, id, refusal);
             state.emit(effect::Effect::Ended { request: id });
         }
     }
@@ -36,7 +34,7 @@
     }
     for refused in turn.refused {
         if state.flights.contains_key(&refused.request) {
-            launch::give_up(state, now, refused.request, refusal_of(refused));
+            close::give_up(state, now, refused.request, refusal_of(refused));
         }
     }
 }
@@ -58,15 +56,15 @@
     request: request::Request,
 ) -> Result<flight::Flight, refusal::Refusal> {
     if let Some(stop) = state.stop.filter(|s| s.refuse_at <= now) {
-        return Err(not_run(
+        return Err(refusal::Refusal::not_run(
             refusal::Code::Stopping,
             Some(now.min(stop.deadline)),
         ));
     }
     let Some(config) = &state.config else {
-        return Err(not_run(
+        return Err(refusal::Refusal::not_run(
             refusal::Code::NotReady,
-            Some(now.after(launch::RETRY_WAIT)),
+            Some(now.after(close::RETRY_WAIT)),
         ));
     };
     flight(config, now, request)
@@ -79,12 +77,12 @@
 ) -> Result<flight::Flight, refusal::Refusal> {
     let route = config
         .route(&request.path)
-        .ok_or(not_run(refusal::Code::NoRoute, None))?;
+        .ok_or(refusal::Refusal::not_run(refusal::Code::NoRoute, None))?;
     let service = config
         .service(&route.service)
-        .ok_or(not_run(refusal::Code::NoRoute, None))?;
+        .ok_or(refusal::Refusal::not_run(refusal::Code::NoRoute, None))?;
     if !config.has_workspace(&request.workspace) {
-        return Err(not_run(refusal::Code::NoWorkspace, None));
+        return Err(refusal::Refusal::not_run(refusal::Code::NoWorkspace, None));
     }
     let declared = now.after(std::time::Duration::from_millis(route.timeout));
     let longest = now.after(ledger::RETENTION / 2);
@@ -126,7 +124,7 @@
         admission::Decision::Admit => launch::launch(state, now, id),
         admission::Decision::Queue => {}
         admission::Decision::Refuse(refused) => {
-            launch::give_up(state, now, id, refusal_of(refused));
+            close::give_up(state, now, id, refusal_of(refused));
         }
     }
 }
@@ -152,24 +150,5 @@
         admission::Reason::QueueFull | admission::Reason::Deadline => refusal::Code::Overloaded,
         admission::Reason::UnknownWorkspace => refusal::Code::NoWorkspace,
     };
-    not_run(code, Some(refused.retry_at))
-}
-
-/// A refusal before any exchange.
-pub fn not_run(code: refusal::Code, retry_at: Option<time::Time>) -> refusal::Refusal {
-    refusal::Refusal {
-        code,
-        verdict: verdict::Verdict::NotRun,
-        retry_at,
-    }
-}
-
-/// Joins workspace, service and idempotency key.
-pub fn ledger_key(flight: &flight::Flight) -> Option<name::Name> {
-    let key = flight.request.key.as_ref()?;
-    let workspace = &flight.request.workspace;
-    Some(name::Name::from(format!(
-        "{workspace}/{}/{key}",
-        flight.service.name
-    )))
+    refusal::Refusal::not_run(code, Some(refused.retry_at))
 }
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -7,7 +7,7 @@
 use crate::event;
 use crate::flight;
 use crate::ledger;
-use crate::reduce::{launch, quarantine, record, review};
+use crate::reduce::{close, launch, quarantine, record, review, wait};
 use crate::refusal;
 use crate::retry;
 use crate::routing;
@@ -47,7 +47,7 @@
     let code = refusal::Code::Deadline;
     let verdict = verdict::Verdict::MayHaveRun;
     cancel(state, now, id);
-    launch::give_up(
+    close::give_up(
         state,
         now,
         id,
@@ -225,21 +225,21 @@
     if may_retry(state, now, id, failure) {
         return launch::launch(state, now, id);
     }
-    if launch::may_wait(state, now, id) {
-        return launch::hold(state, now, id);
+    if wait::may_wait(state, now, id) {
+        return wait::hold(state, now, id);
     }
     let verdict = if offset(state, id) > 0 {
         verdict::Verdict::MayHaveRun
     } else {
-        launch::truth(state, id, failure.verdict)
+        close::truth(state, id, failure.verdict)
     };
-    let delay = retry::backoff(id, 0).max(launch::RETRY_WAIT);
+    let delay = retry::backoff(id, 0).max(close::RETRY_WAIT);
     let retry_at = Some(now.after(delay));
     let code = match verdict {
         verdict::Verdict::NotRun => refusal::Code::NoUpstream,
         _ => refusal::Code::UpstreamFailed,
     };
-    launch::give_up(
+    close::give_up(
         state,
         now,
         id,
--- /dev/null
+++ b/crates/core/src/reduce/close.rs
@@ -0,0 +1,122 @@
+//! Final answers, and what a request holds until its end.
+
+use std::time::Duration;
+
+use crate::effect;
+use crate::flight;
+use crate::ledger;
+use crate::reduce::{quarantine, record};
+use crate::refusal;
+use crate::state;
+use crate::time;
+use crate::verdict;
+
+/// When a caller is asked to come back if nothing better is known.
+pub const RETRY_WAIT: Duration = Duration::from_secs(1);
+
+/// Gives the final answer and ends the flight, releasing an unused claim.
+///
+/// A request that lacks only capacity gets the kept answer of an earlier run if there is one.
+pub fn give_up(state: &mut state::State, now: time::Time, id: u64, refusal: refusal::Refusal) {
+    if may_have_answer(state, id, refusal) {
+        return look_up(state, now, id, refusal);
+    }
+    let verdict = truth(state, id, refusal.verdict);
+    refuse(state, id, refusal);
+    close_claim(state, now, id, verdict);
+    end(state, now, id, false);
+}
+
+/// Gives a final answer unless the caller has one.
+pub fn refuse(state: &mut state::State, id: u64, mut refusal: refusal::Refusal) {
+    refusal.verdict = truth(state, id, refusal.verdict);
+    if state.flights.get(&id).is_some_and(|f| f.detached) {
+        return;
+    }
+    if let Some(flight) = state.flights.get_mut(&id) {
+        flight.detached = true;
+    }
+    state.emit(effect::Effect::Refuse {
+        request: id,
+        refusal,
+    });
+}
+
+/// Frees what a request holds and lets the next quarantined one go.
+pub fn end(state: &mut state::State, now: time::Time, id: u64, completed: bool) {
+    let Some(flight) = forget(state, id) else {
+        return;
+    };
+    state.admission.release(now, id, completed);
+    let capacity = state.fleet.capacity(now, &flight.service.name);
+    state
+        .admission
+        .set_capacity(now, &flight.service.name, capacity);
+    let effects = match completed {
+        true => state.quarantine.finished(now, id),
+        false => state.quarantine.released(now, id),
+    };
+    quarantine::apply(state, now, effects);
+}
+
+/// Drops a flight from the tables.
+pub fn forget(state: &mut state::State, id: u64) -> Option<flight::Flight> {
+    let flight = state.flights.remove(&id)?;
+    state.timers.remove(&state::Timer {
+        at: flight.timer,
+        request: id,
+    });
+    if let flight::Stage::Running(running) = &flight.stage {
+        state.attempts.remove(&running.attempt);
+    }
+    state.emit(effect::Effect::Ended { request: id });
+    Some(flight)
+}
+
+/// Returns what may be said of a request after all of its attempts, given a verdict on the last.
+pub fn truth(state: &state::State, id: u64, last: verdict::Verdict) -> verdict::Verdict {
+    match last {
+        verdict::Verdict::NotRun if state.flights.get(&id).is_some_and(|f| f.unclear) => {
+            verdict::Verdict::MayHaveRun
+        }
+        _ => last,
+    }
+}
+
+/// Tells whether an earlier run of the key may answer the request in place of a refusal.
+fn may_have_answer(state: &state::State, id: u64, refusal: refusal::Refusal) -> bool {
+    let lack = matches!(
+        refusal.code,
+        refusal::Code::Limited | refusal::Code::NoUpstream | refusal::Code::Overloaded
+    );
+    let waits = |f: &flight::Flight| {
+        f.needs_claim() && !f.detached && !matches!(f.stage, flight::Stage::Looking(_))
+    };
+    lack && state.flights.get(&id).is_some_and(waits)
+}
+
+fn look_up(state: &mut state::State, now: time::Time, id: u64, refusal: refusal::Refusal) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    let Some(key) = flight.ledger_key() else {
+        return;
+    };
+    flight.stage = flight::Stage::Looking(refusal);
+    let claim = flight.claim(key, flight::Lookup::Yes);
+    let deadline = flight.deadline;
+    state.set_timer(id, deadline);
+    record::drive(state, now, ledger::Input::Claim(claim));
+}
+
+fn close_claim(state: &mut state::State, now: time::Time, id: u64, verdict: verdict::Verdict) {
+    let claim = state.flights.get_mut(&id).and_then(|f| f.claim.take());
+    let Some(operation) = claim else {
+        return;
+    };
+    let input = match verdict {
+        verdict::Verdict::NotRun => ledger::Input::Release { operation },
+        _ => ledger::Input::Unclear { operation },
+    };
+    record::drive(state, now, input);
+}
--- a/crates/core/src/reduce/quarantine.rs
+++ b/crates/core/src/reduce/quarantine.rs
@@ -5,7 +5,7 @@
 use crate::name;
 use crate::peering;
 use crate::poison;
-use crate::reduce::{self, arrival, launch, link};
+use crate::reduce::{self, close, launch, link};
 use crate::refusal;
 use crate::state;
 use crate::time;
@@ -38,22 +38,22 @@
 
 /// Gives the final answer to a request that brings upstreams down.
 pub fn block(state: &mut state::State, now: time::Time, id: u64) {
-    launch::give_up(
+    close::give_up(
         state,
         now,
         id,
-        arrival::not_run(refusal::Code::Blocked, None),
+        refusal::Refusal::not_run(refusal::Code::Blocked, None),
     );
 }
 
 /// Refuses a request whose turn did not come.
 pub fn refuse(state: &mut state::State, now: time::Time, id: u64) {
-    let retry_at = Some(now.after(launch::RETRY_WAIT));
-    launch::give_up(
+    let retry_at = Some(now.after(close::RETRY_WAIT));
+    close::give_up(
         state,
         now,
         id,
-        arrival::not_run(refusal::Code::Overloaded, retry_at),
+        refusal::Refusal::not_run(refusal::Code::Overloaded, retry_at),
     );
 }
 
--- a/crates/core/src/reduce/record.rs
+++ b/crates/core/src/reduce/record.rs
@@ -3,7 +3,7 @@
 use crate::effect;
 use crate::flight;
 use crate::ledger;
-use crate::reduce::{arrival, launch};
+use crate::reduce::{close, launch};
 use crate::refusal;
 use crate::state;
 use crate::time;
@@ -43,13 +43,13 @@
     if state.flights.get(&id).is_some_and(|f| !f.detached) {
         state.emit(effect::Effect::Replay { request: id, kept });
     }
-    launch::end(state, now, id, true);
+    close::end(state, now, id, true);
 }
 
 fn refuse(state: &mut state::State, now: time::Time, id: u64, refusal: refusal::Refusal) {
     if state.flights.contains_key(&id) {
-        launch::refuse(state, id, refusal);
-        launch::end(state, now, id, false);
+        close::refuse(state, id, refusal);
+        close::end(state, now, id, false);
     }
 }
 
@@ -73,7 +73,7 @@
     if state.flights.get(&id).is_some_and(|f| !f.detached) {
         state.emit(effect::Effect::Relay { request: id });
     }
-    launch::end(state, now, id, true);
+    close::end(state, now, id, true);
 }
 
 /// A lookup that found no earlier run gives the refusal that it stands for.
@@ -101,10 +101,10 @@
             may_have_run(refusal::Code::KeyRunning, Some(retry_at))
         }
         ledger::Reason::Unclear => may_have_run(refusal::Code::KeyUnclear, None),
-        ledger::Reason::Absent => arrival::not_run(refusal::Code::NoUpstream, None),
-        ledger::Reason::Mismatch => arrival::not_run(refusal::Code::KeyMismatch, None),
+        ledger::Reason::Absent => refusal::Refusal::not_run(refusal::Code::NoUpstream, None),
+        ledger::Reason::Mismatch => refusal::Refusal::not_run(refusal::Code::KeyMismatch, None),
         ledger::Reason::Unrecorded { retry_at } | ledger::Reason::Crowded { retry_at } => {
-            arrival::not_run(refusal::Code::Unrecorded, Some(retry_at))
+            refusal::Refusal::not_run(refusal::Code::Unrecorded, Some(retry_at))
         }
     }
 }
--- a/crates/core/src/reduce/timer.rs
+++ b/crates/core/src/reduce/timer.rs
@@ -6,7 +6,7 @@
 use crate::flight;
 use crate::ledger;
 use crate::peering;
-use crate::reduce::{attempt, document, launch, link, quarantine, record, review, status};
+use crate::reduce::{attempt, close, document, link, quarantine, record, review, status, wait};
 use crate::refusal;
 use crate::state;
 use crate::time;
@@ -87,11 +87,11 @@
     };
     match flight.stage {
         flight::Stage::Recording => record::relay(state, now, id),
-        flight::Stage::Backoff(_) => launch::go_on(state, now, id),
+        flight::Stage::Backoff(_) => wait::go_on(state, now, id),
         _ if flight.detached => {
             let refusal = late(state, now, id);
             attempt::cancel(state, now, id);
-            launch::give_up(state, now, id, refusal);
+            close::give_up(state, now, id, refusal);
         }
         _ => {
             let refusal = late(state, now, id);
@@ -104,7 +104,7 @@
     refusal::Refusal {
         code: refusal::Code::Deadline,
         verdict: verdict_now(state, id),
-        retry_at: Some(now.after(launch::RETRY_WAIT)),
+        retry_at: Some(now.after(close::RETRY_WAIT)),
     }
 }
 
@@ -125,12 +125,12 @@
         return record::relay(state, now, id);
     }
     if flight.claim.is_some() && refusal.verdict != verdict::Verdict::NotRun {
-        launch::refuse(state, id, refusal);
-        return state.set_timer(id, now.after(launch::CLAIM_GRACE));
+        close::refuse(state, id, refusal);
+        return state.set_timer(id, now.after(flight::CLAIM_GRACE));
     }
     if refusal.code == refusal::Code::Deadline {
         attempt::blame_late(state, now, id);
     }
     attempt::cancel(state, now, id);
-    launch::give_up(state, now, id, refusal);
+    close::give_up(state, now, id, refusal);
 }
--- /dev/null
+++ b/crates/core/src/reduce/wait.rs
@@ -0,0 +1,107 @@
+//! Requests that wait: for their turn, for a slot, or for their service to recover.
+
+use std::time::Duration;
+
+use crate::flight;
+use crate::reduce::{close, launch};
+use crate::refusal;
+use crate::routing;
+use crate::state;
+use crate::time;
+use crate::verdict;
+
+/// How long a broken stream may look for an upstream to go on at.
+pub const RESUME_WAIT: Duration = Duration::from_secs(10);
+
+/// How long a new request may wait for a slot that admission took for free.
+const SLOT_WAIT: Duration = Duration::from_secs(1);
+
+/// How often a waiting request looks for an upstream.
+const RESUME_POLL: Duration = Duration::from_millis(100);
+
+/// Goes on with a waiting request; while its service fails, only as the retry budget allows.
+pub fn go_on(state: &mut state::State, now: time::Time, id: u64) {
+    let Some(flight) = state.flights.get(&id) else {
+        return;
+    };
+    let service = flight.service.name.clone();
+    if may_wait(state, now, id) && !state.budget.spend(now, &service) {
+        return hold(state, now, id);
+    }
+    launch::launch(state, now, id);
+}
+
+/// Lets a broken stream wait.
+pub fn hold(state: &mut state::State, now: time::Time, id: u64) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    if !matches!(flight.stage, flight::Stage::Backoff(_)) {
+        flight.stage = flight::Stage::Backoff(now.after(RESUME_WAIT));
+    }
+    state.set_timer(id, now.after(RESUME_POLL));
+}
+
+/// Tells whether a broken stream may wait for its service to recover.
+pub fn may_wait(state: &state::State, now: time::Time, id: u64) -> bool {
+    let Some(flight) = state.flights.get(&id).filter(|f| f.started && !f.detached) else {
+        return false;
+    };
+    let open = match flight.stage {
+        flight::Stage::Backoff(limit) => now < limit,
+        _ => true,
+    };
+    open && flight.repeatable() && state.fleet.is_failing(&flight.service.name)
+}
+
+/// Waits for a turn until the deadline; a stream under way waits as long as the quarantine lets it.
+pub fn await_turn(state: &mut state::State, id: u64) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    flight.stage = flight::Stage::Quarantined;
+    let timer = match flight.started {
+        true => time::Time::MAX,
+        false => flight.deadline,
+    };
+    state.set_timer(id, timer);
+}
+
+/// A broken stream waits for an upstream, and a new request for the moment in which a full pool
+/// frees a slot; anything else is refused at once.
+pub fn wait_or_refuse(
+    state: &mut state::State,
+    now: time::Time,
+    id: u64,
+    exhausted: routing::Exhausted,
+) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    let limit = match flight.stage {
+        flight::Stage::Backoff(limit) => limit,
+        _ if flight.started => now.after(RESUME_WAIT),
+        _ => flight.deadline.min(now.after(SLOT_WAIT)),
+    };
+    let hopeless = !flight.started && exhausted.retry_at > limit;
+    if now >= limit || hopeless {
+        let refusal = no_upstream(flight, exhausted);
+        return close::give_up(state, now, id, refusal);
+    }
+    flight.stage = flight::Stage::Backoff(limit);
+    flight.excluded.clear();
+    state.set_timer(id, now.after(RESUME_POLL).min(limit));
+}
+
+fn no_upstream(flight: &flight::Flight, exhausted: routing::Exhausted) -> refusal::Refusal {
+    let retry_at = Some(exhausted.retry_at);
+    if !flight.started {
+        return refusal::Refusal::not_run(refusal::Code::NoUpstream, retry_at);
+    }
+    let verdict = verdict::Verdict::MayHaveRun;
+    refusal::Refusal {
+        code: refusal::Code::UpstreamFailed,
+        verdict,
+        retry_at,
+    }
+}
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -14,6 +14,17 @@
     pub retry_at: Option<time::Time>,
 }
 
+impl Refusal {
+    /// Returns a refusal before any exchange.
+    pub const fn not_run(code: Code, retry_at: Option<time::Time>) -> Self {
+        Self {
+            code,
+            verdict: verdict::Verdict::NotRun,
+            retry_at,
+        }
+    }
+}
+
 /// Why the entry gives the final answer.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, displaydoc::Display)]
 pub enum Code {
