--- a/crates/core/tests/reduce.rs
+++ b/crates/core/tests/reduce.rs
@@ -22,6 +22,27 @@
     bench.event(event::Event::Peer(peering::Input::Learn { fact, expiry }));
 }
 
+/// An entry with a tenth of the verses on trial at a second version.
+fn canary() -> Bench {
+    let mut declaration = bench::declaration();
+    let engines = declaration.upstreams.iter_mut();
+    engines
+        .filter(|u| u.name.as_str() >= "verse-5")
+        .for_each(|u| u.version = "v2".into());
+    let mut bench = Bench::declared(&declaration);
+    let rollouts = bench::rollout(100, rollout::Phase::Canary);
+    bench.publish(peering::Topic::Rollouts, 1, rollouts);
+    bench
+}
+
+fn halt() -> fact::Fact {
+    fact::Fact::Halted {
+        service: "verse-scribe".into(),
+        version: "v2".into(),
+        generation: 1,
+    }
+}
+
 #[rstest]
 #[case::unknown_path("/v1/nothing", refusal::Code::NoRoute)]
 fn arrive_refuses_unknown(#[case] path: &str, #[case] code: refusal::Code) {
@@ -230,17 +251,7 @@
 
 #[test]
 fn split_gives_the_canary_its_share_and_nothing_after_a_halt() {
-    let mut declaration = bench::declaration();
-    let engines = declaration.upstreams.iter_mut();
-    engines
-        .filter(|u| u.name.as_str() >= "verse-5")
-        .for_each(|u| u.version = "v2".into());
-    let mut bench = Bench::declared(&declaration);
-    bench.publish(
-        peering::Topic::Rollouts,
-        1,
-        bench::rollout(100, rollout::Phase::Canary),
-    );
+    let mut bench = canary();
     let mut canaries = 0;
     for _ in 0..200 {
         let id = bench.arrive(VERSE, None);
@@ -251,11 +262,7 @@
     }
     assert_eq!(canaries, 20, "one in ten of 200");
 
-    let fact = fact::Fact::Halted {
-        service: "verse-scribe".into(),
-        version: "v2".into(),
-        generation: 1,
-    };
+    let fact = halt();
     let expiry = bench.now.after(Duration::from_secs(60));
     bench.event(event::Event::Peer(peering::Input::Learn { fact, expiry }));
     for _ in 0..50 {
@@ -268,17 +275,7 @@
 /// Faults that show only under load show early, since one canary is filled before the next.
 #[test]
 fn split_fills_canaries_one_after_the_other() {
-    let mut declaration = bench::declaration();
-    let engines = declaration.upstreams.iter_mut();
-    engines
-        .filter(|u| u.name.as_str() >= "verse-5")
-        .for_each(|u| u.version = "v2".into());
-    let mut bench = Bench::declared(&declaration);
-    bench.publish(
-        peering::Topic::Rollouts,
-        1,
-        bench::rollout(100, rollout::Phase::Canary),
-    );
+    let mut bench = canary();
     let ids: Vec<u64> = (0..100).map(|_| bench.arrive(VERSE, None)).collect();
     let all = ids.iter().flat_map(|id| bench.dispatches(*id));
     let canaries: Vec<_> = all.filter(|d| d.version.as_str() == "v2").collect();
@@ -292,17 +289,7 @@
 
 #[test]
 fn monitor_halts_a_failing_version_without_the_store() {
-    let mut declaration = bench::declaration();
-    let engines = declaration.upstreams.iter_mut();
-    engines
-        .filter(|u| u.name.as_str() >= "verse-5")
-        .for_each(|u| u.version = "v2".into());
-    let mut bench = Bench::declared(&declaration);
-    bench.publish(
-        peering::Topic::Rollouts,
-        1,
-        bench::rollout(100, rollout::Phase::Canary),
-    );
+    let mut bench = canary();
     let mut bad = 0;
     for _ in 0..600 {
         let id = bench.arrive(VERSE, None);
@@ -326,11 +313,7 @@
         bad < 40,
         "the bad version got {bad} requests; peers told: {halted}"
     );
-    let fact = fact::Fact::Halted {
-        service: "verse-scribe".into(),
-        version: "v2".into(),
-        generation: 1,
-    };
+    let fact = halt();
     assert!(bench.state.peering.knows(&fact));
 }
 
