Mend a clippy finding in the oxhttp test

Cause: the test was committed with a needless borrow, which the linter refuses. Ruled out: an allowance, since the closure is not needed at all. Change: the function is passed as it is.

--- a/crates/node/tests/oxhttp_stream.rs
+++ b/crates/node/tests/oxhttp_stream.rs
@@ -42,7 +42,7 @@
         model::Response::new(body)
     };
     let address = ports::free();
-    oxhttp::Server::new(move |mut request| serve(&mut request))
+    oxhttp::Server::new(serve)
         .bind(address)
         .spawn()
         .expect("the server starts");
