Log refusals and attempts with their ids

Cause: the entry's log named no request, so a caller's x-request-id could not be found there. Ruled out: a line for each answered request at the default level, since the metrics count them. Change: a refusal is logged at info with request, code and verdict; an attempt at debug with request, attempt, upstream, version and offset. Ids are those that callers and upstreams see. Conclusion: a request can be followed from the caller to the upstream.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -102,8 +102,9 @@
         replies,
         links,
         metrics,
+        writer,
     };
-    driver.run(config.own, writer, config.seeds);
+    driver.run(config.own, config.seeds);
     runtime.shutdown_timeout(time::Duration::from_secs(1));
     Ok(())
 }
--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -3,10 +3,10 @@
 use std::collections;
 
 use crossbeam::channel;
-use guavausher_core::{effect, event, peering, reduce, state, time};
+use guavausher_core::{effect, event, peering, reduce, refusal, state, time};
 use tokio::sync::mpsc;
 
-use crate::entry::{command, metrics};
+use crate::entry::{command, exchange, metrics};
 use crate::{admin, clock, peers, store};
 
 /// Longest sleep of the reducer's thread.
@@ -30,6 +30,8 @@
     pub links: channel::Receiver<peers::Event>,
     /// Metrics.
     pub metrics: metrics::Metrics,
+    /// Unique number of this process, part of every request's and attempt's id.
+    pub writer: u64,
 }
 
 /// Shortest time between two ticks.
@@ -51,8 +53,8 @@
 
 impl Driver {
     /// Runs the reducer until a planned stop is over.
-    pub fn run(self, own: peering::Member, writer: u64, seeds: Vec<peering::Member>) {
-        let mut state = state::State::new(own, writer);
+    pub fn run(self, own: peering::Member, seeds: Vec<peering::Member>) {
+        let mut state = state::State::new(own, self.writer);
         let mut tasks = Tasks::default();
         let seeds = event::Event::Peer(peering::Input::Members(seeds));
         self.step(&mut state, &mut tasks, seeds);
@@ -111,12 +113,14 @@
     fn act(&self, tasks: &mut Tasks, effect: effect::Effect) {
         match effect {
             effect::Effect::Dispatch(dispatch) => {
+                self.log_dispatch(&dispatch);
                 tasks.send(dispatch.request, command::Command::Dispatch(dispatch));
             }
             effect::Effect::Cancel { request, .. } => tasks.send(request, command::Command::Cancel),
             effect::Effect::Ended { request } => tasks.end(request),
             effect::Effect::Refuse { request, refusal } => {
                 self.metrics.refused(refusal);
+                self.log_refusal(request, refusal);
                 tasks.send(request, command::Command::Refuse(refusal));
             }
             effect::Effect::Replay { request, kept } => {
@@ -137,6 +141,29 @@
         }
     }
 
+    fn log_dispatch(&self, dispatch: &effect::Dispatch) {
+        let request = exchange::unique_id(self.writer, dispatch.request);
+        let attempt = exchange::unique_id(self.writer, dispatch.attempt);
+        log::debug!(
+            request:%,
+            attempt:%,
+            upstream:% = dispatch.upstream,
+            version:% = dispatch.version,
+            offset = dispatch.offset;
+            "attempt sent"
+        );
+    }
+
+    fn log_refusal(&self, request: u64, refusal: refusal::Refusal) {
+        let request = exchange::unique_id(self.writer, request);
+        log::info!(
+            request:%,
+            code = refusal.code.as_str(),
+            verdict = refusal.verdict.as_str();
+            "request refused"
+        );
+    }
+
     fn show(&self, state: &state::State) {
         match state.unready() {
             Some(reason) => self.readiness.set_unready(reason),
