Retry a failed canary at the version that serves

Ruled out: more retries, since the budget is there for outages. Change: a request that failed at a version on trial goes on at the one that serves. Before and after: fail_at_a_version_on_trial_goes_on_at_the_one_that_serves fails without the change and passes with it; the reducer's and the random tests pass. Conclusion: a bad version costs its callers a retry, not the answer.

--- a/crates/core/src/reduce/launch.rs
+++ b/crates/core/src/reduce/launch.rs
@@ -81,9 +81,18 @@
 }
 
 /// Returns the version of a request; one that was halted since is replaced.
+///
+/// A request that failed at a version on trial goes on at the one that serves.
 fn version(state: &mut state::State, now: time::Time, id: u64) -> Option<name::Name> {
     let flight = state.flights.get(&id)?;
     let service = flight.service.clone();
+    let failed = !flight.excluded.is_empty();
+    let trial = |v: &name::Name| state.split.is_on_trial(&service.name, v);
+    if failed && flight.version.as_ref().is_some_and(trial) {
+        let flight = state.flights.get_mut(&id)?;
+        flight.version = Some(service.version.clone());
+        return flight.version.clone();
+    }
     let given = flight
         .version
         .clone()
--- a/crates/core/tests/reduce.rs
+++ b/crates/core/tests/reduce.rs
@@ -287,6 +287,19 @@
     );
 }
 
+#[test]
+fn fail_at_a_version_on_trial_goes_on_at_the_one_that_serves() {
+    let mut bench = canary();
+    let ids: Vec<u64> = (0..10).map(|_| bench.arrive(VERSE, None)).collect();
+    let all = ids.iter().flat_map(|id| bench.dispatches(*id));
+    let tried = all.filter(|d| d.version.as_str() == "v2").last();
+    let tried = tried.expect("one of ten is on trial");
+    bench.fail(&tried, MAY_HAVE_RUN, false);
+    let again = bench.dispatches(tried.request);
+    assert_eq!(again.len(), 2);
+    assert_eq!(again[1].version.as_str(), "v1");
+}
+
 #[test]
 fn monitor_halts_a_failing_version_without_the_store() {
     let mut bench = canary();
