Design the way onto the users' platform and add its decisions

Cause: the users want the product in front of their engines, with nothing kept on a machine and no machine for control. The entry's reducer knows token streams and keyed orders only.

Leases take their times from a value, since the platform's term is shorter than ours.

Not run yet: nothing drives core::relay.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -10,11 +10,13 @@
 mod output;
 mod record;
 mod state;
+mod terms;
 
 pub use candidates::candidates;
 pub use output::Output;
 pub use record::Record;
 pub use state::Lease;
+pub use terms::Terms;
 
 use std::hash::Hasher;
 use std::time::Duration;
--- a/crates/core/src/lease/state.rs
+++ b/crates/core/src/lease/state.rs
@@ -3,20 +3,16 @@
 use std::sync;
 use std::time::Duration;
 
-use crate::lease::{self, output, record};
+use crate::lease::{self, output, record, terms};
 use crate::name;
 use crate::store;
 use crate::time;
 use crate::verdict;
 
-/// Time before a failed call is made again.
-const RETRY: Duration = Duration::from_secs(1);
-/// Time that each candidate leaves to the ones before it.
-const TURN: Duration = Duration::from_millis(500);
-
 /// One lease as one controller sees it.
 #[derive(Clone, Debug)]
 pub struct Lease {
+    terms: terms::Terms,
     shard: u64,
     owner: name::Name,
     writer: u64,
@@ -66,7 +62,13 @@
 impl Lease {
     /// Builds the view of a controller beside an entry; `writer` is unique for each process.
     pub fn new(shard: u64, owner: name::Name, writer: u64) -> Self {
+        Self::with_terms(terms::Terms::default(), shard, owner, writer)
+    }
+
+    /// Builds the view of a controller on a lease with other times than the usual ones.
+    pub fn with_terms(terms: terms::Terms, shard: u64, owner: name::Name, writer: u64) -> Self {
         Self {
+            terms,
             shard,
             owner,
             writer,
@@ -88,7 +90,7 @@
     pub fn fence(&self, now: time::Time, is_checked: bool) -> Option<u64> {
         let held = self.held.as_ref()?;
         let is_settled = is_checked || now >= held.settled;
-        let ends_in_term = now.after(lease::ORDER_TIME) < held.expiry;
+        let ends_in_term = now.after(self.terms.order) < held.expiry;
         (is_settled && ends_in_term).then_some(held.fence)
     }
 
@@ -145,7 +147,7 @@
             let is_due = now >= held.renewal;
             return is_due.then(|| self.write(now, Some(held.version), Some(owner)));
         }
-        self.turn = TURN * u32::try_from(turn?).unwrap_or(u32::MAX);
+        self.turn = self.terms.turn * u32::try_from(turn?).unwrap_or(u32::MAX);
         match self.seen {
             Some(seen) if now >= seen.expiry.after(self.turn) => {
                 let owner = self.owner.clone();
@@ -191,7 +193,9 @@
                 self.doubt = None;
                 self.hold(now, sent, *version, outputs);
             }
-            store::Reply::Failed(verdict::Verdict::NotRun) => self.next = now.after(RETRY),
+            store::Reply::Failed(verdict::Verdict::NotRun) => {
+                self.next = now.after(self.terms.retry)
+            }
             store::Reply::Conflict => self.next = now,
             _ => {
                 let number = self.number;
@@ -215,7 +219,7 @@
                 self.see(now, Some(object.version), record, outputs);
             }
             store::Reply::Missing => self.see(now, None, None, outputs),
-            _ => self.next = now.after(RETRY),
+            _ => self.next = now.after(self.terms.retry),
         }
     }
 
@@ -227,12 +231,12 @@
         record: Option<record::Record>,
         outputs: &mut Vec<output::Output>,
     ) {
-        self.next = now.after(lease::RENEWAL);
+        self.next = now.after(self.terms.renewal);
         if let Some(held) = self.held
             && version == Some(held.version)
         {
             // The write in doubt has no effect yet; the renewal is tried again.
-            self.next = now.after(RETRY);
+            self.next = now.after(self.terms.retry);
             return;
         }
         let own = record.as_ref().filter(|r| r.writer == self.writer);
@@ -254,7 +258,7 @@
         let expiry = match self.seen {
             _ if is_free => now,
             Some(seen) if seen.version == version => seen.expiry,
-            _ => now.after(lease::TERM),
+            _ => now.after(self.terms.term),
         };
         self.seen = Some(Seen { version, expiry });
         self.next = self.next.min(expiry.after(self.turn).max(now));
@@ -267,7 +271,7 @@
         version: store::Version,
         outputs: &mut Vec<output::Output>,
     ) {
-        let expiry = sent.after(lease::TERM);
+        let expiry = sent.after(self.terms.term);
         if now >= expiry {
             self.lose(outputs);
             self.notice(now, Some(version), true);
@@ -277,7 +281,7 @@
             Some(held) => (held.fence, held.settled),
             None => {
                 outputs.push(output::Output::Acquired { fence: version });
-                (version, now.after(lease::GRACE))
+                (version, now.after(self.terms.grace))
             }
         };
         self.seen = None;
@@ -286,7 +290,7 @@
             version,
             settled,
             expiry,
-            renewal: sent.after(lease::RENEWAL),
+            renewal: sent.after(self.terms.renewal),
         });
         self.next = now;
     }
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -56,6 +56,18 @@
     Unrecorded,
     /// the upstream failed
     UpstreamFailed,
+    /// the request names no key of a workspace
+    UnknownKey,
+    /// upstreams crashed under this request; it is not run again for now
+    Suspect,
+    /// the request is not proper HTTP/1.1
+    Malformed,
+    /// the request's body is longer than the limit
+    BodyTooLarge,
+    /// the request's head is longer than the limit
+    HeadTooLarge,
+    /// the request's head or body did not come within its time
+    TooSlow,
 }
 
 impl Code {
@@ -86,5 +98,11 @@
         Code::KeyUnclear => (409, "key-unclear"),
         Code::Unrecorded => (503, "unrecorded"),
         Code::UpstreamFailed => (502, "upstream-failed"),
+        Code::UnknownKey => (401, "unknown-key"),
+        Code::Suspect => (503, "suspect"),
+        Code::Malformed => (400, "malformed"),
+        Code::BodyTooLarge => (413, "body-too-large"),
+        Code::HeadTooLarge => (431, "head-too-large"),
+        Code::TooSlow => (408, "too-slow"),
     }
 }
--- /dev/null
+++ b/crates/core/src/relay.rs
@@ -0,0 +1,30 @@
+//! Decisions of opaque forwarding: requests pass with method, path, headers and body unchanged.
+//!
+//! One reducer, [`reduce::reduce`], turns each [`event::Event`] into [`effect::Effect`]s. What it
+//! knows about the world comes in as data: the manifest, the engines, what callers send, how
+//! attempts end and what other instances tell in their digests.
+
+pub mod ask;
+pub mod budget;
+pub mod caps;
+pub mod census;
+pub mod clock;
+pub mod digest;
+pub mod duties;
+pub mod effect;
+pub mod engine;
+pub mod event;
+pub mod fleet;
+pub mod flight;
+pub mod holders;
+pub mod manifest;
+pub mod peers;
+pub mod reduce;
+pub mod route;
+pub mod scaling;
+pub mod service;
+pub mod settings;
+pub mod state;
+pub mod suspects;
+mod tracked;
+pub mod workspace;
--- /dev/null
+++ b/crates/core/src/relay/census.rs
@@ -0,0 +1,71 @@
+//! Requests that began to run, by usage window and workspace.
+
+use std::collections;
+
+use crate::name;
+
+/// Windows that are kept.
+const KEPT: u64 = 8;
+
+/// Counts of one workspace in one window.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Count {
+    /// Number of the window.
+    pub window: u64,
+    /// The workspace.
+    pub workspace: name::Name,
+    /// Requests that began in it.
+    pub begun: u32,
+}
+
+/// Counts of one process.
+#[derive(Clone, Debug, Default)]
+pub struct Census {
+    windows: collections::BTreeMap<u64, collections::BTreeMap<name::Name, u32>>,
+}
+
+impl Census {
+    /// Counts a request that began to run.
+    pub fn record(&mut self, window: u64, workspace: &name::Name) {
+        let counts = self.windows.entry(window).or_default();
+        *counts.entry(workspace.clone()).or_default() += 1;
+        self.forget(window);
+    }
+
+    /// Takes over the counts that another process tells; they only grow.
+    pub fn merge(&mut self, counts: &[Count]) {
+        for count in counts {
+            let window = self.windows.entry(count.window).or_default();
+            let known = window.entry(count.workspace.clone()).or_default();
+            *known = (*known).max(count.begun);
+        }
+        if let Some(last) = self.windows.keys().next_back().copied() {
+            self.forget(last);
+        }
+    }
+
+    /// Returns the counts of the newest windows.
+    pub fn newest(&self, windows: usize) -> Vec<Count> {
+        let newest = self.windows.iter().rev().take(windows);
+        newest
+            .flat_map(|(window, counts)| {
+                counts.iter().map(|(workspace, begun)| Count {
+                    window: *window,
+                    workspace: workspace.clone(),
+                    begun: *begun,
+                })
+            })
+            .collect()
+    }
+
+    /// Returns the counts of one window by workspace.
+    pub fn of(&self, window: u64) -> impl Iterator<Item = (&name::Name, u32)> {
+        let counts = self.windows.get(&window).into_iter().flatten();
+        counts.map(|(name, count)| (name, *count))
+    }
+
+    fn forget(&mut self, newest: u64) {
+        let oldest = newest.saturating_sub(KEPT);
+        self.windows = self.windows.split_off(&oldest);
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/digest.rs
@@ -0,0 +1,68 @@
+//! What instances tell each other several times a second.
+
+use std::net;
+
+use super::census;
+use super::tracked;
+use crate::name;
+
+/// Work of one instance on one engine.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct EngineLoad {
+    /// The engine.
+    pub engine: name::Name,
+    /// The work.
+    pub load: tracked::Load,
+}
+
+/// Units that one instance has admitted for one workspace in its life.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Spent {
+    /// The workspace.
+    pub workspace: name::Name,
+    /// Units.
+    pub units: u64,
+}
+
+/// Engines that crashed under one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Crash {
+    /// Hash of method, path, caller and body.
+    pub fingerprint: u64,
+    /// Crashes that the sender has seen.
+    pub crashes: u32,
+}
+
+/// How far an instance has read one kind of object.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Position {
+    /// Revision of the last change that it knows of.
+    pub changed: u64,
+}
+
+/// All that one instance tells.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Digest {
+    /// Its name.
+    pub sender: name::Name,
+    /// Number of its process; a higher one knows nothing of before.
+    pub incarnation: u64,
+    /// Where it listens for digests and serves snapshots.
+    pub address: net::SocketAddr,
+    /// Its estimate of the true time in microseconds since the Unix epoch.
+    pub micros: u64,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// How far it has read each kind of object.
+    pub positions: Vec<Position>,
+    /// Its work on engines.
+    pub loads: Vec<EngineLoad>,
+    /// What it has admitted.
+    pub spent: Vec<Spent>,
+    /// What it has counted in the newest windows.
+    pub counts: Vec<census::Count>,
+    /// Requests under which engines crashed.
+    pub crashes: Vec<Crash>,
+    /// Addresses of some instances that it hears from.
+    pub members: Vec<net::SocketAddr>,
+}
--- /dev/null
+++ b/crates/core/src/relay/duties.rs
@@ -0,0 +1,1 @@
+//! Duties of the one instance that holds the lease.
--- /dev/null
+++ b/crates/core/src/relay/event.rs
@@ -0,0 +1,73 @@
+//! What happens to an instance.
+
+use std::sync;
+use std::time::Duration;
+
+use super::ask;
+use super::digest;
+use super::engine;
+use super::manifest;
+
+/// An event for the reducer.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A request has come whole.
+    Arrived(ask::Ask),
+    /// An attempt made progress or ended.
+    Attempt {
+        /// The request.
+        request: u64,
+        /// What happened.
+        signal: Signal,
+    },
+    /// The list of engines has changed.
+    Engines {
+        /// All engines.
+        list: Vec<engine::Engine>,
+        /// Whether the store was away a moment ago, so that missing ones may come back.
+        lapsed: bool,
+    },
+    /// A newer manifest is known.
+    Manifest(sync::Arc<manifest::Manifest>),
+    /// Another instance's digest has come.
+    Heard(digest::Digest),
+    /// Time has passed.
+    Tick,
+}
+
+/// Progress or end of an attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+    /// The first event of a stream, or the head of a plain answer, has come.
+    First,
+    /// An answer that states a failure has come and nothing of it was passed on.
+    Failing {
+        /// Its status.
+        status: u16,
+    },
+    /// The answer was passed on whole.
+    Whole {
+        /// Its status.
+        status: u16,
+    },
+    /// The engine states that it did not run the request.
+    NotRun {
+        /// Its status.
+        status: u16,
+        /// How long it asks to stay away.
+        wait: Option<Duration>,
+    },
+    /// No byte was sent.
+    Unsent,
+    /// The channel broke or brought bytes that are no answer.
+    Broken {
+        /// Whether the engine closed or reset it before any byte of the answer.
+        unanswered: bool,
+    },
+    /// Nothing has come for too long.
+    Stalled,
+    /// The request's time is over.
+    Expired,
+    /// The caller has gone.
+    Abandoned,
+}
--- /dev/null
+++ b/crates/core/src/relay/flight.rs
@@ -0,0 +1,34 @@
+//! One request between its arrival and its final answer.
+
+use super::ask;
+use super::fleet;
+use crate::name;
+use crate::time;
+
+/// A request in progress.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    /// The request.
+    pub ask: ask::Ask,
+    /// Engines that it has been sent to.
+    pub tried: Vec<name::Name>,
+    /// The attempt under way.
+    pub running: Option<Running>,
+    /// Whether some engine may have run it.
+    pub ran: bool,
+    /// Whether it was counted for the usage report.
+    pub counted: bool,
+    /// Whether the caller has got a part of the answer.
+    pub answering: bool,
+}
+
+/// An attempt under way.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// Where.
+    pub choice: fleet::Choice,
+    /// When it was sent.
+    pub began: time::Time,
+    /// Whether its first event has come.
+    pub first: bool,
+}
--- /dev/null
+++ b/crates/core/src/relay/peers.rs
@@ -0,0 +1,167 @@
+//! Other instances, as their digests show them.
+
+use std::collections;
+use std::net;
+use std::time::Duration;
+
+use super::digest;
+use crate::name;
+use crate::time;
+
+/// Silence after which an instance may be cut off.
+const QUIET: Duration = Duration::from_millis(1_200);
+/// Silence after which an instance is taken as gone.
+const GONE: Duration = Duration::from_secs(12);
+/// Instances that are remembered.
+const MAX_PEERS: usize = 1_024;
+/// Addresses that one digest tells.
+const MAX_TOLD: usize = 16;
+
+/// Other instances.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: collections::BTreeMap<name::Name, Peer>,
+    /// Addresses of which nothing has been heard yet, until when they are tried.
+    hints: collections::BTreeMap<net::SocketAddr, time::Time>,
+}
+
+/// One instance.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its last digest.
+    pub digest: digest::Digest,
+    /// When that came.
+    pub heard: time::Time,
+    /// Highest spent units by workspace that were charged here.
+    charged: collections::BTreeMap<name::Name, u64>,
+}
+
+/// What a digest adds to a workspace's cap.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Charge {
+    /// The workspace.
+    pub workspace: name::Name,
+    /// Units.
+    pub units: u64,
+}
+
+impl Peers {
+    /// Notes addresses at which instances may be.
+    pub fn hint(&mut self, now: time::Time, addresses: impl IntoIterator<Item = net::SocketAddr>) {
+        for address in addresses {
+            let is_known = self.peers.values().any(|p| p.digest.address == address);
+            if !is_known && self.hints.len() < MAX_PEERS {
+                self.hints.entry(address).or_insert(now.after(GONE));
+            }
+        }
+    }
+
+    /// Takes a digest; returns what it adds to the caps, or `None` if it is an old one.
+    pub fn hear(&mut self, now: time::Time, digest: digest::Digest) -> Option<Vec<Charge>> {
+        let known = self.peers.get(&digest.sender);
+        if known.is_some_and(|p| p.digest.incarnation > digest.incarnation) {
+            return None;
+        }
+        if known.is_none() && self.peers.len() >= MAX_PEERS {
+            return None;
+        }
+        self.hints.remove(&digest.address);
+        self.hint(now, digest.members.iter().copied().take(MAX_TOLD));
+        let same = known.filter(|p| p.digest.incarnation == digest.incarnation);
+        let is_first = same.is_none();
+        let mut charged = same.map(|p| p.charged.clone()).unwrap_or_default();
+        let mut charges = Vec::new();
+        for spent in &digest.spent {
+            let before = charged.entry(spent.workspace.clone()).or_default();
+            let units = spent.units.saturating_sub(*before);
+            *before = spent.units.max(*before);
+            if units > 0 && !is_first {
+                charges.push(Charge {
+                    workspace: spent.workspace.clone(),
+                    units,
+                });
+            }
+        }
+        let peer = Peer {
+            heard: now,
+            charged,
+            digest,
+        };
+        self.peers.insert(peer.digest.sender.clone(), peer);
+        Some(charges)
+    }
+
+    /// Forgets instances that are gone; returns their names.
+    pub fn sweep(&mut self, now: time::Time) -> Vec<name::Name> {
+        self.hints.retain(|_, until| *until > now);
+        let gone: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| p.heard.after(GONE) <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &gone {
+            self.peers.remove(name);
+        }
+        gone
+    }
+
+    /// Returns the other instances.
+    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Returns the addresses that get this instance's digests.
+    pub fn addresses(&self) -> Vec<net::SocketAddr> {
+        let known = self.peers.values().map(|p| p.digest.address);
+        known.chain(self.hints.keys().copied()).collect()
+    }
+
+    /// Returns some addresses to tell others.
+    pub fn told(&self, now: time::Time) -> Vec<net::SocketAddr> {
+        let fresh = self.peers.values().filter(|p| !is_quiet(p, now));
+        fresh.map(|p| p.digest.address).take(MAX_TOLD).collect()
+    }
+
+    /// Returns the number of instances that share the work, this one included.
+    pub fn instances(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Returns the part of shared limits that this instance and those it hears may use.
+    pub fn part(&self, now: time::Time) -> f64 {
+        let serving = self.peers.values().filter(|p| !p.digest.leaving);
+        let quiet = serving.filter(|p| is_quiet(p, now)).count();
+        let all = self.instances();
+        (all - quiet) as f64 / all as f64
+    }
+
+    /// Tells whether an instance that may still live has fallen silent.
+    pub fn has_quiet(&self, now: time::Time) -> bool {
+        self.peers
+            .values()
+            .any(|p| !p.digest.leaving && is_quiet(p, now))
+    }
+
+    /// Returns how far the others' true time lies ahead of this instance's, in microseconds.
+    pub fn ahead(&self, now: time::Time, micros: u64) -> Vec<i64> {
+        let fresh = self.peers.values().filter(|p| !is_quiet(p, now));
+        fresh
+            .map(|p| {
+                let age = p.heard.until(now).as_micros() as i64;
+                p.digest.micros as i64 + age - micros as i64
+            })
+            .collect()
+    }
+
+    /// Returns the instance that has read a kind of object furthest, if it is further than `own`.
+    pub fn furthest(&self, now: time::Time, kind: usize, own: u64) -> Option<&Peer> {
+        let fresh = self.peers.values().filter(|p| !is_quiet(p, now));
+        let changed = |p: &&Peer| p.digest.positions.get(kind).map_or(0, |x| x.changed);
+        fresh.filter(|p| changed(p) > own).max_by_key(changed)
+    }
+}
+
+fn is_quiet(peer: &Peer, now: time::Time) -> bool {
+    peer.heard.after(QUIET) <= now
+}
--- /dev/null
+++ b/crates/core/src/relay/settings.rs
@@ -0,0 +1,39 @@
+//! Bounds that the deployment's settings state.
+
+use std::time::Duration;
+
+/// Bounds of a deployment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Repeats of a service's requests, as a share of them, over all instances.
+    pub repeats: f64,
+    /// Span over which repeats are counted.
+    pub repeat_window: Duration,
+    /// Repeats beyond the share in one span, over all instances.
+    pub repeat_slack: f64,
+    /// How long an engine that vanished with the store may stay away after the store's return.
+    pub lapse: Duration,
+    /// Length of a window of the usage report.
+    pub usage_window: Duration,
+    /// How long after its end a window's report is due.
+    pub usage_late: Duration,
+    /// Share of requests that a version on trial may get.
+    pub exposure: f64,
+    /// Term of a lease.
+    pub term: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            repeats: 0.2,
+            repeat_window: Duration::from_secs(10),
+            repeat_slack: 50.0,
+            lapse: Duration::from_secs(2),
+            usage_window: Duration::from_secs(5),
+            usage_late: Duration::from_secs(10),
+            exposure: 0.1,
+            term: Duration::from_secs(3),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/state.rs
@@ -0,0 +1,136 @@
+//! All that an instance knows for opaque forwarding.
+
+use std::collections;
+use std::net;
+use std::sync;
+
+use super::budget;
+use super::caps;
+use super::census;
+use super::clock;
+use super::digest;
+use super::effect;
+use super::fleet;
+use super::flight;
+use super::manifest;
+use super::peers;
+use super::settings;
+use super::suspects;
+use crate::name;
+use crate::time;
+
+/// Windows that a digest tells.
+const TOLD_WINDOWS: usize = 3;
+
+/// Who an instance is.
+#[derive(Clone, Debug)]
+pub struct Own {
+    /// Its name.
+    pub name: name::Name,
+    /// Number of its process.
+    pub incarnation: u64,
+    /// Where it listens for digests.
+    pub address: net::SocketAddr,
+    /// The failure domain that it runs in.
+    pub domain: name::Name,
+}
+
+/// The state that [`super::reduce::reduce`] works on.
+#[derive(Debug)]
+pub struct State {
+    /// This instance.
+    pub own: Own,
+    /// Bounds of the deployment.
+    pub settings: settings::Settings,
+    /// The manifest in force.
+    pub manifest: Option<sync::Arc<manifest::Manifest>>,
+    /// Engines.
+    pub fleet: fleet::Fleet,
+    /// Usage caps.
+    pub caps: caps::Caps,
+    /// Repeats.
+    pub budget: budget::Budget,
+    /// Requests that this process saw begin.
+    pub census: census::Census,
+    /// The same of other processes.
+    pub others: collections::BTreeMap<Process, census::Census>,
+    /// True time.
+    pub clock: clock::Clock,
+    /// Other instances.
+    pub peers: peers::Peers,
+    /// Requests under which engines crash.
+    pub suspects: suspects::Suspects,
+    /// Requests in progress.
+    pub flights: collections::HashMap<u64, flight::Flight>,
+    /// Whether the process is stopping.
+    pub leaving: bool,
+    pub(super) out: Vec<effect::Effect>,
+}
+
+/// One process of one instance.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Process {
+    /// The instance.
+    pub name: name::Name,
+    /// Number of the process.
+    pub incarnation: u64,
+}
+
+impl State {
+    /// Returns the state of a process that has just started.
+    pub fn new(own: Own, settings: settings::Settings, clock: clock::Clock) -> Self {
+        Self {
+            fleet: fleet::Fleet::new(own.domain.clone()),
+            own,
+            settings,
+            manifest: None,
+            caps: caps::Caps::default(),
+            budget: budget::Budget::default(),
+            census: census::Census::default(),
+            others: collections::BTreeMap::new(),
+            clock,
+            peers: peers::Peers::default(),
+            suspects: suspects::Suspects::default(),
+            flights: collections::HashMap::new(),
+            leaving: false,
+            out: Vec::new(),
+        }
+    }
+
+    /// Returns the usage window of the present.
+    pub fn window(&self, now: time::Time) -> u64 {
+        let length = self.settings.usage_window.as_micros().max(1) as u64;
+        self.clock.micros(now) / length
+    }
+
+    /// Returns the requests that began in a window at any instance, by workspace.
+    pub fn begun(&self, window: u64) -> collections::BTreeMap<name::Name, u32> {
+        let mut sum = collections::BTreeMap::new();
+        let all = self.others.values().chain([&self.census]);
+        for (workspace, begun) in all.flat_map(|census| census.of(window)) {
+            *sum.entry(workspace.clone()).or_default() += begun;
+        }
+        sum
+    }
+
+    /// Returns what to tell the other instances; the shell adds how far it has read.
+    pub fn digest(&self, now: time::Time, positions: Vec<digest::Position>) -> digest::Digest {
+        let spent = self.caps.spent().map(|(workspace, units)| digest::Spent {
+            workspace: workspace.clone(),
+            units,
+        });
+        digest::Digest {
+            sender: self.own.name.clone(),
+            incarnation: self.own.incarnation,
+            address: self.own.address,
+            micros: self.clock.micros(now),
+            leaving: self.leaving,
+            positions,
+            loads: self.fleet.loads(),
+            spent: spent.collect(),
+            counts: self.census.newest(TOLD_WINDOWS),
+            crashes: self.suspects.told(),
+            members: self.peers.told(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/tracked.rs
@@ -0,0 +1,171 @@
+//! What this instance knows about one engine.
+
+use std::collections;
+use std::time::Duration;
+
+use super::engine;
+use crate::name;
+use crate::time;
+
+/// Time in which the memory of good and bad answers halves.
+const HEALTH_HALF_LIFE: Duration = Duration::from_secs(3);
+/// Bad answers below which an engine is never ejected.
+const MIN_BAD: f64 = 2.5;
+/// Answers of an imaginary good past, so that one bad answer is no verdict.
+const PRIOR: f64 = 2.0;
+/// First pause of an engine that took no channel; it doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+/// Longest such pause.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Pause of an engine that said it was full.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// Pause of an address that another engine has taken over.
+const MOVED_PAUSE: Duration = Duration::from_secs(5);
+/// How long an engine counts as silent after an attempt there went unanswered.
+const SILENCE: Duration = Duration::from_secs(2);
+/// Share of a new sample in a moving average.
+const GAIN: f64 = 0.15;
+/// Bounds of an engine's delay against that of its service.
+const RATIO: (f64, f64) = (0.5, 8.0);
+
+/// Work that was sent to an engine and has not ended.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Load {
+    /// Requests.
+    pub running: u32,
+    /// Prompt tokens of those without a first event that the engine has to read.
+    pub unread: u32,
+}
+
+/// Answers of an engine, fading with time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    good: f64,
+    bad: f64,
+    at: time::Time,
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub(super) struct Tracked {
+    pub engine: engine::Engine,
+    pub own: Load,
+    pub others: collections::BTreeMap<name::Name, Load>,
+    pub health: Health,
+    /// When an engine that vanished together with the store is taken as gone.
+    pub gone: Option<time::Time>,
+    /// Delay against what its service's estimate says.
+    pub ratio: f64,
+    paused: time::Time,
+    pauses: u32,
+    silent: time::Time,
+}
+
+impl Health {
+    fn fade(&mut self, now: time::Time) {
+        let halves = self.at.until(now).as_secs_f64() / HEALTH_HALF_LIFE.as_secs_f64();
+        let kept = 0.5_f64.powf(halves);
+        self.good *= kept;
+        self.bad *= kept;
+        self.at = self.at.max(now);
+    }
+
+    /// Counts an answer.
+    pub fn record(&mut self, now: time::Time, is_good: bool) {
+        self.fade(now);
+        if is_good {
+            self.good += 1.0;
+        } else {
+            self.bad += 1.0;
+        }
+    }
+
+    /// Returns the share of bad answers, with a good past as prior.
+    pub fn badness(&self) -> f64 {
+        self.bad / (self.good + self.bad + PRIOR)
+    }
+
+    /// Returns the faded count of bad answers.
+    pub const fn bad(&self) -> f64 {
+        self.bad
+    }
+}
+
+impl Tracked {
+    pub fn new(engine: engine::Engine) -> Self {
+        Self {
+            engine,
+            own: Load::default(),
+            others: collections::BTreeMap::new(),
+            health: Health::default(),
+            gone: None,
+            ratio: 1.0,
+            paused: time::Time::default(),
+            pauses: 0,
+            silent: time::Time::default(),
+        }
+    }
+
+    /// Returns the work of all instances.
+    pub fn load(&self) -> Load {
+        let mut sum = self.own;
+        for load in self.others.values() {
+            sum.running = sum.running.saturating_add(load.running);
+            sum.unread = sum.unread.saturating_add(load.unread);
+        }
+        sum
+    }
+
+    /// Tells whether new work may go there.
+    pub fn is_open(&self, now: time::Time) -> bool {
+        !self.engine.leaving && self.gone.is_none_or(|at| now < at)
+    }
+
+    /// Tells whether nothing speaks against it at the moment.
+    pub fn is_sound(&self, now: time::Time) -> bool {
+        now >= self.paused && now >= self.silent
+    }
+
+    /// Tells whether its answers are much worse than those of its service, whose share of bad
+    /// ones is `usual`.
+    pub fn is_outlier(&self, usual: f64) -> bool {
+        self.health.bad() >= MIN_BAD && self.health.badness() > 2.0 * usual + 0.15
+    }
+
+    pub fn answered(&mut self, now: time::Time, is_good: bool) {
+        self.health.record(now, is_good);
+        self.pauses = 0;
+        self.silent = time::Time::default();
+    }
+
+    pub fn broke(&mut self, now: time::Time) {
+        self.health.record(now, false);
+    }
+
+    pub fn fell_silent(&mut self, now: time::Time) {
+        self.health.record(now, false);
+        self.silent = now.after(SILENCE);
+    }
+
+    pub fn unreachable(&mut self, now: time::Time) {
+        self.health.record(now, false);
+        let pause = FIRST_PAUSE.saturating_mul(1 << self.pauses.min(4));
+        self.pauses = self.pauses.saturating_add(1);
+        self.paused = now.after(pause.min(MAX_PAUSE));
+    }
+
+    pub fn full(&mut self, now: time::Time) {
+        self.paused = self.paused.max(now.after(FULL_PAUSE));
+    }
+
+    pub fn moved(&mut self, now: time::Time) {
+        self.paused = now.after(MOVED_PAUSE);
+    }
+
+    /// Learns how long a first event took against what was expected.
+    pub fn learn(&mut self, took: Duration, expected: Duration) {
+        let sample = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        let sample = sample.clamp(RATIO.0, RATIO.1);
+        self.ratio += GAIN * (sample - self.ratio);
+    }
+}
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -4,7 +4,7 @@
 mod cache_event;
 mod choice;
 mod chooser;
-mod estimate;
+pub(crate) mod estimate;
 mod exhausted;
 mod fleet;
 mod health;
--- a/crates/core/src/routing/estimate.rs
+++ b/crates/core/src/routing/estimate.rs
@@ -21,7 +21,7 @@
 
 /// Learned speeds: a line through recent first tokens, and moving averages.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Estimate {
+pub(crate) struct Estimate {
     line: Line,
     hold: f64,
     bias: f64,
