Forward requests on the users' platform

Cause: nothing ran there yet.

Logs go to standard output through a writer that never blocks (crates/logging).

Duties are not performed yet. No tests of the new code yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod prompt;
 pub mod reduce;
 pub mod refusal;
+pub mod relay;
 pub mod request;
 pub mod retry;
 pub mod rollout;
--- a/crates/core/src/relay/budget.rs
+++ b/crates/core/src/relay/budget.rs
@@ -35,12 +35,7 @@
 
 impl Budget {
     /// Counts the first send of a request.
-    pub fn record(
-        &mut self,
-        now: time::Time,
-        settings: &settings::Settings,
-        service: &name::Name,
-    ) {
+    pub fn record(&mut self, now: time::Time, settings: &settings::Settings, service: &name::Name) {
         let span = self.services.entry(service.clone()).or_default();
         span.slot(now, settings.repeat_window).requests += 1;
     }
--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -1,5 +1,7 @@
 //! What the reducer asks the shell to do.
 
+use std::time::Duration;
+
 use super::fleet;
 use crate::name;
 use crate::refusal;
@@ -49,4 +51,6 @@
     pub number: usize,
     /// When the first byte of the answer must have come; later only at the deadline.
     pub patience: Option<time::Time>,
+    /// Longest pause within the answer before it goes on at another engine.
+    pub pause: Option<Duration>,
 }
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -128,7 +128,8 @@
         let known = self.engines.get_mut(&name);
         let Some(tracked) = known.filter(|t| t.engine.incarnation >= engine.incarnation) else {
             let is_leaving = engine.leaving;
-            self.engines.insert(name.clone(), tracked::Tracked::new(engine));
+            self.engines
+                .insert(name.clone(), tracked::Tracked::new(engine));
             if !is_leaving {
                 change.started.push(name);
             }
@@ -269,8 +270,15 @@
         } else {
             f64::from(shared - cached)
         };
-        let a_token = speed.prefill(1_000).saturating_sub(speed.prefill(0)).as_micros() as f64;
-        let crossing = if engine.domain == self.domain { 0.0 } else { CROSSING_MICROS };
+        let a_token = speed
+            .prefill(1_000)
+            .saturating_sub(speed.prefill(0))
+            .as_micros() as f64;
+        let crossing = if engine.domain == self.domain {
+            0.0
+        } else {
+            CROSSING_MICROS
+        };
         let cost = expected.as_micros() as f64
             + REREAD * reread * a_token / 1_000.0
             + tracked.health.badness() * FAILURE_MICROS
@@ -304,12 +312,7 @@
     }
 
     /// Learns from a first event; the prompt has been read.
-    pub fn first(
-        &mut self,
-        service: &name::Name,
-        choice: &Choice,
-        took: Duration,
-    ) {
+    pub fn first(&mut self, service: &name::Name, choice: &Choice, took: Duration) {
         let speed = self.speeds.entry(service.clone()).or_default();
         speed.first_token(took, choice.expected, choice.ahead, true);
         if let Some(tracked) = self.get(choice) {
--- a/crates/core/src/relay/flight.rs
+++ b/crates/core/src/relay/flight.rs
@@ -10,8 +10,10 @@
 pub struct Flight {
     /// The request.
     pub ask: ask::Ask,
-    /// Engines that it has been sent to.
+    /// Engines that it was meant for and did not get an answer from.
     pub tried: Vec<name::Name>,
+    /// Engines that it has been sent to.
+    pub sent: u32,
     /// The attempt under way.
     pub running: Option<Running>,
     /// Whether some engine may have run it.
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -67,6 +67,7 @@
         }
         self.hints.remove(&digest.address);
         self.hint(now, digest.members.iter().copied().take(MAX_TOLD));
+        let known = self.peers.get(&digest.sender);
         let same = known.filter(|p| p.digest.incarnation == digest.incarnation);
         let is_first = same.is_none();
         let mut charged = same.map(|p| p.charged.clone()).unwrap_or_default();
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -10,6 +10,7 @@
 use super::fleet;
 use super::flight;
 use super::manifest;
+use super::route;
 use super::state;
 use crate::name;
 use crate::refusal;
@@ -31,6 +32,10 @@
 const MIN_PATIENCE: Duration = Duration::from_millis(150);
 /// The same as a multiple of the expected time.
 const PATIENCE: u32 = 4;
+/// Longest pause of a stream that may go on elsewhere, as a multiple of a pause on time.
+const PAUSE: u32 = 2;
+/// Engines without a channel after which a request is given up.
+const MAX_UNSENT: usize = 4;
 /// Processes whose counts are kept.
 const MAX_PROCESSES: usize = 4_096;
 
@@ -67,6 +72,7 @@
     let flight = flight::Flight {
         ask,
         tried: Vec::new(),
+        sent: 0,
         running: None,
         ran: false,
         counted: false,
@@ -116,6 +122,7 @@
     };
     state.fleet.start(now, &choice, &flight.ask);
     flight.tried.push(choice.engine.clone());
+    flight.sent += 1;
     flight.running = Some(flight::Running {
         choice: choice.clone(),
         began: now,
@@ -124,6 +131,7 @@
     let dispatch = effect::Dispatch {
         number: flight.tried.len(),
         patience: patience(now, flight, &choice),
+        pause: pause(flight),
         choice,
     };
     state.out.push(effect::Effect::Send { request, dispatch });
@@ -144,8 +152,15 @@
     Some(now.after(wait))
 }
 
+/// Returns the longest pause of a stream that may go on at another engine.
+fn pause(flight: &flight::Flight) -> Option<Duration> {
+    let route = &flight.ask.route;
+    let may_resume = route.repeat == route::Repeat::ResumableStream && has_attempts(flight);
+    route.gap.filter(|_| may_resume).map(|gap| gap * PAUSE)
+}
+
 fn has_attempts(flight: &flight::Flight) -> bool {
-    (flight.tried.len() as u64) < u64::from(flight.ask.route.attempts)
+    flight.sent < flight.ask.route.attempts
 }
 
 fn attempt(state: &mut state::State, now: time::Time, request: u64, signal: event::Signal) {
@@ -154,10 +169,7 @@
         event::Signal::Failing { status } => failing(state, now, request, status),
         event::Signal::Whole { status } => whole(state, now, request, status),
         event::Signal::NotRun { status, wait } => refused(state, now, request, status, wait),
-        event::Signal::Unsent => {
-            end(state, now, request, fleet::Sign::Unreachable);
-            again(state, now, request, refusal::Code::NoUpstream);
-        }
+        event::Signal::Unsent => unsent(state, now, request),
         event::Signal::Broken { unanswered } => broken(state, now, request, unanswered),
         event::Signal::Stalled => {
             may_have_run(state, now, request);
@@ -169,6 +181,20 @@
     }
 }
 
+/// Goes to another engine after one that took no channel, which is no repeat.
+fn unsent(state: &mut state::State, now: time::Time, request: u64) {
+    end(state, now, request, fleet::Sign::Unreachable);
+    let Some(flight) = state.flights.get_mut(&request) else {
+        return;
+    };
+    flight.sent = flight.sent.saturating_sub(1);
+    if flight.tried.len() < MAX_UNSENT {
+        return place(state, now, request);
+    }
+    let at = now.after(ENGINE_RETURN);
+    give_up(state, now, request, refusal::Code::NoUpstream, Some(at));
+}
+
 fn first(state: &mut state::State, now: time::Time, request: u64) {
     count(state, now, request);
     let Some(flight) = state.flights.get_mut(&request) else {
@@ -431,7 +457,11 @@
         incarnation: digest.incarnation,
     };
     if state.others.len() < MAX_PROCESSES || state.others.contains_key(&process) {
-        state.others.entry(process).or_default().merge(&digest.counts);
+        state
+            .others
+            .entry(process)
+            .or_default()
+            .merge(&digest.counts);
     }
     state.fleet.hear(&sender, &digest.loads);
     state.suspects.hear(now, &sender, &digest.crashes);
--- a/crates/node/src/logging.rs
+++ b/crates/logging/src/lib.rs
@@ -1,21 +1,33 @@
-//! Structured logs, one line an event: `time level target message key=value`.
+//! Structured logs: one line an event, `time level target message key=value`.
+//!
+//! Lines go to the standard output through [`writer::Writer`], so that a reader that stops reading
+//! never stops the process.
+//!
+//! ```
+//! let record = log::Record::builder().args(format_args!("started")).build();
+//! assert!(guavausher_logging::line(&record).ends_with("started"));
+//! ```
+
+pub mod writer;
 
 use std::fmt::Write;
 use std::io;
 
 use log::kv;
 
-/// Starts logging to the standard error stream from the given level on.
+/// Starts logging to the standard output from the given level on.
 ///
 /// # Errors
 ///
-/// Fails if the process has set a logger before.
-pub fn init(level: log::LevelFilter) -> Result<(), log::SetLoggerError> {
+/// Fails if the process has set a logger before or no thread can be started.
+pub fn init(level: log::LevelFilter) -> io::Result<()> {
+    let writer = writer::Writer::start(io::stdout())?;
     fern::Dispatch::new()
         .level(level)
         .format(|out, _message, record| out.finish(format_args!("{}", line(record))))
-        .chain(io::stderr())
+        .chain(writer.sink())
         .apply()
+        .map_err(io::Error::other)
 }
 
 /// Formats one record as one line without a line end.
--- a/crates/node/tests/logging.rs
+++ b/crates/logging/tests/logging.rs
@@ -1,6 +1,6 @@
 //! Format of log lines.
 
-use guavausher_node::logging;
+use guavausher_logging as logging;
 
 #[test]
 fn line_escapes_control_and_quotes_values() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,7 +4,8 @@
 pub mod clock;
 pub mod controller;
 pub mod entry;
-pub mod logging;
 pub mod peers;
 pub mod settings;
 pub mod store;
+
+pub use guavausher_logging as logging;
--- /dev/null
+++ b/crates/relay/src/carry.rs
@@ -0,0 +1,365 @@
+//! The way of one request from its arrival to its final answer.
+
+use std::fmt::Write;
+use std::hash::Hasher;
+use std::rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use guavausher_core::name;
+use guavausher_core::refusal;
+use guavausher_core::relay::{ask, event, manifest};
+use guavausher_core::time;
+use guavausher_core::verdict;
+use tokio::net::TcpStream;
+
+use crate::channel;
+use crate::clock;
+use crate::exchange;
+use crate::intake;
+use crate::shell;
+use crate::slot;
+
+/// Bytes of later requests that are read ahead while one is in progress.
+const MAX_AHEAD: usize = 64 * 1024;
+/// Longest time that a caller may say it waits.
+const MAX_WAIT: Duration = Duration::from_secs(600);
+/// Time before a caller may come back when nothing else is known.
+const RETURN: Duration = Duration::from_millis(500);
+
+/// What becomes of the caller's channel.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    /// It takes the next request.
+    Kept,
+    /// It ends after the answer.
+    Ended,
+    /// It is broken off, since an answer on it is not whole.
+    Broken,
+}
+
+/// Carries one request.
+pub async fn carry(
+    shell: &rc::Rc<shell::Shell>,
+    caller: &mut channel::Channel,
+    request: intake::Request,
+) -> Fate {
+    let keeps = request.head.keeps_channel() && !shell.is_stopping();
+    let size = request.body.len();
+    if shell.held.get() + size > shell::MAX_HELD {
+        let refusal = refusal::Refusal::not_run(
+            refusal::Code::Overloaded,
+            Some(request.arrived.after(RETURN)),
+        );
+        return refuse(shell, caller, &request, refusal, keeps).await;
+    }
+    shell.held.set(shell.held.get() + size);
+    let fate = match look_up(shell, &request) {
+        Ok(entry) => forward(shell, caller, &request, entry, keeps).await,
+        Err(refusal) => refuse(shell, caller, &request, refusal, keeps).await,
+    };
+    shell.held.set(shell.held.get() - size);
+    fate
+}
+
+/// Answers on a channel whose request could not be read, which then ends.
+pub async fn reject(caller: &channel::Channel, code: refusal::Code) {
+    let refusal = refusal::Refusal::not_run(code, None);
+    let answer = own_answer(None, "", refusal, false);
+    if let Err(fault) = channel::write_all(&caller.stream, &answer).await {
+        log::debug!(fault:% = fault; "caller gone before its refusal");
+    }
+}
+
+fn look_up(
+    shell: &shell::Shell,
+    request: &intake::Request,
+) -> Result<manifest::Entry, refusal::Refusal> {
+    let state = shell.state.borrow();
+    let Some(known) = &state.manifest else {
+        let at = request.arrived.after(RETURN);
+        return Err(refusal::Refusal::not_run(refusal::Code::NotReady, Some(at)));
+    };
+    let host = host_of(request.head.get("host").unwrap_or(""));
+    let path = request.target.split(['?', '#']).next().unwrap_or("");
+    let key = request.head.get(shell.dialect.key);
+    known.admit(&host, path, key).map_err(|denial| {
+        let code = match denial {
+            manifest::Denial::NoRoute => refusal::Code::NoRoute,
+            manifest::Denial::UnknownKey => refusal::Code::UnknownKey,
+        };
+        refusal::Refusal::not_run(code, None)
+    })
+}
+
+fn host_of(value: &str) -> String {
+    let host = value
+        .rsplit_once(':')
+        .filter(|(_, port)| !port.is_empty() && port.bytes().all(|b| b.is_ascii_digit()));
+    host.map_or(value, |(host, _)| host).to_ascii_lowercase()
+}
+
+async fn forward(
+    shell: &rc::Rc<shell::Shell>,
+    caller: &mut channel::Channel,
+    request: &intake::Request,
+    entry: manifest::Entry,
+    keeps: bool,
+) -> Fate {
+    let (id, slot) = shell.enter();
+    let ask = ask_of(shell, request, entry, id);
+    shell.metrics.progress.inc();
+    log::info!(id:% = ask.trace, request = id, route:% = ask.route.name, service:% = ask.service,
+        prompt = ask.prompt, left_ms = ask.arrived.until(ask.deadline).as_millis() as u64;
+        "request");
+    shell.apply(event::Event::Arrived(ask.clone()));
+    let mut output = exchange::Output::new(keeps);
+    let fate = conduct(shell, caller, request, &ask, &slot, &mut output).await;
+    shell.leave(id);
+    shell.metrics.progress.dec();
+    fate
+}
+
+/// Takes steps until the final answer.
+async fn conduct(
+    shell: &rc::Rc<shell::Shell>,
+    caller: &mut channel::Channel,
+    request: &intake::Request,
+    ask: &ask::Ask,
+    slot: &slot::Slot,
+    output: &mut exchange::Output,
+) -> Fate {
+    let mut kept = None;
+    let mut last = None;
+    loop {
+        let channel::Channel { stream, inbox, .. } = caller;
+        let step = slot.take().await;
+        let signal = match &step {
+            slot::Step::Refuse(refusal) => {
+                return finish(shell, caller, request, ask, *refusal, output).await;
+            }
+            slot::Step::Send(dispatch) => {
+                let attempt = exchange::Attempt {
+                    shell,
+                    ask,
+                    request,
+                    caller: stream,
+                    dispatch,
+                };
+                log_attempt(ask, dispatch);
+                let ending = supervise(&attempt, inbox, output).await;
+                last = Some(dispatch.clone());
+                match ending {
+                    exchange::Ending::Signal(signal) => signal,
+                    exchange::Ending::Failing(answer) => {
+                        let status = answer.status();
+                        kept = Some(answer);
+                        event::Signal::Failing { status }
+                    }
+                }
+            }
+            slot::Step::Relay => {
+                let (Some(answer), Some(dispatch)) = (kept.take(), &last) else {
+                    return Fate::Broken;
+                };
+                let attempt = exchange::Attempt {
+                    shell,
+                    ask,
+                    request,
+                    caller: stream,
+                    dispatch,
+                };
+                attempt.relay(&answer, output).await
+            }
+        };
+        log_ending(shell, ask, signal);
+        shell.apply(event::Event::Attempt {
+            request: ask.id,
+            signal,
+        });
+        match signal {
+            event::Signal::Whole { .. } => {
+                let took = ask.arrived.until(clock::now());
+                shell.metrics.ended("answered", "", took);
+                return match output.keeps {
+                    true => Fate::Kept,
+                    false => Fate::Ended,
+                };
+            }
+            event::Signal::Abandoned => {
+                let took = ask.arrived.until(clock::now());
+                shell.metrics.ended("abandoned", "", took);
+                return Fate::Broken;
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Runs an attempt until it ends, the caller goes or the request's time is over.
+async fn supervise(
+    attempt: &exchange::Attempt<'_>,
+    inbox: &mut BytesMut,
+    output: &mut exchange::Output,
+) -> exchange::Ending {
+    let stream: &TcpStream = attempt.caller;
+    let deadline = attempt.ask.deadline;
+    tokio::select! {
+        biased;
+        ending = attempt.run(output) => ending,
+        () = channel::closed(stream, inbox, MAX_AHEAD) => {
+            exchange::Ending::Signal(event::Signal::Abandoned)
+        }
+        () = clock::sleep_until(deadline) => exchange::Ending::Signal(event::Signal::Expired),
+    }
+}
+
+fn log_attempt(ask: &ask::Ask, dispatch: &guavausher_core::relay::effect::Dispatch) {
+    let choice = &dispatch.choice;
+    log::info!(id:% = ask.trace, engine:% = choice.engine, attempt = dispatch.number,
+        expected_ms = choice.expected.as_millis() as u64, ahead = choice.ahead,
+        fresh = choice.fresh, running = choice.running; "sent");
+}
+
+fn log_ending(shell: &shell::Shell, ask: &ask::Ask, signal: event::Signal) {
+    let ending = match signal {
+        event::Signal::First => "first",
+        event::Signal::Failing { .. } => "failing",
+        event::Signal::Whole { .. } => "whole",
+        event::Signal::NotRun { .. } => "not-run",
+        event::Signal::Unsent => "unsent",
+        event::Signal::Broken { .. } => "broken",
+        event::Signal::Stalled => "stalled",
+        event::Signal::Expired => "expired",
+        event::Signal::Abandoned => "abandoned",
+    };
+    shell.metrics.attempt(ending);
+    log::info!(id:% = ask.trace, ending = ending, signal:? = signal,
+        after_ms = ask.arrived.until(clock::now()).as_millis() as u64; "attempt ended");
+}
+
+/// Gives the own final answer, or breaks off the one that has begun.
+async fn finish(
+    shell: &rc::Rc<shell::Shell>,
+    caller: &channel::Channel,
+    request: &intake::Request,
+    ask: &ask::Ask,
+    refusal: refusal::Refusal,
+    output: &exchange::Output,
+) -> Fate {
+    let took = ask.arrived.until(clock::now());
+    if output.begun {
+        log::warn!(id:% = ask.trace, reason = refusal.code.as_str(); "answer cut");
+        shell.metrics.ended("cut", refusal.code.as_str(), took);
+        return Fate::Broken;
+    }
+    refuse(shell, caller, request, refusal, output.keeps).await
+}
+
+async fn refuse(
+    shell: &rc::Rc<shell::Shell>,
+    caller: &channel::Channel,
+    request: &intake::Request,
+    refusal: refusal::Refusal,
+    keeps: bool,
+) -> Fate {
+    let id = request.head.get(shell.dialect.id);
+    let took = request.arrived.until(clock::now());
+    shell.metrics.ended("refused", refusal.code.as_str(), took);
+    log::info!(id = id.unwrap_or(""), reason = refusal.code.as_str(),
+        verdict = refusal.verdict.as_str(),
+        return_ms = refusal.retry_at.map_or(0, |at| clock::now().until(at).as_millis() as u64),
+        after_ms = took.as_millis() as u64; "refused");
+    let answer = own_answer(id, shell.dialect.id, refusal, keeps);
+    match channel::write_all(&caller.stream, &answer).await {
+        Ok(()) if keeps => Fate::Kept,
+        Ok(()) => Fate::Ended,
+        Err(_) => Fate::Broken,
+    }
+}
+
+fn own_answer(id: Option<&str>, name: &str, refusal: refusal::Refusal, keeps: bool) -> Vec<u8> {
+    let mut head = exchange::answer_line(refusal.code.status());
+    if let Some(id) = id {
+        exchange::put(&mut head, name, id.as_bytes());
+    }
+    let is_not_run = refusal.verdict == verdict::Verdict::NotRun;
+    if let Some(at) = refusal.retry_at.filter(|_| is_not_run) {
+        let seconds = clock::now().until(at).as_secs_f64();
+        exchange::put(&mut head, "Retry-After", format!("{seconds:.3}").as_bytes());
+    }
+    if !keeps {
+        exchange::put(&mut head, "Connection", b"close");
+    }
+    let body = format!("{{\"error\":\"{}\"}}\n", refusal.code.as_str());
+    let mut rest = String::new();
+    // Writing to a string cannot fail.
+    let _ = write!(
+        rest,
+        "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    head.extend_from_slice(rest.as_bytes());
+    head
+}
+
+fn ask_of(
+    shell: &shell::Shell,
+    request: &intake::Request,
+    entry: manifest::Entry,
+    id: u64,
+) -> ask::Ask {
+    let names = &shell.dialect;
+    let shape = (names.shape)(&request.head);
+    let trace = name::Name::from(request.head.get(names.id).unwrap_or(""));
+    let route = entry.route;
+    let hash = hash_of(&[trace.as_bytes()]);
+    let service = route.service(hash).cloned().unwrap_or_default();
+    let told = shape
+        .prompt
+        .map(|p| p.saturating_add(shape.output.unwrap_or(0)));
+    let workspace = entry.workspace;
+    let key = request.head.get(names.key).unwrap_or("");
+    ask::Ask {
+        id,
+        trace,
+        service,
+        units: workspace.as_ref().map_or(0, |w| w.units(told)),
+        priority: workspace
+            .as_ref()
+            .and_then(|w| w.priority)
+            .unwrap_or(route.priority),
+        workspace: workspace.map(|w| w.name),
+        arrived: request.arrived,
+        goal: request.arrived.after(route.goal),
+        deadline: deadline(request, route.timeout, names.deadline),
+        prompt: shape.prompt.unwrap_or(0),
+        output: shape.output.unwrap_or(0),
+        parts: shape.parts,
+        fingerprint: hash_of(&[
+            request.method.as_bytes(),
+            request.target.as_bytes(),
+            key.as_bytes(),
+            &request.body,
+        ]),
+        route,
+    }
+}
+
+fn deadline(request: &intake::Request, timeout: Duration, header: &str) -> time::Time {
+    let told = request
+        .head
+        .get(header)
+        .and_then(|value| value.parse().ok());
+    let told = told.map_or(MAX_WAIT, Duration::from_millis);
+    request.arrived.after(told.min(timeout))
+}
+
+fn hash_of(parts: &[&[u8]]) -> u64 {
+    let mut hasher = twox_hash::XxHash64::with_seed(0);
+    for part in parts {
+        hasher.write_u64(part.len() as u64);
+        hasher.write(part);
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/relay/src/channel.rs
@@ -0,0 +1,143 @@
+//! Plain sockets with a buffer for what was read too far.
+
+use std::io;
+use std::net;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tokio::net::TcpStream;
+
+/// Bytes that one read asks for.
+const READ_BYTES: usize = 8 * 1024;
+/// How long sent bytes may stay without an acknowledgement.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
+/// Silence after which the other end is probed, and the time between probes.
+const PROBE: Duration = Duration::from_secs(2);
+/// Probes without an answer after which the channel is closed.
+const PROBES: u32 = 2;
+/// Channels that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// A channel and the bytes read from it that nobody has taken yet.
+#[derive(Debug)]
+pub struct Channel {
+    /// The socket.
+    pub stream: TcpStream,
+    /// Bytes read ahead.
+    pub inbox: BytesMut,
+    /// Set after a clean exchange: how long the other end keeps the channel, if it says so.
+    pub kept: Option<Option<Duration>>,
+}
+
+impl Channel {
+    /// Wraps an open socket.
+    pub fn new(stream: TcpStream) -> Self {
+        tune(&stream);
+        Self {
+            stream,
+            inbox: BytesMut::new(),
+            kept: None,
+        }
+    }
+
+    /// Connects within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the other end refuses or does not answer in time.
+    pub async fn connect(address: net::SocketAddr, limit: Duration) -> io::Result<Self> {
+        let connecting = TcpStream::connect(address);
+        let stream = tokio::time::timeout(limit, connecting)
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        Ok(Self::new(stream))
+    }
+
+    /// Reads more bytes; returns 0 at the end of the channel.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the channel was reset or timed out.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        fill(&self.stream, &mut self.inbox).await
+    }
+
+    /// Tells whether the channel is open and has nothing to read.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        let read = self.stream.try_read(&mut byte);
+        self.inbox.is_empty() && matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// Reads more bytes into a buffer; returns 0 at the end of the channel.
+///
+/// # Errors
+///
+/// Fails if the channel was reset or timed out.
+pub async fn fill(stream: &TcpStream, inbox: &mut BytesMut) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        inbox.reserve(READ_BYTES);
+        match stream.try_read_buf(inbox) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            read => return read,
+        }
+    }
+}
+
+/// Writes all bytes.
+///
+/// # Errors
+///
+/// Fails if the channel was closed, reset or timed out.
+pub async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match stream.try_write(bytes) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(count) => bytes = &bytes[count..],
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.writable().await?,
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// Returns once the other end has closed or reset the channel; keeps what it sends before.
+pub async fn closed(stream: &TcpStream, inbox: &mut BytesMut, limit: usize) {
+    while inbox.len() < limit {
+        match fill(stream, inbox).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+    std::future::pending().await
+}
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// Fails if the address is taken or not this machine's.
+pub fn listen(address: net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+fn tune(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
+    let steps = [
+        stream.set_nodelay(true),
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)),
+        socket.set_tcp_keepalive(&keepalive),
+    ];
+    for fault in steps.into_iter().filter_map(Result::err) {
+        log::debug!(fault:% = fault; "socket option not set");
+    }
+}
--- /dev/null
+++ b/crates/relay/src/door.rs
@@ -0,0 +1,241 @@
+//! Listening sockets: callers, the readiness question, metrics.
+
+use std::io;
+use std::net;
+use std::rc;
+use std::time::Duration;
+
+use guavausher_core::refusal;
+use tokio::net::TcpListener;
+
+use crate::carry;
+use crate::channel;
+use crate::clock;
+use crate::exchange;
+use crate::intake;
+use crate::shell;
+
+/// Pause after a failure to accept, for example for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a stopping process goes on taking requests on open channels.
+const LAST_CALL: Duration = Duration::from_millis(2_600);
+/// Longest time that the rest of a rejected request is read, so that its answer is not lost.
+const LINGER: Duration = Duration::from_millis(500);
+/// Bytes of the rest of a rejected request that are read.
+const MAX_LINGER: usize = 1 << 20;
+
+/// Accepts callers until the process ends.
+///
+/// # Errors
+///
+/// Fails if the address cannot be listened on.
+pub fn open(shell: &rc::Rc<shell::Shell>, address: net::SocketAddr) -> io::Result<()> {
+    let listener = channel::listen(address)?;
+    let shell = shell.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            let channel = accept(&listener).await;
+            let shell = shell.clone();
+            tokio::task::spawn_local(async move { serve(&shell, channel).await });
+        }
+    });
+    Ok(())
+}
+
+async fn accept(listener: &TcpListener) -> channel::Channel {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return channel::Channel::new(stream),
+            Err(fault) => {
+                log::warn!(fault:% = fault; "no channel accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(shell: &rc::Rc<shell::Shell>, mut caller: channel::Channel) {
+    loop {
+        let limits = shell.limits();
+        if !next(shell, &mut caller, limits).await {
+            return;
+        }
+        match intake::read(&mut caller, limits).await {
+            Ok(request) => match carry::carry(shell, &mut caller, request).await {
+                carry::Fate::Kept => {}
+                carry::Fate::Ended => return linger(caller).await,
+                carry::Fate::Broken => return reset(&caller),
+            },
+            Err(intake::End::Closed) => return,
+            Err(intake::End::Refused(code)) => {
+                log::info!(reason = code.as_str(); "request not taken");
+                shell
+                    .metrics
+                    .ended("refused", code.as_str(), Duration::ZERO);
+                carry::reject(&caller, code).await;
+                return linger(caller).await;
+            }
+        }
+    }
+}
+
+/// Waits for the next request; returns whether one comes.
+async fn next(
+    shell: &shell::Shell,
+    caller: &mut channel::Channel,
+    limits: guavausher_core::relay::manifest::Limits,
+) -> bool {
+    let mut stopping = shell.stopping.subscribe();
+    tokio::select! {
+        biased;
+        come = intake::wait(caller, limits) => come.is_ok(),
+        () = last_call(&mut stopping) => false,
+    }
+}
+
+async fn last_call(stopping: &mut tokio::sync::watch::Receiver<bool>) {
+    if stopping.wait_for(|is_stopping| *is_stopping).await.is_err() {
+        return std::future::pending().await;
+    }
+    tokio::time::sleep(LAST_CALL).await;
+}
+
+/// Ends a channel so that the caller gets the whole answer first.
+async fn linger(mut caller: channel::Channel) {
+    use tokio::io::AsyncWriteExt as _;
+    if caller.stream.shutdown().await.is_err() {
+        return;
+    }
+    let rest = async {
+        let mut read = 0;
+        while read < MAX_LINGER {
+            caller.inbox.clear();
+            match caller.fill().await {
+                Ok(count) if count > 0 => read += count,
+                _ => return,
+            }
+        }
+    };
+    // A caller that goes on sending for longer loses the channel.
+    let _ = tokio::time::timeout(LINGER, rest).await;
+}
+
+/// Ends a channel so that a cut answer cannot look whole.
+fn reset(caller: &channel::Channel) {
+    let socket = socket2::SockRef::from(&caller.stream);
+    if let Err(fault) = socket.set_linger(Some(Duration::ZERO)) {
+        log::debug!(fault:% = fault; "channel closed without a reset");
+    }
+}
+
+/// A small server for questions with short answers.
+#[derive(Clone, Copy, Debug)]
+pub struct Desk {
+    /// Answers a path.
+    pub answer: fn(&shell::Shell, &str) -> Reply,
+}
+
+/// A short answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Status.
+    pub status: u16,
+    /// Text.
+    pub body: String,
+}
+
+impl Desk {
+    /// Answers questions until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub fn open(self, shell: &rc::Rc<shell::Shell>, address: net::SocketAddr) -> io::Result<()> {
+        let listener = channel::listen(address)?;
+        let shell = shell.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                let channel = accept(&listener).await;
+                let shell = shell.clone();
+                tokio::task::spawn_local(async move { self.serve(&shell, channel).await });
+            }
+        });
+        Ok(())
+    }
+
+    async fn serve(self, shell: &shell::Shell, mut channel: channel::Channel) {
+        let limits = intake::FIRST_LIMITS;
+        while intake::wait(&mut channel, limits).await.is_ok() {
+            let (reply, keeps) = match intake::read(&mut channel, limits).await {
+                Ok(request) => {
+                    let keeps = request.head.keeps_channel();
+                    ((self.answer)(shell, &request.target), keeps)
+                }
+                Err(intake::End::Closed) => return,
+                Err(intake::End::Refused(code)) => (reply_of(code), false),
+            };
+            if write(&channel, &reply).await.is_err() || !keeps {
+                return;
+            }
+        }
+    }
+}
+
+fn reply_of(code: refusal::Code) -> Reply {
+    Reply {
+        status: code.status(),
+        body: format!("{code}\n"),
+    }
+}
+
+async fn write(channel: &channel::Channel, reply: &Reply) -> io::Result<()> {
+    let mut bytes = exchange::answer_line(reply.status);
+    exchange::put(&mut bytes, "Content-Type", b"text/plain; version=0.0.4");
+    let length = reply.body.len().to_string();
+    exchange::put(&mut bytes, "Content-Length", length.as_bytes());
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(reply.body.as_bytes());
+    channel::write_all(&channel.stream, &bytes).await
+}
+
+/// Answers the readiness question and the question for metrics.
+pub fn desk() -> Desk {
+    Desk {
+        answer: |shell, path| match path {
+            "/metrics" => Reply {
+                status: 200,
+                body: shell.metrics.text(),
+            },
+            path if path == shell.dialect.ready => readiness(shell),
+            _ => Reply {
+                status: 404,
+                body: String::from("no such path\n"),
+            },
+        },
+    }
+}
+
+fn readiness(shell: &shell::Shell) -> Reply {
+    let (status, body) = match shell.is_ready() {
+        true => (200, "ready\n"),
+        false => (503, "not ready\n"),
+    };
+    Reply {
+        status,
+        body: String::from(body),
+    }
+}
+
+/// Waits until no request is in progress, or `grace` is over.
+pub async fn drained(shell: &shell::Shell, grace: Duration) {
+    /// Time between two looks.
+    const LOOK: Duration = Duration::from_millis(50);
+    let end = clock::now().after(grace);
+    let earliest = clock::now().after(LAST_CALL);
+    while clock::now() < end {
+        if clock::now() >= earliest && shell.in_progress() == 0 {
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/relay/src/events.rs
@@ -0,0 +1,84 @@
+//! Events of a stream: where they end, and their ids.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest event that is held back until it is whole, in bytes.
+const MAX_EVENT: usize = 256 * 1024;
+
+/// Passes on whole events only, each once.
+#[derive(Clone, Debug, Default)]
+pub struct Events {
+    partial: BytesMut,
+    last: Option<u64>,
+}
+
+/// An event that is longer than the limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, displaydoc::Display)]
+pub enum Fault {
+    /// an event is longer than the limit
+    TooLong,
+}
+
+impl Events {
+    /// Returns the id of the last event that was passed on.
+    pub const fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Forgets a part of an event whose engine has stopped.
+    pub fn restart(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Tells whether a part of an event is held back.
+    pub fn has_part(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
+    /// Adds bytes and returns the events that are whole now and were not passed on before.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Fault> {
+        self.partial.extend_from_slice(bytes);
+        let mut whole = BytesMut::new();
+        while let Some(end) = end_of_event(&self.partial) {
+            let event = self.partial.split_to(end);
+            let id = id_of(&event);
+            let is_old = matches!((id, self.last), (Some(id), Some(last)) if id <= last);
+            if is_old {
+                continue;
+            }
+            self.last = id.or(self.last);
+            whole.extend_from_slice(&event);
+        }
+        if self.partial.len() > MAX_EVENT {
+            return Err(Fault::TooLong);
+        }
+        Ok(whole.freeze())
+    }
+}
+
+fn end_of_event(bytes: &[u8]) -> Option<usize> {
+    let mut start = 0;
+    while let Some(offset) = bytes[start..].iter().position(|b| *b == b'\n') {
+        let next = start + offset + 1;
+        let rest = &bytes[next..];
+        if rest.starts_with(b"\n") {
+            return Some(next + 1);
+        }
+        if rest.starts_with(b"\r\n") {
+            return Some(next + 2);
+        }
+        start = next;
+    }
+    None
+}
+
+fn id_of(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|b| *b == b'\n');
+    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = ids.last()?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/relay/src/intake.rs
@@ -0,0 +1,155 @@
+//! Reading of requests from a caller's channel.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use guavausher_core::refusal;
+use guavausher_core::relay::manifest;
+use guavausher_core::time;
+
+use crate::channel;
+use crate::clock;
+use crate::framing;
+use crate::head;
+
+/// Limits before a manifest is known.
+pub const FIRST_LIMITS: manifest::Limits = manifest::Limits {
+    head: 16 * 1024,
+    body: 4 << 20,
+    heading: Duration::from_secs(3),
+    idle: Duration::from_secs(15),
+};
+/// Longest pause while a body comes.
+const BODY_PAUSE: Duration = Duration::from_secs(5);
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// A request that has come whole.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Head.
+    pub head: head::Head,
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Body without its framing.
+    pub body: Bytes,
+    /// Whether the head stated a body.
+    pub has_body: bool,
+    /// When the head had come.
+    pub arrived: time::Time,
+}
+
+/// Why there is no request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The caller closed the channel, or it was idle for too long.
+    Closed,
+    /// The request cannot be taken; the channel ends after this answer.
+    Refused(refusal::Code),
+}
+
+/// Waits for the first byte of a request.
+///
+/// # Errors
+///
+/// Fails if the channel ends first.
+pub async fn wait(channel: &mut channel::Channel, limits: manifest::Limits) -> Result<(), End> {
+    if !channel.inbox.is_empty() {
+        return Ok(());
+    }
+    match tokio::time::timeout(limits.idle, channel.fill()).await {
+        Ok(Ok(count)) if count > 0 => Ok(()),
+        _ => Err(End::Closed),
+    }
+}
+
+/// Reads a request.
+///
+/// # Errors
+///
+/// Fails if the channel ends first or the request is beyond a limit or no proper one.
+pub async fn read(
+    channel: &mut channel::Channel,
+    limits: manifest::Limits,
+) -> Result<Request, End> {
+    let heading = read_head(channel, limits.head);
+    let head = tokio::time::timeout(limits.heading, heading)
+        .await
+        .map_err(|_| End::Refused(refusal::Code::TooSlow))??;
+    let arrived = clock::now();
+    let head::Line::Request { method, target } = head.line.clone() else {
+        return Err(End::Refused(refusal::Code::Malformed));
+    };
+    if !target.starts_with('/') || head.count("host") != 1 {
+        return Err(End::Refused(refusal::Code::Malformed));
+    }
+    let framing = head
+        .request_framing()
+        .map_err(|_| End::Refused(refusal::Code::Malformed))?;
+    if matches!(framing, framing::Framing::Length(length) if length > limits.body as u64) {
+        return Err(End::Refused(refusal::Code::BodyTooLarge));
+    }
+    if head.has_token("expect", "100-continue") && channel.inbox.is_empty() {
+        channel::write_all(&channel.stream, CONTINUE)
+            .await
+            .map_err(|_| End::Closed)?;
+    }
+    let body = read_body(channel, framing, limits.body).await?;
+    Ok(Request {
+        has_body: head.count("content-length") + head.count("transfer-encoding") > 0,
+        head,
+        method,
+        target,
+        body,
+        arrived,
+    })
+}
+
+async fn read_head(channel: &mut channel::Channel, limit: usize) -> Result<head::Head, End> {
+    loop {
+        let parsed = head::request(&channel.inbox);
+        match parsed.map_err(|_| End::Refused(refusal::Code::Malformed))? {
+            Some(parsed) if parsed.length > limit => {
+                return Err(End::Refused(refusal::Code::HeadTooLarge));
+            }
+            Some(parsed) => {
+                let _ = channel.inbox.split_to(parsed.length);
+                return Ok(parsed.head);
+            }
+            None if channel.inbox.len() > limit => {
+                return Err(End::Refused(refusal::Code::HeadTooLarge));
+            }
+            None => more(channel).await?,
+        }
+    }
+}
+
+async fn read_body(
+    channel: &mut channel::Channel,
+    framing: framing::Framing,
+    limit: usize,
+) -> Result<Bytes, End> {
+    let mut decoder = framing::Decoder::new(framing);
+    let mut body = BytesMut::new();
+    loop {
+        let piece = decoder.take(&mut channel.inbox);
+        match piece.map_err(|_| End::Refused(refusal::Code::Malformed))? {
+            Some(piece) if body.len() + piece.len() > limit => {
+                return Err(End::Refused(refusal::Code::BodyTooLarge));
+            }
+            Some(piece) => body.extend_from_slice(&piece),
+            None if decoder.is_done() => return Ok(body.freeze()),
+            None => tokio::time::timeout(BODY_PAUSE, more(channel))
+                .await
+                .map_err(|_| End::Refused(refusal::Code::TooSlow))??,
+        }
+    }
+}
+
+async fn more(channel: &mut channel::Channel) -> Result<(), End> {
+    match channel.fill().await {
+        Ok(count) if count > 0 => Ok(()),
+        _ => Err(End::Closed),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,31 @@
+//! Opaque forwarding over HTTP/1.1: the sockets around [`guavausher_core::relay`].
+//!
+//! All tasks run on one thread. Callers' and engines' channels are plain sockets with `httparse`,
+//! because the decisions need to know whether a byte was read, what came after an answer and how
+//! a channel ended. Header names come from a [`dialect::Dialect`].
+//!
+//! ```
+//! use guavausher_relay::framing;
+//! let mut decoder = framing::Decoder::new(framing::Framing::Length(2));
+//! let mut bytes = bytes::BytesMut::from(&b"okHTTP"[..]);
+//! let piece = decoder.take(&mut bytes).unwrap();
+//! assert_eq!(piece.as_deref(), Some(&b"ok"[..]));
+//! assert!(decoder.is_done());
+//! ```
+
+pub mod carry;
+pub mod channel;
+pub mod client;
+pub mod clock;
+pub mod dialect;
+pub mod door;
+pub mod events;
+mod exchange;
+pub mod framing;
+pub mod head;
+pub mod intake;
+pub mod metrics;
+pub mod peers;
+pub mod pool;
+pub mod shell;
+mod slot;
--- /dev/null
+++ b/crates/relay/src/pool.rs
@@ -0,0 +1,117 @@
+//! Kept channels to engines.
+
+use std::cell;
+use std::collections;
+use std::io;
+use std::time::Duration;
+
+use guavausher_core::name;
+use guavausher_core::relay::fleet;
+use guavausher_core::time;
+
+use crate::channel;
+use crate::clock;
+
+/// How long a channel is kept if the engine does not say.
+const IDLE: Duration = Duration::from_secs(6);
+/// Time before an engine closes an idle channel at which it is not used any more.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Longest idle time of a channel for a request that must not be repeated, since the engine may
+/// close it at the moment of the send.
+const FRESH: Duration = Duration::from_millis(1_500);
+/// Kept channels to one engine.
+const MAX_IDLE: usize = 24;
+
+/// Channels to engines that wait for the next request.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: cell::RefCell<collections::HashMap<Key, Vec<Idle>>>,
+    opened: cell::Cell<u64>,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Key {
+    engine: name::Name,
+    incarnation: u64,
+}
+
+#[derive(Debug)]
+struct Idle {
+    channel: channel::Channel,
+    since: time::Time,
+    until: time::Time,
+}
+
+impl Pool {
+    /// Takes a kept channel to an engine.
+    pub fn take(&self, choice: &fleet::Choice, is_idempotent: bool) -> Option<channel::Channel> {
+        let now = clock::now();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&key(choice))?;
+        while let Some(last) = kept.pop() {
+            let is_fresh = is_idempotent || last.since.after(FRESH) > now;
+            if last.until > now && is_fresh && last.channel.is_quiet() {
+                return Some(last.channel);
+            }
+        }
+        None
+    }
+
+    /// Opens a channel to an engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine refuses or does not answer in time.
+    pub async fn open(
+        &self,
+        choice: &fleet::Choice,
+        limit: Duration,
+    ) -> io::Result<channel::Channel> {
+        self.opened.set(self.opened.get() + 1);
+        channel::Channel::connect(choice.address, limit).await
+    }
+
+    /// Returns how many channels were opened.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Keeps a channel; `wait` is how long the engine said it stays open.
+    pub fn put(&self, choice: &fleet::Choice, channel: channel::Channel, wait: Option<Duration>) {
+        let now = clock::now();
+        let wait = wait.map_or(IDLE, |wait| wait.saturating_sub(IDLE_MARGIN));
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(key(choice)).or_default();
+        if kept.len() < MAX_IDLE && !wait.is_zero() {
+            kept.push(Idle {
+                channel,
+                since: now,
+                until: now.after(wait),
+            });
+        }
+    }
+
+    /// Closes channels that are over time or were closed by the engine.
+    pub fn sweep(&self) {
+        let now = clock::now();
+        let mut idle = self.idle.borrow_mut();
+        for kept in idle.values_mut() {
+            kept.retain(|k| k.until > now && k.channel.is_quiet());
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+
+    /// Closes the kept channels to an engine that gets no new work.
+    pub fn close(&self, engine: &name::Name) {
+        self.idle
+            .borrow_mut()
+            .retain(|key, _| key.engine != *engine);
+    }
+}
+
+fn key(choice: &fleet::Choice) -> Key {
+    Key {
+        engine: choice.engine.clone(),
+        incarnation: choice.incarnation,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/shell.rs
@@ -0,0 +1,145 @@
+//! The process: the reducer's state and what carries out its effects.
+
+use std::cell;
+use std::collections;
+use std::rc;
+
+use guavausher_core::name;
+use guavausher_core::relay::{digest, effect, event, manifest, reduce, state};
+use tokio::sync;
+
+use crate::clock;
+use crate::dialect;
+use crate::intake;
+use crate::metrics;
+use crate::pool;
+use crate::slot;
+
+/// Bodies that may be held at once over all requests, in bytes.
+pub const MAX_HELD: usize = 48 << 20;
+
+/// Everything that the tasks of a process share.
+#[derive(Debug)]
+pub struct Shell {
+    /// Decisions.
+    pub state: cell::RefCell<state::State>,
+    /// Kept channels to engines.
+    pub pool: pool::Pool,
+    /// Header names.
+    pub dialect: dialect::Dialect,
+    /// Counters.
+    pub metrics: metrics::Metrics,
+    /// How far each kind of object has been read.
+    pub positions: cell::RefCell<Vec<digest::Position>>,
+    /// Tells the tasks that the process is stopping.
+    pub stopping: sync::watch::Sender<bool>,
+    /// Bytes of bodies held at the moment.
+    pub held: cell::Cell<usize>,
+    slots: cell::RefCell<collections::HashMap<u64, rc::Rc<slot::Slot>>>,
+    last: cell::Cell<u64>,
+    is_listed: cell::Cell<bool>,
+}
+
+impl Shell {
+    /// Builds the shell around a state; `kinds` is the number of kinds of objects that are read.
+    pub fn new(state: state::State, dialect: dialect::Dialect, kinds: usize) -> rc::Rc<Self> {
+        let positions = vec![digest::Position::default(); kinds];
+        rc::Rc::new(Self {
+            state: cell::RefCell::new(state),
+            pool: pool::Pool::default(),
+            dialect,
+            metrics: metrics::Metrics::default(),
+            positions: cell::RefCell::new(positions),
+            stopping: sync::watch::Sender::new(false),
+            held: cell::Cell::new(0),
+            slots: cell::RefCell::new(collections::HashMap::new()),
+            last: cell::Cell::new(0),
+            is_listed: cell::Cell::new(false),
+        })
+    }
+
+    /// Applies an event and carries out what follows from it.
+    pub fn apply(&self, event: event::Event) {
+        if matches!(event, event::Event::Engines { .. }) {
+            self.is_listed.set(true);
+        }
+        let effects = reduce::reduce(&mut self.state.borrow_mut(), clock::now(), event);
+        for effect in effects {
+            self.perform(effect);
+        }
+    }
+
+    /// Returns the limits on callers in force.
+    pub fn limits(&self) -> manifest::Limits {
+        let state = self.state.borrow();
+        let known = state.manifest.as_ref();
+        known.map_or(intake::FIRST_LIMITS, |manifest| manifest.limits())
+    }
+
+    /// Tells whether new callers are welcome.
+    pub fn is_ready(&self) -> bool {
+        let has_manifest = self.state.borrow().manifest.is_some();
+        has_manifest && self.is_listed.get() && !self.is_stopping()
+    }
+
+    /// Tells whether the process is stopping.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        self.state.borrow_mut().leaving = true;
+        self.stopping.send_replace(true);
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.slots.borrow().len()
+    }
+
+    /// Returns a new id for a request and where its task waits for steps.
+    pub(crate) fn enter(&self) -> (u64, rc::Rc<slot::Slot>) {
+        let id = self.last.get() + 1;
+        self.last.set(id);
+        let slot = rc::Rc::new(slot::Slot::default());
+        self.slots.borrow_mut().insert(id, slot.clone());
+        (id, slot)
+    }
+
+    /// Forgets a request that has ended.
+    pub(crate) fn leave(&self, id: u64) {
+        self.slots.borrow_mut().remove(&id);
+    }
+
+    fn perform(&self, effect: effect::Effect) {
+        match effect {
+            effect::Effect::Send { request, dispatch } => {
+                self.step(request, slot::Step::Send(dispatch));
+            }
+            effect::Effect::Relay { request } => self.step(request, slot::Step::Relay),
+            effect::Effect::Refuse { request, refusal } => {
+                self.step(request, slot::Step::Refuse(refusal));
+            }
+            effect::Effect::Started(engine) => log::info!(engine:% = engine; "engine in use"),
+            effect::Effect::Left(engine) => self.left(&engine),
+            effect::Effect::InForce { version } => {
+                self.metrics.manifest.set(version as i64);
+                log::info!(version = version; "manifest in force");
+            }
+            effect::Effect::Lost(peer) => log::info!(peer:% = peer; "peer gone"),
+        }
+    }
+
+    fn left(&self, engine: &name::Name) {
+        self.pool.close(engine);
+        log::info!(engine:% = engine; "engine leaving or gone");
+    }
+
+    fn step(&self, request: u64, step: slot::Step) {
+        match self.slots.borrow().get(&request) {
+            Some(slot) => slot.put(step),
+            None => log::warn!(request = request; "step for a request that has ended"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/slot.rs
@@ -0,0 +1,42 @@
+//! Where a request's task waits for its next step.
+
+use std::cell;
+use std::collections;
+
+use guavausher_core::refusal;
+use guavausher_core::relay::effect;
+use tokio::sync;
+
+/// What a request's task has to do next.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    /// Send the request to an engine.
+    Send(effect::Dispatch),
+    /// Pass on the failure that an engine has answered.
+    Relay,
+    /// Give the final answer.
+    Refuse(refusal::Refusal),
+}
+
+/// Steps that a task has not taken yet.
+#[derive(Debug, Default)]
+pub(crate) struct Slot {
+    steps: cell::RefCell<collections::VecDeque<Step>>,
+    ready: sync::Notify,
+}
+
+impl Slot {
+    pub fn put(&self, step: Step) {
+        self.steps.borrow_mut().push_back(step);
+        self.ready.notify_one();
+    }
+
+    pub async fn take(&self) -> Step {
+        loop {
+            if let Some(step) = self.steps.borrow_mut().pop_front() {
+                return step;
+            }
+            self.ready.notified().await;
+        }
+    }
+}
