Report usage and order engines under a lease

Change: one lease on all duties; usage fixed in the store before it is reported; reclaimable engines ordered by the work that instances tell each other, on-demand ones for what is missing. Three instances hear of changes from the store and tell the others.

--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -24,6 +24,15 @@
     pub units: u64,
 }
 
+/// Work that one instance has given to one service in its life.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Work {
+    /// The service.
+    pub service: name::Name,
+    /// Microseconds that its engines take to read the prompts.
+    pub micros: u64,
+}
+
 /// Engines that crashed under one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Crash {
@@ -53,10 +62,14 @@
     pub micros: u64,
     /// Whether it is stopping.
     pub leaving: bool,
+    /// Whether it hears of each change from the store.
+    pub fed: bool,
     /// How far it has read each kind of object.
     pub positions: Vec<Position>,
     /// Its work on engines.
     pub loads: Vec<EngineLoad>,
+    /// Work that it has given to services.
+    pub work: Vec<Work>,
     /// What it has admitted.
     pub spent: Vec<Spent>,
     /// What it has counted in the newest windows.
--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -1,1 +1,118 @@
-//! Duties of the one instance that holds the lease.
+//! Duties that one instance at a time performs: usage reports and orders of engines.
+//!
+//! Whoever holds the lease performs them. [`Duties::tick`] returns the calls that are due; the
+//! shell makes them, checks [`Duties::fence`] right before each, and brings back what became of
+//! them.
+
+pub mod orders;
+pub mod usage;
+
+use std::collections;
+
+use super::state;
+use crate::lease;
+use crate::name;
+use crate::store;
+use crate::time;
+
+/// Shard of the lease that covers all duties.
+const SHARD: u64 = 0;
+/// Instances that compete for the lease.
+const CANDIDATES: usize = 3;
+
+/// A call that is due.
+#[derive(Clone, Debug)]
+pub enum Work {
+    /// A call to the store for the lease; one at a time.
+    Lease(store::Call),
+    /// Fix the counts of a window in the store, unless they are fixed already.
+    Fix(usage::Counts),
+    /// Report the counts of a window.
+    Report(usage::Counts),
+    /// Forget the fixed counts of a window.
+    Forget {
+        /// Number of the window.
+        window: u64,
+    },
+    /// Order engines.
+    Order(orders::Order),
+    /// The lease was taken; a fencing number goes with each call from now on.
+    Acquired {
+        /// The number.
+        fence: u64,
+    },
+    /// The lease is held no more.
+    Lost,
+}
+
+/// Duties as one instance sees them.
+#[derive(Debug)]
+pub struct Duties {
+    lease: lease::Lease,
+    /// Usage reports.
+    pub usage: usage::Usage,
+    /// Orders of engines.
+    pub orders: orders::Orders,
+}
+
+impl Duties {
+    /// Builds the view of an instance; `writer` is unique for each process.
+    pub fn new(terms: lease::Terms, owner: name::Name, writer: u64) -> Self {
+        Self {
+            lease: lease::Lease::with_terms(terms, SHARD, owner, writer),
+            usage: usage::Usage::default(),
+            orders: orders::Orders::default(),
+        }
+    }
+
+    /// Returns the fencing number for a call that is made now, or `None` if none may be made.
+    pub fn fence(&self, now: time::Time) -> Option<u64> {
+        self.lease.fence(now, true)
+    }
+
+    /// Gives the lease back.
+    pub fn leave(&mut self) {
+        self.lease.leave();
+    }
+
+    /// Returns what is due.
+    pub fn tick(&mut self, now: time::Time, state: &state::State) -> Vec<Work> {
+        let outputs = self.lease.tick(now, turn(now, state));
+        let mut work = self.translate(outputs);
+        if self.fence(now).is_none() {
+            return work;
+        }
+        work.extend(self.usage.tick(now, state));
+        work.extend(self.orders.tick(now, state).into_iter().map(Work::Order));
+        work
+    }
+
+    /// Takes the reply to the last call for the lease.
+    pub fn replied(&mut self, now: time::Time, reply: &store::Reply) -> Vec<Work> {
+        let outputs = self.lease.reply(now, reply);
+        self.translate(outputs)
+    }
+
+    fn translate(&mut self, outputs: Vec<lease::Output>) -> Vec<Work> {
+        let translate = |output| match output {
+            lease::Output::Call(call) => Work::Lease(call),
+            lease::Output::Acquired { fence } => Work::Acquired { fence },
+            lease::Output::Lost => Work::Lost,
+        };
+        let work: Vec<_> = outputs.into_iter().map(translate).collect();
+        let changes = |w: &Work| matches!(w, Work::Acquired { .. } | Work::Lost);
+        if work.iter().any(changes) {
+            self.usage = usage::Usage::default();
+            self.orders = orders::Orders::default();
+        }
+        work
+    }
+}
+
+/// Returns this instance's place among those that compete for the lease.
+fn turn(now: time::Time, state: &state::State) -> Option<usize> {
+    let heard = state.peers.serving(now);
+    let names: collections::BTreeSet<_> = heard.chain([&state.own.name]).collect();
+    let place = names.into_iter().position(|name| *name == state.own.name)?;
+    (place < CANDIDATES && !state.leaving).then_some(place)
+}
--- /dev/null
+++ b/crates/core/src/relay/duties/usage.rs
@@ -0,0 +1,125 @@
+//! Reports of what workspaces used in each window.
+
+use std::collections;
+use std::time::Duration;
+
+use super::Work;
+use crate::name;
+use crate::relay::state;
+use crate::time;
+
+/// Time after the end of a window in which the last counts arrive.
+const SETTLE: Duration = Duration::from_millis(1_000);
+/// Part of the time until a report is due that is left to instances that cannot be heard.
+const QUIET_PART: f64 = 0.5;
+/// Time before a failed call is made again.
+const RETRY: Duration = Duration::from_millis(600);
+/// Windows before the present one that a new holder reports, or reports again.
+const LOOK_BACK: u64 = 3;
+/// Windows after which the fixed counts are not needed any more.
+const KEPT: u64 = 12;
+
+/// Requests of each workspace in a window.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Number of the window.
+    pub window: u64,
+    /// Requests by workspace.
+    pub begun: collections::BTreeMap<name::Name, u32>,
+}
+
+/// How far the report of a window is.
+#[derive(Clone, Debug)]
+enum Stage {
+    /// Its counts are being fixed.
+    Fixing,
+    /// Its counts are fixed and to be reported.
+    Fixed(Counts),
+    /// It is being reported.
+    Reporting(Counts),
+    /// It was reported.
+    Done,
+    /// A call failed; the next is made then.
+    Waiting(time::Time, Option<Counts>),
+}
+
+/// Reports of one holder of the lease.
+#[derive(Debug, Default)]
+pub struct Usage {
+    windows: collections::BTreeMap<u64, Stage>,
+}
+
+impl Usage {
+    /// Returns the calls that are due.
+    pub(super) fn tick(&mut self, now: time::Time, state: &state::State) -> Vec<Work> {
+        let mut work = Vec::new();
+        let present = state.window(now);
+        let first = self.windows.keys().next().copied();
+        for window in first.unwrap_or(present.saturating_sub(LOOK_BACK))..present {
+            if is_settled(now, state, window) {
+                work.extend(self.advance(now, state, window));
+            }
+        }
+        let old = present.saturating_sub(KEPT);
+        while let Some(entry) = self.windows.first_entry().filter(|e| *e.key() < old) {
+            let (window, _) = entry.remove_entry();
+            work.push(Work::Forget { window });
+        }
+        work
+    }
+
+    fn advance(&mut self, now: time::Time, state: &state::State, window: u64) -> Option<Work> {
+        let counts = || Counts {
+            window,
+            begun: state.begun(window),
+        };
+        let (stage, work) = match self.windows.get(&window) {
+            None => (Stage::Fixing, Work::Fix(counts())),
+            Some(Stage::Waiting(at, None)) if now >= *at => (Stage::Fixing, Work::Fix(counts())),
+            Some(Stage::Waiting(at, Some(fixed))) if now >= *at => {
+                (Stage::Reporting(fixed.clone()), Work::Report(fixed.clone()))
+            }
+            Some(Stage::Fixed(fixed)) => {
+                (Stage::Reporting(fixed.clone()), Work::Report(fixed.clone()))
+            }
+            Some(_) => return None,
+        };
+        self.windows.insert(window, stage);
+        Some(work)
+    }
+
+    /// Takes the outcome of fixing a window: its counts, or `None` if that is not known.
+    pub fn fixed(&mut self, now: time::Time, window: u64, counts: Option<Counts>) {
+        let stage = match counts {
+            Some(counts) => Stage::Fixed(counts),
+            None => Stage::Waiting(now.after(RETRY), None),
+        };
+        self.windows.insert(window, stage);
+    }
+
+    /// Takes the outcome of a report.
+    pub fn reported(&mut self, now: time::Time, window: u64, is_done: bool) {
+        let Some(stage) = self.windows.get_mut(&window) else {
+            return;
+        };
+        let Stage::Reporting(counts) = stage else {
+            return;
+        };
+        *stage = match is_done {
+            true => Stage::Done,
+            false => Stage::Waiting(now.after(RETRY), Some(counts.clone())),
+        };
+    }
+}
+
+/// Tells whether all counts of a window should have come.
+fn is_settled(now: time::Time, state: &state::State, window: u64) -> bool {
+    let length = state.settings.usage_window.as_micros() as u64;
+    let end = (window + 1) * length;
+    let late = state.settings.usage_late.mul_f64(QUIET_PART);
+    let wait = match state.peers.has_quiet(now) {
+        true => late.max(SETTLE),
+        false => SETTLE,
+    };
+    state.clock.micros(now) >= end + wait.as_micros() as u64
+}
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -34,6 +34,8 @@
     engines: collections::BTreeMap<name::Name, tracked::Tracked>,
     speeds: collections::BTreeMap<name::Name, estimate::Estimate>,
     holders: holders::Holders,
+    /// Microseconds of reading given to each service by this instance.
+    work: collections::BTreeMap<name::Name, u64>,
 }
 
 /// The engine for one attempt.
@@ -96,6 +98,7 @@
             engines: collections::BTreeMap::new(),
             speeds: collections::BTreeMap::new(),
             holders: holders::Holders::default(),
+            work: collections::BTreeMap::new(),
         }
     }
 
@@ -190,15 +193,9 @@
         self.engines.values().map(|t| &t.engine)
     }
 
-    /// Returns the work of all instances on a service's open engines.
-    pub fn work(&self, now: time::Time, service: &name::Name) -> tracked::Load {
-        let mut sum = tracked::Load::default();
-        for tracked in self.of(service).filter(|t| t.is_open(now)) {
-            let load = tracked.load();
-            sum.running = sum.running.saturating_add(load.running);
-            sum.unread = sum.unread.saturating_add(load.unread);
-        }
-        sum
+    /// Returns the microseconds of reading that this instance has given to each service.
+    pub fn work(&self) -> impl Iterator<Item = (&name::Name, u64)> {
+        self.work.iter().map(|(service, micros)| (service, *micros))
     }
 
     /// Returns the time to read this many tokens at an engine of a service.
@@ -305,6 +302,8 @@
         let beginnings = holders::beginnings(ask);
         self.holders
             .record(now, &choice.engine, choice.incarnation, &beginnings);
+        let reading = self.reading(&ask.service, choice.fresh);
+        *self.work.entry(ask.service.clone()).or_default() += reading.as_micros() as u64;
         if let Some(tracked) = self.get(choice) {
             tracked.own.running += 1;
             tracked.own.unread = tracked.own.unread.saturating_add(choice.fresh);
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -10,6 +10,8 @@
 
 /// Silence after which an instance may be cut off.
 const QUIET: Duration = Duration::from_millis(1_200);
+/// Silence after which another process may have taken an instance's place.
+const REPLACED: Duration = Duration::from_millis(500);
 /// Silence after which an instance is taken as gone.
 const GONE: Duration = Duration::from_secs(12);
 /// Instances that are remembered.
@@ -59,7 +61,7 @@
     /// Takes a digest; returns what it adds to the caps, or `None` if it is an old one.
     pub fn hear(&mut self, now: time::Time, digest: digest::Digest) -> Option<Vec<Charge>> {
         let known = self.peers.get(&digest.sender);
-        if known.is_some_and(|p| p.digest.incarnation > digest.incarnation) {
+        if known.is_some_and(|p| is_former(p, &digest, now)) {
             return None;
         }
         if known.is_none() && self.peers.len() >= MAX_PEERS {
@@ -124,6 +126,21 @@
         fresh.map(|p| p.digest.address).take(MAX_TOLD).collect()
     }
 
+    /// Returns the names of the instances that are heard and not stopping.
+    pub fn serving(&self, now: time::Time) -> impl Iterator<Item = &name::Name> {
+        let heard = self.peers.values().filter(move |p| !is_quiet(p, now));
+        heard
+            .filter(|p| !p.digest.leaving)
+            .map(|p| &p.digest.sender)
+    }
+
+    /// Returns how many instances whose names come before `own` hear of changes from the store.
+    pub fn fed_before(&self, now: time::Time, own: &name::Name) -> usize {
+        let heard = self.peers.values().filter(|p| !is_quiet(p, now));
+        let fed = heard.filter(|p| p.digest.fed && !p.digest.leaving);
+        fed.filter(|p| p.digest.sender < *own).count()
+    }
+
     /// Returns the number of instances that share the work, this one included.
     pub fn instances(&self) -> usize {
         self.peers.len() + 1
@@ -163,6 +180,14 @@
     }
 }
 
+/// Tells whether a digest comes from a process before the one that was heard last.
+///
+/// Numbers of processes come from the time of day, which may have jumped back: a process that was
+/// heard a moment ago cannot have been followed by another one, one that is silent can.
+fn is_former(peer: &Peer, digest: &digest::Digest, now: time::Time) -> bool {
+    peer.digest.incarnation > digest.incarnation && peer.heard.after(REPLACED) > now
+}
+
 fn is_quiet(peer: &Peer, now: time::Time) -> bool {
     peer.heard.after(QUIET) <= now
 }
--- a/crates/core/src/relay/scaling.rs
+++ b/crates/core/src/relay/scaling.rs
@@ -1,1 +1,256 @@
 //! How many engines of each market a service should have in each failure domain.
+//!
+//! Reclaimable engines are cheap, but all of a failure domain leave at once and none come back for
+//! a while. So they are spread evenly and are so many that the rest carries the load when one
+//! domain is gone. On-demand engines fill what is missing then, and until the first reclaimable
+//! ones have started.
+
+use std::collections;
+use std::time::Duration;
+
+use super::duties::orders;
+use super::service;
+use super::state;
+use crate::name;
+use crate::time;
+
+/// Part of the time that engines may spend on reading prompts when all failure domains are there.
+const BUSY: f64 = 0.3;
+/// The same while reclaimable engines are short.
+const BUSY_SHORT: f64 = 0.5;
+/// Time over which work is averaged.
+const SPAN: Duration = Duration::from_secs(4);
+/// How long a higher demand is remembered.
+const MEMORY: Duration = Duration::from_secs(15);
+/// How long the list of engines has to stand still at first before anything is ordered.
+const SETTLED: Duration = Duration::from_millis(1_500);
+
+/// Plans the engines of all services that can be ordered.
+#[derive(Debug, Default)]
+pub struct Planner {
+    services: collections::BTreeMap<name::Name, Demand>,
+}
+
+/// Demand for one service.
+#[derive(Debug, Default)]
+struct Demand {
+    samples: collections::VecDeque<Sample>,
+    peaks: collections::VecDeque<Peak>,
+    first: Option<First>,
+}
+
+/// Engines that were there before any request.
+#[derive(Clone, Copy, Debug)]
+struct First {
+    all: u32,
+    since: time::Time,
+    ordered: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    at: time::Time,
+    work: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Peak {
+    at: time::Time,
+    engines: f64,
+}
+
+/// Engines of a service in one failure domain that may get work.
+#[derive(Clone, Copy, Debug, Default)]
+struct Present {
+    spot: u32,
+    steady: u32,
+}
+
+impl Planner {
+    /// Returns what there is to be of each service, domain and market.
+    pub fn plan(&mut self, now: time::Time, state: &state::State) -> Vec<orders::Order> {
+        let Some(manifest) = state.manifest.clone() else {
+            return Vec::new();
+        };
+        let mut wanted = Vec::new();
+        for service in manifest.services().values() {
+            if let Some(scaling) = &service.scaling {
+                wanted.extend(self.plan_service(now, state, service, scaling));
+            }
+        }
+        wanted
+    }
+
+    fn plan_service(
+        &mut self,
+        now: time::Time,
+        state: &state::State,
+        service: &service::Service,
+        scaling: &service::Scaling,
+    ) -> Vec<orders::Order> {
+        let present = present(now, state, service, scaling);
+        let domains = present.len() as u32;
+        let all: u32 = present.values().map(|p| p.spot + p.steady).sum();
+        if all == 0 && self.services.get(&service.name).is_none() {
+            return Vec::new();
+        }
+        let demand = self.services.entry(service.name.clone()).or_default();
+        let busy = demand.observe(now, state.work(&service.name));
+        let target = match busy {
+            Some(busy) => Target::of(busy, domains),
+            None => match demand.first(now, all, domains) {
+                Some(target) => target,
+                None => return Vec::new(),
+            },
+        };
+        let plan = Plan {
+            service: &service.name,
+            scaling,
+            target,
+            busy: busy.unwrap_or(0.0),
+        };
+        plan.orders(&present)
+    }
+}
+
+/// What a service needs.
+#[derive(Clone, Copy, Debug)]
+struct Target {
+    /// Reclaimable engines in each failure domain.
+    spread: u32,
+    /// Engines of both markets that there have to be at any time.
+    least: u32,
+}
+
+impl Target {
+    fn of(busy: f64, domains: u32) -> Self {
+        let need = (busy / BUSY).ceil() as u32;
+        Self {
+            spread: need.div_ceil(domains.saturating_sub(1).max(1)),
+            least: (busy / BUSY_SHORT).ceil() as u32,
+        }
+    }
+}
+
+struct Plan<'a> {
+    service: &'a name::Name,
+    scaling: &'a service::Scaling,
+    target: Target,
+    busy: f64,
+}
+
+impl Plan<'_> {
+    fn orders(&self, present: &collections::BTreeMap<name::Name, Present>) -> Vec<orders::Order> {
+        let scaling = self.scaling;
+        let spread = match scaling.spot {
+            Some(_) => self.target.spread.clamp(scaling.min, scaling.max),
+            None => 0,
+        };
+        let spots: u32 = present.values().map(|p| p.spot.min(spread)).sum();
+        let domains = present.len() as u32;
+        let least = self.target.least.max(domains * scaling.min);
+        let missing = least.saturating_sub(spots).div_ceil(domains.max(1));
+        let orders = present.iter().flat_map(|(domain, p)| {
+            let room = scaling.max.saturating_sub(p.spot.min(spread));
+            let floor = scaling.min.saturating_sub(p.spot.min(spread));
+            let steady = missing.min(room).max(floor);
+            let spot = spread.min(scaling.max.saturating_sub(steady));
+            let counts = [(true, spot), (false, steady)];
+            counts.map(|(is_spot, count)| orders::Order {
+                subject: orders::Subject {
+                    service: self.service.clone(),
+                    domain: domain.clone(),
+                    spot: is_spot,
+                },
+                count,
+                busy: self.busy,
+            })
+        });
+        orders.collect()
+    }
+}
+
+/// Returns the engines of each failure domain, those without any included.
+fn present(
+    now: time::Time,
+    state: &state::State,
+    service: &service::Service,
+    scaling: &service::Scaling,
+) -> collections::BTreeMap<name::Name, Present> {
+    let mut domains = collections::BTreeMap::new();
+    for engine in state.fleet.all().filter(|e| e.service == service.name) {
+        domains
+            .entry(engine.domain.clone())
+            .or_insert_with(Present::default);
+    }
+    for price in &scaling.prices {
+        domains.entry(price.domain.clone()).or_default();
+    }
+    let open = state.fleet.open(now);
+    for engine in open.filter(|e| e.service == service.name) {
+        let Some(present) = domains.get_mut(&engine.domain) else {
+            continue;
+        };
+        match engine.spot {
+            true => present.spot += 1,
+            false => present.steady += 1,
+        }
+    }
+    domains
+}
+
+impl Demand {
+    /// Takes the microseconds of work sent so far; returns the engines that the work of the last
+    /// seconds keeps busy, the highest of a while, or `None` before enough is known.
+    fn observe(&mut self, now: time::Time, work: u64) -> Option<f64> {
+        if work == 0 {
+            return None;
+        }
+        self.samples.push_back(Sample { at: now, work });
+        while self.samples.get(1).is_some_and(|s| s.at.after(SPAN) <= now) {
+            self.samples.pop_front();
+        }
+        let first = self.samples.front()?;
+        let span = first.at.until(now);
+        if span < SPAN {
+            return self.peaks.front().map(|p| p.engines);
+        }
+        let engines = work.saturating_sub(first.work) as f64 / span.as_micros() as f64;
+        while self.peaks.back().is_some_and(|p| p.engines <= engines) {
+            self.peaks.pop_back();
+        }
+        self.peaks.push_back(Peak { at: now, engines });
+        while self
+            .peaks
+            .front()
+            .is_some_and(|p| p.at.after(MEMORY) <= now)
+        {
+            self.peaks.pop_front();
+        }
+        self.peaks.front().map(|p| p.engines)
+    }
+
+    /// Returns what to order before the demand is known: as many reclaimable engines as there
+    /// were at first, which is what the operator took to be right.
+    fn first(&mut self, now: time::Time, all: u32, domains: u32) -> Option<Target> {
+        if self
+            .first
+            .is_none_or(|first| first.all < all && !first.ordered)
+        {
+            self.first = Some(First {
+                all,
+                since: now,
+                ordered: false,
+            });
+        }
+        let first = self.first.as_mut()?;
+        if !self.samples.is_empty() && !first.ordered || first.since.after(SETTLED) > now {
+            return None;
+        }
+        first.ordered = true;
+        Some(Target {
+            spread: first.all.div_ceil(domains.max(1)),
+            least: first.all,
+        })
+    }
+}
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -64,6 +64,8 @@
     pub flights: collections::HashMap<u64, flight::Flight>,
     /// Whether the process is stopping.
     pub leaving: bool,
+    /// Whether it hears of each change from the store.
+    pub fed: bool,
     pub(super) out: Vec<effect::Effect>,
 }
 
@@ -93,10 +95,19 @@
             suspects: suspects::Suspects::default(),
             flights: collections::HashMap::new(),
             leaving: false,
+            fed: false,
             out: Vec::new(),
         }
     }
 
+    /// Tells whether this instance is to hear of changes from the store itself, because not enough
+    /// of those before it in the order of their names do.
+    pub fn is_feeder(&self, now: time::Time) -> bool {
+        /// Instances that hear of changes from the store and tell the others.
+        const FEEDERS: usize = 3;
+        self.peers.fed_before(now, &self.own.name) < FEEDERS
+    }
+
     /// Returns the usage window of the present.
     pub fn window(&self, now: time::Time) -> u64 {
         let length = self.settings.usage_window.as_micros().max(1) as u64;
@@ -113,20 +124,36 @@
         sum
     }
 
+    /// Returns the microseconds of reading that all instances have given to a service, as far as
+    /// they are heard.
+    pub fn work(&self, service: &name::Name) -> u64 {
+        let own = self.fleet.work();
+        let own = own.filter(|(name, _)| *name == service).map(|(_, w)| w);
+        let others = self.peers.all().flat_map(|p| p.digest.work.iter());
+        let others = others.filter(|w| w.service == *service).map(|w| w.micros);
+        own.chain(others).sum()
+    }
+
     /// Returns what to tell the other instances; the shell adds how far it has read.
     pub fn digest(&self, now: time::Time, positions: Vec<digest::Position>) -> digest::Digest {
         let spent = self.caps.spent().map(|(workspace, units)| digest::Spent {
             workspace: workspace.clone(),
             units,
         });
+        let work = self.fleet.work().map(|(service, micros)| digest::Work {
+            service: service.clone(),
+            micros,
+        });
         digest::Digest {
             sender: self.own.name.clone(),
             incarnation: self.own.incarnation,
             address: self.own.address,
             micros: self.clock.micros(now),
             leaving: self.leaving,
+            fed: self.fed,
             positions,
             loads: self.fleet.loads(),
+            work: work.collect(),
             spent: spent.collect(),
             counts: self.census.newest(TOLD_WINDOWS),
             crashes: self.suspects.told(),
