Refuse late requests at a stop, and answer a look-up from one engine only

Change: one time from which a stopping process refuses (not run) and closes idle channels; short answers that may be repeated are read whole before they are passed on, and an answer that has begun goes on elsewhere only if it is a resumable stream.

Tests of the relay against scripted engines (38); stop_refuses_late_requests_as_not_run and look_up_is_answered_by_one_engine failed before the change.

--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -332,8 +332,12 @@
 }
 
 fn can_repeat(state: &state::State, request: u64) -> bool {
-    let flight = state.flights.get(&request);
-    flight.is_some_and(|f| (!f.ran || f.ask.route.repeat.is_idempotent()) && has_attempts(f))
+    state.flights.get(&request).is_some_and(|flight| {
+        let repeat = flight.ask.route.repeat;
+        let is_open = !flight.answering || repeat == route::Repeat::ResumableStream;
+        let is_safe = !flight.ran || repeat.is_idempotent();
+        is_open && is_safe && has_attempts(flight)
+    })
 }
 
 fn expired(state: &mut state::State, now: time::Time, request: u64) {
--- a/crates/relay/src/carry.rs
+++ b/crates/relay/src/carry.rs
@@ -76,8 +76,11 @@
     request: &intake::Request,
 ) -> Result<manifest::Entry, refusal::Refusal> {
     let state = shell.state.borrow();
+    let at = request.arrived.after(RETURN);
+    if request.arrived >= shell.closes() {
+        return Err(refusal::Refusal::not_run(refusal::Code::Stopping, Some(at)));
+    }
     let Some(known) = &state.manifest else {
-        let at = request.arrived.after(RETURN);
         return Err(refusal::Refusal::not_run(refusal::Code::NotReady, Some(at)));
     };
     let host = host_of(request.head.get("host").unwrap_or(""));
--- a/crates/relay/src/door.rs
+++ b/crates/relay/src/door.rs
@@ -17,20 +17,21 @@
 
 /// Pause after a failure to accept, for example for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// How long a stopping process goes on taking requests on open channels.
-const LAST_CALL: Duration = Duration::from_millis(2_600);
+/// How long a stopping process goes on taking requests: until new callers are sent elsewhere.
+pub const LAST_CALL: Duration = Duration::from_millis(2_600);
 /// Longest time that the rest of a rejected request is read, so that its answer is not lost.
 const LINGER: Duration = Duration::from_millis(500);
 /// Bytes of the rest of a rejected request that are read.
 const MAX_LINGER: usize = 1 << 20;
 
-/// Accepts callers until the process ends.
+/// Accepts callers until the process ends; returns the address that it listens on.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be listened on.
-pub fn open(shell: &rc::Rc<shell::Shell>, address: net::SocketAddr) -> io::Result<()> {
+pub fn open(shell: &rc::Rc<shell::Shell>, address: net::SocketAddr) -> io::Result<net::SocketAddr> {
     let listener = channel::listen(address)?;
+    let address = listener.local_addr()?;
     let shell = shell.clone();
     tokio::task::spawn_local(async move {
         loop {
@@ -39,7 +40,7 @@
             tokio::task::spawn_local(async move { serve(&shell, channel).await });
         }
     });
-    Ok(())
+    Ok(address)
 }
 
 async fn accept(listener: &TcpListener) -> channel::Channel {
@@ -89,15 +90,15 @@
     tokio::select! {
         biased;
         come = intake::wait(caller, limits) => come.is_ok(),
-        () = last_call(&mut stopping) => false,
+        () = closing(shell, &mut stopping) => false,
     }
 }
 
-async fn last_call(stopping: &mut tokio::sync::watch::Receiver<bool>) {
+async fn closing(shell: &shell::Shell, stopping: &mut tokio::sync::watch::Receiver<bool>) {
     if stopping.wait_for(|is_stopping| *is_stopping).await.is_err() {
         return std::future::pending().await;
     }
-    tokio::time::sleep(LAST_CALL).await;
+    clock::sleep_until(shell.closes()).await;
 }
 
 /// Ends a channel so that the caller gets the whole answer first.
@@ -231,9 +232,8 @@
     /// Time between two looks.
     const LOOK: Duration = Duration::from_millis(50);
     let end = clock::now().after(grace);
-    let earliest = clock::now().after(LAST_CALL);
     while clock::now() < end {
-        if clock::now() >= earliest && shell.in_progress() == 0 {
+        if clock::now() >= shell.closes() && shell.in_progress() == 0 {
             return;
         }
         tokio::time::sleep(LOOK).await;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use guavausher_core::relay::{ask, effect, event};
+use guavausher_core::relay::{ask, effect, event, route};
 use guavausher_core::time;
 use tokio::net::TcpStream;
 
@@ -232,6 +232,17 @@
                 status = status; "answer is not the engine's own whole answer");
             return Err(BROKEN_LATER);
         }
+        if status < FAILURE && self.holds(framing) {
+            let body = client::read_body(engine, framing).await;
+            let body = body.ok_or(BROKEN_LATER)?;
+            self.keep(engine, &answer, framing, is_sent);
+            let kept = Kept {
+                head: answer.head,
+                body,
+            };
+            self.first();
+            return Ok(Ending::Signal(self.relay(&kept, output).await));
+        }
         if status >= FAILURE {
             let body = client::read_body(engine, framing).await;
             let body = body.ok_or(BROKEN_LATER)?;
@@ -244,6 +255,15 @@
         Ok(Ending::Signal(event::Signal::Whole { status }))
     }
 
+    /// Tells whether an answer is read whole before it is passed on, so that another engine can
+    /// answer if this one breaks off.
+    fn holds(&self, framing: framing::Framing) -> bool {
+        /// Longest such answer in bytes.
+        const MAX_WHOLE: u64 = 128 * 1024;
+        let is_short = matches!(framing, framing::Framing::Length(n) if n <= MAX_WHOLE);
+        is_short && self.ask.route.repeat == route::Repeat::Idempotent
+    }
+
     /// Passes the head and the body on as it comes.
     async fn pass(
         &self,
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -6,6 +6,7 @@
 
 use guavausher_core::name;
 use guavausher_core::relay::{digest, effect, event, manifest, reduce, state};
+use guavausher_core::time;
 use tokio::sync;
 
 use crate::clock;
@@ -38,6 +39,8 @@
     slots: cell::RefCell<collections::HashMap<u64, rc::Rc<slot::Slot>>>,
     last: cell::Cell<u64>,
     is_listed: cell::Cell<bool>,
+    /// From when on a stopping process takes no more requests.
+    closes: cell::Cell<time::Time>,
 }
 
 impl Shell {
@@ -55,6 +58,7 @@
             slots: cell::RefCell::new(collections::HashMap::new()),
             last: cell::Cell::new(0),
             is_listed: cell::Cell::new(false),
+            closes: cell::Cell::new(time::Time::MAX),
         })
     }
 
@@ -87,8 +91,14 @@
         *self.stopping.borrow()
     }
 
-    /// Begins a planned stop.
-    pub fn stop(&self) {
+    /// Returns from when on no more requests are taken.
+    pub const fn closes(&self) -> time::Time {
+        self.closes.get()
+    }
+
+    /// Begins a planned stop; from `closes` on new requests are refused.
+    pub fn stop(&self, closes: time::Time) {
+        self.closes.set(closes);
         self.state.borrow_mut().leaving = true;
         self.stopping.send_replace(true);
     }
--- /dev/null
+++ b/crates/relay/tests/forwarding.rs
@@ -0,0 +1,422 @@
+//! Requests through a relay to scripted engines.
+
+mod support;
+
+use guavausher_relay::clock;
+use rstest::rstest;
+use support::{Engine, Relay, Reply, events, request, whole};
+
+#[test]
+fn forward_passes_request_and_answer_unchanged() {
+    support::run(async {
+        let engine = Engine::start(vec![Reply::Keep(whole(200, "paid"))]).await;
+        let relay = Relay::start(&[&engine]);
+        let answer = relay.ask(&request("POST", "/pay/a?b=c", "r1", "kit")).await;
+        let answer = answer.unwrap();
+        assert_eq!((answer.status, answer.text()), (200, "paid"));
+        assert_eq!(answer.header("x-stamp").as_deref(), Some("s"));
+        let seen = engine.seen.borrow()[0].clone();
+        assert!(
+            seen.head.starts_with("POST /pay/a?b=c HTTP/1.1\r\n"),
+            "{seen:?}"
+        );
+        assert_eq!(seen.body, b"kit");
+        assert_eq!(seen.header("x-instance").as_deref(), Some("engine-0"));
+        assert_eq!(seen.header("x-workspace").as_deref(), Some("ward"));
+        assert_eq!(seen.header("x-key"), None);
+        let left: u64 = seen.header("x-left").unwrap().parse().unwrap();
+        assert!(left <= 9_000, "{left}");
+    });
+}
+
+#[test]
+fn forward_keeps_reserved_headers_of_callers_back() {
+    support::run(async {
+        let engine = Engine::start(vec![Reply::Keep(whole(200, "x"))]).await;
+        let relay = Relay::start(&[&engine]);
+        let asked = request("GET", "/look/", "r1", "").replace(
+            "X-Left",
+            "X-Reserved: a\r\nX-Workspace: other\r\nX-Instance: other\r\nX-Model: m\r\n\
+             Connection: X-Model\r\nX-Left",
+        );
+        relay.ask(&asked).await.unwrap();
+        let seen = engine.seen.borrow()[0].clone();
+        assert_eq!(seen.header("x-reserved"), None);
+        assert_eq!(seen.header("x-workspace").as_deref(), Some("ward"));
+        assert_eq!(seen.header("x-instance").as_deref(), Some("engine-0"));
+        assert_eq!(seen.header("x-model").as_deref(), Some("m"));
+    });
+}
+
+#[rstest]
+#[case::unknown_host("GET /look/ HTTP/1.1\r\nHost: other\r\nX-Key: secret\r\n\r\n", 404)]
+#[case::unknown_path(
+    "GET /none/ HTTP/1.1\r\nHost: site.example\r\nX-Key: secret\r\n\r\n",
+    404
+)]
+#[case::no_key("GET /look/ HTTP/1.1\r\nHost: site.example\r\n\r\n", 401)]
+#[case::two_lengths(
+    "POST /pay/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    400
+)]
+#[case::length_and_chunks(
+    "POST /pay/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 1\r\n\
+     Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    400
+)]
+#[case::long_body(
+    "POST /pay/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 9000000\r\n\r\n",
+    413
+)]
+#[case::no_host("GET /look/ HTTP/1.1\r\n\r\n", 400)]
+#[case::no_request("hello\r\n\r\n", 400)]
+fn refuse_says_why(#[case] asked: &str, #[case] status: u16) {
+    support::run(async {
+        let engine = Engine::start(Vec::new()).await;
+        let relay = Relay::start(&[&engine]);
+        let answer = relay.ask(asked).await.unwrap();
+        assert_eq!(answer.status, status, "{answer:?}");
+        assert_eq!(engine.runs(), 0);
+    });
+}
+
+#[test]
+fn refuse_long_head() {
+    support::run(async {
+        let engine = Engine::start(Vec::new()).await;
+        let relay = Relay::start(&[&engine]);
+        let long = "a".repeat(5_000);
+        let asked = format!("GET /look/ HTTP/1.1\r\nHost: site.example\r\nX-Long: {long}\r\n\r\n");
+        assert_eq!(relay.ask(&asked).await.unwrap().status, 431);
+    });
+}
+
+#[test]
+fn refuse_without_manifest_is_not_run() {
+    support::run(async {
+        let relay = Relay::empty();
+        let answer = relay
+            .ask(&request("GET", "/look/", "r1", ""))
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 503);
+        assert!(answer.header("retry-after").is_some());
+    });
+}
+
+#[test]
+fn forward_chunked_body_whole() {
+    support::run(async {
+        let engine = Engine::start(vec![Reply::Keep(whole(200, "x"))]).await;
+        let relay = Relay::start(&[&engine]);
+        let asked = "POST /pay/ HTTP/1.1\r\nHost: site.example\r\nX-Id: r1\r\nX-Key: secret\r\n\
+                     Transfer-Encoding: chunked\r\n\r\n3\r\nkit\r\n2\r\n!!\r\n0\r\n\r\n";
+        assert_eq!(relay.ask(asked).await.unwrap().status, 200);
+        assert_eq!(engine.seen.borrow()[0].body, b"kit!!");
+    });
+}
+
+/// A break of an answer that is not repeatable is never sent again and never said not to have run.
+#[rstest]
+#[case::unanswered(Reply::Reset(String::new()))]
+#[case::closed(Reply::Close(String::new()))]
+#[case::no_answer_at_all(Reply::Close(String::from("garbage\r\n\r\n")))]
+#[case::without_stamp(Reply::Keep(whole(200, "paid").replace("X-Stamp", "X-Other")))]
+#[case::encoded(Reply::Keep(whole(200, "paid").replace("X-Stamp", "Content-Encoding: br\r\nX-Stamp")))]
+#[case::two_lengths(Reply::Keep(whole(200, "paid").replace("X-Stamp", "Content-Length: 1\r\nX-Stamp")))]
+fn pay_runs_once(#[case] reply: Reply) {
+    support::run(async {
+        let first = Engine::start(vec![reply.clone()]).await;
+        let second = Engine::start(vec![reply]).await;
+        let relay = Relay::start(&[&first, &second]);
+        let answer = relay.ask(&request("POST", "/pay/", "r1", "kit")).await;
+        let answer = answer.unwrap();
+        assert_eq!(answer.status, 502, "{answer:?}");
+        assert_eq!(answer.header("retry-after"), None);
+        assert_eq!(first.runs() + second.runs(), 1);
+    });
+}
+
+#[test]
+fn pay_cut_answer_does_not_look_whole() {
+    support::run(async {
+        let cut = whole(200, "paid in full").replace("paid in full", "paid");
+        let engine = Engine::start(vec![Reply::Close(cut)]).await;
+        let relay = Relay::start(&[&engine]);
+        let answer = relay.ask(&request("POST", "/pay/", "r1", "kit")).await;
+        assert!(answer.is_none_or(|a| !a.is_whole));
+        assert_eq!(engine.runs(), 1);
+    });
+}
+
+#[test]
+fn pay_goes_on_after_not_run() {
+    support::run(async {
+        let refusal =
+            "HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        let script = || {
+            vec![
+                Reply::Keep(String::from(refusal)),
+                Reply::Keep(whole(200, "paid")),
+            ]
+        };
+        let first = Engine::start(script()).await;
+        let second = Engine::start(script()).await;
+        let relay = Relay::start(&[&first, &second]);
+        let answer = relay
+            .ask(&request("POST", "/pay/", "r1", "kit"))
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 503, "both engines said that they are full");
+        assert!(answer.header("retry-after").is_some());
+        assert_eq!((first.runs(), second.runs()), (1, 1));
+    });
+}
+
+/// Found by hunt cb98-15 of Tirta Sulam: a look-up whose engine crashed midway was sent to another
+/// engine, whose answer was appended to the first one's head.
+#[rstest]
+#[case::cut(Reply::Close(whole(200, "first answer").replace("first answer", "first")))]
+#[case::reset(Reply::Reset(whole(200, "first answer").replace("first answer", "first")))]
+#[case::failed(Reply::Keep(whole(500, "error")))]
+#[case::unanswered(Reply::Close(String::new()))]
+fn look_up_is_answered_by_one_engine(#[case] reply: Reply) {
+    support::run(async {
+        let first = Engine::start(vec![reply.clone(), reply]).await;
+        let second = Engine::start(vec![Reply::Keep(whole(200, "second")); 2]).await;
+        let relay = Relay::start(&[&first, &second]);
+        for id in ["r1", "r2"] {
+            let answer = relay.ask(&request("GET", "/look/", id, "")).await.unwrap();
+            assert_eq!(
+                (answer.status, answer.text()),
+                (200, "second"),
+                "{answer:?}"
+            );
+        }
+    });
+}
+
+#[test]
+fn stream_passes_events_as_they_come() {
+    support::run(async {
+        let engine = Engine::start(vec![Reply::Keep(events(1..=3, true))]).await;
+        let relay = Relay::start(&[&engine]);
+        let answer = relay
+            .ask(&request("POST", "/stream/", "r1", "q"))
+            .await
+            .unwrap();
+        assert!(answer.is_whole);
+        assert_eq!(
+            answer.text(),
+            "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+        );
+    });
+}
+
+#[rstest]
+#[case::closed(Reply::Close(events(1..=2, false)))]
+#[case::reset(Reply::Reset(events(1..=2, false)))]
+#[case::within_an_event(Reply::Close(events(1..=2, false) + "8\r\nid: 3\nda\r\n"))]
+fn stream_resumes_after_the_last_whole_event(#[case] reply: Reply) {
+    support::run(async {
+        let first = Engine::start(vec![reply.clone(), reply.clone()]).await;
+        let second = Engine::start(vec![
+            Reply::Keep(events(3..=4, true)),
+            Reply::Keep(events(3..=4, true)),
+        ])
+        .await;
+        let relay = Relay::start(&[&first, &second]);
+        let mut resumed = 0;
+        for id in ["r1", "r2"] {
+            let asked = request("POST", "/resume/", id, "q");
+            let answer = relay.ask(&asked).await.unwrap();
+            if answer.text().starts_with("id: 3") {
+                continue;
+            }
+            assert!(answer.is_whole, "{answer:?}");
+            let ids = answer.text().matches("id: ").count();
+            assert_eq!(ids, 4, "{answer:?}");
+            resumed += 1;
+        }
+        assert!(resumed > 0);
+        let seen = second.seen.borrow();
+        assert!(
+            seen.iter()
+                .any(|s| s.header("x-resume").as_deref() == Some("2"))
+        );
+    });
+}
+
+#[test]
+fn stream_that_cannot_resume_is_cut() {
+    support::run(async {
+        let first = Engine::start(vec![Reply::Close(events(1..=2, false))]).await;
+        let second = Engine::start(vec![Reply::Close(events(1..=2, false))]).await;
+        let relay = Relay::start(&[&first, &second]);
+        let answer = relay.ask(&request("POST", "/stream/", "r1", "q")).await;
+        assert!(answer.is_none_or(|a| !a.is_whole));
+        assert_eq!(first.runs() + second.runs(), 1);
+    });
+}
+
+#[test]
+fn answer_to_another_request_is_passed_over() {
+    support::run(async {
+        let stale = whole(200, "other").replace("{id}", "r0");
+        let both = stale + &whole(200, "mine");
+        let engine = Engine::start(vec![Reply::Keep(both), Reply::Keep(whole(200, "next"))]).await;
+        let relay = Relay::start(&[&engine]);
+        let answer = relay
+            .ask(&request("POST", "/pay/", "r1", "k"))
+            .await
+            .unwrap();
+        assert_eq!(answer.text(), "mine");
+        let answer = relay
+            .ask(&request("POST", "/pay/", "r2", "k"))
+            .await
+            .unwrap();
+        assert_eq!(answer.text(), "next");
+        assert_eq!(
+            engine.channels.get(),
+            2,
+            "the first channel is not used again"
+        );
+    });
+}
+
+#[test]
+fn bytes_after_an_answer_end_the_channel() {
+    support::run(async {
+        let twice = whole(200, "mine") + &whole(200, "extra");
+        let engine = Engine::start(vec![Reply::Keep(twice), Reply::Keep(whole(200, "next"))]).await;
+        let relay = Relay::start(&[&engine]);
+        assert_eq!(
+            relay
+                .ask(&request("POST", "/pay/", "r1", "k"))
+                .await
+                .unwrap()
+                .text(),
+            "mine"
+        );
+        assert_eq!(
+            relay
+                .ask(&request("POST", "/pay/", "r2", "k"))
+                .await
+                .unwrap()
+                .text(),
+            "next"
+        );
+        assert_eq!(engine.channels.get(), 2);
+    });
+}
+
+#[test]
+fn early_answer_is_passed_on_and_ends_the_channel() {
+    support::run(async {
+        let early = whole(413, "too long");
+        let engine = Engine::start(vec![Reply::Early(early)]).await;
+        let relay = Relay::start(&[&engine]);
+        let long = "x".repeat(600_000);
+        let answer = relay
+            .ask(&request("POST", "/pay/", "r1", &long))
+            .await
+            .unwrap();
+        assert_eq!((answer.status, answer.text()), (413, "too long"));
+    });
+}
+
+#[test]
+fn caller_that_leaves_ends_the_run() {
+    support::run(async {
+        let engine = Engine::start(vec![Reply::Hang(events(1..=1, false))]).await;
+        let relay = Relay::start(&[&engine]);
+        let mut caller = relay.caller().await;
+        caller.send(&request("POST", "/stream/", "r1", "q")).await;
+        while engine.runs() == 0 {
+            tokio::task::yield_now().await;
+        }
+        drop(caller);
+        while engine.left.get() == 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        while relay.shell.in_progress() > 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    });
+}
+
+#[test]
+fn timeout_of_the_route_ends_the_wait() {
+    support::run(async {
+        let mut parts = support::parts(1);
+        for route in &mut parts.routes {
+            route.timeout = std::time::Duration::from_millis(300);
+        }
+        let engine = Engine::start(vec![Reply::Hang(String::new())]).await;
+        let relay = Relay::with(parts, &[&engine]);
+        let answer = relay
+            .ask(&request("POST", "/pay/", "r1", "k"))
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 504);
+    });
+}
+
+#[test]
+fn engine_without_a_channel_is_no_attempt() {
+    support::run(async {
+        let gone = Engine {
+            address: "127.0.0.1:1".parse().unwrap(),
+            ..Engine::start(Vec::new()).await
+        };
+        let engine = Engine::start(vec![Reply::Keep(whole(200, "paid"))]).await;
+        let mut parts = support::parts(1);
+        for route in &mut parts.routes {
+            route.attempts = 1;
+        }
+        let relay = Relay::with(parts, &[&gone, &engine]);
+        let answer = relay
+            .ask(&request("POST", "/pay/", "r1", "k"))
+            .await
+            .unwrap();
+        assert_eq!(answer.text(), "paid");
+    });
+}
+
+/// Found by the first score of Tirta Sulam (fresh-b6d9): a stopping process took a request seven
+/// seconds after its signal and was killed under it.
+#[test]
+fn stop_refuses_late_requests_as_not_run() {
+    support::run(async {
+        let engine = Engine::start(vec![Reply::Keep(whole(200, "paid"))]).await;
+        let relay = Relay::start(&[&engine]);
+        let mut kept = relay.caller().await;
+        kept.send(&request("POST", "/pay/", "r1", "k")).await;
+        assert_eq!(kept.answer().await.unwrap().text(), "paid");
+        let mut waiting = relay.caller().await;
+        relay.shell.stop(clock::now());
+        waiting.send(&request("POST", "/pay/", "r2", "k")).await;
+        if let Some(answer) = waiting.answer().await {
+            assert_eq!(answer.status, 503);
+            assert_eq!(answer.header("connection").as_deref(), Some("close"));
+        }
+        assert!(kept.answer().await.is_none(), "the kept channel was closed");
+        assert_eq!(engine.runs(), 1);
+    });
+}
+
+#[test]
+fn stop_answers_what_is_in_progress() {
+    support::run(async {
+        let engine = Engine::start(vec![Reply::Keep(events(1..=5, true))]).await;
+        let relay = Relay::start(&[&engine]);
+        let mut caller = relay.caller().await;
+        caller.send(&request("POST", "/stream/", "r1", "q")).await;
+        while engine.runs() == 0 {
+            tokio::task::yield_now().await;
+        }
+        relay.shell.stop(clock::now());
+        assert!(caller.answer().await.unwrap().is_whole);
+        assert!(!relay.shell.is_ready());
+    });
+}
--- /dev/null
+++ b/crates/relay/tests/support/mod.rs
@@ -0,0 +1,445 @@
+//! A relay in this process, with scripted engines and raw callers on loopback.
+#![allow(dead_code)]
+
+use std::cell;
+use std::collections;
+use std::future;
+use std::net;
+use std::rc;
+use std::sync;
+use std::time::Duration;
+
+use guavausher_core::name;
+use guavausher_core::relay::{
+    ask, clock as true_time, engine, event, manifest, route, service, settings, state, workspace,
+};
+use guavausher_core::time;
+use guavausher_relay::{clock, dialect, door, head, shell};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Longest wait for anything in a test.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+/// Runs a test on one thread with a generous limit.
+pub fn run<F: future::Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async {
+        tokio::time::timeout(LIMIT, test).await.expect("in time");
+    });
+}
+
+pub fn dialect() -> dialect::Dialect {
+    dialect::Dialect {
+        id: "X-Id",
+        deadline: "X-Left",
+        key: "X-Key",
+        workspace: "X-Workspace",
+        instance: "X-Instance",
+        urgency: "X-Urgency",
+        resume: "X-Resume",
+        stamp: "X-Stamp",
+        refusal: "X-Not-Run",
+        reserved: &["X-Reserved"],
+        kept: &["X-Id", "X-Model"],
+        ready: "/ready",
+        shape: |head: &head::Head| dialect::Shape {
+            prompt: head.get("X-Prompt").and_then(|v| v.parse().ok()),
+            output: None,
+            parts: vec![ask::Part { id: 1, tokens: 1 }],
+        },
+    }
+}
+
+/// What a scripted engine does with a request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Sends bytes and keeps the channel; `{id}` stands for the request's id.
+    Keep(String),
+    /// Sends bytes and closes the channel.
+    Close(String),
+    /// Sends bytes and resets the channel.
+    Reset(String),
+    /// Sends bytes and then nothing more.
+    Hang(String),
+    /// Answers after the head, without reading the body.
+    Early(String),
+}
+
+/// A request as an engine received it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<String> {
+        self.head.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name)
+                .then(|| String::from(value.trim()))
+        })
+    }
+}
+
+/// An engine that answers by a script.
+pub struct Engine {
+    pub address: net::SocketAddr,
+    pub seen: rc::Rc<cell::RefCell<Vec<Seen>>>,
+    pub channels: rc::Rc<cell::Cell<usize>>,
+    /// Channels whose other end has gone while they hung.
+    pub left: rc::Rc<cell::Cell<usize>>,
+}
+
+impl Engine {
+    pub async fn start(replies: Vec<Reply>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let engine = Self {
+            address: listener.local_addr().unwrap(),
+            seen: rc::Rc::default(),
+            channels: rc::Rc::default(),
+            left: rc::Rc::default(),
+        };
+        let script = rc::Rc::new(cell::RefCell::new(collections::VecDeque::from(replies)));
+        let (seen, channels, left) = (
+            engine.seen.clone(),
+            engine.channels.clone(),
+            engine.left.clone(),
+        );
+        tokio::task::spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                channels.set(channels.get() + 1);
+                let (script, seen, left) = (script.clone(), seen.clone(), left.clone());
+                tokio::task::spawn_local(serve(stream, script, seen, left));
+            }
+        });
+        engine
+    }
+
+    pub fn runs(&self) -> usize {
+        self.seen.borrow().len()
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    script: rc::Rc<cell::RefCell<collections::VecDeque<Reply>>>,
+    seen: rc::Rc<cell::RefCell<Vec<Seen>>>,
+    left: rc::Rc<cell::Cell<usize>>,
+) {
+    let mut bytes = Vec::new();
+    loop {
+        let Some(head) = until(&mut stream, &mut bytes, b"\r\n\r\n").await else {
+            return;
+        };
+        let head = String::from_utf8(head).unwrap();
+        let mut request = Seen {
+            head,
+            body: Vec::new(),
+        };
+        let reply = script.borrow_mut().pop_front();
+        let is_early = matches!(reply, Some(Reply::Early(_)));
+        let length = request.header("content-length");
+        let length: usize = length.map_or(0, |l| l.parse().unwrap());
+        if !is_early {
+            while bytes.len() < length {
+                if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
+                    return;
+                }
+            }
+            request.body = bytes.drain(..length).collect();
+        }
+        let id = request.header("x-id").unwrap_or_default();
+        seen.borrow_mut().push(request);
+        let text = |t: &str| t.replace("{id}", &id).into_bytes();
+        match reply {
+            Some(Reply::Keep(t)) => stream.write_all(&text(&t)).await.unwrap(),
+            Some(Reply::Early(t)) => {
+                stream.write_all(&text(&t)).await.unwrap();
+                let _ = stream.read_buf(&mut bytes).await;
+                tokio::time::sleep(LIMIT).await;
+                return;
+            }
+            Some(Reply::Close(t)) => {
+                stream.write_all(&text(&t)).await.unwrap();
+                return;
+            }
+            Some(Reply::Reset(t)) => {
+                stream.write_all(&text(&t)).await.unwrap();
+                // The bytes are to arrive before the reset.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                stream.set_zero_linger().unwrap();
+                return;
+            }
+            Some(Reply::Hang(t)) => {
+                stream.write_all(&text(&t)).await.unwrap();
+                let mut rest = Vec::new();
+                let _ = stream.read_to_end(&mut rest).await;
+                left.set(left.get() + 1);
+                return;
+            }
+            None => return,
+        }
+    }
+}
+
+/// Reads up to and including a mark.
+pub async fn until(stream: &mut TcpStream, bytes: &mut Vec<u8>, mark: &[u8]) -> Option<Vec<u8>> {
+    loop {
+        if let Some(at) = bytes.windows(mark.len()).position(|w| w == mark) {
+            return Some(bytes.drain(..at + mark.len()).collect());
+        }
+        if stream.read_buf(bytes).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+pub fn route(prefix: &str, repeat: route::Repeat, attempts: u32) -> route::Route {
+    route::Route {
+        name: name::Name::from(prefix),
+        host: name::Name::from("site.example"),
+        prefix: name::Name::from(prefix),
+        repeat,
+        timeout: LIMIT,
+        goal: Duration::from_secs(10),
+        gap: None,
+        attempts,
+        priority: 0,
+        open: false,
+        shares: vec![route::Share {
+            service: name::Name::from("service"),
+            weight: 1,
+        }],
+    }
+}
+
+pub fn limits() -> manifest::Limits {
+    manifest::Limits {
+        head: 4_096,
+        body: 1 << 20,
+        heading: LIMIT,
+        idle: LIMIT,
+    }
+}
+
+pub fn parts(version: u64) -> manifest::Parts {
+    manifest::Parts {
+        version,
+        routes: vec![
+            route("/pay/", route::Repeat::AtMostOnce, 2),
+            route("/look/", route::Repeat::Idempotent, 2),
+            route("/stream/", route::Repeat::Stream, 2),
+            route("/resume/", route::Repeat::ResumableStream, 2),
+        ],
+        services: vec![service::Service {
+            name: name::Name::from("service"),
+            channels: 100,
+            is_model: false,
+            slots: None,
+            scaling: None,
+        }],
+        workspaces: Some(vec![workspace::Workspace {
+            name: name::Name::from("ward"),
+            keys: vec![name::Name::from("secret")],
+            priority: None,
+            unit: workspace::Unit::Requests,
+            plain: 1,
+            rate: 0.0,
+            burst: 0.0,
+        }]),
+        limits: limits(),
+    }
+}
+
+pub fn engine_entry(index: usize, address: net::SocketAddr) -> engine::Engine {
+    engine::Engine {
+        name: name::Name::from(format!("engine-{index}")),
+        incarnation: 1,
+        service: name::Name::from("service"),
+        address,
+        domain: name::Name::from("here"),
+        version: name::Name::from("v1"),
+        slots: 8,
+        leaving: false,
+        spot: false,
+        warm: time::Time::default(),
+    }
+}
+
+/// A relay with its front address.
+pub struct Relay {
+    pub shell: rc::Rc<shell::Shell>,
+    pub front: net::SocketAddr,
+}
+
+impl Relay {
+    /// Starts a relay that knows these engines.
+    pub fn start(engines: &[&Engine]) -> Self {
+        Self::with(parts(1), engines)
+    }
+
+    pub fn with(parts: manifest::Parts, engines: &[&Engine]) -> Self {
+        let relay = Self::empty();
+        let manifest = sync::Arc::new(manifest::Manifest::new(parts));
+        relay.shell.apply(event::Event::Manifest(manifest));
+        let listed = engines.iter().enumerate();
+        let list = listed.map(|(i, e)| engine_entry(i, e.address)).collect();
+        let lapsed = false;
+        relay.shell.apply(event::Event::Engines { list, lapsed });
+        relay
+    }
+
+    /// Starts a relay that knows nothing.
+    pub fn empty() -> Self {
+        let own = state::Own {
+            name: name::Name::from("front-1"),
+            incarnation: 1,
+            address: "127.0.0.1:1".parse().unwrap(),
+            domain: name::Name::from("here"),
+        };
+        let true_clock = true_time::Clock::new(clock::now(), clock::wall_micros());
+        let state = state::State::new(own, settings::Settings::default(), true_clock);
+        let shell = shell::Shell::new(state, dialect(), 2);
+        let front = door::open(&shell, "127.0.0.1:0".parse().unwrap()).unwrap();
+        Self { shell, front }
+    }
+
+    pub async fn caller(&self) -> Caller {
+        Caller {
+            stream: TcpStream::connect(self.front).await.unwrap(),
+            bytes: Vec::new(),
+        }
+    }
+
+    /// Sends one request on a channel of its own.
+    pub async fn ask(&self, request: &str) -> Option<Answer> {
+        let mut caller = self.caller().await;
+        caller.send(request).await;
+        caller.answer().await
+    }
+}
+
+/// A caller's channel.
+pub struct Caller {
+    pub stream: TcpStream,
+    pub bytes: Vec<u8>,
+}
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether the body is whole by its framing.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<String> {
+        let seen = Seen {
+            head: self.head.clone(),
+            body: Vec::new(),
+        };
+        seen.header(name)
+    }
+
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap()
+    }
+}
+
+impl Caller {
+    pub async fn send(&mut self, request: &str) {
+        self.stream.write_all(request.as_bytes()).await.unwrap();
+    }
+
+    /// Reads one answer; `None` if the channel ends before its head.
+    pub async fn answer(&mut self) -> Option<Answer> {
+        let head = until(&mut self.stream, &mut self.bytes, b"\r\n\r\n").await?;
+        let head = String::from_utf8(head).unwrap();
+        let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+        let mut answer = Answer {
+            status,
+            head,
+            body: Vec::new(),
+            is_whole: false,
+        };
+        if let Some(length) = answer.header("content-length") {
+            let length = length.parse().unwrap();
+            while self.bytes.len() < length {
+                match self.stream.read_buf(&mut self.bytes).await {
+                    Ok(count) if count > 0 => {}
+                    _ => {
+                        answer.body = std::mem::take(&mut self.bytes);
+                        return Some(answer);
+                    }
+                }
+            }
+            answer.body = self.bytes.drain(..length).collect();
+            answer.is_whole = true;
+            return Some(answer);
+        }
+        loop {
+            let Some(line) = until(&mut self.stream, &mut self.bytes, b"\r\n").await else {
+                return Some(answer);
+            };
+            let size = std::str::from_utf8(&line).unwrap().trim();
+            let size = usize::from_str_radix(size, 16).unwrap();
+            while self.bytes.len() < size + 2 {
+                match self.stream.read_buf(&mut self.bytes).await {
+                    Ok(count) if count > 0 => {}
+                    _ => return Some(answer),
+                }
+            }
+            answer.body.extend(self.bytes.drain(..size));
+            self.bytes.drain(..2);
+            if size == 0 {
+                answer.is_whole = true;
+                return Some(answer);
+            }
+        }
+    }
+}
+
+/// Composes a request.
+pub fn request(method: &str, path: &str, id: &str, body: &str) -> String {
+    let length = match body.is_empty() {
+        true => String::new(),
+        false => format!("Content-Length: {}\r\n", body.len()),
+    };
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: site.example\r\nX-Id: {id}\r\nX-Left: 9000\r\n\
+         X-Key: secret\r\n{length}\r\n{body}"
+    )
+}
+
+/// Composes a whole answer with a stamp.
+pub fn whole(status: u16, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} Word\r\nX-Id: {{id}}\r\nX-Stamp: s\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Composes a stream of events with these ids; it ends well if `ends`.
+pub fn events(ids: std::ops::RangeInclusive<u32>, ends: bool) -> String {
+    let mut text = String::from(
+        "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+    );
+    for id in ids {
+        let event = format!("id: {id}\ndata: e{id}\n\n");
+        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+    }
+    if ends {
+        text.push_str("0\r\n\r\n");
+    }
+    text
+}
