Follow the demand without the lease, and hold engines against the next reclaim

Change: work is added up from what each digest adds; every instance follows the demand; on-demand engines are ordered for what would be missing if the largest group of reclaimable ones went.

--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -9,6 +9,7 @@
 
 use std::collections;
 
+use super::scaling;
 use super::state;
 use crate::lease;
 use crate::name;
@@ -53,6 +54,7 @@
     pub usage: usage::Usage,
     /// Orders of engines.
     pub orders: orders::Orders,
+    planner: scaling::Planner,
 }
 
 impl Duties {
@@ -62,6 +64,7 @@
             lease: lease::Lease::with_terms(terms, SHARD, owner, writer),
             usage: usage::Usage::default(),
             orders: orders::Orders::default(),
+            planner: scaling::Planner::default(),
         }
     }
 
@@ -79,11 +82,14 @@
     pub fn tick(&mut self, now: time::Time, state: &state::State) -> Vec<Work> {
         let outputs = self.lease.tick(now, turn(now, state));
         let mut work = self.translate(outputs);
+        // The demand is followed without the lease too, so that a new holder knows it.
+        let wanted = self.planner.plan(now, state);
         if self.fence(now).is_none() {
             return work;
         }
         work.extend(self.usage.tick(now, state));
-        work.extend(self.orders.tick(now, state).into_iter().map(Work::Order));
+        let orders = self.orders.tick(now, wanted);
+        work.extend(orders.into_iter().map(Work::Order));
         work
     }
 
--- a/crates/core/src/relay/duties/orders.rs
+++ b/crates/core/src/relay/duties/orders.rs
@@ -4,16 +4,12 @@
 use std::time::Duration;
 
 use crate::name;
-use crate::relay::scaling;
-use crate::relay::state;
 use crate::time;
 
 /// Time after which an order is given again, since a late one may have undone it.
 const REPEAT: Duration = Duration::from_secs(6);
 /// Time before an order that could not be met, or was not answered, is given again.
 const RETRY: Duration = Duration::from_millis(1_500);
-/// Time between two looks at the demand.
-const LOOK: Duration = Duration::from_millis(300);
 
 /// What is ordered: engines of one market for a service in a failure domain.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -59,18 +55,11 @@
 #[derive(Debug, Default)]
 pub struct Orders {
     standing: collections::BTreeMap<Subject, Standing>,
-    planner: scaling::Planner,
-    next: time::Time,
 }
 
 impl Orders {
     /// Returns the orders that are due.
-    pub(super) fn tick(&mut self, now: time::Time, state: &state::State) -> Vec<Order> {
-        if now < self.next {
-            return Vec::new();
-        }
-        self.next = now.after(LOOK);
-        let wanted = self.planner.plan(now, state);
+    pub(super) fn tick(&mut self, now: time::Time, wanted: Vec<Order>) -> Vec<Order> {
         let mut due = Vec::new();
         for order in wanted {
             let standing = self.standing.get(&order.subject);
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -25,6 +25,8 @@
     peers: collections::BTreeMap<name::Name, Peer>,
     /// Addresses of which nothing has been heard yet, until when they are tried.
     hints: collections::BTreeMap<net::SocketAddr, time::Time>,
+    /// Microseconds of work that all of them have given to each service since this process began.
+    work: collections::BTreeMap<name::Name, u64>,
 }
 
 /// One instance.
@@ -85,6 +87,7 @@
                 });
             }
         }
+        self.add_work(&digest);
         let peer = Peer {
             heard: now,
             charged,
@@ -94,6 +97,23 @@
         Some(charges)
     }
 
+    /// Adds what an instance has given since its last digest; a new process begins at zero.
+    fn add_work(&mut self, digest: &digest::Digest) {
+        let known = self.peers.get(&digest.sender);
+        let same = known.filter(|p| p.digest.incarnation == digest.incarnation);
+        for work in &digest.work {
+            let told = same.and_then(|p| p.digest.work.iter().find(|w| w.service == work.service));
+            let before = told.map_or(0, |w| w.micros);
+            let sum = self.work.entry(work.service.clone()).or_default();
+            *sum = sum.saturating_add(work.micros.saturating_sub(before));
+        }
+    }
+
+    /// Returns the microseconds of work that the others have given to a service.
+    pub fn work(&self, service: &name::Name) -> u64 {
+        self.work.get(service).copied().unwrap_or(0)
+    }
+
     /// Forgets instances that are gone; returns their names.
     pub fn sweep(&mut self, now: time::Time) -> Vec<name::Name> {
         self.hints.retain(|_, until| *until > now);
--- a/crates/core/src/relay/scaling.rs
+++ b/crates/core/src/relay/scaling.rs
@@ -20,6 +20,8 @@
 const BUSY_SHORT: f64 = 0.5;
 /// Time over which work is averaged.
 const SPAN: Duration = Duration::from_secs(4);
+/// Time between two looks at the demand.
+const LOOK: Duration = Duration::from_millis(300);
 /// How long a higher demand is remembered.
 const MEMORY: Duration = Duration::from_secs(15);
 /// How long the list of engines has to stand still at first before anything is ordered.
@@ -29,6 +31,7 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     services: collections::BTreeMap<name::Name, Demand>,
+    next: time::Time,
 }
 
 /// Demand for one service.
@@ -67,8 +70,12 @@
 }
 
 impl Planner {
-    /// Returns what there is to be of each service, domain and market.
+    /// Returns what there is to be of each service, domain and market; nothing between two looks.
     pub fn plan(&mut self, now: time::Time, state: &state::State) -> Vec<orders::Order> {
+        if now < self.next {
+            return Vec::new();
+        }
+        self.next = now.after(LOOK);
         let Some(manifest) = state.manifest.clone() else {
             return Vec::new();
         };
@@ -98,6 +105,7 @@
         let busy = demand.observe(now, state.work(&service.name));
         let target = match busy {
             Some(busy) => Target::of(busy, domains),
+            None if demand.has_begun() => Target::as_present(&present),
             None => match demand.first(now, all, domains) {
                 Some(target) => target,
                 None => return Vec::new(),
@@ -123,6 +131,18 @@
 }
 
 impl Target {
+    /// Keeps what there is, in each failure domain as in the one that has most.
+    fn as_present(present: &collections::BTreeMap<name::Name, Present>) -> Self {
+        let most = present.values().map(|p| p.spot.max(p.steady)).max();
+        let most = most.unwrap_or(0);
+        let domains = present.len() as u32;
+        let need = most * domains.saturating_sub(1).max(1);
+        Self {
+            spread: most,
+            least: (f64::from(need) * BUSY / BUSY_SHORT).ceil() as u32,
+        }
+    }
+
     fn of(busy: f64, domains: u32) -> Self {
         let need = (busy / BUSY).ceil() as u32;
         Self {
@@ -147,9 +167,12 @@
             None => 0,
         };
         let spots: u32 = present.values().map(|p| p.spot.min(spread)).sum();
+        let largest = present.values().map(|p| p.spot.min(spread)).max();
         let domains = present.len() as u32;
         let least = self.target.least.max(domains * scaling.min);
-        let missing = least.saturating_sub(spots).div_ceil(domains.max(1));
+        // The largest group of reclaimable engines may be the next to go.
+        let left = spots - largest.unwrap_or(0);
+        let missing = least.saturating_sub(left).div_ceil(domains.max(1));
         let orders = present.iter().flat_map(|(domain, p)| {
             let room = scaling.max.saturating_sub(p.spot.min(spread));
             let floor = scaling.min.saturating_sub(p.spot.min(spread));
@@ -230,6 +253,11 @@
         self.peaks.front().map(|p| p.engines)
     }
 
+    /// Tells whether requests have been seen.
+    fn has_begun(&self) -> bool {
+        !self.samples.is_empty()
+    }
+
     /// Returns what to order before the demand is known: as many reclaimable engines as there
     /// were at first, which is what the operator took to be right.
     fn first(&mut self, now: time::Time, all: u32, domains: u32) -> Option<Target> {
@@ -244,7 +272,7 @@
             });
         }
         let first = self.first.as_mut()?;
-        if !self.samples.is_empty() && !first.ordered || first.since.after(SETTLED) > now {
+        if first.since.after(SETTLED) > now {
             return None;
         }
         first.ordered = true;
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -129,9 +129,7 @@
     pub fn work(&self, service: &name::Name) -> u64 {
         let own = self.fleet.work();
         let own = own.filter(|(name, _)| *name == service).map(|(_, w)| w);
-        let others = self.peers.all().flat_map(|p| p.digest.work.iter());
-        let others = others.filter(|w| w.service == *service).map(|w| w.micros);
-        own.chain(others).sum()
+        own.sum::<u64>() + self.peers.work(service)
     }
 
     /// Returns what to tell the other instances; the shell adds how far it has read.
--- a/crates/relay/src/carry.rs
+++ b/crates/relay/src/carry.rs
@@ -175,7 +175,7 @@
                 attempt.relay(&answer, output).await
             }
         };
-        log_ending(shell, ask, signal);
+        log_ending(shell, ask, signal, output);
         shell.apply(event::Event::Attempt {
             request: ask.id,
             signal,
@@ -224,7 +224,12 @@
         fresh = choice.fresh, running = choice.running; "sent");
 }
 
-fn log_ending(shell: &shell::Shell, ask: &ask::Ask, signal: event::Signal) {
+fn log_ending(
+    shell: &shell::Shell,
+    ask: &ask::Ask,
+    signal: event::Signal,
+    output: &exchange::Output,
+) {
     let ending = match signal {
         event::Signal::First => "first",
         event::Signal::Failing { .. } => "failing",
@@ -237,7 +242,10 @@
         event::Signal::Abandoned => "abandoned",
     };
     shell.metrics.attempt(ending);
-    log::info!(id:% = ask.trace, ending = ending, signal:? = signal,
+    let first = output
+        .first
+        .map_or(0, |at| ask.arrived.until(at).as_millis() as u64);
+    log::info!(id:% = ask.trace, ending = ending, signal:? = signal, first_ms = first,
         after_ms = ask.arrived.until(clock::now()).as_millis() as u64; "attempt ended");
 }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -78,6 +78,8 @@
     /// Whether a part of the answer did not reach the caller.
     pub lost: bool,
     events: events::Events,
+    /// When the first event of the answer came.
+    pub first: Option<time::Time>,
     /// When the last bytes were passed on.
     last: time::Time,
 }
@@ -91,6 +93,7 @@
             keeps,
             lost: false,
             events: events::Events::default(),
+            first: None,
             last: time::Time::default(),
         }
     }
@@ -240,7 +243,7 @@
                 head: answer.head,
                 body,
             };
-            self.first();
+            self.first(output);
             return Ok(Ending::Signal(self.relay(&kept, output).await));
         }
         if status >= FAILURE {
@@ -285,7 +288,7 @@
             waiting = self.caller_head(&answer.head, length, output);
         }
         if !is_stream {
-            self.first();
+            self.first(output);
         }
         let mut began = !is_stream;
         output.events.restart();
@@ -296,7 +299,7 @@
                     false => piece,
                 };
                 if !std::mem::replace(&mut began, true) {
-                    self.first();
+                    self.first(output);
                 }
                 append(&mut waiting, &piece, output.chunked);
             }
@@ -354,7 +357,8 @@
         })
     }
 
-    fn first(&self) {
+    fn first(&self, output: &mut Output) {
+        output.first = output.first.or(Some(clock::now()));
         let signal = event::Signal::First;
         let request = self.ask.id;
         self.shell.apply(event::Event::Attempt { request, signal });
