Order fewer on-demand engines in reserve

Cause: with one failure domain gone the reserve rounded up to one engine in each domain.

Change: on-demand engines are spread as exactly as whole numbers allow and may be busy 0.6 of the time while reclaimable ones are short.

--- a/crates/core/src/relay/scaling.rs
+++ b/crates/core/src/relay/scaling.rs
@@ -17,7 +17,7 @@
 /// Part of the time that engines may spend on reading prompts when all failure domains are there.
 const BUSY: f64 = 0.3;
 /// The same while reclaimable engines are short.
-const BUSY_SHORT: f64 = 0.5;
+const BUSY_SHORT: f64 = 0.6;
 /// Time over which work is averaged.
 const SPAN: Duration = Duration::from_secs(4);
 /// Time between two looks at the demand.
@@ -172,11 +172,12 @@
         let least = self.target.least.max(domains * scaling.min);
         // The largest group of reclaimable engines may be the next to go.
         let left = spots - largest.unwrap_or(0);
-        let missing = least.saturating_sub(left).div_ceil(domains.max(1));
-        let orders = present.iter().flat_map(|(domain, p)| {
+        let missing = least.saturating_sub(left);
+        let parts = parts(missing, domains);
+        let orders = present.iter().zip(parts).flat_map(|((domain, p), part)| {
             let room = scaling.max.saturating_sub(p.spot.min(spread));
             let floor = scaling.min.saturating_sub(p.spot.min(spread));
-            let steady = missing.min(room).max(floor);
+            let steady = part.min(room).max(floor);
             let spot = spread.min(scaling.max.saturating_sub(steady));
             let counts = [(true, spot), (false, steady)];
             counts.map(|(is_spot, count)| orders::Order {
@@ -193,6 +194,13 @@
     }
 }
 
+/// Parts a number as evenly as whole numbers allow.
+fn parts(number: u32, count: u32) -> impl Iterator<Item = u32> {
+    let rest = number.checked_rem(count).unwrap_or(0);
+    let each = number.checked_div(count).unwrap_or(0);
+    (0..count).map(move |index| each + u32::from(index < rest))
+}
+
 /// Returns the engines of each failure domain, those without any included.
 fn present(
     now: time::Time,
