Keep the counts of open windows in the store, and test the decisions

Change: the holder writes the sum of the counts of open windows to the store, at most once in 700 ms and only when they have changed; a new holder reads it before it reports. On-demand engines are no longer held because of the smallest number allowed.

--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -9,6 +9,7 @@
 
 use std::collections;
 
+use super::census;
 use super::scaling;
 use super::state;
 use crate::lease;
@@ -30,6 +31,10 @@
     Fix(usage::Counts),
     /// Report the counts of a window.
     Report(usage::Counts),
+    /// Read the copy of the counts that an earlier holder left in the store.
+    Restore,
+    /// Write the copy of the counts.
+    Save(Vec<census::Count>),
     /// Forget the fixed counts of a window.
     Forget {
         /// Number of the window.
--- a/crates/core/src/relay/duties/usage.rs
+++ b/crates/core/src/relay/duties/usage.rs
@@ -5,6 +5,7 @@
 
 use super::Work;
 use crate::name;
+use crate::relay::census;
 use crate::relay::state;
 use crate::time;
 
@@ -14,6 +15,10 @@
 const QUIET_PART: f64 = 0.5;
 /// Time before a failed call is made again.
 const RETRY: Duration = Duration::from_millis(600);
+/// Time between two copies of the counts in the store.
+const SAVE: Duration = Duration::from_millis(700);
+/// Longest time that reports wait for the copy.
+const RESTORE: Duration = Duration::from_secs(3);
 /// Windows before the present one that a new holder reports, or reports again.
 const LOOK_BACK: u64 = 3;
 /// Windows after which the fixed counts are not needed any more.
@@ -47,12 +52,29 @@
 #[derive(Debug, Default)]
 pub struct Usage {
     windows: collections::BTreeMap<u64, Stage>,
+    saving: Saving,
+}
+
+/// The copy of the counts in the store, from which they come back if all processes end at once.
+#[derive(Debug, Default)]
+enum Saving {
+    /// It has not been read yet.
+    #[default]
+    Unread,
+    /// It is being read; without an answer by then the reports go on.
+    Reading(time::Time),
+    /// It is written at a time, unless nothing has changed since the last one.
+    Idle(time::Time, Vec<census::Count>),
 }
 
 impl Usage {
     /// Returns the calls that are due.
     pub(super) fn tick(&mut self, now: time::Time, state: &state::State) -> Vec<Work> {
         let mut work = Vec::new();
+        work.extend(self.save(now, state));
+        if !self.is_restored(now) {
+            return work;
+        }
         let present = state.window(now);
         let first = self.windows.keys().next().copied();
         for window in first.unwrap_or(present.saturating_sub(LOOK_BACK))..present {
@@ -68,6 +90,37 @@
         work
     }
 
+    /// Reads the copy of the counts once, and writes it when they have changed.
+    fn save(&mut self, now: time::Time, state: &state::State) -> Option<Work> {
+        match &self.saving {
+            Saving::Unread => {
+                self.saving = Saving::Reading(now.after(RESTORE));
+                Some(Work::Restore)
+            }
+            Saving::Reading(limit) if now < *limit => None,
+            Saving::Idle(at, _) if now < *at => None,
+            Saving::Reading(_) | Saving::Idle(..) => {
+                let counts = state.counts();
+                let is_same = matches!(&self.saving, Saving::Idle(_, saved) if *saved == counts);
+                self.saving = Saving::Idle(now.after(SAVE), counts.clone());
+                (!is_same).then_some(Work::Save(counts))
+            }
+        }
+    }
+
+    fn is_restored(&self, now: time::Time) -> bool {
+        match self.saving {
+            Saving::Unread => false,
+            Saving::Reading(limit) => now >= limit,
+            Saving::Idle(..) => true,
+        }
+    }
+
+    /// Notes that the copy has been read.
+    pub fn restored(&mut self, now: time::Time) {
+        self.saving = Saving::Idle(now, Vec::new());
+    }
+
     fn advance(&mut self, now: time::Time, state: &state::State, window: u64) -> Option<Work> {
         let counts = || Counts {
             window,
--- a/crates/core/src/relay/scaling.rs
+++ b/crates/core/src/relay/scaling.rs
@@ -98,7 +98,7 @@
         let present = present(now, state, service, scaling);
         let domains = present.len() as u32;
         let all: u32 = present.values().map(|p| p.spot + p.steady).sum();
-        if all == 0 && self.services.get(&service.name).is_none() {
+        if all == 0 && !self.services.contains_key(&service.name) {
             return Vec::new();
         }
         let demand = self.services.entry(service.name.clone()).or_default();
@@ -169,7 +169,7 @@
         let spots: u32 = present.values().map(|p| p.spot.min(spread)).sum();
         let largest = present.values().map(|p| p.spot.min(spread)).max();
         let domains = present.len() as u32;
-        let least = self.target.least.max(domains * scaling.min);
+        let least = self.target.least;
         // The largest group of reclaimable engines may be the next to go.
         let left = spots - largest.unwrap_or(0);
         let missing = least.saturating_sub(left);
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -124,6 +124,45 @@
         sum
     }
 
+    /// Returns the counts of the newest windows at all instances together.
+    pub fn counts(&self) -> Vec<census::Count> {
+        let present = self.others.values().chain([&self.census]);
+        let all = present.flat_map(|census| census.newest(TOLD_WINDOWS));
+        let mut sum = collections::BTreeMap::<_, u32>::new();
+        for count in all {
+            let begun = sum.entry((count.window, count.workspace)).or_default();
+            *begun = begun.saturating_add(count.begun);
+        }
+        let counts = sum.into_iter();
+        counts
+            .map(|((window, workspace), begun)| census::Count {
+                window,
+                workspace,
+                begun,
+            })
+            .collect()
+    }
+
+    /// Takes over the copy of all counts that an earlier holder of the lease left.
+    ///
+    /// It counts only where it tells of more than is known here: its processes may still live.
+    pub fn restore(&mut self, counts: Vec<census::Count>) {
+        let known = self.counts();
+        let lost = counts.into_iter().filter_map(|count| {
+            let same =
+                |k: &&census::Count| k.window == count.window && k.workspace == count.workspace;
+            let here = known.iter().find(same).map_or(0, |k| k.begun);
+            let begun = count.begun.saturating_sub(here);
+            (begun > 0).then_some(census::Count { begun, ..count })
+        });
+        let lost: Vec<_> = lost.collect();
+        let process = Process {
+            name: name::Name::from(""),
+            incarnation: 0,
+        };
+        self.others.entry(process).or_default().merge(&lost);
+    }
+
     /// Returns the microseconds of reading that all instances have given to a service, as far as
     /// they are heard.
     pub fn work(&self, service: &name::Name) -> u64 {
--- /dev/null
+++ b/crates/core/tests/relay_duties.rs
@@ -0,0 +1,343 @@
+//! Duties: the lease, usage reports, orders of engines, true time.
+
+mod relay_support;
+
+use std::collections;
+use std::time::Duration;
+
+use guavausher_core::lease;
+use guavausher_core::relay::duties::{self, Work, orders, usage};
+use guavausher_core::relay::event::{self, Signal};
+use guavausher_core::relay::{clock, engine, route, service};
+use guavausher_core::store;
+use guavausher_core::time;
+use guavausher_core::verdict;
+use relay_support::{EPOCH, Instance, START, ask, at, engine, engines, manifest, name};
+use rstest::rstest;
+
+fn terms() -> lease::Terms {
+    lease::Terms {
+        term: Duration::from_secs(3),
+        renewal: Duration::from_millis(1_350),
+        retry: Duration::from_millis(400),
+        order: Duration::ZERO,
+        grace: Duration::ZERO,
+        turn: Duration::from_millis(300),
+    }
+}
+
+/// A holder whose calls are answered as told.
+struct Holder {
+    duties: duties::Duties,
+    reports: Vec<usage::Counts>,
+    orders: Vec<orders::Order>,
+    fixed: collections::BTreeMap<u64, usage::Counts>,
+    saved: Vec<guavausher_core::relay::census::Count>,
+    version: u64,
+    is_store_up: bool,
+}
+
+impl Holder {
+    fn new(owner: &str) -> Self {
+        Self {
+            duties: duties::Duties::new(terms(), name(owner), 1),
+            reports: Vec::new(),
+            orders: Vec::new(),
+            fixed: collections::BTreeMap::new(),
+            saved: Vec::new(),
+            version: 10,
+            is_store_up: true,
+        }
+    }
+
+    fn tick(&mut self, now: time::Time, instance: &mut Instance) {
+        let mut work = self.duties.tick(now, &instance.state);
+        while let Some(next) = work.pop() {
+            match next {
+                Work::Lease(call) => {
+                    let reply = self.reply(&call);
+                    work.extend(self.duties.replied(now, &reply));
+                }
+                Work::Restore => {
+                    instance.state.restore(self.saved.clone());
+                    self.duties.usage.restored(now);
+                }
+                Work::Save(counts) => self.saved = counts,
+                Work::Fix(counts) => {
+                    let window = counts.window;
+                    let fixed = self.fixed.entry(window).or_insert(counts).clone();
+                    self.duties.usage.fixed(now, window, Some(fixed));
+                }
+                Work::Report(counts) => {
+                    self.duties.usage.reported(now, counts.window, true);
+                    self.reports.push(counts);
+                }
+                Work::Order(order) => {
+                    self.duties
+                        .orders
+                        .ordered(now, &order, orders::Outcome::Taken);
+                    self.orders.push(order);
+                }
+                Work::Forget { .. } | Work::Acquired { .. } | Work::Lost => {}
+            }
+        }
+    }
+
+    fn reply(&mut self, call: &store::Call) -> store::Reply {
+        if !self.is_store_up {
+            return store::Reply::Failed(verdict::Verdict::MayHaveRun);
+        }
+        match call {
+            store::Call::Write { .. } => {
+                self.version += 1;
+                store::Reply::Written(self.version)
+            }
+            _ => store::Reply::Missing,
+        }
+    }
+
+    fn last(&self, domain: &str, spot: bool) -> Option<u32> {
+        let mut newest = self.orders.iter().rev();
+        let is_it = |o: &&orders::Order| o.subject.domain == name(domain) && o.subject.spot == spot;
+        newest.find(is_it).map(|o| o.count)
+    }
+}
+
+#[test]
+fn fence_is_gone_when_the_lease_cannot_be_renewed() {
+    let mut instance = Instance::serving(1, 1);
+    let mut holder = Holder::new("front-1");
+    holder.tick(at(0), &mut instance);
+    holder.tick(at(100), &mut instance);
+    assert!(holder.duties.fence(at(100)).is_some());
+    holder.is_store_up = false;
+    for step in 2..40 {
+        holder.tick(at(step * 100), &mut instance);
+    }
+    assert_eq!(holder.duties.fence(at(4_000)), None);
+}
+
+/// A process that was suspended finds its lease over when it wakes, before any call.
+#[test]
+fn fence_is_gone_after_a_suspension() {
+    let mut instance = Instance::serving(1, 1);
+    let mut holder = Holder::new("front-1");
+    holder.tick(at(0), &mut instance);
+    holder.tick(at(100), &mut instance);
+    assert!(holder.duties.fence(at(200)).is_some());
+    assert_eq!(holder.duties.fence(at(8_000)), None);
+}
+
+#[test]
+fn usage_is_reported_once_with_the_counts_of_all() {
+    let mut first = Instance::serving(1, 2);
+    let mut second = Instance::serving(2, 2);
+    for id in 0..3 {
+        second.send(at(100), ask(id, at(100), route::Repeat::Stream, 1));
+        second.signal(at(200), id, Signal::First);
+    }
+    first.send(at(100), ask(1, at(100), route::Repeat::Stream, 1));
+    first.signal(at(200), 1, Signal::First);
+    first.signal(at(300), 1, Signal::Whole { status: 200 });
+    let window = first.state.window(at(200));
+    let mut holder = Holder::new("front-1");
+    for step in 0..100 {
+        let now = at(step * 100);
+        first.hear(now, second.digest(now));
+        holder.tick(now, &mut first);
+    }
+    let reports: Vec<_> = holder
+        .reports
+        .iter()
+        .filter(|r| r.window == window)
+        .collect();
+    assert_eq!(reports.len(), 1);
+    assert_eq!(reports[0].begun.get(&name("ward")), Some(&4));
+}
+
+#[test]
+fn usage_of_a_stopped_instance_is_kept() {
+    let mut first = Instance::serving(1, 2);
+    let mut second = Instance::serving(2, 2);
+    second.send(at(100), ask(1, at(100), route::Repeat::Stream, 1));
+    second.signal(at(200), 1, Signal::First);
+    first.hear(at(300), second.digest(at(300)));
+    let window = first.state.window(at(200));
+    assert_eq!(first.state.begun(window).get(&name("ward")), Some(&1));
+    first.apply(at(60_000), event::Event::Tick);
+    assert_eq!(first.state.begun(window).get(&name("ward")), Some(&1));
+}
+
+/// Found on trouble-3 of both sites: the counts of a window ended with all processes.
+#[test]
+fn usage_comes_back_after_all_processes_ended() {
+    let mut before = Instance::serving(1, 2);
+    for id in 0..5 {
+        before.send(at(100), ask(id, at(100), route::Repeat::Stream, 1));
+        before.signal(at(200), id, Signal::First);
+    }
+    let window = before.state.window(at(200));
+    let mut holder = Holder::new("front-1");
+    for step in 1..20 {
+        holder.tick(at(step * 100), &mut before);
+    }
+    let mut after = Instance::serving(2, 2);
+    let mut next = Holder::new("front-2");
+    next.saved = holder.saved.clone();
+    for step in 30..120 {
+        next.tick(at(step * 100), &mut after);
+    }
+    let report = next.reports.iter().find(|r| r.window == window).unwrap();
+    assert_eq!(report.begun.get(&name("ward")), Some(&5));
+}
+
+#[rstest]
+#[case::forward(2_400_000)]
+#[case::back(-2_400_000)]
+fn clock_does_not_follow_a_jump(#[case] jump: i64) {
+    let mut clock = clock::Clock::new(START, EPOCH);
+    let later = at(1_000);
+    let wall = (EPOCH + 1_000_000).saturating_add_signed(jump);
+    assert!(clock.observe(later, wall));
+    assert_eq!(clock.micros(later), EPOCH + 1_000_000);
+    assert!(!clock.observe(at(2_000), EPOCH + 2_050_000));
+    assert_eq!(clock.micros(at(2_000)), EPOCH + 2_050_000);
+}
+
+#[test]
+fn clock_that_started_in_a_jump_follows_the_others() {
+    let mut clock = clock::Clock::new(START, EPOCH + 2_000_000);
+    clock.compare(vec![-2_000_000, -1_990_000, -2_010_000]);
+    assert!(clock.micros(START).abs_diff(EPOCH) < 20_000);
+    clock.compare(vec![30_000, 20_000, 3_000_000]);
+    assert!(clock.micros(START).abs_diff(EPOCH) < 20_000);
+}
+
+fn scaling() -> service::Scaling {
+    let price = |domain| service::ZonePrice {
+        domain: name(domain),
+        factor: 1.0,
+    };
+    service::Scaling {
+        min: 1,
+        max: 12,
+        boot: Duration::from_secs(4),
+        spot: Some(0.2),
+        prices: vec![price("a"), price("b"), price("c")],
+    }
+}
+
+fn pool(domains: &[(&str, usize, bool)]) -> Vec<engine::Engine> {
+    let mut list = Vec::new();
+    for (domain, count, spot) in domains {
+        for _ in 0..*count {
+            let mut engine = engine(list.len());
+            engine.name = name(&format!("{domain}-{spot}-{}", list.len()));
+            engine.domain = name(domain);
+            engine.spot = *spot;
+            list.push(engine);
+        }
+    }
+    list
+}
+
+fn ordering(instance: &mut Instance) -> Holder {
+    instance.apply(START, manifest(2, 0.0, Some(scaling())));
+    Holder::new("front-1")
+}
+
+#[test]
+fn orders_replace_on_demand_engines_by_reclaimable_ones() {
+    let mut instance = Instance::serving(1, 0);
+    let mut holder = ordering(&mut instance);
+    let steady = [("a", 6, false), ("b", 6, false), ("c", 6, false)];
+    instance.apply(START, engines(pool(&steady)));
+    for step in 0..40 {
+        holder.tick(at(step * 100), &mut instance);
+    }
+    for domain in ["a", "b", "c"] {
+        assert_eq!(holder.last(domain, true), Some(6), "as many as there were");
+        assert_eq!(
+            holder.last(domain, false),
+            Some(6),
+            "until the others are there"
+        );
+    }
+    let both = [steady, [("a", 6, true), ("b", 6, true), ("c", 6, true)]].concat();
+    instance.apply(at(4_000), engines(pool(&both)));
+    for step in 40..80 {
+        holder.tick(at(step * 100), &mut instance);
+    }
+    let left: u32 = ["a", "b", "c"]
+        .iter()
+        .filter_map(|d| holder.last(d, false))
+        .sum();
+    assert!(left < 18, "{left}");
+}
+
+/// Found on trouble-3 of both sites: three failure domains were reclaimed one after the other.
+#[test]
+fn orders_hold_on_demand_engines_against_the_last_reclaim() {
+    let mut instance = Instance::serving(1, 0);
+    let mut holder = ordering(&mut instance);
+    let all = [("a", 8, true), ("b", 8, true), ("c", 8, true)];
+    instance.apply(START, engines(pool(&all)));
+    let mut id = 0;
+    let mut run = |instance: &mut Instance, holder: &mut Holder, steps: std::ops::Range<u64>| {
+        for step in steps {
+            let now = at(step * 100);
+            for _ in 0..4 {
+                id += 1;
+                let arrived = event::Event::Arrived(ask(id, now, route::Repeat::Stream, 1));
+                instance.apply(now, arrived);
+                let read = now.after(Duration::from_millis(50));
+                instance.signal(read, id, Signal::First);
+                instance.signal(read, id, Signal::Whole { status: 200 });
+            }
+            holder.tick(now, instance);
+        }
+    };
+    run(&mut instance, &mut holder, 0..100);
+    let steady = |holder: &Holder| -> u32 {
+        ["a", "b", "c"]
+            .iter()
+            .filter_map(|d| holder.last(d, false))
+            .sum()
+    };
+    assert_eq!(steady(&holder), 0, "all domains are there");
+    instance.apply(at(10_000), engines(pool(&all[2..])));
+    run(&mut instance, &mut holder, 100..150);
+    let busy = holder.orders.last().map_or(0.0, |o| o.busy);
+    assert!(busy > 0.5, "{busy}");
+    let alone = f64::from(steady(&holder));
+    assert!(alone * 0.6 >= busy, "{alone} carry what keeps {busy} busy");
+}
+
+#[test]
+fn orders_stay_within_the_bounds() {
+    let mut instance = Instance::serving(1, 0);
+    let mut holder = ordering(&mut instance);
+    let steady = [("a", 12, false), ("b", 12, false), ("c", 1, false)];
+    instance.apply(START, engines(pool(&steady)));
+    for step in 0..200 {
+        holder.tick(at(step * 100), &mut instance);
+    }
+    assert!(!holder.orders.is_empty());
+    for order in &holder.orders {
+        assert!(order.count <= 12, "{order:?}");
+    }
+}
+
+#[test]
+fn orders_are_given_again_since_a_late_one_may_undo_them() {
+    let mut instance = Instance::serving(1, 0);
+    let mut holder = ordering(&mut instance);
+    let all = [("a", 6, true), ("b", 6, true), ("c", 6, true)];
+    instance.apply(START, engines(pool(&all)));
+    for step in 0..300 {
+        holder.tick(at(step * 100), &mut instance);
+    }
+    let subject = &holder.orders[0].subject;
+    let same = holder.orders.iter().filter(|o| o.subject == *subject);
+    assert!(same.count() >= 4);
+}
--- /dev/null
+++ b/crates/core/tests/relay_reduce.rs
@@ -0,0 +1,398 @@
+//! The reducer of opaque forwarding.
+
+mod relay_support;
+
+use std::time::Duration;
+
+use guavausher_core::refusal;
+use guavausher_core::relay::event::{self, Signal};
+use guavausher_core::relay::route::Repeat;
+use guavausher_core::verdict;
+use relay_support::{Instance, START, ask, at, engine, engines, manifest, name, refused, sent};
+use rstest::rstest;
+
+const NOT_RUN: Signal = Signal::NotRun {
+    status: 503,
+    wait: None,
+};
+const MOVED: Signal = Signal::NotRun {
+    status: 421,
+    wait: None,
+};
+const UNANSWERED: Signal = Signal::Broken { unanswered: true };
+const CUT: Signal = Signal::Broken { unanswered: false };
+const FAILING: Signal = Signal::Failing { status: 500 };
+
+/// What follows an end of a first attempt, with another engine there and attempts left.
+#[rstest]
+#[case::pay_not_run(Repeat::AtMostOnce, NOT_RUN, true)]
+#[case::pay_moved(Repeat::AtMostOnce, MOVED, true)]
+#[case::pay_unsent(Repeat::AtMostOnce, Signal::Unsent, true)]
+#[case::pay_broken(Repeat::AtMostOnce, UNANSWERED, false)]
+#[case::pay_stalled(Repeat::AtMostOnce, Signal::Stalled, false)]
+#[case::look_broken(Repeat::Idempotent, UNANSWERED, true)]
+#[case::look_stalled(Repeat::Idempotent, Signal::Stalled, true)]
+#[case::look_failing(Repeat::Idempotent, FAILING, true)]
+#[case::stream_broken(Repeat::Stream, CUT, false)]
+#[case::stream_not_run(Repeat::Stream, NOT_RUN, true)]
+#[case::resumable_broken(Repeat::ResumableStream, CUT, true)]
+#[case::resumable_expired(Repeat::ResumableStream, Signal::Expired, false)]
+fn attempt_is_repeated_only_where_it_may(
+    #[case] repeat: Repeat,
+    #[case] signal: Signal,
+    #[case] repeats: bool,
+) {
+    let mut instance = Instance::serving(1, 2);
+    let first = instance.send(START, ask(1, START, repeat, 2));
+    let effects = instance.signal(at(10), 1, signal);
+    let second = sent(&effects);
+    assert_eq!(second.is_some(), repeats, "{effects:?}");
+    if let Some(second) = second {
+        assert_ne!(first, second);
+        return;
+    }
+    let refusal = refused(&effects).expect("a final answer");
+    assert_eq!(refusal.verdict, verdict::Verdict::MayHaveRun);
+    assert!(matches!(refusal.code.status(), 502 | 504));
+    assert_eq!(refusal.retry_at, None);
+}
+
+/// A refusal says "not run" only as long as no engine may have run the request.
+#[test]
+fn refusal_after_a_break_and_a_refusal_is_not_not_run() {
+    let mut instance = Instance::serving(1, 2);
+    instance.send(START, ask(1, START, Repeat::Idempotent, 2));
+    assert!(sent(&instance.signal(at(10), 1, UNANSWERED)).is_some());
+    let effects = instance.signal(at(20), 1, NOT_RUN);
+    let refusal = refused(&effects).unwrap();
+    assert_eq!(refusal.verdict, verdict::Verdict::MayHaveRun);
+}
+
+#[test]
+fn attempts_are_never_more_than_the_route_allows() {
+    let mut instance = Instance::serving(1, 6);
+    instance.send(START, ask(1, START, Repeat::Idempotent, 2));
+    assert!(sent(&instance.signal(at(1), 1, NOT_RUN)).is_some());
+    let refusal = refused(&instance.signal(at(2), 1, NOT_RUN)).unwrap();
+    assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
+    assert!(refusal.retry_at.is_some());
+}
+
+#[test]
+fn engine_without_channel_is_no_attempt_but_not_tried_for_ever() {
+    let mut instance = Instance::serving(1, 9);
+    instance.send(START, ask(1, START, Repeat::AtMostOnce, 1));
+    let mut sends = 1;
+    while sent(&instance.signal(at(sends), 1, Signal::Unsent)).is_some() {
+        sends += 1;
+    }
+    assert!((2..9).contains(&sends), "{sends}");
+}
+
+#[test]
+fn whole_answer_of_a_stream_is_not_repeated_once_begun() {
+    let mut instance = Instance::serving(1, 2);
+    instance.send(START, ask(1, START, Repeat::Idempotent, 2));
+    instance.signal(at(5), 1, Signal::First);
+    let effects = instance.signal(at(10), 1, CUT);
+    assert!(
+        sent(&effects).is_none(),
+        "its head was passed on: {effects:?}"
+    );
+}
+
+#[test]
+fn retry_budget_bounds_repeats() {
+    let mut instance = Instance::serving(1, 2);
+    let mut repeats = 0;
+    for id in 0..1_000 {
+        let now = at(id * 2);
+        instance.send(now, ask(id, now, Repeat::Idempotent, 2));
+        if sent(&instance.signal(now, id, NOT_RUN)).is_some() {
+            repeats += 1;
+            instance.signal(now, id, Signal::Whole { status: 200 });
+        }
+    }
+    // Two seconds of the ten that the budget covers: 0.2 of 1,000 and a slack of 50.
+    assert!(repeats <= 250, "{repeats}");
+    assert!(repeats >= 100, "{repeats}");
+}
+
+#[test]
+fn cap_refuses_what_is_beyond_and_tells_when_to_return() {
+    let mut instance = Instance::serving(1, 4);
+    instance.apply(START, manifest(2, 1_000.0, None));
+    let mut taken = 0;
+    let refusal = loop {
+        let now = at(taken);
+        let effects = instance.apply(
+            now,
+            event::Event::Arrived(ask(taken, now, Repeat::Stream, 1)),
+        );
+        match refused(&effects) {
+            Some(refusal) => break refusal,
+            None => taken += 1,
+        }
+    };
+    // A burst of 1,000 tokens at 100 each.
+    assert_eq!(taken, 10);
+    assert_eq!(refusal.code, refusal::Code::Limited);
+    assert_eq!(refusal.code.status(), 429);
+    assert!(refusal.retry_at.is_some_and(|t| t > at(taken)));
+}
+
+#[test]
+fn cap_gives_back_what_was_not_run() {
+    let mut instance = Instance::serving(1, 1);
+    instance.apply(START, manifest(2, 1_000.0, None));
+    for id in 0..50 {
+        instance.send(START, ask(id, START, Repeat::Stream, 1));
+        instance.signal(START, id, NOT_RUN);
+    }
+}
+
+/// Three instances that hear of each other admit little more than one alone would.
+#[test]
+fn cap_is_shared_by_digests() {
+    let mut all: Vec<_> = (0..3).map(|i| Instance::serving(i, 4)).collect();
+    for instance in &mut all {
+        instance.apply(START, manifest(2, 10_000.0, None));
+    }
+    let mut admitted = 0;
+    let mut id = 0;
+    for step in 0..80 {
+        let now = at(step * 100);
+        let digests: Vec<_> = all.iter().map(|i| i.digest(now)).collect();
+        for instance in &mut all {
+            for digest in digests.iter().cloned() {
+                instance.hear(now, digest);
+            }
+            for _ in 0..20 {
+                id += 1;
+                let arrived = event::Event::Arrived(ask(id, now, Repeat::Stream, 1));
+                if sent(&instance.apply(now, arrived)).is_some() {
+                    admitted += 100;
+                    instance.signal(now, id, Signal::Whole { status: 200 });
+                }
+            }
+        }
+    }
+    // Eight seconds at 10,000 a second and a burst of 10,000; a tenth over is allowed.
+    assert!(admitted <= 99_000, "{admitted}");
+    assert!(admitted >= 80_000, "{admitted}");
+}
+
+/// Cut off from each other, the instances together keep to the cap.
+#[test]
+fn cap_is_divided_when_instances_cannot_talk() {
+    let mut all: Vec<_> = (0..3).map(|i| Instance::serving(i, 4)).collect();
+    let digests: Vec<_> = all.iter().map(|i| i.digest(START)).collect();
+    for instance in &mut all {
+        instance.apply(START, manifest(2, 10_000.0, None));
+        for digest in digests.iter().cloned() {
+            instance.hear(START, digest);
+        }
+    }
+    let mut admitted = 0;
+    let mut id = 0;
+    for step in 20..100 {
+        let now = at(step * 100);
+        for instance in &mut all {
+            for _ in 0..20 {
+                id += 1;
+                let arrived = event::Event::Arrived(ask(id, now, Repeat::Stream, 1));
+                if sent(&instance.apply(now, arrived)).is_some() {
+                    admitted += 100;
+                    instance.signal(now, id, Signal::Whole { status: 200 });
+                }
+            }
+        }
+    }
+    assert!(admitted <= 99_000, "{admitted}");
+}
+
+#[test]
+fn manifest_never_goes_back() {
+    let mut instance = Instance::serving(1, 1);
+    assert_eq!(instance.apply(START, manifest(5, 0.0, None)).len(), 1);
+    assert!(instance.apply(START, manifest(4, 0.0, None)).is_empty());
+    assert_eq!(instance.state.manifest.as_ref().unwrap().version(), 5);
+}
+
+#[test]
+fn engine_that_is_leaving_gets_nothing_new() {
+    let mut instance = Instance::serving(1, 2);
+    let mut leaving = engine(0);
+    leaving.leaving = true;
+    instance.apply(at(1), engines(vec![leaving, engine(1)]));
+    for id in 0..20 {
+        assert_eq!(
+            instance.send(at(2), ask(id, at(2), Repeat::Stream, 1)),
+            name("e1")
+        );
+        instance.signal(at(2), id, Signal::Abandoned);
+    }
+    // An older word of it does not bring it back.
+    instance.apply(at(3), engines(vec![engine(0), engine(1)]));
+    assert_eq!(
+        instance.send(at(4), ask(99, at(4), Repeat::Stream, 1)),
+        name("e1")
+    );
+}
+
+#[test]
+fn engine_that_starts_anew_is_new() {
+    let mut instance = Instance::serving(1, 1);
+    let mut leaving = engine(0);
+    leaving.leaving = true;
+    instance.apply(at(1), engines(vec![leaving]));
+    let effects = instance.apply(
+        at(2),
+        event::Event::Arrived(ask(1, at(2), Repeat::Stream, 1)),
+    );
+    assert_eq!(refused(&effects).unwrap().code, refusal::Code::NoUpstream);
+    let mut reborn = engine(0);
+    reborn.incarnation = 2;
+    instance.apply(at(3), engines(vec![reborn]));
+    assert_eq!(
+        instance.send(at(4), ask(2, at(4), Repeat::Stream, 1)),
+        name("e0")
+    );
+}
+
+/// Entries that vanish with the store are back within two seconds of its return, or gone.
+#[test]
+fn engine_that_lapsed_stays_for_two_seconds() {
+    let mut instance = Instance::serving(1, 1);
+    instance.apply(
+        at(0),
+        event::Event::Engines {
+            list: Vec::new(),
+            lapsed: true,
+        },
+    );
+    instance.send(at(1_900), ask(1, at(1_900), Repeat::Stream, 1));
+    instance.signal(at(1_950), 1, Signal::Whole { status: 200 });
+    let late = event::Event::Arrived(ask(2, at(2_100), Repeat::Stream, 1));
+    assert!(refused(&instance.apply(at(2_100), late)).is_some());
+}
+
+#[rstest]
+#[case::silent(Signal::Stalled)]
+#[case::unreachable(Signal::Unsent)]
+fn engine_that_fails_is_avoided_for_a_while(#[case] signal: Signal) {
+    let mut instance = Instance::serving(1, 3);
+    let failed = instance.send(START, ask(1, START, Repeat::Idempotent, 2));
+    instance.signal(at(1), 1, signal);
+    instance.signal(at(2), 1, Signal::Whole { status: 200 });
+    for id in 2..12 {
+        let engine = instance.send(at(10), ask(id, at(10), Repeat::Stream, 1));
+        assert_ne!(engine, failed);
+        instance.signal(at(10), id, Signal::Whole { status: 200 });
+    }
+}
+
+#[test]
+fn engine_with_many_bad_answers_is_left_out() {
+    let mut instance = Instance::serving(1, 3);
+    let mut counts = std::collections::BTreeMap::<_, u32>::new();
+    for id in 0..300 {
+        let now = at(id * 20);
+        let engine = instance.send(now, ask(id, now, Repeat::Stream, 1));
+        *counts.entry(engine.clone()).or_default() += 1;
+        let status = if engine == name("e0") { 500 } else { 200 };
+        instance.signal(now, id, Signal::Whole { status });
+    }
+    let bad = counts.get(&name("e0")).copied().unwrap_or(0);
+    assert!(bad < 40, "{counts:?}");
+}
+
+/// A request that crashes engines is not sent any more after three crashes at any instances.
+#[test]
+fn request_that_crashes_engines_is_blocked_everywhere() {
+    let mut all: Vec<_> = (0..3).map(|i| Instance::serving(i, 6)).collect();
+    for (instance, id) in all.iter_mut().zip(0..) {
+        let mut killer = ask(id, START, Repeat::Stream, 1);
+        killer.fingerprint = 77;
+        instance.send(START, killer);
+        instance.signal(at(1), id, UNANSWERED);
+    }
+    let digests: Vec<_> = all.iter().map(|i| i.digest(at(2))).collect();
+    for instance in &mut all {
+        for digest in digests.iter().cloned() {
+            instance.hear(at(2), digest);
+        }
+        let mut killer = ask(9, at(3), Repeat::Stream, 1);
+        killer.fingerprint = 77;
+        let effects = instance.apply(at(3), event::Event::Arrived(killer));
+        let refusal = refused(&effects).unwrap();
+        assert_eq!(refusal.code, refusal::Code::Suspect);
+        assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
+    }
+}
+
+#[test]
+fn request_that_is_answered_is_cleared() {
+    let mut instance = Instance::serving(1, 6);
+    for id in 0..20 {
+        let now = at(id * 1_000);
+        let mut common = ask(id, now, Repeat::Stream, 1);
+        common.fingerprint = 77;
+        instance.send(now, common);
+        let signal = match id % 2 {
+            0 => UNANSWERED,
+            _ => Signal::Whole { status: 200 },
+        };
+        instance.signal(now, id, signal);
+    }
+}
+
+#[test]
+fn request_beyond_hope_is_refused_at_once() {
+    let mut instance = Instance::serving(1, 1);
+    let mut id = 0;
+    let refusal = loop {
+        id += 1;
+        let mut long = ask(id, START, Repeat::Stream, 1);
+        long.prompt = 20_000;
+        let effects = instance.apply(START, event::Event::Arrived(long));
+        if let Some(refusal) = refused(&effects) {
+            break refusal;
+        }
+        assert!(id < 100);
+    };
+    assert_eq!(refusal.code, refusal::Code::Overloaded);
+    let wait = START.until(refusal.retry_at.unwrap());
+    assert!(wait >= Duration::from_millis(100) && wait <= Duration::from_secs(10) / 3);
+}
+
+#[test]
+fn abandoned_request_frees_its_engine() {
+    let mut instance = Instance::serving(1, 1);
+    instance.send(START, ask(1, START, Repeat::Stream, 1));
+    assert_eq!(instance.digest(START).loads.len(), 1);
+    instance.signal(at(1), 1, Signal::Abandoned);
+    assert!(instance.digest(START).loads.is_empty());
+    assert!(instance.state.flights.is_empty());
+}
+
+#[test]
+fn load_of_other_instances_counts() {
+    let mut first = Instance::serving(1, 2);
+    let mut second = Instance::serving(2, 2);
+    let mut busy = Vec::new();
+    for id in 0..6 {
+        let engine = first.send(START, ask(id, START, Repeat::Stream, 1));
+        if engine == name("e0") {
+            busy.push(id);
+        } else {
+            first.signal(START, id, Signal::Abandoned);
+        }
+    }
+    assert!(!busy.is_empty());
+    second.hear(at(1), first.digest(at(1)));
+    assert_eq!(
+        second.send(at(2), ask(50, at(2), Repeat::Stream, 1)),
+        name("e1")
+    );
+}
--- /dev/null
+++ b/crates/core/tests/relay_support/mod.rs
@@ -0,0 +1,190 @@
+//! Builders for the tests of `core::relay`.
+#![allow(dead_code)]
+
+use std::sync;
+use std::time::Duration;
+
+use guavausher_core::name;
+use guavausher_core::relay::{
+    ask, clock, digest, effect, engine, event, manifest, reduce, route, service, settings, state,
+    workspace,
+};
+use guavausher_core::time;
+
+pub const START: time::Time = time::Time::from_millis(1_000_000);
+/// True time at [`START`], in microseconds since the Unix epoch.
+pub const EPOCH: u64 = 1_800_000_000_000_000;
+
+pub fn at(millis: u64) -> time::Time {
+    START.after(Duration::from_millis(millis))
+}
+
+pub fn name(text: &str) -> name::Name {
+    name::Name::from(text)
+}
+
+pub fn service(scaling: Option<service::Scaling>) -> service::Service {
+    service::Service {
+        name: name("model"),
+        channels: 100,
+        is_model: true,
+        slots: Some(8),
+        scaling,
+    }
+}
+
+pub fn route(repeat: route::Repeat, attempts: u32) -> route::Route {
+    route::Route {
+        name: name("r"),
+        host: name("site.example"),
+        prefix: name("/r/"),
+        repeat,
+        timeout: Duration::from_secs(10),
+        goal: Duration::from_secs(1),
+        gap: Some(Duration::from_millis(500)),
+        attempts,
+        priority: 0,
+        open: false,
+        shares: vec![route::Share {
+            service: name("model"),
+            weight: 1,
+        }],
+    }
+}
+
+pub fn manifest(version: u64, rate: f64, scaling: Option<service::Scaling>) -> event::Event {
+    let parts = manifest::Parts {
+        version,
+        routes: vec![route(route::Repeat::Idempotent, 2)],
+        services: vec![service(scaling)],
+        workspaces: Some(vec![workspace::Workspace {
+            name: name("ward"),
+            keys: vec![name("secret")],
+            priority: None,
+            unit: workspace::Unit::Tokens,
+            plain: 1,
+            rate,
+            burst: rate,
+        }]),
+        limits: manifest::Limits {
+            head: 4_096,
+            body: 4_096,
+            heading: Duration::from_secs(1),
+            idle: Duration::from_secs(1),
+        },
+    };
+    event::Event::Manifest(sync::Arc::new(manifest::Manifest::new(parts)))
+}
+
+pub fn engine(index: usize) -> engine::Engine {
+    engine::Engine {
+        name: name(&format!("e{index}")),
+        incarnation: 1,
+        service: name("model"),
+        address: format!("127.0.0.1:{}", 9_000 + index).parse().unwrap(),
+        domain: name("a"),
+        version: name("v1"),
+        slots: 8,
+        leaving: false,
+        spot: false,
+        warm: time::Time::default(),
+    }
+}
+
+pub fn engines(list: Vec<engine::Engine>) -> event::Event {
+    event::Event::Engines {
+        list,
+        lapsed: false,
+    }
+}
+
+pub fn ask(id: u64, now: time::Time, repeat: route::Repeat, attempts: u32) -> ask::Ask {
+    let route = route(repeat, attempts);
+    ask::Ask {
+        id,
+        trace: name(&format!("t{id}")),
+        service: name("model"),
+        workspace: Some(name("ward")),
+        priority: route.priority,
+        units: 100,
+        arrived: now,
+        goal: now.after(route.goal),
+        deadline: now.after(route.timeout),
+        prompt: 1_000,
+        output: 10,
+        parts: Vec::new(),
+        fingerprint: id,
+        route: sync::Arc::new(route),
+    }
+}
+
+/// An instance of which the name starts with `front-`.
+pub struct Instance {
+    pub state: state::State,
+}
+
+impl Instance {
+    pub fn new(index: u16) -> Self {
+        let own = state::Own {
+            name: name(&format!("front-{index}")),
+            incarnation: 1,
+            address: format!("127.0.0.1:{}", 8_000 + index).parse().unwrap(),
+            domain: name("a"),
+        };
+        let clock = clock::Clock::new(START, EPOCH);
+        Self {
+            state: state::State::new(own, settings::Settings::default(), clock),
+        }
+    }
+
+    /// An instance with a manifest and this many engines.
+    pub fn serving(index: u16, count: usize) -> Self {
+        let mut instance = Self::new(index);
+        instance.apply(START, manifest(1, 0.0, None));
+        instance.apply(START, engines((0..count).map(engine).collect()));
+        instance
+    }
+
+    pub fn apply(&mut self, now: time::Time, event: event::Event) -> Vec<effect::Effect> {
+        reduce::reduce(&mut self.state, now, event)
+    }
+
+    pub fn signal(
+        &mut self,
+        now: time::Time,
+        request: u64,
+        signal: event::Signal,
+    ) -> Vec<effect::Effect> {
+        self.apply(now, event::Event::Attempt { request, signal })
+    }
+
+    /// Sends a request and returns the engine that gets it.
+    pub fn send(&mut self, now: time::Time, ask: ask::Ask) -> name::Name {
+        let effects = self.apply(now, event::Event::Arrived(ask));
+        sent(&effects).expect("sent")
+    }
+
+    pub fn digest(&self, now: time::Time) -> digest::Digest {
+        self.state.digest(now, Vec::new())
+    }
+
+    pub fn hear(&mut self, now: time::Time, digest: digest::Digest) {
+        self.apply(now, event::Event::Heard(digest));
+    }
+}
+
+/// Returns the engine of a send among the effects.
+pub fn sent(effects: &[effect::Effect]) -> Option<name::Name> {
+    effects.iter().find_map(|effect| match effect {
+        effect::Effect::Send { dispatch, .. } => Some(dispatch.choice.engine.clone()),
+        _ => None,
+    })
+}
+
+/// Returns the refusal among the effects.
+pub fn refused(effects: &[effect::Effect]) -> Option<guavausher_core::refusal::Refusal> {
+    effects.iter().find_map(|effect| match effect {
+        effect::Effect::Refuse { refusal, .. } => Some(*refusal),
+        _ => None,
+    })
+}
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -78,7 +78,7 @@
 
 fn id_of(event: &[u8]) -> Option<u64> {
     let lines = event.split(|b| *b == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.last()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = ids.next_back()?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/relay/tests/forwarding.rs
+++ b/crates/relay/tests/forwarding.rs
@@ -153,7 +153,7 @@
 fn pay_goes_on_after_not_run() {
     support::run(async {
         let refusal =
-            "HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            "HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n";
         let script = || {
             vec![
                 Reply::Keep(String::from(refusal)),
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -43,7 +43,7 @@
         urgency: "X-Urgency",
         resume: "X-Resume",
         stamp: "X-Stamp",
-        refusal: "X-Not-Run",
+        refusal: "X-Refused",
         reserved: &["X-Reserved"],
         kept: &["X-Id", "X-Model"],
         ready: "/ready",
