Tell the work of reading where all prompts are alike

Cause: orders_hold_on_demand_engines_against_the_last_reclaim found that the demand was taken for nothing when all prompts had one length: the slope of the delay over the length is then unknown.

Change: reading takes at least a quarter of the whole delay by token.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -200,10 +200,8 @@
 
     /// Returns the time to read this many tokens at an engine of a service.
     pub fn reading(&self, service: &name::Name, tokens: u32) -> Duration {
-        let Some(speed) = self.speeds.get(service) else {
-            return Duration::ZERO;
-        };
-        speed.prefill(tokens).saturating_sub(speed.prefill(0))
+        let speed = self.speeds.get(service).copied().unwrap_or_default();
+        speed.reading(tokens)
     }
 
     /// Picks the engine with the least expected delay and cost.
@@ -267,17 +265,14 @@
         } else {
             f64::from(shared - cached)
         };
-        let a_token = speed
-            .prefill(1_000)
-            .saturating_sub(speed.prefill(0))
-            .as_micros() as f64;
+        let reread = speed.reading(reread as u32).as_micros() as f64;
         let crossing = if engine.domain == self.domain {
             0.0
         } else {
             CROSSING_MICROS
         };
         let cost = expected.as_micros() as f64
-            + REREAD * reread * a_token / 1_000.0
+            + REREAD * reread
             + tracked.health.badness() * FAILURE_MICROS
             + f64::from(load.running) * CROWD_MICROS
             + crossing;
--- a/crates/core/src/routing/estimate.rs
+++ b/crates/core/src/routing/estimate.rs
@@ -12,6 +12,8 @@
 const PACE_MICROS: f64 = 50.0;
 /// Bounds of the prefill time a token, in microseconds.
 const PACE_BOUNDS: (f64, f64) = (2.0, 1_000.0);
+/// Part of the delay of a first token that reading is taken to be at least.
+const LEAST_READING: f64 = 0.25;
 /// Prefill lengths of the two samples that stand for the initial guess, in tokens.
 const GUESSES: (f64, f64) = (0.0, 1_000.0);
 /// Time in a slot before any sample, in microseconds.
@@ -72,6 +74,15 @@
         micros(self.line.at(f64::from(tokens)))
     }
 
+    /// Returns the time that reading this much prompt keeps an engine busy.
+    ///
+    /// Where all prompts are alike, the line cannot tell what is due to their length; a part of
+    /// the whole delay is then taken to be.
+    pub fn reading(&self, tokens: u32) -> Duration {
+        let pace = self.line.slope().max(self.line.ratio() * LEAST_READING);
+        micros(pace * f64::from(tokens))
+    }
+
     /// Returns the wait of a request that has this many before it without a slot.
     pub fn wait(&self, ahead: f64, slots: u32) -> Duration {
         micros(self.hold * ahead / f64::from(slots.max(1)))
@@ -92,14 +103,22 @@
         self.xy = self.xy * MEMORY + x * y;
     }
 
-    fn at(&self, x: f64) -> f64 {
+    fn slope(&self) -> f64 {
         let spread = self.n * self.xx - self.x * self.x;
         let slope = if spread > 1.0 {
             (self.n * self.xy - self.x * self.y) / spread
         } else {
             PACE_MICROS
         };
-        let slope = slope.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        slope.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)
+    }
+
+    fn ratio(&self) -> f64 {
+        self.y / self.x.max(1.0)
+    }
+
+    fn at(&self, x: f64) -> f64 {
+        let slope = self.slope();
         let base = (self.y - slope * self.x) / self.n;
         base.max(0.0) + slope * x
     }
