--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod runs;
 mod server;
 pub mod service;
+pub mod site;
--- /dev/null
+++ b/crates/standins/src/site.rs
@@ -0,0 +1,316 @@
+//! The stand-in for the users' platform: store of objects, engines, and the API of duties.
+//!
+//! It speaks the users' protocol through the types and names of `guavausher_platform`. Its store
+//! and its API listen on one address, each engine on one of its own. What it was asked for can be
+//! read back, and faults set, under `/standin/`.
+
+mod engine;
+mod objects;
+
+use std::collections;
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use guavausher_platform::names;
+use guavausher_platform::servers;
+use guavausher_platform::wire;
+use hyper::body;
+use serde_json::value;
+use tokio::sync::watch;
+
+use crate::handle;
+use crate::reply;
+use crate::request;
+use crate::server;
+
+pub use engine::Log;
+
+/// Longest time that a watch waits.
+const MAX_WAIT: time::Duration = time::Duration::from_secs(30);
+/// Engines that may be there at once.
+const MAX_ENGINES: u32 = 64;
+
+/// Settings of a site.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Listening address of the store and the API of duties.
+    pub listen: net::SocketAddr,
+    /// Services and how many engines each has at first in each failure domain.
+    pub services: Vec<Service>,
+    /// Failure domains.
+    pub domains: Vec<String>,
+}
+
+/// Engines of a service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Engines in each failure domain.
+    pub count: u32,
+    /// Requests that one of them works on at once.
+    pub slots: u32,
+}
+
+/// Faults that hold until they are changed.
+#[derive(Clone, Copy, Debug, Default, serde::Deserialize, serde::Serialize)]
+#[serde(default)]
+struct Faults {
+    /// The store answers 503.
+    down: bool,
+    /// The store does what it is asked to write and gives no answer.
+    lose: bool,
+}
+
+struct Site {
+    objects: sync::Mutex<objects::Objects>,
+    changes: watch::Sender<u64>,
+    engines: sync::Mutex<collections::BTreeMap<String, Running>>,
+    log: sync::Arc<engine::Log>,
+    orders: sync::Mutex<Vec<wire::Scale>>,
+    reports: sync::Mutex<collections::BTreeMap<u64, wire::Usage>>,
+    faults: sync::Mutex<Faults>,
+    born: sync::atomic::AtomicU64,
+}
+
+struct Running {
+    handle: handle::Handle,
+    entry: servers::Entry,
+}
+
+/// Starts a site with its engines.
+///
+/// # Errors
+///
+/// Fails if an address can't be bound.
+pub fn start(config: Config) -> io::Result<handle::Handle> {
+    let server = server::Server::bind(config.listen, 1)?;
+    let site = sync::Arc::new(Site {
+        objects: sync::Mutex::default(),
+        changes: watch::Sender::new(0),
+        engines: sync::Mutex::default(),
+        log: sync::Arc::default(),
+        orders: sync::Mutex::default(),
+        reports: sync::Mutex::default(),
+        faults: sync::Mutex::default(),
+        born: sync::atomic::AtomicU64::new(1),
+    });
+    for service in &config.services {
+        for domain in &config.domains {
+            for _ in 0..service.count {
+                site.add(&service.name, domain, service.slots, false)?;
+            }
+        }
+    }
+    server.run(move |request| respond(site.clone(), request))
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+async fn respond(site: sync::Arc<Site>, request: http::Request<body::Incoming>) -> reply::Outcome {
+    let request = match request::read(request).await {
+        Ok(request) => request,
+        Err(response) => return Ok(*response),
+    };
+    let path = request.uri().path().to_owned();
+    if let Some(what) = path.strip_prefix("/standin/") {
+        return Ok(site.steer(what, &request));
+    }
+    if path == names::REPORT || path == names::ORDER {
+        return Ok(site.duty(&path, &request));
+    }
+    let faults = *lock(&site.faults);
+    if faults.down {
+        return Ok(reply::failed());
+    }
+    let response = site.object(&path, &request).await;
+    match faults.lose && request.method() != http::Method::GET {
+        true => Err(reply::cut()),
+        false => Ok(response),
+    }
+}
+
+impl Site {
+    /// Answers a call to the store.
+    async fn object(&self, path: &str, request: &request::Request) -> reply::Response {
+        let rest = path.strip_prefix(names::OBJECTS).unwrap_or("");
+        let mut parts = rest.trim_start_matches('/').splitn(3, '/');
+        let (kind, name, part) = (parts.next(), parts.next(), parts.next());
+        let Some(kind) = kind.filter(|kind| !kind.is_empty()) else {
+            return reply::missing();
+        };
+        if name.is_none() && request.method() == http::Method::GET {
+            let since = request::query(request, names::WATCH);
+            return match since.parse() {
+                Ok(since) => self.watch(kind, since, request).await,
+                Err(_) => reply::json(http::StatusCode::OK, &lock(&self.objects).list(kind)),
+            };
+        }
+        let answer = {
+            let mut objects = lock(&self.objects);
+            objects.call(request.method(), kind, name, part, request.body())
+        };
+        self.told();
+        match answer {
+            objects::Answer::Object(object) => reply::json(http::StatusCode::OK, &object),
+            objects::Answer::Conflict(object) => reply::json(http::StatusCode::CONFLICT, &object),
+            objects::Answer::Missing => reply::missing(),
+            objects::Answer::Bad(fault) => reply::bad(fault),
+        }
+    }
+
+    async fn watch(&self, kind: &str, since: u64, request: &request::Request) -> reply::Response {
+        let wait = request::query(request, names::WAIT).parse().unwrap_or(0);
+        let wait = time::Duration::from_millis(wait).min(MAX_WAIT);
+        let mut changes = self.changes.subscribe();
+        let waiting = async {
+            loop {
+                let seen = lock(&self.objects).since(kind, since);
+                if !seen.events.is_empty() || changes.changed().await.is_err() {
+                    return seen;
+                }
+            }
+        };
+        let seen = tokio::time::timeout(wait, waiting).await;
+        let seen = seen.unwrap_or_else(|_| lock(&self.objects).since(kind, since));
+        reply::json(http::StatusCode::OK, &seen)
+    }
+
+    fn told(&self) {
+        let revision = lock(&self.objects).revision();
+        self.changes.send_replace(revision);
+    }
+
+    /// Takes a duty's call; one with a lower fencing number than before is refused.
+    fn duty(&self, path: &str, request: &request::Request) -> reply::Response {
+        let fence = request::header(request, names::FENCE).parse().unwrap_or(0);
+        if !lock(&self.objects).passes(fence) {
+            return reply::error(http::StatusCode::CONFLICT, "a higher fence was seen");
+        }
+        match path {
+            names::REPORT => match request::json::<wire::Usage>(request) {
+                Ok(usage) => {
+                    lock(&self.reports).insert(usage.window, usage);
+                    reply::done()
+                }
+                Err(response) => *response,
+            },
+            _ => match request::json::<wire::Scale>(request) {
+                Ok(order) => {
+                    self.scale(&order);
+                    lock(&self.orders).push(order);
+                    reply::done()
+                }
+                Err(response) => *response,
+            },
+        }
+    }
+
+    /// Starts or ends engines until there are as many as ordered.
+    fn scale(&self, order: &wire::Scale) {
+        let is_ordered = |running: &Running| {
+            let entry = &running.entry;
+            entry.service == order.service.as_str()
+                && entry.zone == order.zone.as_str()
+                && entry.spot == order.spot
+                && entry.state == servers::State::Ready
+        };
+        let present: Vec<_> = {
+            let engines = lock(&self.engines);
+            let ordered = engines.iter().filter(|(_, running)| is_ordered(running));
+            ordered.map(|(name, _)| name.clone()).collect()
+        };
+        let slots = {
+            let engines = lock(&self.engines);
+            let of = |r: &&Running| r.entry.service == order.service.as_str();
+            engines.values().find(of).map_or(8, |r| r.entry.slots)
+        };
+        let desired = order.desired.min(MAX_ENGINES);
+        for _ in present.len() as u32..desired {
+            if self
+                .add(&order.service, &order.zone, slots, order.spot)
+                .is_err()
+            {
+                return;
+            }
+        }
+        for name in present.iter().skip(desired as usize) {
+            self.drain(name);
+        }
+    }
+
+    fn add(&self, service: &str, domain: &str, slots: u32, spot: bool) -> io::Result<()> {
+        let born = self.born.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let name = format!("{service}-{born}");
+        let handle = engine::start(name.clone(), slots, self.log.clone())?;
+        let entry = servers::Entry {
+            service: service.to_owned(),
+            address: handle.address(),
+            zone: domain.to_owned(),
+            version: String::from("v1"),
+            slots,
+            state: servers::State::Ready,
+            cold_left_ms: 0.0,
+            born,
+            spot,
+        };
+        lock(&self.objects).set(names::SERVERS, &name, &raw(&entry));
+        lock(&self.engines).insert(name, Running { handle, entry });
+        self.told();
+        Ok(())
+    }
+
+    /// Lets an engine leave: its entry says so, and it goes on with what it has.
+    fn drain(&self, name: &str) -> bool {
+        let mut engines = lock(&self.engines);
+        let Some(running) = engines.get_mut(name) else {
+            return false;
+        };
+        running.entry.state = servers::State::Draining;
+        lock(&self.objects).set(names::SERVERS, name, &raw(&running.entry));
+        drop(engines);
+        self.told();
+        true
+    }
+
+    /// Ends an engine at once; its entry goes with it.
+    fn crash(&self, name: &str) -> bool {
+        let Some(running) = lock(&self.engines).remove(name) else {
+            return false;
+        };
+        lock(&self.objects).remove(names::SERVERS, name);
+        self.told();
+        // The end of the engine's thread is not waited for here.
+        std::thread::spawn(move || running.handle.shutdown());
+        true
+    }
+
+    /// Answers a question about the site, or changes it.
+    fn steer(&self, what: &str, request: &request::Request) -> reply::Response {
+        let name = request::query(request, "name");
+        let status = http::StatusCode::OK;
+        match what {
+            "requests" => reply::json(status, &self.log.runs()),
+            "orders" => reply::json(status, &*lock(&self.orders)),
+            "reports" => reply::json(status, &*lock(&self.reports)),
+            "faults" => match request::json(request) {
+                Ok(faults) => {
+                    *lock(&self.faults) = faults;
+                    reply::done()
+                }
+                Err(response) => *response,
+            },
+            "drain" if self.drain(&name) => reply::done(),
+            "crash" if self.crash(&name) => reply::done(),
+            _ => reply::missing(),
+        }
+    }
+}
+
+fn raw(value: &impl serde::Serialize) -> Box<value::RawValue> {
+    value::to_raw_value(value).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standins/src/site/engine.rs
@@ -0,0 +1,166 @@
+//! An engine of a site.
+
+use std::collections;
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use guavausher_platform::names;
+use hyper::body;
+use tokio::sync::mpsc;
+
+use crate::body as out;
+use crate::handle;
+use crate::reply;
+use crate::request;
+use crate::server;
+
+/// Tokens in one event of a stream.
+const STRIDE: u32 = 4;
+/// Time between two events.
+const PACE: time::Duration = time::Duration::from_millis(15);
+/// Prompt tokens that are read in a millisecond.
+const READING: u32 = 80;
+/// Requests that are remembered.
+const MAX_RUNS: usize = 100_000;
+
+/// Requests that engines ran, by the caller's id.
+#[derive(Default)]
+pub struct Log {
+    runs: sync::Mutex<collections::BTreeMap<String, Vec<String>>>,
+}
+
+impl Log {
+    /// Returns the engines that ran each request.
+    pub fn runs(&self) -> collections::BTreeMap<String, Vec<String>> {
+        super::lock(&self.runs).clone()
+    }
+
+    fn ran(&self, id: &str, engine: &str) {
+        let mut runs = super::lock(&self.runs);
+        if runs.len() < MAX_RUNS {
+            runs.entry(id.to_owned())
+                .or_default()
+                .push(engine.to_owned());
+        }
+    }
+}
+
+struct Engine {
+    name: String,
+    slots: u32,
+    log: sync::Arc<Log>,
+    running: sync::atomic::AtomicU32,
+}
+
+/// Starts an engine on a free port.
+pub(super) fn start(name: String, slots: u32, log: sync::Arc<Log>) -> io::Result<handle::Handle> {
+    let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+    let server = server::Server::bind(any, 1)?;
+    let engine = sync::Arc::new(Engine {
+        name,
+        slots,
+        log,
+        running: sync::atomic::AtomicU32::new(0),
+    });
+    server.run(move |request| respond(engine.clone(), request))
+}
+
+async fn respond(
+    engine: sync::Arc<Engine>,
+    request: http::Request<body::Incoming>,
+) -> reply::Outcome {
+    let request = match request::read(request).await {
+        Ok(request) => request,
+        Err(response) => return Ok(*response),
+    };
+    let names = names::dialect();
+    let id = request::header(&request, names.id).to_owned();
+    let meant = request::header(&request, names.instance);
+    if !meant.is_empty() && meant != engine.name {
+        return Ok(refuse(http::StatusCode::MISDIRECTED_REQUEST, &id));
+    }
+    if id.is_empty() {
+        return Ok(refuse(http::StatusCode::BAD_REQUEST, &id));
+    }
+    let Some(place) = Place::take(&engine) else {
+        return Ok(refuse(http::StatusCode::SERVICE_UNAVAILABLE, &id));
+    };
+    engine.log.ran(&id, &engine.name);
+    let counts = request::header(&request, names::TOKENS);
+    let response = match counts.split_once(',') {
+        Some((prompt, output)) => {
+            let prompt = prompt.parse().unwrap_or(0);
+            let events = output.parse().unwrap_or(STRIDE).div_ceil(STRIDE);
+            let after = request::header(&request, names.resume).parse().unwrap_or(0);
+            stream(place, prompt, after..events)
+        }
+        None => reply::json(http::StatusCode::OK, &serde_json::json!({ "done": id })),
+    };
+    Ok(stamp(response, &id, &engine.name))
+}
+
+/// A slot of an engine, free again when it is dropped.
+struct Place {
+    engine: sync::Arc<Engine>,
+}
+
+impl Place {
+    fn take(engine: &sync::Arc<Engine>) -> Option<Self> {
+        let before = engine.running.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let place = Self {
+            engine: engine.clone(),
+        };
+        (before < engine.slots).then_some(place)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let running = &self.engine.running;
+        running.fetch_sub(1, sync::atomic::Ordering::Relaxed);
+    }
+}
+
+fn stream(place: Place, prompt: u32, events: std::ops::Range<u32>) -> reply::Response {
+    let (pieces, body) = mpsc::channel(8);
+    tokio::spawn(async move {
+        let _place = place;
+        let reading = time::Duration::from_millis(u64::from(prompt / READING));
+        tokio::time::sleep(reading).await;
+        for event in events {
+            let text = format!("id: {}\ndata: t{event}\n\n", event + 1);
+            if pieces.send(Ok(text.into())).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(PACE).await;
+        }
+    });
+    let mut response = http::Response::new(out::Body::Pieces(body));
+    reply::set(&mut response, "content-type", "text/event-stream");
+    response
+}
+
+fn stamp(mut response: reply::Response, id: &str, engine: &str) -> reply::Response {
+    let names = names::dialect();
+    put(&mut response, names.id, id);
+    put(&mut response, names.stamp, engine);
+    response
+}
+
+fn refuse(status: http::StatusCode, id: &str) -> reply::Response {
+    let names = names::dialect();
+    let mut response = reply::error(status, "not run");
+    put(&mut response, names.id, id);
+    put(&mut response, names.refusal, "1");
+    response
+}
+
+fn put(response: &mut reply::Response, name: &str, value: &str) {
+    let name = http::header::HeaderName::from_bytes(name.as_bytes());
+    let value = http::header::HeaderValue::from_str(value);
+    if let (Ok(name), Ok(value)) = (name, value) {
+        response.headers_mut().insert(name, value);
+    }
+}
