Move services to new versions by the evidence of all instances

Cause: the contract on roll-outs was not met; an order in the store stayed without a status.

Change: a new version gets a bounded share until three quarters of its time have passed; answers and delays are compared by route and in all, over all instances; a bad version gets nothing more at once, and the holder of the lease writes the status. Where the old engines have ended, the new ones serve.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -20,6 +20,7 @@
 pub mod manifest;
 pub mod peers;
 pub mod reduce;
+pub mod rollouts;
 pub mod route;
 pub mod scaling;
 pub mod service;
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use super::census;
+use super::rollouts;
 use super::tracked;
 use crate::name;
 
@@ -33,6 +34,19 @@
     pub micros: u64,
 }
 
+/// Answers of the versions of a service that is moved, on one route.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Trial {
+    /// The service.
+    pub service: name::Name,
+    /// The version that it moves to.
+    pub target: name::Name,
+    /// The route.
+    pub route: name::Name,
+    /// Answers.
+    pub pair: rollouts::Pair,
+}
+
 /// Engines that crashed under one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Crash {
@@ -74,6 +88,8 @@
     pub spent: Vec<Spent>,
     /// What it has counted in the newest windows.
     pub counts: Vec<census::Count>,
+    /// Answers of the versions of services that are moved.
+    pub trials: Vec<Trial>,
     /// Requests under which engines crashed.
     pub crashes: Vec<Crash>,
     /// Addresses of some instances that it hears from.
--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -8,8 +8,10 @@
 pub mod usage;
 
 use std::collections;
+use std::time::Duration;
 
 use super::census;
+use super::rollouts;
 use super::scaling;
 use super::state;
 use crate::lease;
@@ -19,6 +21,8 @@
 
 /// Shard of the lease that covers all duties.
 const SHARD: u64 = 0;
+/// Time between two looks at the moves to new versions.
+const MOVES: Duration = Duration::from_millis(400);
 /// Instances that compete for the lease.
 const CANDIDATES: usize = 3;
 
@@ -40,6 +44,8 @@
         /// Number of the window.
         window: u64,
     },
+    /// Write how far a move to a new version is.
+    Move(rollouts::Verdict),
     /// Order engines.
     Order(orders::Order),
     /// The lease was taken; a fencing number goes with each call from now on.
@@ -60,6 +66,8 @@
     /// Orders of engines.
     pub orders: orders::Orders,
     planner: scaling::Planner,
+    /// When the moves to new versions are looked at again.
+    moves: time::Time,
 }
 
 impl Duties {
@@ -70,6 +78,7 @@
             usage: usage::Usage::default(),
             orders: orders::Orders::default(),
             planner: scaling::Planner::default(),
+            moves: time::Time::default(),
         }
     }
 
@@ -93,6 +102,11 @@
             return work;
         }
         work.extend(self.usage.tick(now, state));
+        if now >= self.moves {
+            self.moves = now.after(MOVES);
+            let verdicts = state.rollouts.verdicts(state.clock.micros(now));
+            work.extend(verdicts.into_iter().map(Work::Move));
+        }
         let orders = self.orders.tick(now, wanted);
         work.extend(orders.into_iter().map(Work::Order));
         work
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -193,6 +193,12 @@
         self.engines.values().map(|t| &t.engine)
     }
 
+    /// Tells whether a service has an engine of a version that may get new work.
+    pub fn has_version(&self, now: time::Time, service: &name::Name, version: &name::Name) -> bool {
+        let mut open = self.open(now);
+        open.any(|e| e.service == *service && e.version == *version)
+    }
+
     /// Returns the microseconds of reading that this instance has given to each service.
     pub fn work(&self) -> impl Iterator<Item = (&name::Name, u64)> {
         self.work.iter().map(|(service, micros)| (service, *micros))
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -50,6 +50,7 @@
         event::Event::Attempt { request, signal } => attempt(state, now, request, signal),
         event::Event::Engines { list, lapsed } => engines(state, now, list, lapsed),
         event::Event::Manifest(manifest) => in_force(state, now, manifest),
+        event::Event::Rollouts(orders) => state.rollouts.replace(orders),
         event::Event::Heard(digest) => hear(state, now, digest),
         event::Event::Tick => tick(state, now),
     }
@@ -91,11 +92,30 @@
     if now.after(MIN_LEFT) >= ask.deadline {
         return give_up(state, now, request, refusal::Code::Deadline, None);
     }
+    let is_repeat = !flight.tried.is_empty();
+    let mut pick = state
+        .rollouts
+        .pick(&state.settings, &ask.service, is_repeat);
+    let is_there = |version: &name::Name| state.fleet.has_version(now, &ask.service, version);
+    pick.only = pick.only.filter(is_there);
     let limits = fleet::Limits {
         excluded: &flight.tried,
-        ..fleet::Limits::default()
+        version: pick.only.as_ref(),
+        barred: pick.barred.as_ref(),
     };
-    let choice = match state.fleet.choose(now, ask, limits) {
+    let chosen = state.fleet.choose(now, ask, limits);
+    let chosen = chosen.or_else(|lack| match pick.yields {
+        true => state.fleet.choose(
+            now,
+            ask,
+            fleet::Limits {
+                barred: None,
+                ..limits
+            },
+        ),
+        false => Err(lack),
+    });
+    let choice = match chosen {
         Ok(choice) => choice,
         Err(_) => {
             let at = now.after(ENGINE_RETURN);
@@ -206,6 +226,11 @@
     };
     running.first = true;
     let took = running.began.until(now);
+    let (service, choice) = (&flight.ask.service, &running.choice);
+    let (route, version) = (&flight.ask.route.name, &choice.version);
+    state
+        .rollouts
+        .timed(service, route, version, took, choice.plain);
     state
         .fleet
         .first(&flight.ask.service, &running.choice, took);
@@ -370,6 +395,17 @@
         return;
     };
     if let Some(running) = flight.running.take() {
+        let is_good = matches!(sign, fleet::Sign::Good);
+        if is_good
+            || matches!(
+                sign,
+                fleet::Sign::Bad | fleet::Sign::Broke | fleet::Sign::Silent
+            )
+        {
+            let (service, route) = (&flight.ask.service, &flight.ask.route.name);
+            let version = &running.choice.version;
+            state.rollouts.answered(service, route, version, is_good);
+        }
         state.fleet.end(&running.choice, running.first);
         state.fleet.judge(now, &running.choice, sign);
     }
@@ -468,6 +504,7 @@
             .merge(&digest.counts);
     }
     state.fleet.hear(&sender, &digest.loads);
+    state.rollouts.hear(&sender, &digest.trials);
     state.suspects.hear(now, &sender, &digest.crashes);
     let charges = state.peers.hear(now, digest).unwrap_or_default();
     for charge in charges {
--- /dev/null
+++ b/crates/core/src/relay/rollouts.rs
@@ -0,0 +1,356 @@
+//! Moves of services to new versions.
+//!
+//! A new version gets a small share of the requests until shortly before its deadline, and all of
+//! them only once it is done: a version may turn bad late, and what it has got by then is bounded.
+//! Each instance compares the new version's answers with the old one's, on all routes together
+//! and on each, with what the other instances tell of theirs, and stops sending to a bad one at
+//! once. The holder of the lease writes the verdict.
+
+use std::collections;
+use std::time::Duration;
+
+use super::digest;
+use super::settings;
+use crate::name;
+
+/// Part of the allowed exposure that is used.
+const EXPOSURE_MARGIN: f64 = 0.7;
+/// Part of the time after which a version without fault is done.
+const ENOUGH: f64 = 0.75;
+/// Answers of a new version before it is judged.
+const MIN_ANSWERS: u32 = 8;
+/// Bad answers below which a version is not bad.
+const MIN_BAD: u32 = 4;
+/// Standard deviations by which bad answers must exceed those of the old version.
+const DEVIATIONS: f64 = 2.5;
+/// Share of bad answers above that of the old version.
+const EXCESS: f64 = 0.1;
+/// First events before the speed of a version is judged.
+const MIN_TIMED: u32 = 12;
+/// Delay of a bad version against the old one's.
+const SLOWNESS: f64 = 1.9;
+
+/// How far a move is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// Nobody has taken it up.
+    Ordered,
+    /// The new version gets a share.
+    Running,
+    /// The new version serves.
+    Completed,
+    /// The old version serves.
+    RolledBack,
+}
+
+/// A move as the operator ordered it, and as its status says.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// The service.
+    pub service: name::Name,
+    /// The version to move to.
+    pub target: name::Name,
+    /// Time that it may take.
+    pub span: Duration,
+    /// How far it is.
+    pub stage: Stage,
+    /// True time in microseconds at which it is due, once somebody has taken it up.
+    pub due: Option<u64>,
+}
+
+/// Answers of one version.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Tally {
+    /// Answers.
+    pub answers: u32,
+    /// Bad ones among them.
+    pub bad: u32,
+    /// First events that were timed.
+    pub timed: u32,
+    /// Sum of their delays against what was expected, in hundredths.
+    pub delay: u64,
+}
+
+/// Answers of the new and the old version on one route.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Pair {
+    /// Of the new version.
+    pub new: Tally,
+    /// Of all others.
+    pub old: Tally,
+}
+
+/// Which engines a request may go to.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Pick {
+    /// Only those of this version.
+    pub only: Option<name::Name>,
+    /// None of this version.
+    pub barred: Option<name::Name>,
+    /// Whether the barred version may serve where no other one is left: the old engines end as
+    /// soon as a move is done, which some instances hear later than others.
+    pub yields: bool,
+}
+
+/// What the holder of the lease is to write.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Verdict {
+    /// The service.
+    pub service: name::Name,
+    /// The version that it moves to.
+    pub target: name::Name,
+    /// How far it is now.
+    pub stage: Stage,
+    /// True time in microseconds at which it is due.
+    pub due: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Trial {
+    order: Order,
+    requests: u64,
+    exposed: u64,
+    own: collections::BTreeMap<name::Name, Pair>,
+    others: collections::BTreeMap<name::Name, Vec<digest::Trial>>,
+}
+
+/// All moves.
+#[derive(Clone, Debug, Default)]
+pub struct Rollouts {
+    trials: collections::BTreeMap<name::Name, Trial>,
+}
+
+impl Rollouts {
+    /// Takes over the orders as they stand in the store.
+    pub fn replace(&mut self, orders: Vec<Order>) {
+        let mut old = std::mem::take(&mut self.trials);
+        for order in orders {
+            let known = old.remove(&order.service);
+            let same = known.filter(|trial| trial.order.target == order.target);
+            let trial = match same {
+                Some(trial) => Trial { order, ..trial },
+                None => Trial {
+                    order,
+                    requests: 0,
+                    exposed: 0,
+                    own: collections::BTreeMap::new(),
+                    others: collections::BTreeMap::new(),
+                },
+            };
+            self.trials.insert(trial.order.service.clone(), trial);
+        }
+    }
+
+    /// Decides which engines a request may go to; a repeat never goes to a version on trial.
+    pub fn pick(
+        &mut self,
+        settings: &settings::Settings,
+        service: &name::Name,
+        is_repeat: bool,
+    ) -> Pick {
+        let Some(trial) = self.trials.get_mut(service) else {
+            return Pick::default();
+        };
+        let target = Some(trial.order.target.clone());
+        let is_bad = trial.is_bad();
+        let barred = Pick {
+            only: None,
+            barred: target.clone(),
+            yields: trial.is_open() && !is_bad,
+        };
+        let only = Pick {
+            only: target,
+            ..Pick::default()
+        };
+        match trial.order.stage {
+            Stage::Completed => return only,
+            Stage::RolledBack => return barred,
+            Stage::Ordered | Stage::Running => {}
+        }
+        if is_repeat || is_bad {
+            return barred;
+        }
+        trial.requests += 1;
+        let share = settings.exposure * EXPOSURE_MARGIN;
+        if (trial.exposed + 1) as f64 > share * trial.requests as f64 {
+            return barred;
+        }
+        trial.exposed += 1;
+        only
+    }
+
+    /// Counts an answer of a version.
+    pub fn answered(
+        &mut self,
+        service: &name::Name,
+        route: &name::Name,
+        version: &name::Name,
+        is_good: bool,
+    ) {
+        if let Some(tally) = self.tally(service, route, version) {
+            tally.answers += 1;
+            tally.bad += u32::from(!is_good);
+        }
+    }
+
+    /// Counts the time of a first event against what was expected.
+    pub fn timed(
+        &mut self,
+        service: &name::Name,
+        route: &name::Name,
+        version: &name::Name,
+        took: Duration,
+        expected: Duration,
+    ) {
+        /// Longest delay that is counted, as a multiple of what was expected.
+        const MAX_RATIO: f64 = 20.0;
+        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        if let Some(tally) = self.tally(service, route, version) {
+            tally.timed += 1;
+            tally.delay += (ratio.min(MAX_RATIO) * 100.0) as u64;
+        }
+    }
+
+    fn tally(
+        &mut self,
+        service: &name::Name,
+        route: &name::Name,
+        version: &name::Name,
+    ) -> Option<&mut Tally> {
+        let trial = self.trials.get_mut(service)?;
+        let pair = trial.own.entry(route.clone()).or_default();
+        Some(match *version == trial.order.target {
+            true => &mut pair.new,
+            false => &mut pair.old,
+        })
+    }
+
+    /// Takes over what another instance tells.
+    pub fn hear(&mut self, from: &name::Name, told: &[digest::Trial]) {
+        for trial in self.trials.values_mut() {
+            let mine = told
+                .iter()
+                .filter(|t| t.service == trial.order.service && t.target == trial.order.target);
+            let mine: Vec<_> = mine.cloned().collect();
+            if !mine.is_empty() {
+                trial.others.insert(from.clone(), mine);
+            }
+        }
+    }
+
+    /// Returns what to tell the other instances.
+    pub fn told(&self) -> Vec<digest::Trial> {
+        /// Routes that one digest tells.
+        const MAX_TOLD: usize = 24;
+        let open = self.trials.values().filter(|t| t.is_open());
+        let told = open.flat_map(|trial| {
+            trial.own.iter().map(|(route, pair)| digest::Trial {
+                service: trial.order.service.clone(),
+                target: trial.order.target.clone(),
+                route: route.clone(),
+                pair: *pair,
+            })
+        });
+        told.take(MAX_TOLD).collect()
+    }
+
+    /// Returns what the holder of the lease is to write at this true time.
+    pub fn verdicts(&self, micros: u64) -> Vec<Verdict> {
+        let open = self.trials.values().filter(|t| t.is_open());
+        open.filter_map(|trial| trial.verdict(micros)).collect()
+    }
+}
+
+impl Trial {
+    fn is_open(&self) -> bool {
+        matches!(self.order.stage, Stage::Ordered | Stage::Running)
+    }
+
+    fn verdict(&self, micros: u64) -> Option<Verdict> {
+        let span = self.order.span.as_micros() as u64;
+        let due = self.order.due.unwrap_or(micros + span);
+        let decide = due.saturating_sub((span as f64 * (1.0 - ENOUGH)) as u64);
+        let stage = if self.is_bad() {
+            Stage::RolledBack
+        } else if micros >= decide {
+            Stage::Completed
+        } else {
+            Stage::Running
+        };
+        let is_news = stage != self.order.stage;
+        is_news.then(|| Verdict {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            stage,
+            due,
+        })
+    }
+
+    fn is_bad(&self) -> bool {
+        let pairs = self.pairs();
+        let all = pairs
+            .values()
+            .fold(Pair::default(), |sum, pair| sum + *pair);
+        is_bad(&all) || pairs.values().any(is_bad)
+    }
+
+    /// Returns the answers on each route at all instances.
+    fn pairs(&self) -> collections::BTreeMap<name::Name, Pair> {
+        let mut pairs = self.own.clone();
+        for told in self.others.values().flatten() {
+            let pair = pairs.entry(told.route.clone()).or_default();
+            *pair = *pair + told.pair;
+        }
+        pairs
+    }
+}
+
+impl std::ops::Add for Tally {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            answers: self.answers.saturating_add(other.answers),
+            bad: self.bad.saturating_add(other.bad),
+            timed: self.timed.saturating_add(other.timed),
+            delay: self.delay.saturating_add(other.delay),
+        }
+    }
+}
+
+impl std::ops::Add for Pair {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            new: self.new + other.new,
+            old: self.old + other.old,
+        }
+    }
+}
+
+impl Tally {
+    /// Returns the share of bad answers, with one imaginary good answer.
+    fn badness(&self) -> f64 {
+        f64::from(self.bad) / (f64::from(self.answers) + 1.0)
+    }
+
+    fn mean(&self) -> f64 {
+        self.delay as f64 / f64::from(self.timed.max(1))
+    }
+}
+
+/// Tells whether the new version's answers are worse than chance explains.
+fn is_bad(pair: &Pair) -> bool {
+    let (new, old) = (pair.new, pair.old);
+    let usual = old.badness();
+    let answers = f64::from(new.answers);
+    let expected = usual * answers;
+    let deviation = (expected * (1.0 - usual) + 1.0).sqrt();
+    let fails = new.answers >= MIN_ANSWERS
+        && new.bad >= MIN_BAD
+        && f64::from(new.bad) > expected + DEVIATIONS * deviation
+        && f64::from(new.bad) / answers > usual + EXCESS;
+    let is_timed = new.timed >= MIN_TIMED && old.timed >= MIN_TIMED;
+    fails || is_timed && new.mean() > SLOWNESS * old.mean()
+}
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -14,6 +14,7 @@
 use super::flight;
 use super::manifest;
 use super::peers;
+use super::rollouts;
 use super::settings;
 use super::suspects;
 use crate::name;
@@ -54,6 +55,8 @@
     pub census: census::Census,
     /// The same of other processes.
     pub others: collections::BTreeMap<Process, census::Census>,
+    /// Moves of services to new versions.
+    pub rollouts: rollouts::Rollouts,
     /// True time.
     pub clock: clock::Clock,
     /// Other instances.
@@ -90,6 +93,7 @@
             budget: budget::Budget::default(),
             census: census::Census::default(),
             others: collections::BTreeMap::new(),
+            rollouts: rollouts::Rollouts::default(),
             clock,
             peers: peers::Peers::default(),
             suspects: suspects::Suspects::default(),
@@ -193,6 +197,7 @@
             work: work.collect(),
             spent: spent.collect(),
             counts: self.census.newest(TOLD_WINDOWS),
+            trials: self.rollouts.told(),
             crashes: self.suspects.told(),
             members: self.peers.told(now),
         }
--- a/crates/core/tests/relay_duties.rs
+++ b/crates/core/tests/relay_duties.rs
@@ -78,7 +78,7 @@
                         .ordered(now, &order, orders::Outcome::Taken);
                     self.orders.push(order);
                 }
-                Work::Forget { .. } | Work::Acquired { .. } | Work::Lost => {}
+                Work::Move(_) | Work::Forget { .. } | Work::Acquired { .. } | Work::Lost => {}
             }
         }
     }
--- /dev/null
+++ b/crates/core/tests/relay_rollouts.rs
@@ -0,0 +1,224 @@
+//! Moves to new versions: exposure, verdicts, and the end of the old engines.
+
+mod relay_support;
+
+use std::time::Duration;
+
+use guavausher_core::relay::event::{self, Signal};
+use guavausher_core::relay::{engine, rollouts, route};
+use guavausher_core::time;
+use relay_support::{EPOCH, Instance, START, ask, at, engine, engines, name, refused, sent};
+use rstest::rstest;
+
+const SPAN: Duration = Duration::from_secs(12);
+
+fn order(stage: rollouts::Stage) -> event::Event {
+    event::Event::Rollouts(vec![rollouts::Order {
+        service: name("model"),
+        target: name("v2"),
+        span: SPAN,
+        stage,
+        due: Some(EPOCH + SPAN.as_micros() as u64),
+    }])
+}
+
+fn versions(old: usize, new: usize) -> Vec<engine::Engine> {
+    let mut list: Vec<_> = (0..old + new).map(engine).collect();
+    for engine in &mut list[old..] {
+        engine.version = name("v2");
+    }
+    list
+}
+
+fn trial() -> Instance {
+    trial_at(1)
+}
+
+fn trial_at(index: u16) -> Instance {
+    let mut instance = Instance::serving(index, 0);
+    instance.apply(START, engines(versions(4, 4)));
+    instance.apply(START, order(rollouts::Stage::Running));
+    instance
+}
+
+/// Sends a request and ends it; returns whether the new version got it.
+fn run(instance: &mut Instance, now: time::Time, id: u64, new: Signal, slow: u32) -> bool {
+    let arrived = event::Event::Arrived(ask(id, now, route::Repeat::Stream, 1));
+    let effects = instance.apply(now, arrived);
+    let engine = sent(&effects).expect("sent");
+    let is_new = !["e0", "e1", "e2", "e3"].contains(&engine.as_str());
+    let took = Duration::from_millis(100) * if is_new { slow } else { 1 };
+    instance.signal(now.after(took), id, Signal::First);
+    let end = if is_new {
+        new
+    } else {
+        Signal::Whole { status: 200 }
+    };
+    instance.signal(now.after(took), id, end);
+    is_new
+}
+
+#[rstest]
+#[case::failing(Signal::Whole { status: 500 }, 1)]
+#[case::broken(Signal::Broken { unanswered: false }, 1)]
+#[case::slow(Signal::Whole { status: 200 }, 4)]
+fn bad_version_is_taken_back_and_hardly_exposed(#[case] signal: Signal, #[case] slow: u32) {
+    let mut instance = trial();
+    let exposed = (0..2_000).filter(|id| run(&mut instance, at(id * 4), *id, signal, slow));
+    let exposed = exposed.count();
+    assert!(exposed <= 50, "{exposed}");
+    let verdicts = instance.state.rollouts.verdicts(EPOCH + 8_000_000);
+    assert_eq!(verdicts[0].stage, rollouts::Stage::RolledBack);
+}
+
+#[test]
+fn version_that_turns_bad_late_gets_a_small_share() {
+    let mut instance = trial();
+    let mut exposed = 0;
+    for id in 0..2_000 {
+        let status = if id < 1_200 { 200 } else { 500 };
+        exposed += u32::from(run(
+            &mut instance,
+            at(id * 4),
+            id,
+            Signal::Whole { status },
+            1,
+        ));
+    }
+    // A tenth of the requests is allowed.
+    assert!(exposed <= 200, "{exposed}");
+    let verdicts = instance.state.rollouts.verdicts(EPOCH + 8_000_000);
+    assert_eq!(verdicts[0].stage, rollouts::Stage::RolledBack);
+}
+
+#[test]
+fn good_version_is_completed_before_it_is_due() {
+    let mut instance = trial();
+    for id in 0..1_000 {
+        run(
+            &mut instance,
+            at(id * 9),
+            id,
+            Signal::Whole { status: 200 },
+            1,
+        );
+    }
+    assert!(
+        instance
+            .state
+            .rollouts
+            .verdicts(EPOCH + 5_000_000)
+            .is_empty()
+    );
+    let verdicts = instance.state.rollouts.verdicts(EPOCH + 9_500_000);
+    assert_eq!(verdicts[0].stage, rollouts::Stage::Completed);
+    instance.apply(at(9_500), order(rollouts::Stage::Completed));
+    assert!(
+        instance
+            .state
+            .rollouts
+            .verdicts(EPOCH + 9_600_000)
+            .is_empty()
+    );
+    for id in 2_000..2_050 {
+        assert!(run(
+            &mut instance,
+            at(9_600),
+            id,
+            Signal::Whole { status: 200 },
+            1
+        ));
+    }
+}
+
+/// A version that is bad on one route only is hidden in the sum.
+#[test]
+fn version_that_is_bad_on_one_route_is_taken_back() {
+    let mut trials = rollouts::Rollouts::default();
+    let event::Event::Rollouts(orders) = order(rollouts::Stage::Running) else {
+        unreachable!()
+    };
+    trials.replace(orders);
+    for count in 0..400 {
+        trials.answered(&name("model"), &name("r1"), &name("v1"), true);
+        trials.answered(&name("model"), &name("r1"), &name("v2"), true);
+        if count < 12 {
+            trials.answered(&name("model"), &name("r2"), &name("v1"), true);
+            trials.answered(&name("model"), &name("r2"), &name("v2"), count % 2 == 0);
+        }
+    }
+    assert_eq!(trials.verdicts(EPOCH)[0].stage, rollouts::Stage::RolledBack);
+}
+
+#[test]
+fn faults_seen_elsewhere_count() {
+    let mut first = trial();
+    let mut second = trial_at(2);
+    for id in 0..600 {
+        run(&mut first, at(id * 4), id, Signal::Whole { status: 500 }, 1);
+    }
+    second.hear(at(3_000), first.digest(at(3_000)));
+    let exposed = (0..200).filter(|id| {
+        run(
+            &mut second,
+            at(3_000 + id * 4),
+            *id,
+            Signal::Whole { status: 200 },
+            1,
+        )
+    });
+    assert_eq!(exposed.count(), 0);
+}
+
+#[test]
+fn service_with_many_usual_failures_is_no_reason_to_roll_back() {
+    let mut instance = trial();
+    for id in 0..3_000 {
+        let now = at(id * 3);
+        let arrived = event::Event::Arrived(ask(id, now, route::Repeat::Stream, 1));
+        instance.apply(now, arrived);
+        instance.signal(now.after(Duration::from_millis(100)), id, Signal::First);
+        let status = if id % 7 == 0 { 500 } else { 200 };
+        instance.signal(
+            now.after(Duration::from_millis(100)),
+            id,
+            Signal::Whole { status },
+        );
+    }
+    let verdicts = instance.state.rollouts.verdicts(EPOCH + 9_500_000);
+    assert_eq!(verdicts[0].stage, rollouts::Stage::Completed);
+}
+
+/// At the end of a move the old engines stop at once; whoever has not heard of it goes on.
+#[test]
+fn new_version_serves_where_no_other_is_left() {
+    let mut instance = trial();
+    instance.apply(at(10), engines(versions(4, 4).split_off(4)));
+    for id in 0..20 {
+        assert!(run(
+            &mut instance,
+            at(20),
+            id,
+            Signal::Whole { status: 200 },
+            1
+        ));
+    }
+}
+
+#[test]
+fn version_that_was_taken_back_gets_nothing() {
+    let mut instance = trial();
+    instance.apply(at(1), order(rollouts::Stage::RolledBack));
+    for id in 0..100 {
+        assert!(!run(
+            &mut instance,
+            at(2),
+            id,
+            Signal::Whole { status: 200 },
+            1
+        ));
+    }
+    instance.apply(at(3), engines(versions(4, 4).split_off(4)));
+    let arrived = event::Event::Arrived(ask(999, at(3), route::Repeat::Stream, 1));
+    assert!(refused(&instance.apply(at(3), arrived)).is_some());
+}
