--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -28,6 +28,15 @@
         request: u64,
         /// The answer.
         refusal: refusal::Refusal,
+        /// What it rests on.
+        ground: Ground,
+    },
+    /// An engine is avoided for a while, by what it showed.
+    Avoided {
+        /// The engine.
+        engine: name::Name,
+        /// What it showed.
+        sign: fleet::Sign,
     },
     /// An engine has come into use.
     Started(name::Name),
@@ -42,6 +51,19 @@
     Lost(name::Name),
 }
 
+/// What a final answer of our own rests on, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Ground {
+    /// Engines of the service that could get new work.
+    pub engines: usize,
+    /// Expected time to the first event at the best of them, if that decided.
+    pub expected: Option<Duration>,
+    /// Part of the workspace's cap that this instance and those it hears may use.
+    pub part: f64,
+    /// Attempts that were sent.
+    pub sent: u32,
+}
+
 /// One attempt.
 #[derive(Clone, Debug)]
 pub struct Dispatch {
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -383,6 +383,13 @@
     Moved,
 }
 
+impl Sign {
+    /// Tells whether the engine is avoided for a while.
+    pub const fn avoids(self) -> bool {
+        matches!(self, Self::Silent | Self::Unreachable | Self::Moved)
+    }
+}
+
 struct Candidate {
     cost: f64,
     choice: Choice,
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -60,13 +60,14 @@
 fn arrive(state: &mut state::State, now: time::Time, ask: ask::Ask) {
     let request = ask.id;
     if state.suspects.is_blocked(now, ask.fingerprint) {
-        return refuse(state, request, not_run(refusal::Code::Suspect, None));
+        let refusal = not_run(refusal::Code::Suspect, None);
+        return refuse(state, request, refusal, ground(state, now, &ask, 0));
     }
     if let Some(workspace) = &ask.workspace {
         let part = state.peers.part(now);
         if let Err(fits) = state.caps.take(now, workspace, ask.units, part) {
             let refusal = not_run(refusal::Code::Limited, Some(return_at(now, &ask, fits)));
-            return refuse(state, request, refusal);
+            return refuse(state, request, refusal, ground(state, now, &ask, 0));
         }
     }
     state.budget.record(now, &state.settings, &ask.service);
@@ -124,7 +125,8 @@
     };
     let hopeless = hopeless(now, ask, choice.expected);
     if let Some(at) = hopeless.filter(|_| !flight.answering) {
-        return give_up(state, now, request, refusal::Code::Overloaded, Some(at));
+        let code = refusal::Code::Overloaded;
+        return give_up_as(state, now, request, code, Some(at), Some(choice.expected));
     }
     send(state, now, request, choice);
 }
@@ -408,6 +410,12 @@
         }
         state.fleet.end(&running.choice, running.first);
         state.fleet.judge(now, &running.choice, sign);
+        if sign.avoids() {
+            state.out.push(effect::Effect::Avoided {
+                engine: running.choice.engine,
+                sign,
+            });
+        }
     }
 }
 
@@ -420,6 +428,17 @@
     request: u64,
     code: refusal::Code,
     at: Option<time::Time>,
+) {
+    give_up_as(state, now, request, code, at, None);
+}
+
+fn give_up_as(
+    state: &mut state::State,
+    now: time::Time,
+    request: u64,
+    code: refusal::Code,
+    at: Option<time::Time>,
+    expected: Option<Duration>,
 ) {
     let Some(flight) = state.flights.remove(&request) else {
         return;
@@ -444,7 +463,11 @@
         };
         not_run(code, at.map(|at| return_at(now, &flight.ask, at)))
     };
-    refuse(state, request, refusal);
+    let ground = effect::Ground {
+        expected,
+        ..ground(state, now, &flight.ask, flight.sent)
+    };
+    refuse(state, request, refusal, ground);
 }
 
 /// Keeps the time to come back where the caller can still be served.
@@ -457,8 +480,27 @@
     refusal::Refusal::not_run(code, at)
 }
 
-fn refuse(state: &mut state::State, request: u64, refusal: refusal::Refusal) {
-    state.out.push(effect::Effect::Refuse { request, refusal });
+fn refuse(
+    state: &mut state::State,
+    request: u64,
+    refusal: refusal::Refusal,
+    ground: effect::Ground,
+) {
+    state.out.push(effect::Effect::Refuse {
+        request,
+        refusal,
+        ground,
+    });
+}
+
+fn ground(state: &state::State, now: time::Time, ask: &ask::Ask, sent: u32) -> effect::Ground {
+    let open = state.fleet.open(now);
+    effect::Ground {
+        engines: open.filter(|e| e.service == ask.service).count(),
+        expected: None,
+        part: state.peers.part(now),
+        sent,
+    }
 }
 
 fn engines(state: &mut state::State, now: time::Time, list: Vec<engine::Engine>, lapsed: bool) {
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -1,4 +1,4 @@
-//! Structured logs: one line an event, `time level target message key=value`.
+//! Structured logs: one line an event, `time up=seconds level target message key=value`.
 //!
 //! Lines go to the standard output through [`writer::Writer`], so that a reader that stops reading
 //! never stops the process.
@@ -12,15 +12,21 @@
 
 use std::fmt::Write;
 use std::io;
+use std::sync;
+use std::time;
 
 use log::kv;
 
+/// When the process began to log; the steady clock of each line counts from here.
+static STARTED: sync::LazyLock<time::Instant> = sync::LazyLock::new(time::Instant::now);
+
 /// Starts logging to the standard output from the given level on.
 ///
 /// # Errors
 ///
 /// Fails if the process has set a logger before or no thread can be started.
 pub fn init(level: log::LevelFilter) -> io::Result<()> {
+    sync::LazyLock::force(&STARTED);
     let writer = writer::Writer::start(io::stdout())?;
     fern::Dispatch::new()
         .level(level)
@@ -33,8 +39,9 @@
 /// Formats one record as one line without a line end.
 pub fn line(record: &log::Record<'_>) -> String {
     let mut text = format!(
-        "{:.6} {} {} ",
+        "{:.6} up={:.6} {} {} ",
         jiff::Timestamp::now(),
+        STARTED.elapsed().as_secs_f64(),
         record.level(),
         record.target()
     );
--- a/crates/relay/src/carry.rs
+++ b/crates/relay/src/carry.rs
@@ -8,7 +8,7 @@
 use bytes::BytesMut;
 use guavausher_core::name;
 use guavausher_core::refusal;
-use guavausher_core::relay::{ask, event, manifest};
+use guavausher_core::relay::{ask, effect, event, manifest};
 use guavausher_core::time;
 use guavausher_core::verdict;
 use tokio::net::TcpStream;
@@ -56,7 +56,12 @@
     shell.held.set(shell.held.get() + size);
     let fate = match look_up(shell, &request) {
         Ok(entry) => forward(shell, caller, &request, entry, keeps).await,
-        Err(refusal) => refuse(shell, caller, &request, refusal, keeps).await,
+        Err(refusal) => {
+            log::info!(id = request.head.get(shell.dialect.id).unwrap_or(""),
+                reason = refusal.code.as_str(), verdict = refusal.verdict.as_str(),
+                target = request.target; "refused at the door");
+            refuse(shell, caller, &request, refusal, keeps).await
+        }
     };
     shell.held.set(shell.held.get() - size);
     fate
@@ -112,7 +117,7 @@
     let (id, slot) = shell.enter();
     let ask = ask_of(shell, request, entry, id);
     shell.metrics.progress.inc();
-    log::info!(id:% = ask.trace, request = id, route:% = ask.route.name, service:% = ask.service,
+    log::debug!(id:% = ask.trace, request = id, route:% = ask.route.name, service:% = ask.service,
         prompt = ask.prompt, left_ms = ask.arrived.until(ask.deadline).as_millis() as u64;
         "request");
     shell.apply(event::Event::Arrived(ask.clone()));
@@ -138,7 +143,8 @@
         let channel::Channel { stream, inbox, .. } = caller;
         let step = slot.take().await;
         let signal = match &step {
-            slot::Step::Refuse(refusal) => {
+            slot::Step::Refuse(refusal, ground) => {
+                log_ground(shell, ask, *refusal, *ground);
                 return finish(shell, caller, request, ask, *refusal, output).await;
             }
             slot::Step::Send(dispatch) => {
@@ -217,9 +223,39 @@
     }
 }
 
-fn log_attempt(ask: &ask::Ask, dispatch: &guavausher_core::relay::effect::Dispatch) {
+/// Logs why a request got an answer of our own; floods of refusals are sampled by workspace.
+fn log_ground(
+    shell: &shell::Shell,
+    ask: &ask::Ask,
+    refusal: refusal::Refusal,
+    ground: effect::Ground,
+) {
+    let now = clock::now();
+    let workspace = ask.workspace.clone().unwrap_or_default();
+    let is_plain = refusal.verdict == verdict::Verdict::NotRun && ground.sent == 0;
+    let stands_for = match is_plain {
+        true => shell.flood.admit(now, &workspace),
+        false => Some(1),
+    };
+    let Some(stands_for) = stands_for else {
+        return;
+    };
+    log::info!(id:% = ask.trace, reason = refusal.code.as_str(),
+        verdict = refusal.verdict.as_str(), workspace:% = workspace, route:% = ask.route.name,
+        service:% = ask.service, engines = ground.engines, sent = ground.sent,
+        expected_ms = ground.expected.map_or(0, |e| e.as_millis() as u64),
+        cap_part = ground.part, units = ask.units,
+        return_ms = refusal.retry_at.map_or(0, |at| now.until(at).as_millis() as u64),
+        after_ms = ask.arrived.until(now).as_millis() as u64, stands_for = stands_for;
+        "refused");
+}
+
+fn log_attempt(ask: &ask::Ask, dispatch: &effect::Dispatch) {
     let choice = &dispatch.choice;
-    log::info!(id:% = ask.trace, engine:% = choice.engine, attempt = dispatch.number,
+    log::info!(id:% = ask.trace, route:% = ask.route.name, service:% = ask.service,
+        workspace:% = ask.workspace.clone().unwrap_or_default(),
+        engine:% = choice.engine, attempt = dispatch.number, prompt = ask.prompt,
+        left_ms = clock::now().until(ask.deadline).as_millis() as u64,
         expected_ms = choice.expected.as_millis() as u64, ahead = choice.ahead,
         fresh = choice.fresh, running = choice.running; "sent");
 }
@@ -277,10 +313,6 @@
     let id = request.head.get(shell.dialect.id);
     let took = request.arrived.until(clock::now());
     shell.metrics.ended("refused", refusal.code.as_str(), took);
-    log::info!(id = id.unwrap_or(""), reason = refusal.code.as_str(),
-        verdict = refusal.verdict.as_str(),
-        return_ms = refusal.retry_at.map_or(0, |at| clock::now().until(at).as_millis() as u64),
-        after_ms = took.as_millis() as u64; "refused");
     let answer = own_answer(id, shell.dialect.id, refusal, keeps);
     match channel::write_all(&caller.stream, &answer).await {
         Ok(()) if keeps => Fate::Kept,
--- a/crates/relay/src/door.rs
+++ b/crates/relay/src/door.rs
@@ -205,7 +205,7 @@
         answer: |shell, path| match path {
             "/metrics" => Reply {
                 status: 200,
-                body: shell.metrics.text(),
+                body: shell.metrics.text(clock::now(), &shell.state.borrow()),
             },
             path if path == shell.dialect.ready => readiness(shell),
             _ => Reply {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod door;
 pub mod events;
 mod exchange;
+pub mod flood;
 pub mod framing;
 pub mod head;
 pub mod intake;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use guavausher_core::relay::state;
+use guavausher_core::time;
 use prometheus_client::encoding;
 use prometheus_client::metrics::{counter, family, gauge, histogram};
 use prometheus_client::registry;
@@ -27,6 +29,19 @@
     pub ending: &'static str,
 }
 
+/// Labels of a count of engines.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
+struct Engines {
+    service: String,
+    standing: &'static str,
+}
+
+/// Label of a workspace.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
+struct Workspace {
+    workspace: String,
+}
+
 /// Labels of a call to the platform.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
 pub struct Call {
@@ -93,8 +108,8 @@
         self.calls.get_or_create(&Call { call, status }).inc();
     }
 
-    /// Returns all metrics as text.
-    pub fn text(&self) -> String {
+    /// Returns all metrics as text, with what the process believes at the moment.
+    pub fn text(&self, now: time::Time, state: &state::State) -> String {
         let mut registry = registry::Registry::with_prefix("guavausher_relay");
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("attempts", "Attempts by their end", self.attempts.clone());
@@ -125,6 +140,29 @@
             "Between reads of a stream",
             self.gaps.clone(),
         );
+        let engines: family::Family<Engines, gauge::Gauge> = family::Family::default();
+        for engine in state.fleet.all() {
+            let service = engine.service.to_string();
+            let standing = if engine.leaving { "leaving" } else { "open" };
+            let labels = Engines { service, standing };
+            engines.get_or_create(&labels).inc();
+        }
+        registry.register("engines", "Engines by service and standing", engines);
+        let instances: gauge::Gauge = gauge::Gauge::default();
+        instances.set(state.peers.serving(now).count() as i64 + 1);
+        registry.register("instances", "Instances heard, this one included", instances);
+        let fed: gauge::Gauge = gauge::Gauge::default();
+        fed.set(i64::from(state.fed));
+        registry.register("fed", "1 while the store tells changes", fed);
+        let part: gauge::Gauge<f64, std::sync::atomic::AtomicU64> = gauge::Gauge::default();
+        part.set(state.peers.part(now));
+        registry.register("cap_part", "Part of shared caps in use here", part);
+        let spent: family::Family<Workspace, counter::Counter> = family::Family::default();
+        for (workspace, units) in state.caps.spent() {
+            let workspace = workspace.to_string();
+            spent.get_or_create(&Workspace { workspace }).inc_by(units);
+        }
+        registry.register("cap_units", "Units admitted by workspace", spent);
         let dropped: counter::Counter = counter::Counter::default();
         dropped.inc_by(guavausher_logging::writer::dropped());
         registry.register("log_lines_dropped", "Log lines not written", dropped);
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -11,6 +11,7 @@
 
 use crate::clock;
 use crate::dialect;
+use crate::flood;
 use crate::intake;
 use crate::metrics;
 use crate::pool;
@@ -32,6 +33,8 @@
     pub metrics: metrics::Metrics,
     /// How far each kind of object has been read.
     pub positions: cell::RefCell<Vec<digest::Position>>,
+    /// Refusals that were not logged one by one.
+    pub(crate) flood: flood::Flood,
     /// Tells the tasks that the process is stopping.
     pub stopping: sync::watch::Sender<bool>,
     /// Bytes of bodies held at the moment.
@@ -53,6 +56,7 @@
             dialect,
             metrics: metrics::Metrics::default(),
             positions: cell::RefCell::new(positions),
+            flood: flood::Flood::default(),
             stopping: sync::watch::Sender::new(false),
             held: cell::Cell::new(0),
             slots: cell::RefCell::new(collections::HashMap::new()),
@@ -128,8 +132,13 @@
                 self.step(request, slot::Step::Send(dispatch));
             }
             effect::Effect::Relay { request } => self.step(request, slot::Step::Relay),
-            effect::Effect::Refuse { request, refusal } => {
-                self.step(request, slot::Step::Refuse(refusal));
+            effect::Effect::Refuse {
+                request,
+                refusal,
+                ground,
+            } => self.step(request, slot::Step::Refuse(refusal, ground)),
+            effect::Effect::Avoided { engine, sign } => {
+                log::info!(engine:% = engine, sign:? = sign; "engine avoided");
             }
             effect::Effect::Started(engine) => log::info!(engine:% = engine; "engine in use"),
             effect::Effect::Left(engine) => self.left(&engine),
