Tell the story of a request from the logs: guavactl explain

Cause: on-call engineers had to gather a request's lines by hand.

Change: guavactl explain ID reads logs of several instances or standard input and prints the request's steps in order of time, each with the last lines about its engine, the manifest and the store, and how old they were. Tests: explain (three).

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -16,7 +16,7 @@
 const MAX_TIMEOUT_SECONDS: u64 = 86_400;
 const MAX_AUTHOR_BYTES: usize = 64;
 
-const COMMANDS: [(&str, &str); 8] = [
+const COMMANDS: [(&str, &str); 9] = [
     ("check", "check the files"),
     ("plan", "show what an apply would change"),
     (
@@ -40,6 +40,10 @@
         "drain [--undo] UPSTREAM",
         "give an upstream no new work, or work again",
     ),
+    (
+        "explain ID [LOG...]",
+        "tell what happened to a request, from logs or standard input",
+    ),
 ];
 
 const STATUSES: [&str; 5] = [
@@ -174,6 +178,7 @@
                 limit: self.limit()?,
             }),
             Some("drain") => self.drain(),
+            Some("explain") => self.explain(),
             Some(name) => Err(error::Error::Arguments(format!("unknown command `{name}`"))),
             None => Err(error::Error::Arguments("no command given".to_owned())),
         }
@@ -192,6 +197,17 @@
         })
     }
 
+    fn explain(&mut self) -> Result<command::Command, error::Error> {
+        let id = self.free()?;
+        let missing = || error::Error::Arguments("explain needs the ID of a request".to_owned());
+        let id = id.ok_or_else(missing)?;
+        let mut files = Vec::new();
+        while let Some(file) = self.free()? {
+            files.push(file);
+        }
+        Ok(command::Command::Explain { id, files })
+    }
+
     /// Reads a setting from its flag, else from its variable.
     fn setting<T>(
         &mut self,
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -48,6 +48,13 @@
         /// What to do with it.
         action: drain::Action,
     },
+    /// Tells what happened to one request.
+    Explain {
+        /// The caller's id of the request.
+        id: String,
+        /// Logs; the standard input if there are none.
+        files: Vec<String>,
+    },
     /// Prints a text, such as the help.
     Print(String),
 }
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -13,6 +13,7 @@
 use crate::drain;
 use crate::error;
 use crate::exit;
+use crate::explain;
 use crate::files;
 use crate::history;
 use crate::operation;
@@ -97,6 +98,7 @@
                 None => history::list(&self.client()?, *limit),
             },
             command::Command::Audit { limit } => audit::list(&self.client()?, *limit),
+            command::Command::Explain { id, files } => explain::Logs::read(files)?.explain(id),
             command::Command::Drain { upstream, action } => {
                 let operation = self.operation()?;
                 drain::drain(&self.client()?, &operation, upstream, *action)
--- /dev/null
+++ b/crates/ctl/tests/explain.rs
@@ -0,0 +1,67 @@
+//! The story of a request from the logs.
+
+use guavactl::explain;
+
+const FRONT: &str = "\
+2026-08-01T09:40:05.000000Z up=1.0 INFO run manifest in force version=4
+2026-08-01T09:40:05.500000Z up=1.5 INFO shell engine avoided engine=e1 sign=Silent
+2026-08-01T09:40:06.000000Z up=2.0 INFO carry sent id=r1 engine=e1 attempt=1 expected_ms=80
+2026-08-01T09:40:06.100000Z up=2.1 INFO carry sent id=r2 engine=e2 attempt=1
+2026-08-01T09:40:06.300000Z up=2.3 INFO carry attempt ended id=r1 ending=broken signal=\"Broken { unanswered: true }\"
+2026-08-01T09:40:06.301000Z up=2.3 INFO carry refused id=r1 reason=upstream-failed verdict=may-have-run
+not a log line
+2026-08-01T09:40:07.000000Z up=3.0 INFO shell engine avoided engine=e1 sign=Unreachable
+";
+
+fn logs() -> explain::Logs {
+    let mut logs = explain::Logs::default();
+    logs.add_text(0, FRONT);
+    logs
+}
+
+#[test]
+fn explain_tells_the_steps_in_order_with_what_was_believed() {
+    let story = logs().explain("r1").unwrap().text;
+    let lines: Vec<_> = story.lines().collect();
+    assert!(
+        lines[0].starts_with("+0.000 s  carry sent id=r1"),
+        "{story}"
+    );
+    assert!(
+        lines.iter().any(|l| l
+            .trim_start()
+            .starts_with("believed, 0.500 s old: shell engine avoided")),
+        "{story}"
+    );
+    assert!(
+        story.contains("believed, 1.000 s old: run manifest in force version=4"),
+        "{story}"
+    );
+    assert!(
+        lines
+            .iter()
+            .any(|l| l.starts_with("+0.301 s  carry refused id=r1")),
+        "{story}"
+    );
+    assert!(
+        !story.contains("r2") && !story.contains("Unreachable"),
+        "{story}"
+    );
+}
+
+#[test]
+fn explain_reads_lines_behind_a_collectors_words() {
+    let mut logs = explain::Logs::default();
+    let prefixed: String = FRONT
+        .lines()
+        .map(|l| format!("  12.5 front-1 {l}\n"))
+        .collect();
+    logs.add_text(0, &prefixed);
+    assert!(logs.explain("r1").unwrap().text.contains("refused"));
+}
+
+#[test]
+fn explain_names_a_request_that_is_not_there() {
+    let fault = logs().explain("r9").unwrap_err();
+    assert!(fault.to_string().contains("r9"), "{fault}");
+}
