Give no second burst of a cap after a restart

All processes were killed at 13 s; the new ones started with empty meters, so each workspace got its burst again, and each process took the whole cap for its own before it had heard of the others. Besides, each instance counted its own address, which the others tell, as an instance that it does not hear: a tenth of each cap was never used.

Change: a process that follows another one starts its meters at the burst, less half of the tolerated excess, until others tell the level; addresses from which nothing has been heard count as instances; the own address does not.

Tests: cap_gives_no_second_burst_after_a_restart and cap_level_is_learned_from_the_others failed before; cap_is_shared_by_digests found the own address.

--- a/crates/core/src/relay/caps.rs
+++ b/crates/core/src/relay/caps.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use super::manifest;
+use super::settings;
+use super::workspace;
 use crate::name;
 use crate::time;
 
@@ -29,20 +31,37 @@
     at: time::Time,
     /// Units that this instance has admitted in its life.
     spent: u64,
+    /// Whether the level is known rather than taken to be the highest.
+    known: bool,
 }
 
 impl Caps {
     /// Takes over the caps of a manifest.
-    pub fn declare(&mut self, now: time::Time, manifest: &manifest::Manifest) {
+    ///
+    /// A process that follows another one does not know what was used a moment ago. Its meters then
+    /// stand as if the burst had been used, but for a part of the tolerated excess, until others
+    /// tell the level.
+    pub fn declare(
+        &mut self,
+        now: time::Time,
+        settings: &settings::Settings,
+        manifest: &manifest::Manifest,
+        known: bool,
+    ) {
         let old = std::mem::take(&mut self.meters);
         for workspace in manifest.workspaces() {
             let former = old.get(&workspace.name);
             let mut meter = former.cloned().unwrap_or(Meter {
                 rate: workspace.rate,
                 burst: workspace.burst,
-                level: 0.0,
+                level: if known {
+                    0.0
+                } else {
+                    unknown_level(settings, workspace)
+                },
                 at: now,
                 spent: 0,
+                known,
             });
             meter.drain(now, 1.0);
             meter.rate = workspace.rate;
@@ -72,6 +91,8 @@
             return Ok(());
         }
         meter.drain(now, part);
+        // After its burst has drained once, an unknown level can be no higher than this one.
+        meter.known |= meter.level <= 0.0;
         let over = meter.level + f64::from(units) - meter.burst * part;
         if over > 0.0 && meter.level > 0.0 {
             let wait = Duration::from_secs_f64((over / (meter.rate * part)).min(1e6));
@@ -98,10 +119,35 @@
         }
     }
 
+    /// Takes over the level that another instance knows, if none is known here.
+    pub fn learn(&mut self, now: time::Time, workspace: &name::Name, level: u64) {
+        let meter = self.meters.get_mut(workspace);
+        if let Some(meter) = meter.filter(|meter| !meter.known) {
+            meter.drain(now, 1.0);
+            meter.level = level as f64;
+            meter.known = true;
+        }
+    }
+
     /// Returns what this instance has admitted in its life, by workspace.
     pub fn spent(&self) -> impl Iterator<Item = (&name::Name, u64)> {
         self.meters.iter().map(|(name, meter)| (name, meter.spent))
     }
+
+    /// Returns the level of a workspace's meter, if it is known.
+    pub fn level(&self, now: time::Time, workspace: &name::Name) -> Option<u64> {
+        let mut meter = self.meters.get(workspace).filter(|m| m.known)?.clone();
+        meter.drain(now, 1.0);
+        Some(meter.level as u64)
+    }
+}
+
+fn unknown_level(settings: &settings::Settings, workspace: &workspace::Workspace) -> f64 {
+    /// Part of the tolerated excess that a new process may give away.
+    const SHARE: f64 = 0.5;
+    let window = settings.cap_window.as_secs_f64();
+    let allowed = workspace.rate * window + workspace.burst;
+    (workspace.burst - SHARE * settings.cap_excess * allowed).max(0.0)
 }
 
 impl Meter {
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -23,6 +23,8 @@
     pub workspace: name::Name,
     /// Units.
     pub units: u64,
+    /// Units above what the rate has drained, over all instances, as the sender knows it.
+    pub level: Option<u64>,
 }
 
 /// Work that one instance has given to one service in its life.
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -20,8 +20,9 @@
 const MAX_TOLD: usize = 16;
 
 /// Other instances.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Peers {
+    own: net::SocketAddr,
     peers: collections::BTreeMap<name::Name, Peer>,
     /// Addresses of which nothing has been heard yet, until when they are tried.
     hints: collections::BTreeMap<net::SocketAddr, time::Time>,
@@ -50,11 +51,21 @@
 }
 
 impl Peers {
+    /// Builds the view of an instance that listens on `own`.
+    pub const fn new(own: net::SocketAddr) -> Self {
+        Self {
+            own,
+            peers: collections::BTreeMap::new(),
+            hints: collections::BTreeMap::new(),
+            work: collections::BTreeMap::new(),
+        }
+    }
+
     /// Notes addresses at which instances may be.
     pub fn hint(&mut self, now: time::Time, addresses: impl IntoIterator<Item = net::SocketAddr>) {
         for address in addresses {
             let is_known = self.peers.values().any(|p| p.digest.address == address);
-            if !is_known && self.hints.len() < MAX_PEERS {
+            if !is_known && address != self.own && self.hints.len() < MAX_PEERS {
                 self.hints.entry(address).or_insert(now.after(GONE));
             }
         }
@@ -166,12 +177,14 @@
         self.peers.len() + 1
     }
 
-    /// Returns the part of shared limits that this instance and those it hears may use.
+    /// Returns the part of shared limits that this instance and those it hears may use; those of
+    /// which only an address is known may be using theirs.
     pub fn part(&self, now: time::Time) -> f64 {
         let serving = self.peers.values().filter(|p| !p.digest.leaving);
-        let quiet = serving.filter(|p| is_quiet(p, now)).count();
-        let all = self.instances();
-        (all - quiet) as f64 / all as f64
+        let heard = serving.filter(|p| !is_quiet(p, now)).count() + 1;
+        let leaving = self.peers.values().filter(|p| p.digest.leaving).count();
+        let all = self.peers.len() - leaving + self.hints.len() + 1;
+        heard as f64 / all as f64
     }
 
     /// Tells whether an instance that may still live has fallen silent.
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -524,7 +524,9 @@
     if !is_newer {
         return;
     }
-    state.caps.declare(now, &manifest);
+    // A later manifest's new workspaces have used nothing yet.
+    let known = state.settings.first || state.manifest.is_some();
+    state.caps.declare(now, &state.settings, &manifest, known);
     state.manifest = Some(manifest);
     state.out.push(effect::Effect::InForce { version });
 }
@@ -545,6 +547,11 @@
             .or_default()
             .merge(&digest.counts);
     }
+    for spent in &digest.spent {
+        if let Some(level) = spent.level {
+            state.caps.learn(now, &spent.workspace, level);
+        }
+    }
     state.fleet.hear(&sender, &digest.loads);
     state.rollouts.hear(&sender, &digest.trials);
     state.suspects.hear(now, &sender, &digest.crashes);
--- a/crates/core/src/relay/settings.rs
+++ b/crates/core/src/relay/settings.rs
@@ -19,8 +19,14 @@
     pub usage_late: Duration,
     /// Share of requests that a version on trial may get.
     pub exposure: f64,
+    /// Span over which usage caps are judged.
+    pub cap_window: Duration,
+    /// Usage above a cap that is tolerated in that span, as a share of it.
+    pub cap_excess: f64,
     /// Term of a lease.
     pub term: Duration,
+    /// Whether the whole deployment starts for the first time.
+    pub first: bool,
 }
 
 impl Default for Settings {
@@ -33,7 +39,10 @@
             usage_window: Duration::from_secs(5),
             usage_late: Duration::from_secs(10),
             exposure: 0.1,
+            cap_window: Duration::from_secs(8),
+            cap_excess: 0.1,
             term: Duration::from_secs(3),
+            first: true,
         }
     }
 }
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -86,6 +86,7 @@
     pub fn new(own: Own, settings: settings::Settings, clock: clock::Clock) -> Self {
         Self {
             fleet: fleet::Fleet::new(own.domain.clone()),
+            peers: peers::Peers::new(own.address),
             own,
             settings,
             manifest: None,
@@ -95,7 +96,6 @@
             others: collections::BTreeMap::new(),
             rollouts: rollouts::Rollouts::default(),
             clock,
-            peers: peers::Peers::default(),
             suspects: suspects::Suspects::default(),
             flights: collections::HashMap::new(),
             leaving: false,
@@ -180,6 +180,7 @@
         let spent = self.caps.spent().map(|(workspace, units)| digest::Spent {
             workspace: workspace.clone(),
             units,
+            level: self.caps.level(now, workspace),
         });
         let work = self.fleet.work().map(|(service, micros)| digest::Work {
             service: service.clone(),
--- a/crates/core/tests/relay_reduce.rs
+++ b/crates/core/tests/relay_reduce.rs
@@ -408,3 +408,39 @@
         instance.send(START, plain);
     }
 }
+
+/// Found on a deployment with tight caps (trouble-3 of Tirta Sulam with half the usual caps): all
+/// processes were killed, and each workspace got its burst once more.
+#[test]
+fn cap_gives_no_second_burst_after_a_restart() {
+    let mut instance = Instance::new(1);
+    instance.state.settings.first = false;
+    instance.apply(START, manifest(1, 10_000.0, None));
+    instance.apply(START, engines(vec![engine(0), engine(1)]));
+    let mut admitted = 0;
+    for id in 0..2_000 {
+        let now = at(id);
+        let arrived = event::Event::Arrived(ask(id, now, Repeat::Stream, 1));
+        if sent(&instance.apply(now, arrived)).is_some() {
+            admitted += 100;
+            instance.signal(now, id, Signal::Whole { status: 200 });
+        }
+    }
+    // Two seconds at 10,000 a second and half of the tolerated tenth, without the burst of 10,000.
+    assert!(admitted <= 24_500, "{admitted}");
+    assert!(admitted >= 18_000, "{admitted}");
+}
+
+#[test]
+fn cap_level_is_learned_from_the_others() {
+    let mut old = Instance::serving(2, 1);
+    old.apply(START, manifest(2, 10_000.0, None));
+    let mut new = Instance::new(1);
+    new.state.settings.first = false;
+    new.apply(at(5), manifest(2, 10_000.0, None));
+    new.apply(at(5), engines(vec![engine(0)]));
+    let arrived = event::Event::Arrived(ask(1, at(6), Repeat::Stream, 1));
+    assert!(refused(&new.apply(at(6), arrived)).is_some());
+    new.hear(at(7), old.digest(at(7)));
+    new.send(at(8), ask(2, at(8), Repeat::Stream, 1));
+}
