--- a/crates/relay/src/carry.rs
+++ b/crates/relay/src/carry.rs
@@ -54,6 +54,7 @@
         return refuse(shell, caller, &request, refusal, keeps).await;
     }
     shell.held.set(shell.held.get() + size);
+    shell.informed().await;
     let fate = match look_up(shell, &request) {
         Ok(entry) => forward(shell, caller, &request, entry, keeps).await,
         Err(refusal) => {
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -3,6 +3,7 @@
 use std::cell;
 use std::collections;
 use std::rc;
+use std::time::Duration;
 
 use guavausher_core::name;
 use guavausher_core::relay::{digest, effect, event, manifest, reduce, state};
@@ -42,6 +43,8 @@
     slots: cell::RefCell<collections::HashMap<u64, rc::Rc<slot::Slot>>>,
     last: cell::Cell<u64>,
     is_listed: cell::Cell<bool>,
+    /// Tells the tasks that manifest and engines are known.
+    informed: sync::watch::Sender<bool>,
     /// From when on a stopping process takes no more requests.
     closes: cell::Cell<time::Time>,
 }
@@ -62,6 +65,7 @@
             slots: cell::RefCell::new(collections::HashMap::new()),
             last: cell::Cell::new(0),
             is_listed: cell::Cell::new(false),
+            informed: sync::watch::Sender::new(false),
             closes: cell::Cell::new(time::Time::MAX),
         })
     }
@@ -75,6 +79,23 @@
         for effect in effects {
             self.perform(effect);
         }
+        if !*self.informed.borrow() && self.is_informed() {
+            self.informed.send_replace(true);
+        }
+    }
+
+    fn is_informed(&self) -> bool {
+        self.state.borrow().manifest.is_some() && self.is_listed.get()
+    }
+
+    /// Waits until manifest and engines are known, for as long as a process usually takes to
+    /// learn them at its start.
+    pub async fn informed(&self) {
+        /// Longest wait, after which a request is refused.
+        const WAIT: Duration = Duration::from_millis(300);
+        let mut informed = self.informed.subscribe();
+        // Without an answer in time the look-up refuses the request.
+        let _ = tokio::time::timeout(WAIT, informed.wait_for(|is| *is)).await;
     }
 
     /// Returns the limits on callers in force.
@@ -86,8 +107,7 @@
 
     /// Tells whether new callers are welcome.
     pub fn is_ready(&self) -> bool {
-        let has_manifest = self.state.borrow().manifest.is_some();
-        has_manifest && self.is_listed.get() && !self.is_stopping()
+        self.is_informed() && !self.is_stopping()
     }
 
     /// Tells whether the process is stopping.
--- a/crates/relay/tests/forwarding.rs
+++ b/crates/relay/tests/forwarding.rs
@@ -104,6 +104,21 @@
     });
 }
 
+/// Found on scale-2 of Tirta Sulam: requests that came in the 30 ms before a new process knew its
+/// manifest were refused, and their callers had no further try.
+#[test]
+fn forward_waits_for_the_first_manifest() {
+    support::run(async {
+        let engine = Engine::start(vec![Reply::Keep(whole(200, "paid"))]).await;
+        let relay = Relay::empty();
+        let mut caller = relay.caller().await;
+        caller.send(&request("POST", "/pay/", "r1", "k")).await;
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        relay.inform(support::parts(1), &[&engine]);
+        assert_eq!(caller.answer().await.unwrap().text(), "paid");
+    });
+}
+
 #[test]
 fn forward_chunked_body_whole() {
     support::run(async {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -287,13 +287,18 @@
 
     pub fn with(parts: manifest::Parts, engines: &[&Engine]) -> Self {
         let relay = Self::empty();
+        relay.inform(parts, engines);
+        relay
+    }
+
+    /// Tells a relay its manifest and engines.
+    pub fn inform(&self, parts: manifest::Parts, engines: &[&Engine]) {
         let manifest = sync::Arc::new(manifest::Manifest::new(parts));
-        relay.shell.apply(event::Event::Manifest(manifest));
+        self.shell.apply(event::Event::Manifest(manifest));
         let listed = engines.iter().enumerate();
         let list = listed.map(|(i, e)| engine_entry(i, e.address)).collect();
         let lapsed = false;
-        relay.shell.apply(event::Event::Engines { list, lapsed });
-        relay
+        self.shell.apply(event::Event::Engines { list, lapsed });
     }
 
     /// Starts a relay that knows nothing.
