--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -19,7 +19,7 @@
 const FAILURE_MICROS: f64 = 2_000_000.0;
 /// What a token that was read before and is read again costs beyond its own delay: it delays
 /// the requests behind it as well.
-const REREAD: f64 = 1.0;
+const REREAD: f64 = 3.0;
 /// Trust in the engine that all instances agree on for a beginning of which nothing is known.
 const AGREED: f64 = 0.6;
 /// Delay that each running request adds to a step, in microseconds.
--- a/crates/core/tests/relay_reduce.rs
+++ b/crates/core/tests/relay_reduce.rs
@@ -453,3 +453,30 @@
     let after = (0..200).filter(|_| is_taken(&mut new, at(8))).count();
     assert!(after > 90, "the whole burst of 100 requests: {after}");
 }
+
+/// A session's prompt is read again only where its engine is much busier than another.
+#[test]
+fn request_goes_where_its_prompt_was_read() {
+    let mut instance = Instance::serving(1, 6);
+    let session = |id: u64, now| {
+        let mut ask = ask(id, now, Repeat::Stream, 1);
+        ask.prompt = 6_000;
+        ask.parts = vec![
+            guavausher_core::relay::ask::Part { id: 7, tokens: 500 },
+            guavausher_core::relay::ask::Part {
+                id: 8,
+                tokens: 4_500,
+            },
+            guavausher_core::relay::ask::Part { id, tokens: 1_000 },
+        ];
+        ask
+    };
+    let first = instance.send(START, session(1, START));
+    instance.signal(at(300), 1, Signal::First);
+    instance.signal(at(400), 1, Signal::Whole { status: 200 });
+    let second = instance.send(at(500), session(2, at(500)));
+    assert_eq!(second, first, "the prompt lies there");
+    // Other work on that engine does not outweigh a prompt of this length.
+    let third = instance.send(at(510), session(3, at(510)));
+    assert_eq!(third, first);
+}
