Part long files of the relay: reducer, exchange and carrying

Change: moves only; attempts, final answers, heads, reading, output and log lines have files of their own, and a field that nobody read is gone. The 526 tests of the three packages pass.

--- /dev/null
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -0,0 +1,256 @@
+//! Progress and ends of attempts.
+
+use std::time::Duration;
+
+use super::close;
+use crate::refusal;
+use crate::relay::effect;
+use crate::relay::event;
+use crate::relay::fleet;
+use crate::relay::reduce;
+use crate::relay::route;
+use crate::relay::state;
+use crate::time;
+
+/// Engines without a channel after which a request is given up.
+const MAX_UNSENT: usize = 4;
+
+/// Applies the progress or end of an attempt.
+pub(super) fn attempt(
+    state: &mut state::State,
+    now: time::Time,
+    request: u64,
+    signal: event::Signal,
+) {
+    match signal {
+        event::Signal::First => first(state, now, request),
+        event::Signal::Failing { status } => failing(state, now, request, status),
+        event::Signal::Whole { status } => whole(state, now, request, status),
+        event::Signal::NotRun { status, wait } => refused(state, now, request, status, wait),
+        event::Signal::Unsent => unsent(state, now, request),
+        event::Signal::Broken { unanswered } => broken(state, now, request, unanswered),
+        event::Signal::Stalled => {
+            may_have_run(state, now, request);
+            end(state, now, request, fleet::Sign::Silent);
+            again(state, now, request, refusal::Code::UpstreamFailed);
+        }
+        event::Signal::Expired => expired(state, now, request),
+        event::Signal::Abandoned => abandoned(state, request),
+    }
+}
+
+/// Goes to another engine after one that took no channel, which is no repeat.
+fn unsent(state: &mut state::State, now: time::Time, request: u64) {
+    end(state, now, request, fleet::Sign::Unreachable);
+    let Some(flight) = state.flights.get_mut(&request) else {
+        return;
+    };
+    flight.sent = flight.sent.saturating_sub(1);
+    if flight.tried.len() < MAX_UNSENT {
+        return reduce::place(state, now, request);
+    }
+    let at = now.after(reduce::ENGINE_RETURN);
+    close::give_up(state, now, request, refusal::Code::NoUpstream, Some(at));
+}
+
+fn first(state: &mut state::State, now: time::Time, request: u64) {
+    count(state, now, request);
+    let Some(flight) = state.flights.get_mut(&request) else {
+        return;
+    };
+    flight.answering = true;
+    let Some(running) = flight.running.as_mut().filter(|r| !r.first) else {
+        return;
+    };
+    running.first = true;
+    let took = running.began.until(now);
+    let (service, choice) = (&flight.ask.service, &running.choice);
+    let (route, version) = (&flight.ask.route.name, &choice.version);
+    state
+        .rollouts
+        .timed(service, route, version, took, choice.plain);
+    state
+        .fleet
+        .first(&flight.ask.service, &running.choice, took);
+}
+
+/// Counts a request that began to run, once.
+fn count(state: &mut state::State, at: time::Time, request: u64) {
+    let window = state.window(at);
+    let Some(flight) = state.flights.get_mut(&request) else {
+        return;
+    };
+    flight.ran = true;
+    if std::mem::replace(&mut flight.counted, true) {
+        return;
+    }
+    if let Some(workspace) = &flight.ask.workspace {
+        state.census.record(window, workspace);
+    }
+}
+
+/// Notes that an engine may have run a request without saying so.
+fn may_have_run(state: &mut state::State, now: time::Time, request: u64) {
+    let Some(flight) = state.flights.get_mut(&request) else {
+        return;
+    };
+    flight.ran = true;
+    if !flight.ask.route.repeat.is_stream() {
+        count(state, now, request);
+    }
+}
+
+fn failing(state: &mut state::State, now: time::Time, request: u64, status: u16) {
+    count(state, now, request);
+    let Some(flight) = state.flights.get(&request) else {
+        return;
+    };
+    let is_own = status >= 500;
+    let repeatable = flight.ask.route.repeat.is_idempotent() && reduce::has_attempts(flight);
+    let service = flight.ask.service.clone();
+    let instances = state.peers.instances();
+    let repeat = is_own
+        && repeatable
+        && state
+            .budget
+            .spend(now, &state.settings, &service, instances);
+    if repeat {
+        end(state, now, request, fleet::Sign::Bad);
+        return reduce::place(state, now, request);
+    }
+    state.out.push(effect::Effect::Relay { request });
+}
+
+fn whole(state: &mut state::State, now: time::Time, request: u64, status: u16) {
+    count(state, now, request);
+    let is_good = status < 500;
+    let sign = if is_good {
+        fleet::Sign::Good
+    } else {
+        fleet::Sign::Bad
+    };
+    if let Some(flight) = state.flights.get(&request) {
+        let held = flight.running.as_ref().map(|r| r.began.until(now));
+        let (service, fingerprint) = (flight.ask.service.clone(), flight.ask.fingerprint);
+        if let Some(held) = held.filter(|_| is_good) {
+            state.fleet.held(&service, held);
+        }
+        state.suspects.cleared(fingerprint);
+    }
+    end(state, now, request, sign);
+    state.flights.remove(&request);
+}
+
+fn refused(
+    state: &mut state::State,
+    now: time::Time,
+    request: u64,
+    status: u16,
+    wait: Option<Duration>,
+) {
+    /// Status of an engine that is not the one that was meant.
+    const MISDIRECTED: u16 = 421;
+    let sign = if status == MISDIRECTED {
+        fleet::Sign::Moved
+    } else {
+        fleet::Sign::Full
+    };
+    end(state, now, request, sign);
+    if let Some(wait) = wait.filter(|_| !can_repeat(state, request)) {
+        let at = now.after(wait);
+        return close::give_up(state, now, request, refusal::Code::Overloaded, Some(at));
+    }
+    again(state, now, request, refusal::Code::Overloaded);
+}
+
+fn broken(state: &mut state::State, now: time::Time, request: u64, unanswered: bool) {
+    may_have_run(state, now, request);
+    end(state, now, request, fleet::Sign::Broke);
+    let fingerprint = state.flights.get(&request).map(|f| f.ask.fingerprint);
+    if let Some(fingerprint) = fingerprint.filter(|_| unanswered) {
+        state.suspects.crashed(now, fingerprint);
+        if state.suspects.is_blocked(now, fingerprint) {
+            return close::give_up(state, now, request, refusal::Code::UpstreamFailed, None);
+        }
+    }
+    again(state, now, request, refusal::Code::UpstreamFailed);
+}
+
+/// Sends a request to another engine if that is allowed, or gives the final answer.
+fn again(state: &mut state::State, now: time::Time, request: u64, code: refusal::Code) {
+    let Some(flight) = state.flights.get(&request) else {
+        return;
+    };
+    let service = flight.ask.service.clone();
+    let instances = state.peers.instances();
+    let may = can_repeat(state, request)
+        && state
+            .budget
+            .spend(now, &state.settings, &service, instances);
+    if may {
+        return reduce::place(state, now, request);
+    }
+    let at = now.after(reduce::ENGINE_RETURN);
+    close::give_up(state, now, request, code, Some(at));
+}
+
+fn can_repeat(state: &state::State, request: u64) -> bool {
+    state.flights.get(&request).is_some_and(|flight| {
+        let repeat = flight.ask.route.repeat;
+        let is_open = !flight.answering || repeat == route::Repeat::ResumableStream;
+        let is_safe = !flight.ran || repeat.is_idempotent();
+        is_open && is_safe && reduce::has_attempts(flight)
+    })
+}
+
+fn expired(state: &mut state::State, now: time::Time, request: u64) {
+    may_have_run(state, now, request);
+    let began = state
+        .flights
+        .get(&request)
+        .and_then(|f| f.running.as_ref())
+        .is_some_and(|r| r.first);
+    let sign = if began {
+        fleet::Sign::Good
+    } else {
+        fleet::Sign::Silent
+    };
+    end(state, now, request, sign);
+    close::give_up(state, now, request, refusal::Code::Deadline, None);
+}
+
+fn abandoned(state: &mut state::State, request: u64) {
+    if let Some(flight) = state.flights.remove(&request)
+        && let Some(running) = flight.running
+    {
+        state.fleet.end(&running.choice, running.first);
+    }
+}
+
+/// Ends the attempt under way with what it showed of its engine.
+fn end(state: &mut state::State, now: time::Time, request: u64, sign: fleet::Sign) {
+    let Some(flight) = state.flights.get_mut(&request) else {
+        return;
+    };
+    if let Some(running) = flight.running.take() {
+        let is_good = matches!(sign, fleet::Sign::Good);
+        if is_good
+            || matches!(
+                sign,
+                fleet::Sign::Bad | fleet::Sign::Broke | fleet::Sign::Silent
+            )
+        {
+            let (service, route) = (&flight.ask.service, &flight.ask.route.name);
+            let version = &running.choice.version;
+            state.rollouts.answered(service, route, version, is_good);
+        }
+        state.fleet.end(&running.choice, running.first);
+        state.fleet.judge(now, &running.choice, sign);
+        if sign.avoids() {
+            state.out.push(effect::Effect::Avoided {
+                engine: running.choice.engine,
+                sign,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/reduce/close.rs
@@ -0,0 +1,108 @@
+//! Final answers of our own.
+
+use std::time::Duration;
+
+use crate::refusal;
+use crate::relay::ask;
+use crate::relay::effect;
+use crate::relay::state;
+use crate::time;
+use crate::verdict;
+
+/// Part of the time that a request has left in which its caller may come back.
+const RETURN_SHARE: u32 = 3;
+/// Shortest time after which a caller is asked to come back.
+const MIN_RETURN: Duration = Duration::from_millis(100);
+
+/// Gives the final answer to a request in progress.
+///
+/// A request that may have run is never said not to have run.
+pub(super) fn give_up(
+    state: &mut state::State,
+    now: time::Time,
+    request: u64,
+    code: refusal::Code,
+    at: Option<time::Time>,
+) {
+    give_up_as(state, now, request, code, at, None);
+}
+
+/// The same, with the delay that was expected, for the log.
+pub(super) fn give_up_as(
+    state: &mut state::State,
+    now: time::Time,
+    request: u64,
+    code: refusal::Code,
+    at: Option<time::Time>,
+    expected: Option<Duration>,
+) {
+    let Some(flight) = state.flights.remove(&request) else {
+        return;
+    };
+    let refusal = if flight.ran {
+        let code = match code {
+            refusal::Code::Deadline => code,
+            _ => refusal::Code::UpstreamFailed,
+        };
+        refusal::Refusal {
+            code,
+            verdict: verdict::Verdict::MayHaveRun,
+            retry_at: None,
+        }
+    } else {
+        if let Some(workspace) = &flight.ask.workspace {
+            state.caps.refund(workspace, flight.ask.units);
+        }
+        let code = match code {
+            refusal::Code::Deadline => refusal::Code::Overloaded,
+            _ => code,
+        };
+        not_run(code, at.map(|at| return_at(now, &flight.ask, at)))
+    };
+    let ground = effect::Ground {
+        expected,
+        ..ground(state, now, &flight.ask, flight.sent)
+    };
+    refuse(state, request, refusal, ground);
+}
+
+/// Keeps the time to come back where the caller can still be served.
+pub(super) fn return_at(now: time::Time, ask: &ask::Ask, at: time::Time) -> time::Time {
+    let latest = now.after(now.until(ask.deadline) / RETURN_SHARE);
+    at.max(now.after(MIN_RETURN)).min(latest)
+}
+
+/// Returns a refusal of a request that has not run.
+pub(super) const fn not_run(code: refusal::Code, at: Option<time::Time>) -> refusal::Refusal {
+    refusal::Refusal::not_run(code, at)
+}
+
+/// Lets the shell give a final answer.
+pub(super) fn refuse(
+    state: &mut state::State,
+    request: u64,
+    refusal: refusal::Refusal,
+    ground: effect::Ground,
+) {
+    state.out.push(effect::Effect::Refuse {
+        request,
+        refusal,
+        ground,
+    });
+}
+
+/// Returns what a final answer rests on.
+pub(super) fn ground(
+    state: &state::State,
+    now: time::Time,
+    ask: &ask::Ask,
+    sent: u32,
+) -> effect::Ground {
+    let open = state.fleet.open(now);
+    effect::Ground {
+        engines: open.filter(|e| e.service == ask.service).count(),
+        expected: None,
+        part: state.peers.part(now),
+        sent,
+    }
+}
--- a/crates/relay/src/carry.rs
+++ b/crates/relay/src/carry.rs
@@ -8,7 +8,7 @@
 use bytes::BytesMut;
 use guavausher_core::name;
 use guavausher_core::refusal;
-use guavausher_core::relay::{ask, effect, event, manifest};
+use guavausher_core::relay::{ask, event, manifest};
 use guavausher_core::time;
 use guavausher_core::verdict;
 use tokio::net::TcpStream;
@@ -17,8 +17,11 @@
 use crate::clock;
 use crate::exchange;
 use crate::intake;
+use crate::output;
+use crate::record;
 use crate::shell;
 use crate::slot;
+use crate::text;
 
 /// Bytes of later requests that are read ahead while one is in progress.
 const MAX_AHEAD: usize = 64 * 1024;
@@ -122,7 +125,7 @@
         prompt = ask.prompt, left_ms = ask.arrived.until(ask.deadline).as_millis() as u64;
         "request");
     shell.apply(event::Event::Arrived(ask.clone()));
-    let mut output = exchange::Output::new(keeps);
+    let mut output = output::Output::new(keeps);
     let fate = conduct(shell, caller, request, &ask, &slot, &mut output).await;
     shell.leave(id);
     shell.metrics.progress.dec();
@@ -136,7 +139,7 @@
     request: &intake::Request,
     ask: &ask::Ask,
     slot: &slot::Slot,
-    output: &mut exchange::Output,
+    output: &mut output::Output,
 ) -> Fate {
     let mut kept = None;
     let mut last = None;
@@ -145,7 +148,7 @@
         let step = slot.take().await;
         let signal = match &step {
             slot::Step::Refuse(refusal, ground) => {
-                log_ground(shell, ask, *refusal, *ground);
+                record::ground(shell, ask, *refusal, *ground);
                 return finish(shell, caller, request, ask, *refusal, output).await;
             }
             slot::Step::Send(dispatch) => {
@@ -156,7 +159,7 @@
                     caller: stream,
                     dispatch,
                 };
-                log_attempt(ask, dispatch);
+                record::sent(ask, dispatch);
                 let ending = supervise(&attempt, inbox, output).await;
                 last = Some(dispatch.clone());
                 match ending {
@@ -182,7 +185,7 @@
                 attempt.relay(&answer, output).await
             }
         };
-        log_ending(shell, ask, signal, output);
+        record::ended(shell, ask, signal, output);
         shell.apply(event::Event::Attempt {
             request: ask.id,
             signal,
@@ -210,7 +213,7 @@
 async fn supervise(
     attempt: &exchange::Attempt<'_>,
     inbox: &mut BytesMut,
-    output: &mut exchange::Output,
+    output: &mut output::Output,
 ) -> exchange::Ending {
     let stream: &TcpStream = attempt.caller;
     let deadline = attempt.ask.deadline;
@@ -224,68 +227,6 @@
     }
 }
 
-/// Logs why a request got an answer of our own; floods of refusals are sampled by workspace.
-fn log_ground(
-    shell: &shell::Shell,
-    ask: &ask::Ask,
-    refusal: refusal::Refusal,
-    ground: effect::Ground,
-) {
-    let now = clock::now();
-    let workspace = ask.workspace.clone().unwrap_or_default();
-    let is_plain = refusal.verdict == verdict::Verdict::NotRun && ground.sent == 0;
-    let stands_for = match is_plain {
-        true => shell.flood.admit(now, &workspace),
-        false => Some(1),
-    };
-    let Some(stands_for) = stands_for else {
-        return;
-    };
-    log::info!(id:% = ask.trace, reason = refusal.code.as_str(),
-        verdict = refusal.verdict.as_str(), workspace:% = workspace, route:% = ask.route.name,
-        service:% = ask.service, engines = ground.engines, sent = ground.sent,
-        expected_ms = ground.expected.map_or(0, |e| e.as_millis() as u64),
-        cap_part = ground.part, units = ask.units,
-        return_ms = refusal.retry_at.map_or(0, |at| now.until(at).as_millis() as u64),
-        after_ms = ask.arrived.until(now).as_millis() as u64, stands_for = stands_for;
-        "refused");
-}
-
-fn log_attempt(ask: &ask::Ask, dispatch: &effect::Dispatch) {
-    let choice = &dispatch.choice;
-    log::info!(id:% = ask.trace, route:% = ask.route.name, service:% = ask.service,
-        workspace:% = ask.workspace.clone().unwrap_or_default(),
-        engine:% = choice.engine, attempt = dispatch.number, prompt = ask.prompt,
-        left_ms = clock::now().until(ask.deadline).as_millis() as u64,
-        expected_ms = choice.expected.as_millis() as u64, ahead = choice.ahead,
-        fresh = choice.fresh, running = choice.running; "sent");
-}
-
-fn log_ending(
-    shell: &shell::Shell,
-    ask: &ask::Ask,
-    signal: event::Signal,
-    output: &exchange::Output,
-) {
-    let ending = match signal {
-        event::Signal::First => "first",
-        event::Signal::Failing { .. } => "failing",
-        event::Signal::Whole { .. } => "whole",
-        event::Signal::NotRun { .. } => "not-run",
-        event::Signal::Unsent => "unsent",
-        event::Signal::Broken { .. } => "broken",
-        event::Signal::Stalled => "stalled",
-        event::Signal::Expired => "expired",
-        event::Signal::Abandoned => "abandoned",
-    };
-    shell.metrics.attempt(ending);
-    let first = output
-        .first
-        .map_or(0, |at| ask.arrived.until(at).as_millis() as u64);
-    log::info!(id:% = ask.trace, ending = ending, signal:? = signal, first_ms = first,
-        after_ms = ask.arrived.until(clock::now()).as_millis() as u64; "attempt ended");
-}
-
 /// Gives the own final answer, or breaks off the one that has begun.
 async fn finish(
     shell: &rc::Rc<shell::Shell>,
@@ -293,7 +234,7 @@
     request: &intake::Request,
     ask: &ask::Ask,
     refusal: refusal::Refusal,
-    output: &exchange::Output,
+    output: &output::Output,
 ) -> Fate {
     let took = ask.arrived.until(clock::now());
     if output.begun {
@@ -323,17 +264,17 @@
 }
 
 fn own_answer(id: Option<&str>, name: &str, refusal: refusal::Refusal, keeps: bool) -> Vec<u8> {
-    let mut head = exchange::answer_line(refusal.code.status());
+    let mut head = text::answer_line(refusal.code.status());
     if let Some(id) = id {
-        exchange::put(&mut head, name, id.as_bytes());
+        text::put(&mut head, name, id.as_bytes());
     }
     let is_not_run = refusal.verdict == verdict::Verdict::NotRun;
     if let Some(at) = refusal.retry_at.filter(|_| is_not_run) {
         let seconds = clock::now().until(at).as_secs_f64();
-        exchange::put(&mut head, "Retry-After", format!("{seconds:.3}").as_bytes());
+        text::put(&mut head, "Retry-After", format!("{seconds:.3}").as_bytes());
     }
     if !keeps {
-        exchange::put(&mut head, "Connection", b"close");
+        text::put(&mut head, "Connection", b"close");
     }
     let body = format!("{{\"error\":\"{}\"}}\n", refusal.code.as_str());
     let mut rest = String::new();
--- /dev/null
+++ b/crates/relay/src/compose.rs
@@ -0,0 +1,126 @@
+//! Heads that are sent: of requests to engines, and of answers to callers.
+
+use std::fmt::Write;
+
+use bytes::BytesMut;
+
+use crate::clock;
+use crate::exchange;
+use crate::head;
+use crate::output;
+use crate::text;
+
+/// Urgency of the requests of rank 0, and what each further rank adds.
+const URGENCY: u32 = 1;
+const URGENCY_STEP: u32 = 3;
+/// Lowest urgency.
+const MAX_URGENCY: u32 = 9;
+/// Headers that concern only one channel.
+const HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+];
+
+impl exchange::Attempt<'_> {
+    /// Composes the head of the request for the engine.
+    pub(crate) fn compose(&self, last: Option<u64>) -> Vec<u8> {
+        let names = &self.shell.dialect;
+        let mut head = Vec::with_capacity(1024);
+        let request = self.request;
+        head.extend_from_slice(request.method.as_bytes());
+        head.push(b' ');
+        head.extend_from_slice(request.target.as_bytes());
+        head.extend_from_slice(b" HTTP/1.1\r\n");
+        let replaced = last.map(|_| names.resume);
+        for (name, value) in request.head.headers() {
+            if self.passes(name) && !replaced.is_some_and(|r| r.eq_ignore_ascii_case(name)) {
+                text::put(&mut head, name, value);
+            }
+        }
+        let mut own = String::with_capacity(256);
+        let left = clock::now().until(self.ask.deadline).as_millis();
+        let urgency = URGENCY + URGENCY_STEP * u32::from(self.ask.priority);
+        let urgency = urgency.min(MAX_URGENCY);
+        // Writing to a string cannot fail.
+        let _ = write!(
+            own,
+            "{}: {left}\r\n{}: {}\r\n{}: {urgency}\r\n",
+            names.deadline, names.instance, self.dispatch.choice.engine, names.urgency
+        );
+        if let Some(workspace) = &self.ask.workspace {
+            let _ = write!(own, "{}: {workspace}\r\n", names.workspace);
+        }
+        if let Some(last) = last {
+            let _ = write!(own, "{}: {last}\r\n", names.resume);
+        }
+        if request.has_body {
+            let _ = write!(own, "Content-Length: {}\r\n", request.body.len());
+        }
+        own.push_str("\r\n");
+        head.extend_from_slice(own.as_bytes());
+        head
+    }
+
+    fn passes(&self, name: &str) -> bool {
+        let names = &self.shell.dialect;
+        let is = |other: &&str| other.eq_ignore_ascii_case(name);
+        let is_own = [
+            names.deadline,
+            names.key,
+            names.workspace,
+            names.instance,
+            names.urgency,
+        ]
+        .iter()
+        .any(is);
+        if is_own || names.reserved.iter().any(is) || HOP.iter().any(is) {
+            return false;
+        }
+        names.kept.iter().any(is) || !self.request.head.has_token("connection", name)
+    }
+
+    /// Composes the head of the answer for the caller.
+    pub(crate) fn caller_head(
+        &self,
+        answer: &head::Head,
+        length: Option<u64>,
+        output: &mut output::Output,
+    ) -> BytesMut {
+        let is_current = self.request.head.is_current;
+        output.chunked = length.is_none() && is_current;
+        output.keeps = output.keeps && (length.is_some() || output.chunked);
+        let mut head = text::answer_line(answer.status());
+        for (name, value) in answer.headers() {
+            let is_hop = HOP.iter().any(|hop| hop.eq_ignore_ascii_case(name));
+            if !is_hop && !answer.has_token("connection", name) {
+                text::put(&mut head, name, value);
+            }
+        }
+        let bodiless = matches!(answer.status(), 204 | 304);
+        match length {
+            Some(length) if self.request.method == "HEAD" => {
+                let stated = answer.get("content-length").map(String::from);
+                let length = stated.unwrap_or_else(|| length.to_string());
+                text::put(&mut head, "Content-Length", length.as_bytes());
+            }
+            Some(length) if !bodiless => {
+                text::put(&mut head, "Content-Length", length.to_string().as_bytes());
+            }
+            Some(_) => {}
+            None if output.chunked => text::put(&mut head, "Transfer-Encoding", b"chunked"),
+            None => {}
+        }
+        if !output.keeps {
+            text::put(&mut head, "Connection", b"close");
+        }
+        head.extend_from_slice(b"\r\n");
+        BytesMut::from(&head[..])
+    }
+}
--- a/crates/relay/src/door.rs
+++ b/crates/relay/src/door.rs
@@ -11,9 +11,9 @@
 use crate::carry;
 use crate::channel;
 use crate::clock;
-use crate::exchange;
 use crate::intake;
 use crate::shell;
+use crate::text;
 
 /// Pause after a failure to accept, for example for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -190,10 +190,10 @@
 }
 
 async fn write(channel: &channel::Channel, reply: &Reply) -> io::Result<()> {
-    let mut bytes = exchange::answer_line(reply.status);
-    exchange::put(&mut bytes, "Content-Type", b"text/plain; version=0.0.4");
+    let mut bytes = text::answer_line(reply.status);
+    text::put(&mut bytes, "Content-Type", b"text/plain; version=0.0.4");
     let length = reply.body.len().to_string();
-    exchange::put(&mut bytes, "Content-Length", length.as_bytes());
+    text::put(&mut bytes, "Content-Length", length.as_bytes());
     bytes.extend_from_slice(b"\r\n");
     bytes.extend_from_slice(reply.body.as_bytes());
     channel::write_all(&channel.stream, &bytes).await
--- /dev/null
+++ b/crates/relay/src/record.rs
@@ -0,0 +1,73 @@
+//! Log lines of the decisions about a request.
+
+use guavausher_core::refusal;
+use guavausher_core::relay::{ask, effect, event};
+use guavausher_core::verdict;
+
+use crate::clock;
+use crate::output;
+use crate::shell;
+
+/// Logs why a request got an answer of our own; floods of refusals are sampled by workspace.
+pub(crate) fn ground(
+    shell: &shell::Shell,
+    ask: &ask::Ask,
+    refusal: refusal::Refusal,
+    ground: effect::Ground,
+) {
+    let now = clock::now();
+    let workspace = ask.workspace.clone().unwrap_or_default();
+    let is_plain = refusal.verdict == verdict::Verdict::NotRun && ground.sent == 0;
+    let stands_for = match is_plain {
+        true => shell.flood.admit(now, &workspace),
+        false => Some(1),
+    };
+    let Some(stands_for) = stands_for else {
+        return;
+    };
+    log::info!(id:% = ask.trace, reason = refusal.code.as_str(),
+        verdict = refusal.verdict.as_str(), workspace:% = workspace, route:% = ask.route.name,
+        service:% = ask.service, engines = ground.engines, sent = ground.sent,
+        expected_ms = ground.expected.map_or(0, |e| e.as_millis() as u64),
+        cap_part = ground.part, units = ask.units,
+        return_ms = refusal.retry_at.map_or(0, |at| now.until(at).as_millis() as u64),
+        after_ms = ask.arrived.until(now).as_millis() as u64, stands_for = stands_for;
+        "refused");
+}
+
+/// Logs a send with what it was chosen by.
+pub(crate) fn sent(ask: &ask::Ask, dispatch: &effect::Dispatch) {
+    let choice = &dispatch.choice;
+    log::info!(id:% = ask.trace, route:% = ask.route.name, service:% = ask.service,
+        workspace:% = ask.workspace.clone().unwrap_or_default(),
+        engine:% = choice.engine, attempt = dispatch.number, prompt = ask.prompt,
+        left_ms = clock::now().until(ask.deadline).as_millis() as u64,
+        expected_ms = choice.expected.as_millis() as u64, ahead = choice.ahead,
+        fresh = choice.fresh, running = choice.running; "sent");
+}
+
+/// Logs and counts the end of an attempt.
+pub(crate) fn ended(
+    shell: &shell::Shell,
+    ask: &ask::Ask,
+    signal: event::Signal,
+    output: &output::Output,
+) {
+    let ending = match signal {
+        event::Signal::First => "first",
+        event::Signal::Failing { .. } => "failing",
+        event::Signal::Whole { .. } => "whole",
+        event::Signal::NotRun { .. } => "not-run",
+        event::Signal::Unsent => "unsent",
+        event::Signal::Broken { .. } => "broken",
+        event::Signal::Stalled => "stalled",
+        event::Signal::Expired => "expired",
+        event::Signal::Abandoned => "abandoned",
+    };
+    shell.metrics.attempt(ending);
+    let first = output
+        .first
+        .map_or(0, |at| ask.arrived.until(at).as_millis() as u64);
+    log::info!(id:% = ask.trace, ending = ending, signal:? = signal, first_ms = first,
+        after_ms = ask.arrived.until(clock::now()).as_millis() as u64; "attempt ended");
+}
