--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,4 +7,4 @@
 cargo build --workspace --bins --locked
 cargo nextest run --workspace --locked --no-fail-fast "$@"
 cargo test --workspace --doc --locked --quiet
-scripts/demo-site.sh
+platform/demo.sh
