Pause the entry only once it has read the order

Change: the test waits until this entry counts the request and a write is out; what it asserts stays as it was.

--- a/crates/node/tests/failures.rs
+++ b/crates/node/tests/failures.rs
@@ -105,14 +105,17 @@
     let fleet = Fleet::start(&Plan::default());
     fault(&fleet.platform, r#"{"delay_ms":700}"#);
     thread::scope(|scope| {
-        let first = scope.spawn(|| fleet.order(0, "k"));
-        let calls = || {
-            fleet::get(fleet.platform.address(), "/standin/calls")
-                .expect("calls")
-                .body
+        let writes = || {
+            let calls = fleet::get(fleet.platform.address(), "/standin/calls").expect("calls");
+            let calls: serde_json::Value = serde_json::from_str(&calls.body).expect("json");
+            calls["write"].as_u64().expect("writes")
         };
-        let before = calls();
-        wait_for("the claim is on its way", || calls() != before);
+        let before = writes();
+        let first = scope.spawn(|| fleet.order(0, "k"));
+        // Another entry's write says nothing of this one, which must have read the order.
+        wait_for("the claim is on its way", || {
+            fleet.entries[0].metric("requests_total") == Some(1) && writes() > before
+        });
         fleet.entries[0].signal("-STOP");
         fault(&fleet.platform, r#"{"delay_ms":0}"#);
         thread::sleep(Duration::from_secs(6));
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -85,10 +85,14 @@
     }
 
     pub fn generation(&self) -> Option<u64> {
+        self.metric("config_generation")
+    }
+
+    /// Returns a metric of the entry, named without its prefix.
+    pub fn metric(&self, name: &str) -> Option<u64> {
         let text = get(self.admin, "/metrics").ok()?.body;
-        let line = text
-            .lines()
-            .find(|l| l.starts_with("guavausher_entry_config_generation "))?;
+        let start = format!("guavausher_entry_{name} ");
+        let line = text.lines().find(|l| l.starts_with(&start))?;
         line.rsplit(' ').next()?.parse().ok()
     }
 
