Count the order against what the entry had taken before

Cause: waited for the entry's count of requests to be one; probes at the start of the fleet count too, so the test waited in vain.

Change: the count must rise above what it was before the order.

--- a/crates/node/tests/failures.rs
+++ b/crates/node/tests/failures.rs
@@ -110,11 +110,12 @@
             let calls: serde_json::Value = serde_json::from_str(&calls.body).expect("json");
             calls["write"].as_u64().expect("writes")
         };
-        let before = writes();
+        let requests = || fleet.entries[0].metric("requests_total").expect("requests");
+        let (before, taken) = (writes(), requests());
         let first = scope.spawn(|| fleet.order(0, "k"));
         // Another entry's write says nothing of this one, which must have read the order.
         wait_for("the claim is on its way", || {
-            fleet.entries[0].metric("requests_total") == Some(1) && writes() > before
+            requests() > taken && writes() > before
         });
         fleet.entries[0].signal("-STOP");
         fault(&fleet.platform, r#"{"delay_ms":0}"#);
