--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -28,5 +28,6 @@
 pub mod settings;
 pub mod state;
 pub mod suspects;
+pub mod tallies;
 mod tracked;
 pub mod workspace;
--- a/crates/core/src/relay/census.rs
+++ b/crates/core/src/relay/census.rs
@@ -39,7 +39,7 @@
             let known = window.entry(count.workspace.clone()).or_default();
             *known = (*known).max(count.begun);
         }
-        if let Some(last) = self.windows.keys().next_back().copied() {
+        if let Some(last) = self.last() {
             self.forget(last);
         }
     }
@@ -47,15 +47,17 @@
     /// Returns the counts of the newest windows.
     pub fn newest(&self, windows: usize) -> Vec<Count> {
         let newest = self.windows.iter().rev().take(windows);
-        newest
-            .flat_map(|(window, counts)| {
-                counts.iter().map(|(workspace, begun)| Count {
-                    window: *window,
-                    workspace: workspace.clone(),
-                    begun: *begun,
-                })
-            })
-            .collect()
+        newest.flat_map(counts).collect()
+    }
+
+    /// Returns the counts from a window on.
+    pub fn since(&self, window: u64) -> Vec<Count> {
+        self.windows.range(window..).flat_map(counts).collect()
+    }
+
+    /// Returns the newest window.
+    pub fn last(&self) -> Option<u64> {
+        self.windows.keys().next_back().copied()
     }
 
     /// Returns the counts of one window by workspace.
@@ -69,3 +71,13 @@
         self.windows = self.windows.split_off(&oldest);
     }
 }
+
+fn counts<'a>(
+    (window, counts): (&'a u64, &'a collections::BTreeMap<name::Name, u32>),
+) -> impl Iterator<Item = Count> + 'a {
+    counts.iter().map(|(workspace, begun)| Count {
+        window: *window,
+        workspace: workspace.clone(),
+        begun: *begun,
+    })
+}
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -4,6 +4,7 @@
 
 use super::census;
 use super::rollouts;
+use super::tallies;
 use super::tracked;
 use crate::name;
 
@@ -97,3 +98,16 @@
     /// Addresses of some instances that it hears from.
     pub members: Vec<net::SocketAddr>,
 }
+
+impl Digest {
+    /// Returns the sender's counts.
+    pub fn tally(&self) -> tallies::Tally {
+        tallies::Tally {
+            process: tallies::Process {
+                name: self.sender.clone(),
+                incarnation: self.incarnation,
+            },
+            counts: self.counts.clone(),
+        }
+    }
+}
--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -10,10 +10,10 @@
 use std::collections;
 use std::time::Duration;
 
-use super::census;
 use super::rollouts;
 use super::scaling;
 use super::state;
+use super::tallies;
 use crate::lease;
 use crate::name;
 use crate::store;
@@ -35,10 +35,11 @@
     Fix(usage::Counts),
     /// Report the counts of a window.
     Report(usage::Counts),
-    /// Read the copy of the counts that an earlier holder left in the store.
+    /// Read the counts that other instances know and those that an earlier holder left in the
+    /// store.
     Restore,
     /// Write the copy of the counts.
-    Save(Vec<census::Count>),
+    Save(Vec<tallies::Tally>),
     /// Forget the fixed counts of a window.
     Forget {
         /// Number of the window.
--- a/crates/core/src/relay/duties/usage.rs
+++ b/crates/core/src/relay/duties/usage.rs
@@ -5,8 +5,8 @@
 
 use super::Work;
 use crate::name;
-use crate::relay::census;
 use crate::relay::state;
+use crate::relay::tallies;
 use crate::time;
 
 /// Time after the end of a window in which the last counts arrive.
@@ -64,7 +64,7 @@
     /// It is being read; without an answer by then the reports go on.
     Reading(time::Time),
     /// It is written at a time, unless nothing has changed since the last one.
-    Idle(time::Time, Vec<census::Count>),
+    Idle(time::Time, Vec<tallies::Tally>),
 }
 
 impl Usage {
@@ -100,7 +100,8 @@
             Saving::Reading(limit) if now < *limit => None,
             Saving::Idle(at, _) if now < *at => None,
             Saving::Reading(_) | Saving::Idle(..) => {
-                let counts = state.counts();
+                let present = state.window(now);
+                let counts = state.tallies.since(present.saturating_sub(LOOK_BACK));
                 let is_same = matches!(&self.saving, Saving::Idle(_, saved) if *saved == counts);
                 self.saving = Saving::Idle(now.after(SAVE), counts.clone());
                 (!is_same).then_some(Work::Save(counts))
@@ -124,7 +125,7 @@
     fn advance(&mut self, now: time::Time, state: &state::State, window: u64) -> Option<Work> {
         let counts = || Counts {
             window,
-            begun: state.begun(window),
+            begun: state.tallies.begun(window),
         };
         let (stage, work) = match self.windows.get(&window) {
             None => (Stage::Fixing, Work::Fix(counts())),
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -184,6 +184,14 @@
         fed.map(|p| &p.digest.sender)
     }
 
+    /// Returns where to ask the instances that are heard, the one that has run longest first.
+    pub fn eldest(&self, now: time::Time) -> Vec<net::SocketAddr> {
+        let heard = self.peers.values().filter(|p| !is_quiet(p, now));
+        let mut digests: Vec<_> = heard.map(|p| &p.digest).collect();
+        digests.sort_by_key(|digest| digest.incarnation);
+        digests.into_iter().map(|digest| digest.address).collect()
+    }
+
     /// Returns the number of instances that share the work, this one included.
     pub fn instances(&self) -> usize {
         self.peers.len() + 1
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -32,8 +32,6 @@
 const PATIENCE: u32 = 4;
 /// Longest pause of a stream that may go on elsewhere, as a multiple of a pause on time.
 const PAUSE: u32 = 2;
-/// Processes whose counts are kept.
-const MAX_PROCESSES: usize = 4_096;
 
 /// Applies one event to the state and returns what the shell must do.
 pub fn reduce(
@@ -229,17 +227,7 @@
         return;
     }
     let sender = digest.sender.clone();
-    let process = state::Process {
-        name: sender.clone(),
-        incarnation: digest.incarnation,
-    };
-    if state.others.len() < MAX_PROCESSES || state.others.contains_key(&process) {
-        state
-            .others
-            .entry(process)
-            .or_default()
-            .merge(&digest.counts);
-    }
+    state.tallies.learn(&digest.tally());
     for spent in &digest.spent {
         if let Some(level) = spent.level {
             state.caps.learn(now, &spent.workspace, level);
@@ -261,6 +249,7 @@
         state.out.push(effect::Effect::Lost(name));
     }
     note_outage(state, now);
+    state.tallies.sweep(state.window(now));
     let micros = state.clock.micros(now);
     let ahead = state.peers.ahead(now, micros);
     state.clock.compare(ahead);
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -85,7 +85,7 @@
         return;
     }
     if let Some(workspace) = &flight.ask.workspace {
-        state.census.record(window, workspace);
+        state.tallies.record(window, workspace);
     }
 }
 
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -6,7 +6,6 @@
 
 use super::budget;
 use super::caps;
-use super::census;
 use super::clock;
 use super::digest;
 use super::effect;
@@ -18,6 +17,7 @@
 use super::rollouts;
 use super::settings;
 use super::suspects;
+use super::tallies;
 use crate::name;
 use crate::time;
 
@@ -52,10 +52,8 @@
     pub caps: caps::Caps,
     /// Repeats.
     pub budget: budget::Budget,
-    /// Requests that this process saw begin.
-    pub census: census::Census,
-    /// The same of other processes.
-    pub others: collections::BTreeMap<Process, census::Census>,
+    /// Requests that began.
+    pub tallies: tallies::Tallies,
     /// Moves of services to new versions.
     pub rollouts: rollouts::Rollouts,
     /// True time.
@@ -75,19 +73,15 @@
     pub(super) out: Vec<effect::Effect>,
 }
 
-/// One process of one instance.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Process {
-    /// The instance.
-    pub name: name::Name,
-    /// Number of the process.
-    pub incarnation: u64,
-}
-
 impl State {
     /// Returns the state of a process that has just started.
     pub fn new(own: Own, settings: settings::Settings, clock: clock::Clock) -> Self {
+        let process = tallies::Process {
+            name: own.name.clone(),
+            incarnation: own.incarnation,
+        };
         Self {
+            tallies: tallies::Tallies::new(process),
             fleet: fleet::Fleet::new(own.domain.clone()),
             peers: peers::Peers::new(own.address),
             own,
@@ -95,8 +89,6 @@
             manifest: None,
             caps: caps::Caps::default(),
             budget: budget::Budget::default(),
-            census: census::Census::default(),
-            others: collections::BTreeMap::new(),
             rollouts: rollouts::Rollouts::default(),
             clock,
             suspects: suspects::Suspects::default(),
@@ -122,55 +114,6 @@
         self.clock.micros(now) / length
     }
 
-    /// Returns the requests that began in a window at any instance, by workspace.
-    pub fn begun(&self, window: u64) -> collections::BTreeMap<name::Name, u32> {
-        let mut sum = collections::BTreeMap::new();
-        let all = self.others.values().chain([&self.census]);
-        for (workspace, begun) in all.flat_map(|census| census.of(window)) {
-            *sum.entry(workspace.clone()).or_default() += begun;
-        }
-        sum
-    }
-
-    /// Returns the counts of the newest windows at all instances together.
-    pub fn counts(&self) -> Vec<census::Count> {
-        let present = self.others.values().chain([&self.census]);
-        let all = present.flat_map(|census| census.newest(TOLD_WINDOWS));
-        let mut sum = collections::BTreeMap::<_, u32>::new();
-        for count in all {
-            let begun = sum.entry((count.window, count.workspace)).or_default();
-            *begun = begun.saturating_add(count.begun);
-        }
-        let counts = sum.into_iter();
-        counts
-            .map(|((window, workspace), begun)| census::Count {
-                window,
-                workspace,
-                begun,
-            })
-            .collect()
-    }
-
-    /// Takes over the copy of all counts that an earlier holder of the lease left.
-    ///
-    /// It counts only where it tells of more than is known here: its processes may still live.
-    pub fn restore(&mut self, counts: Vec<census::Count>) {
-        let known = self.counts();
-        let lost = counts.into_iter().filter_map(|count| {
-            let same =
-                |k: &&census::Count| k.window == count.window && k.workspace == count.workspace;
-            let here = known.iter().find(same).map_or(0, |k| k.begun);
-            let begun = count.begun.saturating_sub(here);
-            (begun > 0).then_some(census::Count { begun, ..count })
-        });
-        let lost: Vec<_> = lost.collect();
-        let process = Process {
-            name: name::Name::from(""),
-            incarnation: 0,
-        };
-        self.others.entry(process).or_default().merge(&lost);
-    }
-
     /// Returns the microseconds of reading that all instances have given to a service, as far as
     /// they are heard.
     pub fn work(&self, service: &name::Name) -> u64 {
@@ -201,7 +144,7 @@
             loads: self.fleet.loads(),
             work: work.collect(),
             spent: spent.collect(),
-            counts: self.census.newest(TOLD_WINDOWS),
+            counts: self.tallies.own(TOLD_WINDOWS),
             trials: self.rollouts.told(),
             crashes: self.suspects.told(),
             members: self.peers.told(now),
--- /dev/null
+++ b/crates/core/src/relay/tallies.rs
@@ -0,0 +1,100 @@
+//! Counts of requests that began, by process: this one's, and those that it was told of.
+//!
+//! They are kept by process, so that a count may be told again, by others and later, without
+//! being added twice.
+
+use std::collections;
+
+use super::census;
+use crate::name;
+
+/// Processes whose counts are kept.
+const MAX_PROCESSES: usize = 4_096;
+/// Windows before the present one after which a process without newer counts is forgotten.
+const KEPT: u64 = 12;
+
+/// One process of one instance.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+pub struct Process {
+    /// The instance.
+    pub name: name::Name,
+    /// Number of the process.
+    pub incarnation: u64,
+}
+
+/// Counts of one process.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Tally {
+    /// The process.
+    pub process: Process,
+    /// What began there.
+    pub counts: Vec<census::Count>,
+}
+
+/// Counts of all processes.
+#[derive(Clone, Debug)]
+pub struct Tallies {
+    process: Process,
+    own: census::Census,
+    others: collections::BTreeMap<Process, census::Census>,
+}
+
+impl Tallies {
+    /// Builds the counts of a process that has just started.
+    pub fn new(process: Process) -> Self {
+        Self {
+            process,
+            own: census::Census::default(),
+            others: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Counts a request that began here.
+    pub fn record(&mut self, window: u64, workspace: &name::Name) {
+        self.own.record(window, workspace);
+    }
+
+    /// Takes over what is told of another process.
+    pub fn learn(&mut self, tally: &Tally) {
+        if tally.process == self.process {
+            return;
+        }
+        if self.others.len() >= MAX_PROCESSES && !self.others.contains_key(&tally.process) {
+            return;
+        }
+        let known = self.others.entry(tally.process.clone()).or_default();
+        known.merge(&tally.counts);
+    }
+
+    /// Returns this process's own counts of the newest windows.
+    pub fn own(&self, windows: usize) -> Vec<census::Count> {
+        self.own.newest(windows)
+    }
+
+    /// Returns all counts from a window on.
+    pub fn since(&self, window: u64) -> Vec<Tally> {
+        let tallies = self.others.iter().chain([(&self.process, &self.own)]);
+        let tallies = tallies.map(|(process, census)| Tally {
+            process: process.clone(),
+            counts: census.since(window),
+        });
+        tallies.filter(|tally| !tally.counts.is_empty()).collect()
+    }
+
+    /// Returns the requests that began in a window anywhere, by workspace.
+    pub fn begun(&self, window: u64) -> collections::BTreeMap<name::Name, u32> {
+        let mut sum = collections::BTreeMap::new();
+        let all = self.others.values().chain([&self.own]);
+        for (workspace, begun) in all.flat_map(|census| census.of(window)) {
+            *sum.entry(workspace.clone()).or_default() += begun;
+        }
+        sum
+    }
+
+    /// Forgets processes that counted nothing for long.
+    pub fn sweep(&mut self, present: u64) {
+        let oldest = present.saturating_sub(KEPT);
+        let is_new = |census: &census::Census| census.last().is_some_and(|last| last >= oldest);
+        self.others.retain(|_, census| is_new(census));
+    }
+}
--- a/crates/core/tests/relay_duties.rs
+++ b/crates/core/tests/relay_duties.rs
@@ -8,7 +8,7 @@
 use guavausher_core::lease;
 use guavausher_core::relay::duties::{self, Work, orders, usage};
 use guavausher_core::relay::event::{self, Signal};
-use guavausher_core::relay::{clock, engine, route, service};
+use guavausher_core::relay::{clock, engine, route, service, tallies};
 use guavausher_core::store;
 use guavausher_core::time;
 use guavausher_core::verdict;
@@ -32,7 +32,7 @@
     reports: Vec<usage::Counts>,
     orders: Vec<orders::Order>,
     fixed: collections::BTreeMap<u64, usage::Counts>,
-    saved: Vec<guavausher_core::relay::census::Count>,
+    saved: Vec<tallies::Tally>,
     version: u64,
     is_store_up: bool,
 }
@@ -59,7 +59,9 @@
                     work.extend(self.duties.replied(now, &reply));
                 }
                 Work::Restore => {
-                    instance.state.restore(self.saved.clone());
+                    for tally in &self.saved {
+                        instance.state.tallies.learn(tally);
+                    }
                     self.duties.usage.restored(now);
                 }
                 Work::Save(counts) => self.saved = counts,
@@ -163,9 +165,15 @@
     second.signal(at(200), 1, Signal::First);
     first.hear(at(300), second.digest(at(300)));
     let window = first.state.window(at(200));
-    assert_eq!(first.state.begun(window).get(&name("ward")), Some(&1));
+    assert_eq!(
+        first.state.tallies.begun(window).get(&name("ward")),
+        Some(&1)
+    );
     first.apply(at(60_000), event::Event::Tick);
-    assert_eq!(first.state.begun(window).get(&name("ward")), Some(&1));
+    assert_eq!(
+        first.state.tallies.begun(window).get(&name("ward")),
+        Some(&1)
+    );
 }
 
 /// Found on trouble-3 of both sites: the counts of a window ended with all processes.
@@ -191,6 +199,62 @@
     assert_eq!(report.begun.get(&name("ward")), Some(&5));
 }
 
+/// Found on trouble-3 at Erdene: what began after the restart was taken for a part of the copy.
+#[test]
+fn usage_of_ended_processes_is_added_to_that_of_new_ones() {
+    let mut before = Instance::serving(1, 2);
+    begin(&mut before, at(100), 0..5);
+    let window = before.state.window(at(200));
+    let mut holder = Holder::new("front-1");
+    for step in 1..20 {
+        holder.tick(at(step * 100), &mut before);
+    }
+    let mut after = Instance::serving(2, 2);
+    begin(&mut after, at(2_200), 0..3);
+    let mut next = Holder::new("front-2");
+    next.saved = holder.saved.clone();
+    for step in 25..120 {
+        next.tick(at(step * 100), &mut after);
+    }
+    let report = next.reports.iter().find(|r| r.window == window).unwrap();
+    assert_eq!(report.begun.get(&name("ward")), Some(&8));
+}
+
+/// Found on the own day store-away-from-a-few: the processes that live on had counted more since
+/// the copy, which hid what had ended with the others.
+#[test]
+fn usage_of_an_ended_process_is_added_to_that_of_one_that_lives_on() {
+    let mut ended = Instance::serving(1, 2);
+    let mut alive = Instance::serving(2, 2);
+    begin(&mut ended, at(100), 0..5);
+    begin(&mut alive, at(100), 0..2);
+    let window = ended.state.window(at(200));
+    ended.hear(at(300), alive.digest(at(300)));
+    let mut holder = Holder::new("front-1");
+    for step in 4..20 {
+        holder.tick(at(step * 100), &mut ended);
+    }
+    begin(&mut alive, at(2_000), 2..6);
+    let mut reborn = Instance::serving(3, 2);
+    reborn.hear(at(2_600), alive.digest(at(2_600)));
+    let mut next = Holder::new("front-3");
+    next.saved = holder.saved.clone();
+    for step in 27..120 {
+        let now = at(step * 100);
+        reborn.hear(now, alive.digest(now));
+        next.tick(now, &mut reborn);
+    }
+    let report = next.reports.iter().find(|r| r.window == window).unwrap();
+    assert_eq!(report.begun.get(&name("ward")), Some(&11));
+}
+
+fn begin(instance: &mut Instance, now: time::Time, ids: std::ops::Range<u64>) {
+    for id in ids {
+        instance.send(now, ask(id, now, route::Repeat::Stream, 1));
+        instance.signal(now.after(Duration::from_millis(50)), id, Signal::First);
+    }
+}
+
 #[rstest]
 #[case::forward(2_400_000)]
 #[case::back(-2_400_000)]
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use guavausher_core::name;
-use guavausher_core::relay::{digest, event};
+use guavausher_core::relay::{digest, event, tallies};
 use tokio::net::UdpSocket;
 
 use crate::channel;
@@ -22,6 +22,8 @@
 const FAN_OUT: usize = 16;
 /// Largest snapshot in bytes.
 const MAX_SNAPSHOT: usize = 16 << 20;
+/// What is asked for to get counts instead of the snapshot of a kind.
+const TALLIES: u8 = u8::MAX;
 /// Longest time to fetch a snapshot.
 const FETCH: Duration = Duration::from_millis(900);
 
@@ -60,14 +62,15 @@
     tokio::task::spawn_local(tell(shell.clone(), socket.clone()));
     tokio::task::spawn_local(hear(shell.clone(), socket));
     let snapshots = snapshots.clone();
+    let shell = shell.clone();
     tokio::task::spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let snapshots = snapshots.clone();
+            let (shell, snapshots) = (shell.clone(), snapshots.clone());
             let channel = channel::Channel::new(stream);
             tokio::task::spawn_local(async move {
-                let serving = tokio::time::timeout(FETCH, serve(channel, &snapshots));
+                let serving = tokio::time::timeout(FETCH, serve(channel, &shell, &snapshots));
                 if !matches!(serving.await, Ok(Some(()))) {
-                    log::debug!("snapshot not taken by a peer");
+                    log::debug!("nothing taken by a peer");
                 }
             });
         }
@@ -113,15 +116,19 @@
     }
 }
 
-async fn serve(mut channel: channel::Channel, snapshots: &Snapshots) -> Option<()> {
+async fn serve(
+    mut channel: channel::Channel,
+    shell: &shell::Shell,
+    snapshots: &Snapshots,
+) -> Option<()> {
     if channel.inbox.is_empty() {
         channel.fill().await.ok()?;
     }
-    let kind = usize::from(*channel.inbox.first()?);
-    let bytes = {
-        let all = snapshots.borrow();
-        encode(all.get(kind)?).ok()?
+    let bytes = match *channel.inbox.first()? {
+        TALLIES => encode(&shell.state.borrow().tallies.since(0)),
+        kind => encode(snapshots.borrow().get(usize::from(kind))?),
     };
+    let bytes = bytes.ok()?;
     let length = u32::try_from(bytes.len()).ok()?;
     channel::write_all(&channel.stream, &length.to_be_bytes())
         .await
@@ -131,11 +138,20 @@
 
 /// Fetches the snapshot of a kind from another instance; `None` if it cannot be had.
 pub async fn fetch(address: net::SocketAddr, kind: u8) -> Option<Snapshot> {
+    ask(address, kind).await
+}
+
+/// Fetches all counts that another instance knows; `None` if they cannot be had.
+pub async fn fetch_tallies(address: net::SocketAddr) -> Option<Vec<tallies::Tally>> {
+    ask(address, TALLIES).await
+}
+
+async fn ask<T: serde::de::DeserializeOwned>(address: net::SocketAddr, what: u8) -> Option<T> {
     /// Bytes of the length before a snapshot.
     const PREFIX: usize = 4;
     let fetching = async {
         let mut channel = channel::Channel::connect(address, FETCH).await.ok()?;
-        channel::write_all(&channel.stream, &[kind]).await.ok()?;
+        channel::write_all(&channel.stream, &[what]).await.ok()?;
         loop {
             if let Some(prefix) = channel.inbox.first_chunk::<PREFIX>() {
                 let length = u32::from_be_bytes(*prefix) as usize;
