Keep to usage caps across cuts, and find each other again after one

Change: an instance stays a member for ten minutes of silence, and is forgotten then only by the larger side; it is told digests all the while. The part of the caps belongs to the meters and changes with the instances that are heard. After a silence an instance is charged at most its part of the level that the others of its side know (digests tell how many they are). A silent one's part of the caps lies idle.

Tests that failed first: cap_is_kept_to_by_both_sides_of_a_cut (146,000 and 159,200 units where 99,000 are allowed), cap_is_there_at_once_after_a_cut (0 units in eight seconds), instance_that_was_cut_off_for_long_is_still_told.

--- a/crates/core/src/relay/caps.rs
+++ b/crates/core/src/relay/caps.rs
@@ -17,9 +17,11 @@
 /// Each instance keeps a whole meter for each workspace and charges to it what it admits itself
 /// and what the others tell of theirs. Two instances may both spend what is left before they hear
 /// of each other; the meter then stands above its burst and both refuse until it has drained.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Caps {
     meters: collections::BTreeMap<name::Name, Meter>,
+    /// Part of each cap that this instance and those that it hears from may use.
+    part: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -63,15 +65,22 @@
                 spent: 0,
                 known,
             });
-            meter.drain(now, 1.0);
+            meter.drain(now, self.part);
             meter.rate = workspace.rate;
             meter.burst = workspace.burst;
             self.meters.insert(workspace.name.clone(), meter);
         }
     }
 
-    /// Charges a request to its workspace; `part` is the part of the cap that this instance and
-    /// those that it hears from may use.
+    /// Sets the part of each cap that this instance and those that it hears from may use.
+    pub fn divide(&mut self, now: time::Time, part: f64) {
+        for meter in self.meters.values_mut() {
+            meter.drain(now, self.part);
+        }
+        self.part = part;
+    }
+
+    /// Charges a request to its workspace.
     ///
     /// # Errors
     ///
@@ -81,8 +90,8 @@
         now: time::Time,
         workspace: &name::Name,
         units: u32,
-        part: f64,
     ) -> Result<(), time::Time> {
+        let part = self.part;
         let Some(meter) = self.meters.get_mut(workspace) else {
             return Ok(());
         };
@@ -114,7 +123,7 @@
     /// Charges what another instance has admitted.
     pub fn charge(&mut self, now: time::Time, workspace: &name::Name, units: u64) {
         if let Some(meter) = self.meters.get_mut(workspace) {
-            meter.drain(now, 1.0);
+            meter.drain(now, self.part);
             meter.level += units as f64;
         }
     }
@@ -123,7 +132,7 @@
     pub fn learn(&mut self, now: time::Time, workspace: &name::Name, level: u64) {
         let meter = self.meters.get_mut(workspace);
         if let Some(meter) = meter.filter(|meter| !meter.known) {
-            meter.drain(now, 1.0);
+            meter.drain(now, self.part);
             meter.level = level as f64;
             meter.known = true;
         }
@@ -137,11 +146,20 @@
     /// Returns the level of a workspace's meter, if it is known.
     pub fn level(&self, now: time::Time, workspace: &name::Name) -> Option<u64> {
         let mut meter = self.meters.get(workspace).filter(|m| m.known)?.clone();
-        meter.drain(now, 1.0);
+        meter.drain(now, self.part);
         Some(meter.level as u64)
     }
 }
 
+impl Default for Caps {
+    fn default() -> Self {
+        Self {
+            meters: collections::BTreeMap::new(),
+            part: 1.0,
+        }
+    }
+}
+
 fn unknown_level(settings: &settings::Settings, workspace: &workspace::Workspace) -> f64 {
     /// Part of the tolerated excess that a new process may give away.
     const SHARE: f64 = 0.5;
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -77,6 +77,8 @@
     pub address: net::SocketAddr,
     /// Its estimate of the true time in microseconds since the Unix epoch.
     pub micros: u64,
+    /// Instances that it hears, itself included; they share what it knows of usage.
+    pub hears: u32,
     /// Whether it is stopping.
     pub leaving: bool,
     /// Whether it hears of each change from the store.
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -12,8 +12,11 @@
 const QUIET: Duration = Duration::from_millis(1_200);
 /// Silence after which another process may have taken an instance's place.
 const REPLACED: Duration = Duration::from_millis(500);
-/// Silence after which an instance is taken as gone.
-const GONE: Duration = Duration::from_secs(12);
+/// Silence after which an instance is taken as lost, and its work with it.
+const LOST: Duration = Duration::from_secs(12);
+/// Silence after which an instance is forgotten. Until then it may live behind a cut and use its
+/// part of the shared limits.
+const FORGOTTEN: Duration = Duration::from_secs(600);
 /// Instances that are remembered.
 const MAX_PEERS: usize = 1_024;
 /// Addresses that one digest tells.
@@ -37,6 +40,8 @@
     pub digest: digest::Digest,
     /// When that came.
     pub heard: time::Time,
+    /// Whether it has been silent for so long that it is taken as lost.
+    pub lost: bool,
     /// Highest spent units by workspace that were charged here.
     charged: collections::BTreeMap<name::Name, u64>,
 }
@@ -66,7 +71,7 @@
         for address in addresses {
             let is_known = self.peers.values().any(|p| p.digest.address == address);
             if !is_known && address != self.own && self.hints.len() < MAX_PEERS {
-                self.hints.entry(address).or_insert(now.after(GONE));
+                self.hints.entry(address).or_insert(now.after(LOST));
             }
         }
     }
@@ -85,12 +90,17 @@
         let known = self.peers.get(&digest.sender);
         let same = known.filter(|p| p.digest.incarnation == digest.incarnation);
         let is_first = same.is_none();
+        let was_quiet = same.is_some_and(|p| is_quiet(p, now));
         let mut charged = same.map(|p| p.charged.clone()).unwrap_or_default();
         let mut charges = Vec::new();
         for spent in &digest.spent {
             let before = charged.entry(spent.workspace.clone()).or_default();
             let units = spent.units.saturating_sub(*before);
             *before = spent.units.max(*before);
+            let units = match was_quiet {
+                true => units.min(unheard(spent, digest.hears)),
+                false => units,
+            };
             if units > 0 && !is_first {
                 charges.push(Charge {
                     workspace: spent.workspace.clone(),
@@ -101,6 +111,7 @@
         self.add_work(&digest);
         let peer = Peer {
             heard: now,
+            lost: false,
             charged,
             digest,
         };
@@ -125,19 +136,29 @@
         self.work.get(service).copied().unwrap_or(0)
     }
 
-    /// Forgets instances that are gone; returns their names.
+    /// Notes which instances are lost, and returns the names of those that were not before;
+    /// forgets those that have been for long.
+    ///
+    /// Only the larger side of a cut forgets the other one and takes over its part of the limits.
     pub fn sweep(&mut self, now: time::Time) -> Vec<name::Name> {
         self.hints.retain(|_, until| *until > now);
-        let gone: Vec<_> = self
-            .peers
-            .iter()
-            .filter(|(_, p)| p.heard.after(GONE) <= now)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in &gone {
-            self.peers.remove(name);
+        let heard = self.heard(now) + 1;
+        let is_larger = 2 * heard > self.peers.len() + 1;
+        if is_larger {
+            self.peers.retain(|_, p| p.heard.after(FORGOTTEN) > now);
         }
-        gone
+        let silent = |p: &&mut Peer| !p.lost && p.heard.after(LOST) <= now;
+        let lost = self.peers.values_mut().filter(silent);
+        lost.map(|p| {
+            p.lost = true;
+            p.digest.sender.clone()
+        })
+        .collect()
+    }
+
+    /// Tells whether an instance is known and heard.
+    pub fn is_member(&self, now: time::Time, name: &name::Name) -> bool {
+        self.peers.get(name).is_some_and(|p| !is_quiet(p, now))
     }
 
     /// Returns the other instances.
@@ -192,6 +213,11 @@
         digests.into_iter().map(|digest| digest.address).collect()
     }
 
+    /// Returns how many others are heard.
+    pub fn heard(&self, now: time::Time) -> usize {
+        self.peers.values().filter(|p| !is_quiet(p, now)).count()
+    }
+
     /// Returns the number of instances that share the work, this one included.
     pub fn instances(&self) -> usize {
         self.peers.len() + 1
@@ -207,11 +233,11 @@
         heard as f64 / all as f64
     }
 
-    /// Tells whether an instance that may still live has fallen silent.
+    /// Tells whether an instance has fallen silent that may yet be heard soon.
     pub fn has_quiet(&self, now: time::Time) -> bool {
         self.peers
             .values()
-            .any(|p| !p.digest.leaving && is_quiet(p, now))
+            .any(|p| !p.digest.leaving && !p.lost && is_quiet(p, now))
     }
 
     /// Returns how far the others' true time lies ahead of this instance's, in microseconds.
@@ -247,6 +273,12 @@
     twox_hash::XxHash64::oneshot(0, name.as_bytes())
 }
 
+/// Returns an instance's part of what is left of the usage of those on its side of a cut, who
+/// kept to their part of the cap all the while.
+fn unheard(spent: &digest::Spent, hears: u32) -> u64 {
+    spent.level.unwrap_or(0).div_ceil(u64::from(hears.max(1)))
+}
+
 fn is_quiet(peer: &Peer, now: time::Time) -> bool {
     peer.heard.after(QUIET) <= now
 }
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -59,8 +59,8 @@
         return close::refuse(state, request, refusal, close::ground(state, now, &ask, 0));
     }
     if let Some(workspace) = &ask.workspace {
-        let part = state.peers.part(now);
-        if let Err(fits) = state.caps.take(now, workspace, ask.units, part) {
+        state.caps.divide(now, state.peers.part(now));
+        if let Err(fits) = state.caps.take(now, workspace, ask.units) {
             let refusal = close::not_run(
                 refusal::Code::Limited,
                 Some(close::return_at(now, &ask, fits)),
@@ -226,6 +226,7 @@
     if digest.sender == state.own.name {
         return;
     }
+    let is_member = state.peers.is_member(now, &digest.sender);
     let sender = digest.sender.clone();
     state.tallies.learn(&digest.tally());
     for spent in &digest.spent {
@@ -240,21 +241,21 @@
     for charge in charges {
         state.caps.charge(now, &charge.workspace, charge.units);
     }
+    if !is_member {
+        state.caps.divide(now, state.peers.part(now));
+    }
     note_outage(state, now);
 }
 
 fn tick(state: &mut state::State, now: time::Time) {
     for name in state.peers.sweep(now) {
-        forget(state, &name);
+        state.fleet.hear(&name, &[]);
         state.out.push(effect::Effect::Lost(name));
     }
+    state.caps.divide(now, state.peers.part(now));
     note_outage(state, now);
     state.tallies.sweep(state.window(now));
     let micros = state.clock.micros(now);
     let ahead = state.peers.ahead(now, micros);
     state.clock.compare(ahead);
 }
-
-fn forget(state: &mut state::State, name: &name::Name) {
-    state.fleet.hear(name, &[]);
-}
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -138,6 +138,7 @@
             incarnation: self.own.incarnation,
             address: self.own.address,
             micros: self.clock.micros(now),
+            hears: self.peers.heard(now) as u32 + 1,
             leaving: self.leaving,
             fed: self.fed,
             positions,
--- a/crates/core/tests/relay_reduce.rs
+++ b/crates/core/tests/relay_reduce.rs
@@ -211,6 +211,74 @@
     assert!(admitted <= 99_000, "{admitted}");
 }
 
+/// Found on the own day long-cut: the larger side of a cut used the whole cap, as soon as its
+/// members heard of each other's use and again once they had forgotten the smaller side, which
+/// then did the same.
+#[rstest]
+#[case::soon(2_000, 100_000)]
+#[case::late(20_000, 100_000)]
+#[case::across_the_end(16_000, 20_000)]
+#[case::at_the_end(20_000, 20_000)]
+fn cap_is_kept_to_by_both_sides_of_a_cut(#[case] from: u64, #[case] healed: u64) {
+    let admitted = admitted_around_a_cut(from, healed);
+    assert!(admitted <= 99_000, "{admitted}");
+}
+
+/// Found there as well: once the cut had healed, all that the other side had used meanwhile was
+/// charged at once, and nothing was admitted for seconds.
+#[test]
+fn cap_is_there_at_once_after_a_cut() {
+    let admitted = admitted_around_a_cut(20_000, 20_000);
+    assert!(admitted >= 72_000, "{admitted}");
+}
+
+/// Units that five instances admit in the eight seconds after `from`, while three and two of them
+/// cannot talk to each other until `healed`; the cap is 10,000 a second.
+fn admitted_around_a_cut(from: u64, healed: u64) -> u32 {
+    let mut all: Vec<_> = (0..5).map(|i| Instance::serving(i, 4)).collect();
+    let digests: Vec<_> = all.iter().map(|i| i.digest(START)).collect();
+    for instance in &mut all {
+        instance.apply(START, manifest(2, 10_000.0, None));
+        for digest in digests.iter().cloned() {
+            instance.hear(START, digest);
+        }
+    }
+    let mut admitted = 0;
+    let mut id = 0;
+    for step in 1..=(from + 8_000) / 100 {
+        let now = at(step * 100);
+        let digests: Vec<_> = all.iter().map(|i| i.digest(now)).collect();
+        for (index, instance) in all.iter_mut().enumerate() {
+            let is_near = |other: &usize| step * 100 >= healed || (*other < 3) == (index < 3);
+            for other in (0..digests.len()).filter(is_near) {
+                instance.hear(now, digests[other].clone());
+            }
+            instance.apply(now, event::Event::Tick);
+            for _ in 0..20 {
+                id += 1;
+                let arrived = event::Event::Arrived(ask(id, now, Repeat::Stream, 1));
+                if sent(&instance.apply(now, arrived)).is_some() {
+                    admitted += if step * 100 > from { 100 } else { 0 };
+                    instance.signal(now, id, Signal::Whole { status: 200 });
+                }
+            }
+        }
+    }
+    admitted
+}
+
+#[test]
+fn instance_that_was_cut_off_for_long_is_still_told() {
+    let mut first = Instance::serving(0, 1);
+    let second = Instance::serving(1, 1);
+    first.hear(START, second.digest(START));
+    for second in 1..60 {
+        first.apply(at(second * 1_000), event::Event::Tick);
+    }
+    let told = first.state.peers.addresses();
+    assert!(told.contains(&second.state.own.address));
+}
+
 #[test]
 fn manifest_never_goes_back() {
     let mut instance = Instance::serving(1, 1);
