Keep to the channels of engines, pass on their failures, and test the log lines

An engine gets no request that would be more than its channels over all instances; half of them may be idle, divided by the instances. - Objects of instances that are gone stayed in the store. The holder of the lease removes those that it has not heard for ten minutes, once it has run that long itself. - Log lines had no typed tests: crates/relay/tests/log_lines.rs reads the fields of each decision (sent, ended, refused, refused at the door, cut, engine in use, leaving, avoided, manifest). - Found by them: where no other engine could be asked again, an engine's answer that states a failure was replaced by a 502 of ours. It is passed on now, also if the next engine breaks off. Tests: failure_of_the_only_engine_is_passed_on, failure_is_passed_on_when_the_next_engine_breaks_off, and the case "failing" of end_of_each_attempt_is_told, which failed first.

--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -10,6 +10,7 @@
 use std::collections;
 use std::time::Duration;
 
+use super::peers;
 use super::rollouts;
 use super::scaling;
 use super::state;
@@ -23,6 +24,8 @@
 const SHARD: u64 = 0;
 /// Time between two looks at the moves to new versions.
 const MOVES: Duration = Duration::from_millis(400);
+/// Time between two looks for instances that are gone for good.
+const SWEEPS: Duration = Duration::from_secs(60);
 /// Instances that compete for the lease.
 const CANDIDATES: usize = 3;
 
@@ -47,6 +50,8 @@
     },
     /// Write how far a move to a new version is.
     Move(rollouts::Verdict),
+    /// Remove the objects of instances that are not remembered any more.
+    Sweep,
     /// Order engines.
     Order(orders::Order),
     /// The lease was taken; a fencing number goes with each call from now on.
@@ -69,6 +74,9 @@
     planner: scaling::Planner,
     /// When the moves to new versions are looked at again.
     moves: time::Time,
+    /// When instances that are gone are looked for; not before this one would remember any that
+    /// is still there.
+    sweep: Option<time::Time>,
 }
 
 impl Duties {
@@ -80,6 +88,7 @@
             orders: orders::Orders::default(),
             planner: scaling::Planner::default(),
             moves: time::Time::default(),
+            sweep: None,
         }
     }
 
@@ -108,6 +117,11 @@
             let verdicts = state.rollouts.verdicts(state.clock.micros(now));
             work.extend(verdicts.into_iter().map(Work::Move));
         }
+        let sweep = self.sweep.get_or_insert(now.after(peers::FORGOTTEN));
+        if now >= *sweep {
+            *sweep = now.after(SWEEPS);
+            work.push(Work::Sweep);
+        }
         let orders = self.orders.tick(now, wanted);
         work.extend(orders.into_iter().map(Work::Order));
         work
--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -75,4 +75,6 @@
     pub patience: Option<time::Time>,
     /// Longest pause within the answer before it goes on at another engine.
     pub pause: Option<Duration>,
+    /// Idle channels to the engine that may be kept afterwards, this one included.
+    pub idle: usize,
 }
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -70,7 +70,7 @@
 pub enum Lack {
     /// No engine of the service is known.
     NoEngine,
-    /// Those that are known have failed this request.
+    /// Those that are known have failed this request, or take no more channels.
     Excluded,
 }
 
@@ -83,6 +83,8 @@
     pub version: Option<&'a name::Name>,
     /// A version that must not take it.
     pub barred: Option<&'a name::Name>,
+    /// Channels that one engine takes from all instances, if there is a limit.
+    pub channels: Option<u32>,
 }
 
 /// What came of a change of the list.
@@ -238,6 +240,7 @@
             .filter(|t| !limits.excluded.contains(&t.engine.name))
             .filter(|t| limits.version.is_none_or(|v| t.engine.version == *v))
             .filter(|t| limits.barred.is_none_or(|v| t.engine.version != *v))
+            .filter(|t| limits.channels.is_none_or(|most| t.load().running < most))
             .collect();
         let usual = usual_badness(&usable);
         let sound = |t: &&&tracked::Tracked| t.is_sound(now) && !t.is_outlier(usual);
--- a/crates/core/src/relay/flight.rs
+++ b/crates/core/src/relay/flight.rs
@@ -20,6 +20,8 @@
     pub ran: bool,
     /// Whether it was counted for the usage report.
     pub counted: bool,
+    /// Whether an engine's answer that states a failure is held back and can be passed on.
+    pub failed: bool,
     /// Whether the caller has got a part of the answer.
     pub answering: bool,
 }
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -16,7 +16,7 @@
 const LOST: Duration = Duration::from_secs(12);
 /// Silence after which an instance is forgotten. Until then it may live behind a cut and use its
 /// part of the shared limits.
-const FORGOTTEN: Duration = Duration::from_secs(600);
+pub(super) const FORGOTTEN: Duration = Duration::from_secs(600);
 /// Instances that are remembered.
 const MAX_PEERS: usize = 1_024;
 /// Addresses that one digest tells.
@@ -156,6 +156,11 @@
         .collect()
     }
 
+    /// Tells whether an instance is remembered, heard or not.
+    pub fn knows(&self, name: &name::Name) -> bool {
+        self.peers.contains_key(name)
+    }
+
     /// Tells whether an instance is known and heard.
     pub fn is_member(&self, now: time::Time, name: &name::Name) -> bool {
         self.peers.get(name).is_some_and(|p| !is_quiet(p, now))
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -76,6 +76,7 @@
         running: None,
         ran: false,
         counted: false,
+        failed: false,
         answering: false,
     };
     state.flights.insert(request, flight);
@@ -101,6 +102,7 @@
         excluded: &flight.tried,
         version: pick.only.as_ref(),
         barred: pick.barred.as_ref(),
+        channels: channels(state, &ask.service),
     };
     let chosen = state.fleet.choose(now, ask, limits);
     let chosen = chosen.or_else(|lack| match pick.yields {
@@ -129,6 +131,22 @@
     send(state, now, request, choice);
 }
 
+/// Returns how many channels one engine of a service takes from all instances.
+fn channels(state: &state::State, service: &name::Name) -> Option<u32> {
+    let manifest = state.manifest.as_ref()?;
+    let service = manifest.services().get(service)?;
+    (service.channels > 0).then_some(service.channels)
+}
+
+/// Returns how many idle channels to one engine of a service this instance may keep, so that those
+/// of all instances leave room for requests on new ones.
+fn idle_channels(state: &state::State, service: &name::Name) -> usize {
+    /// Part of an engine's channels that may be idle.
+    const PART: u32 = 2;
+    let all = channels(state, service).map(|channels| channels / PART);
+    all.map_or(usize::MAX, |all| all as usize / state.peers.instances())
+}
+
 /// Returns when to come back if a first event after `expected` is too late to be worth the work.
 fn hopeless(now: time::Time, ask: &ask::Ask, expected: Duration) -> Option<time::Time> {
     let goal = ask.arrived.until(ask.goal);
@@ -137,6 +155,10 @@
 }
 
 fn send(state: &mut state::State, now: time::Time, request: u64, choice: fleet::Choice) {
+    let Some(flight) = state.flights.get(&request) else {
+        return;
+    };
+    let idle = idle_channels(state, &flight.ask.service);
     let Some(flight) = state.flights.get_mut(&request) else {
         return;
     };
@@ -152,6 +174,7 @@
         number: flight.tried.len(),
         patience: patience(now, flight, &choice),
         pause: pause(flight),
+        idle,
         choice,
     };
     state.out.push(effect::Effect::Send { request, dispatch });
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -102,9 +102,10 @@
 
 fn failing(state: &mut state::State, now: time::Time, request: u64, status: u16) {
     count(state, now, request);
-    let Some(flight) = state.flights.get(&request) else {
+    let Some(flight) = state.flights.get_mut(&request) else {
         return;
     };
+    flight.failed = true;
     let is_own = status >= 500;
     let repeatable = flight.ask.route.repeat.is_idempotent() && reduce::has_attempts(flight);
     let service = flight.ask.service.clone();
--- a/crates/core/src/relay/reduce/close.rs
+++ b/crates/core/src/relay/reduce/close.rs
@@ -5,6 +5,7 @@
 use crate::refusal;
 use crate::relay::ask;
 use crate::relay::effect;
+use crate::relay::flight;
 use crate::relay::state;
 use crate::time;
 use crate::verdict;
@@ -16,7 +17,8 @@
 
 /// Gives the final answer to a request in progress.
 ///
-/// A request that may have run is never said not to have run.
+/// A request that may have run is never said not to have run. An engine's own answer goes before
+/// one of ours, also where it states a failure.
 pub(super) fn give_up(
     state: &mut state::State,
     now: time::Time,
@@ -36,6 +38,10 @@
     at: Option<time::Time>,
     expected: Option<Duration>,
 ) {
+    let holds_answer = |flight: &flight::Flight| flight.failed && !flight.answering;
+    if code != refusal::Code::Deadline && state.flights.get(&request).is_some_and(holds_answer) {
+        return state.out.push(effect::Effect::Relay { request });
+    }
     let Some(flight) = state.flights.remove(&request) else {
         return;
     };
--- a/crates/core/tests/relay_duties.rs
+++ b/crates/core/tests/relay_duties.rs
@@ -34,6 +34,7 @@
     fixed: collections::BTreeMap<u64, usage::Counts>,
     saved: Vec<tallies::Tally>,
     version: u64,
+    sweeps: u32,
     is_store_up: bool,
 }
 
@@ -46,6 +47,7 @@
             fixed: collections::BTreeMap::new(),
             saved: Vec::new(),
             version: 10,
+            sweeps: 0,
             is_store_up: true,
         }
     }
@@ -80,6 +82,7 @@
                         .ordered(now, &order, orders::Outcome::Taken);
                     self.orders.push(order);
                 }
+                Work::Sweep => self.sweeps += 1,
                 Work::Move(_) | Work::Forget { .. } | Work::Acquired { .. } | Work::Lost => {}
             }
         }
@@ -130,6 +133,21 @@
     assert_eq!(holder.duties.fence(at(8_000)), None);
 }
 
+/// A holder that has just started does not know yet who is there.
+#[test]
+fn instances_that_are_gone_are_looked_for_once_they_are_known() {
+    let mut instance = Instance::serving(1, 1);
+    let mut holder = Holder::new("front-1");
+    for second in 0..590 {
+        holder.tick(at(second * 1_000), &mut instance);
+    }
+    assert_eq!(holder.sweeps, 0);
+    for second in 590..740 {
+        holder.tick(at(second * 1_000), &mut instance);
+    }
+    assert_eq!(holder.sweeps, 3);
+}
+
 #[test]
 fn usage_is_reported_once_with_the_counts_of_all() {
     let mut first = Instance::serving(1, 2);
--- a/crates/core/tests/relay_reduce.rs
+++ b/crates/core/tests/relay_reduce.rs
@@ -7,6 +7,7 @@
 use guavausher_core::refusal;
 use guavausher_core::relay::event::{self, Signal};
 use guavausher_core::relay::route::Repeat;
+use guavausher_core::relay::{self, effect};
 use guavausher_core::verdict;
 use relay_support::{Instance, START, ask, at, engine, engines, manifest, name, refused, sent};
 use rstest::rstest;
@@ -308,6 +309,66 @@
     );
 }
 
+/// The engine of the tests takes 100 channels from all instances.
+#[test]
+fn engine_gets_no_more_requests_than_it_takes_channels() {
+    let mut other = Instance::serving(2, 1);
+    let mut instance = Instance::serving(1, 1);
+    for id in 0..60 {
+        other.send(START, small(id));
+    }
+    instance.hear(START, other.digest(START));
+    for id in 0..40 {
+        instance.send(START, small(id));
+    }
+    let late = event::Event::Arrived(small(40));
+    let refusal = refused(&instance.apply(START, late)).unwrap();
+    assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
+}
+
+fn small(id: u64) -> relay::ask::Ask {
+    let mut small = ask(id, START, Repeat::Stream, 1);
+    small.prompt = 0;
+    small
+}
+
+#[test]
+fn idle_channels_of_all_instances_leave_room_for_others() {
+    let mut instance = Instance::serving(0, 1);
+    for index in 1..10 {
+        instance.hear(START, Instance::serving(index, 1).digest(START));
+    }
+    let arrived = event::Event::Arrived(ask(1, START, Repeat::Stream, 1));
+    let effects = instance.apply(START, arrived);
+    let effect::Effect::Send { dispatch, .. } = &effects[0] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(dispatch.idle, 5, "half of 100 over ten instances");
+}
+
+/// Found by a test of the log lines: an engine's answer was replaced by one of ours where no other
+/// engine could be asked.
+#[test]
+fn failure_of_the_only_engine_is_passed_on() {
+    let mut instance = Instance::serving(1, 1);
+    instance.send(START, ask(1, START, Repeat::Idempotent, 2));
+    let effects = instance.signal(at(5), 1, FAILING);
+    let is_relay = |e: &effect::Effect| matches!(e, effect::Effect::Relay { request: 1 });
+    assert!(effects.iter().any(is_relay), "{effects:?}");
+    instance.signal(at(6), 1, Signal::Whole { status: 500 });
+    assert!(instance.state.flights.is_empty());
+}
+
+#[test]
+fn failure_is_passed_on_when_the_next_engine_breaks_off() {
+    let mut instance = Instance::serving(1, 2);
+    instance.send(START, ask(1, START, Repeat::Idempotent, 2));
+    assert!(sent(&instance.signal(at(5), 1, FAILING)).is_some());
+    let effects = instance.signal(at(9), 1, CUT);
+    let is_relay = |e: &effect::Effect| matches!(e, effect::Effect::Relay { request: 1 });
+    assert!(effects.iter().any(is_relay), "{effects:?}");
+}
+
 #[test]
 fn engine_that_starts_anew_is_new() {
     let mut instance = Instance::serving(1, 1);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -55,7 +55,7 @@
             .exchange(&mut engine, &head, &mut is_sent, output)
             .await;
         if let Some(wait) = engine.kept.take() {
-            self.shell.pool.put(&self.dispatch.choice, engine, wait);
+            self.shell.pool.put(self.dispatch, engine, wait);
         }
         ending.unwrap_or_else(Ending::Signal)
     }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use guavausher_core::name;
-use guavausher_core::relay::fleet;
+use guavausher_core::relay::{effect, fleet};
 use guavausher_core::time;
 
 use crate::channel;
@@ -76,13 +76,18 @@
         self.opened.get()
     }
 
-    /// Keeps a channel; `wait` is how long the engine said it stays open.
-    pub fn put(&self, choice: &fleet::Choice, channel: channel::Channel, wait: Option<Duration>) {
+    /// Keeps the channel of an attempt; `wait` is how long the engine said it stays open.
+    pub fn put(
+        &self,
+        dispatch: &effect::Dispatch,
+        channel: channel::Channel,
+        wait: Option<Duration>,
+    ) {
         let now = clock::now();
         let wait = wait.map_or(IDLE, |wait| wait.saturating_sub(IDLE_MARGIN));
         let mut idle = self.idle.borrow_mut();
-        let kept = idle.entry(key(choice)).or_default();
-        if kept.len() < MAX_IDLE && !wait.is_zero() {
+        let kept = idle.entry(key(&dispatch.choice)).or_default();
+        if kept.len() < dispatch.idle.min(MAX_IDLE) && !wait.is_zero() {
             kept.push(Idle {
                 channel,
                 since: now,
--- /dev/null
+++ b/crates/relay/tests/log_lines.rs
@@ -0,0 +1,223 @@
+//! The line of each decision: its fields and what they hold.
+
+mod support;
+
+use std::sync;
+
+use guavausher_core::relay::{event, manifest, workspace};
+use rstest::rstest;
+use support::{Engine, Relay, Reply, events, lines, request, whole};
+
+const SENT: [&str; 12] = [
+    "ahead",
+    "attempt",
+    "engine",
+    "expected_ms",
+    "fresh",
+    "id",
+    "left_ms",
+    "prompt",
+    "route",
+    "running",
+    "service",
+    "workspace",
+];
+const REFUSED: [&str; 14] = [
+    "after_ms",
+    "cap_part",
+    "engines",
+    "expected_ms",
+    "id",
+    "reason",
+    "return_ms",
+    "route",
+    "sent",
+    "service",
+    "stands_for",
+    "units",
+    "verdict",
+    "workspace",
+];
+
+/// Starts keeping lines, and a relay with one engine that answers so.
+async fn serving(replies: Vec<Reply>) -> (Engine, Relay) {
+    lines::keep();
+    let engine = Engine::start(replies).await;
+    let relay = Relay::start(&[&engine]);
+    (engine, relay)
+}
+
+#[test]
+fn send_is_told_with_what_it_was_chosen_by() {
+    support::run(async {
+        let (_engine, relay) = serving(vec![Reply::Keep(whole(200, "x"))]).await;
+        let asked = request("POST", "/pay/", "r1", "").replace("X-Key", "X-Prompt: 700\r\nX-Key");
+        relay.ask(&asked).await.unwrap();
+        let line = lines::only("sent");
+        assert_eq!(line.keys(), SENT);
+        assert_eq!(line.text("id"), "r1");
+        assert_eq!(line.text("engine"), "engine-0");
+        assert_eq!(line.text("route"), "/pay/");
+        assert_eq!(line.text("service"), "service");
+        assert_eq!(line.text("workspace"), "ward");
+        assert_eq!(line.number("attempt"), 1.0);
+        assert_eq!(line.number("prompt"), 700.0);
+        assert_eq!(line.number("fresh"), 700.0);
+        assert!(line.number("left_ms") <= 9_000.0);
+    });
+}
+
+#[rstest]
+#[case::whole("/pay/", vec![Reply::Keep(whole(200, "x"))], &["whole"])]
+#[case::not_run("/pay/", vec![Reply::Keep(not_run())], &["not-run"])]
+#[case::broken("/pay/", vec![Reply::Reset(String::new())], &["broken"])]
+#[case::failing("/look/", vec![Reply::Keep(whole(500, "x"))], &["failing", "whole"])]
+#[case::cut("/stream/", vec![Reply::Close(events(1..=2, false))], &["broken"])]
+fn end_of_each_attempt_is_told(
+    #[case] path: &str,
+    #[case] replies: Vec<Reply>,
+    #[case] endings: &[&str],
+) {
+    support::run(async {
+        let (_engine, relay) = serving(replies).await;
+        relay.ask(&request("GET", path, "r1", "")).await;
+        // The last line may be written after the caller has its answer.
+        while lines::all("attempt ended").len() < endings.len() {
+            tokio::task::yield_now().await;
+        }
+        let told = lines::all("attempt ended");
+        let told: Vec<_> = told.iter().map(|line| line.text("ending")).collect();
+        assert_eq!(told, endings);
+        for line in lines::all("attempt ended") {
+            assert_eq!(line.text("id"), "r1");
+            assert!(line.number("after_ms") >= line.number("first_ms"));
+            assert!(!line.text("signal").is_empty());
+        }
+    });
+}
+
+#[rstest]
+#[case::no_engine(&[], 0.0, "not-run")]
+#[case::engine_said_so(&[Reply::Keep(not_run())], 1.0, "not-run")]
+#[case::engine_broke(&[Reply::Reset(String::new())], 1.0, "may-have-run")]
+fn refusal_is_told_with_its_ground(
+    #[case] replies: &[Reply],
+    #[case] sent: f64,
+    #[case] verdict: &str,
+) {
+    support::run(async {
+        let (engine, relay) = serving(replies.to_vec()).await;
+        if replies.is_empty() {
+            relay.inform(support::parts(2), &[]);
+        }
+        let answer = relay.ask(&request("GET", "/pay/", "r1", "")).await.unwrap();
+        let line = lines::only("refused");
+        assert_eq!(line.keys(), REFUSED);
+        assert_eq!(line.text("id"), "r1");
+        assert_eq!(line.text("verdict"), verdict);
+        assert!(answer.text().contains(line.text("reason")));
+        assert_eq!(line.number("sent"), sent);
+        assert_eq!(line.number("stands_for"), 1.0);
+        assert_eq!(line.number("cap_part"), 1.0);
+        assert_eq!(engine.runs() as f64, sent);
+    });
+}
+
+#[test]
+fn refusal_beyond_a_cap_is_told_with_units_and_return() {
+    support::run(async {
+        let (_engine, relay) = serving(vec![Reply::Keep(whole(200, "x"))]).await;
+        let mut parts = support::parts(2);
+        parts.workspaces = Some(vec![workspace::Workspace {
+            rate: 0.5,
+            burst: 1.0,
+            ..parts.workspaces.unwrap().remove(0)
+        }]);
+        let manifest = sync::Arc::new(manifest::Manifest::new(parts));
+        relay.shell.apply(event::Event::Manifest(manifest));
+        relay.ask(&request("GET", "/pay/", "r1", "")).await;
+        relay.ask(&request("GET", "/pay/", "r2", "")).await;
+        let line = lines::only("refused");
+        assert_eq!(line.text("id"), "r2");
+        assert_eq!(line.text("reason"), "limited");
+        assert_eq!(line.text("workspace"), "ward");
+        assert_eq!(line.number("units"), 1.0);
+        assert!((1_000.0..=2_000.0).contains(&line.number("return_ms")));
+    });
+}
+
+#[rstest]
+#[case::no_route(request("GET", "/none/", "r1", ""), "no-route")]
+#[case::unknown_key(request("GET", "/pay/", "r1", "").replace("secret", "other"), "unknown-key")]
+fn refusal_at_the_door_is_told(#[case] asked: String, #[case] reason: &str) {
+    support::run(async {
+        let (_engine, relay) = serving(Vec::new()).await;
+        relay.ask(&asked).await.unwrap();
+        let line = lines::only("refused at the door");
+        assert_eq!(line.keys(), ["id", "reason", "target", "verdict"]);
+        assert_eq!(line.text("id"), "r1");
+        assert_eq!(line.text("reason"), reason);
+        assert_eq!(line.text("verdict"), "not-run");
+    });
+}
+
+#[test]
+fn answer_that_is_cut_is_told() {
+    support::run(async {
+        let (_engine, relay) = serving(vec![Reply::Close(events(1..=2, false))]).await;
+        relay.ask(&request("GET", "/stream/", "r1", "")).await;
+        let line = lines::only("answer cut");
+        assert_eq!(line.level, log::Level::Warn);
+        assert_eq!(line.text("id"), "r1");
+        assert_eq!(line.text("reason"), "upstream-failed");
+    });
+}
+
+#[test]
+fn repeat_is_told_as_a_second_attempt() {
+    support::run(async {
+        lines::keep();
+        let bad = Engine::start(vec![Reply::Reset(String::new()); 2]).await;
+        let relay = Relay::start(&[&bad, &bad]);
+        relay.ask(&request("GET", "/look/", "r1", "")).await;
+        let sent = lines::all("sent");
+        let attempts: Vec<_> = sent.iter().map(|line| line.number("attempt")).collect();
+        assert_eq!(attempts, [1.0, 2.0]);
+        assert_ne!(sent[0].text("engine"), sent[1].text("engine"));
+    });
+}
+
+#[test]
+fn engines_and_manifest_are_told_as_they_change() {
+    support::run(async {
+        let (engine, relay) = serving(Vec::new()).await;
+        assert_eq!(lines::only("engine in use").text("engine"), "engine-0");
+        assert_eq!(lines::only("manifest in force").number("version"), 1.0);
+        relay.inform(support::parts(7), &[&engine]);
+        let versions = lines::all("manifest in force");
+        assert_eq!(versions[1].number("version"), 7.0);
+        let mut leaving = support::engine_entry(0, engine.address);
+        leaving.leaving = true;
+        relay.shell.apply(event::Event::Engines(vec![leaving]));
+        let line = lines::only("engine leaving or gone");
+        assert_eq!(line.text("engine"), "engine-0");
+    });
+}
+
+#[test]
+fn engine_that_is_avoided_is_told() {
+    support::run(async {
+        let (engine, relay) = serving(Vec::new()).await;
+        let nobody = support::engine_entry(1, "127.0.0.1:1".parse().unwrap());
+        relay.shell.apply(event::Event::Engines(vec![nobody]));
+        relay.ask(&request("GET", "/pay/", "r1", "")).await;
+        let line = lines::all("engine avoided").remove(0);
+        assert_eq!(line.text("engine"), "engine-1");
+        assert_eq!(line.text("sign"), "Unreachable");
+        assert_eq!(engine.runs(), 0);
+    });
+}
+
+fn not_run() -> String {
+    whole(503, "full").replace("X-Stamp", "X-Refused: 1\r\nX-Stamp")
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A relay in this process, with scripted engines and raw callers on loopback.
 #![allow(dead_code)]
 
+pub mod lines;
+
 use std::cell;
 use std::collections;
 use std::future;
