--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -1,7 +1,10 @@
-//! All engines, and the choice of one for a request.
+//! All engines as this instance sees them.
+
+mod choose;
+
+pub use choose::{Choice, Lack, Limits};
 
 use std::collections;
-use std::net;
 use std::time::Duration;
 
 use super::ask;
@@ -13,21 +16,8 @@
 use crate::routing::estimate;
 use crate::time;
 
-/// What a request in another failure domain costs, as time, in microseconds.
-const CROSSING_MICROS: f64 = 8_000.0;
-/// What a bad answer costs, as time, in microseconds.
-const FAILURE_MICROS: f64 = 2_000_000.0;
-/// What a token that was read before and is read again costs beyond its own delay: it delays
-/// the requests behind it as well.
-const REREAD: f64 = 3.0;
-/// Trust in the engine that all instances agree on for a beginning of which nothing is known.
-const AGREED: f64 = 0.6;
-/// Delay that each running request adds to a step, in microseconds.
-const CROWD_MICROS: f64 = 300.0;
 /// Share of a new sample in a moving average.
 const GAIN: f64 = 0.1;
-/// How much longer a cold engine takes.
-const COLD_FACTOR: f64 = 1.5;
 
 /// All engines of the deployment as this instance sees them.
 #[derive(Clone, Debug)]
@@ -42,51 +32,6 @@
     work: collections::BTreeMap<name::Name, u64>,
 }
 
-/// The engine for one attempt.
-#[derive(Clone, Debug)]
-pub struct Choice {
-    /// The engine.
-    pub engine: name::Name,
-    /// Its start.
-    pub incarnation: u64,
-    /// Its address.
-    pub address: net::SocketAddr,
-    /// Its version.
-    pub version: name::Name,
-    /// Expected time to the first event.
-    pub expected: Duration,
-    /// Expected time by the service's speed alone, from which the engine's own is learned.
-    pub plain: Duration,
-    /// Tokens that it has to read before the first event, those of others included.
-    pub ahead: u32,
-    /// Tokens of this request that it has to read.
-    pub fresh: u32,
-    /// Requests that it is working on.
-    pub running: u32,
-}
-
-/// Why no engine was chosen.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Lack {
-    /// No engine of the service is known.
-    NoEngine,
-    /// Those that are known have failed this request, or take no more channels.
-    Excluded,
-}
-
-/// What limits the choice.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Limits<'a> {
-    /// Engines that the request is not to be sent to again.
-    pub excluded: &'a [name::Name],
-    /// The only version that may take it, if one is wanted.
-    pub version: Option<&'a name::Name>,
-    /// A version that must not take it.
-    pub barred: Option<&'a name::Name>,
-    /// Channels that one engine takes from all instances, if there is a limit.
-    pub channels: Option<u32>,
-}
-
 /// What came of a change of the list.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Change {
@@ -220,95 +165,6 @@
         speed.reading(tokens)
     }
 
-    /// Picks the engine with the least expected delay and cost.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no engine may take the request.
-    pub fn choose(
-        &self,
-        now: time::Time,
-        ask: &ask::Ask,
-        limits: Limits<'_>,
-    ) -> Result<Choice, Lack> {
-        let open: Vec<_> = self.of(&ask.service).filter(|t| t.is_open(now)).collect();
-        if open.is_empty() {
-            return Err(Lack::NoEngine);
-        }
-        let usable: Vec<_> = open
-            .into_iter()
-            .filter(|t| !limits.excluded.contains(&t.engine.name))
-            .filter(|t| limits.version.is_none_or(|v| t.engine.version == *v))
-            .filter(|t| limits.barred.is_none_or(|v| t.engine.version != *v))
-            .filter(|t| limits.channels.is_none_or(|most| t.load().running < most))
-            .collect();
-        let usual = usual_badness(&usable);
-        let sound = |t: &&&tracked::Tracked| t.is_sound(now) && !t.is_outlier(usual);
-        let sound: Vec<_> = usable.iter().filter(sound).copied().collect();
-        let pool = if sound.is_empty() { &usable } else { &sound };
-        let beginnings = holders::beginnings(ask);
-        let agreed = agreed(pool, &beginnings);
-        let candidates = pool.iter().map(|t| {
-            let is_agreed = agreed == Some(&t.engine.name);
-            self.candidate(now, ask, t, &beginnings, is_agreed)
-        });
-        let best = candidates.min_by(|a, b| a.cost.total_cmp(&b.cost));
-        best.map(|candidate| candidate.choice).ok_or(Lack::Excluded)
-    }
-
-    fn candidate(
-        &self,
-        now: time::Time,
-        ask: &ask::Ask,
-        tracked: &tracked::Tracked,
-        beginnings: &[holders::Beginning],
-        is_agreed: bool,
-    ) -> Candidate {
-        let engine = &tracked.engine;
-        let load = tracked.load();
-        let cached = self
-            .holders
-            .cached(now, &engine.name, engine.incarnation, beginnings);
-        let shared = beginnings.last().map_or(0, |b| b.tokens);
-        let fresh = ask.prompt.saturating_sub(cached);
-        let speed = self.speeds.get(&ask.service).copied().unwrap_or_default();
-        let ahead = load.unread.saturating_add(fresh);
-        let waiting = (load.running + 1).saturating_sub(engine.slots.max(1));
-        let plain = speed.prefill(ahead) + self.wait(&ask.service, waiting, engine.slots);
-        let cold = if now < engine.warm { COLD_FACTOR } else { 1.0 };
-        let expected = plain.mul_f64(tracked.ratio * cold);
-        let reread = if is_agreed {
-            f64::from(shared - cached) * (1.0 - AGREED)
-        } else {
-            f64::from(shared - cached)
-        };
-        let reread = speed.reading(reread as u32).as_micros() as f64;
-        let crossing = if engine.domain == self.domain {
-            0.0
-        } else {
-            CROSSING_MICROS
-        };
-        let cost = expected.as_micros() as f64
-            + REREAD * reread
-            + tracked.health.badness() * FAILURE_MICROS
-            + f64::from(load.running) * CROWD_MICROS
-            + crossing;
-        Candidate {
-            cost,
-            choice: Choice {
-                engine: engine.name.clone(),
-                incarnation: engine.incarnation,
-                address: engine.address,
-                version: engine.version.clone(),
-                expected,
-                plain,
-                ahead,
-                fresh,
-                running: load.running,
-            },
-        }
-    }
-
     /// Counts a request that is sent.
     pub fn start(&mut self, now: time::Time, choice: &Choice, ask: &ask::Ask) {
         let beginnings = holders::beginnings(ask);
@@ -407,24 +263,3 @@
         matches!(self, Self::Silent | Self::Unreachable | Self::Moved)
     }
 }
-
-struct Candidate {
-    cost: f64,
-    choice: Choice,
-}
-
-fn usual_badness(pool: &[&tracked::Tracked]) -> f64 {
-    let mut all: Vec<_> = pool.iter().map(|t| t.health.badness()).collect();
-    all.sort_by(f64::total_cmp);
-    all.get(all.len() / 2).copied().unwrap_or(0.0)
-}
-
-/// Returns the engine on which all instances agree for the longest shared beginning.
-fn agreed<'a>(
-    pool: &[&'a tracked::Tracked],
-    beginnings: &[holders::Beginning],
-) -> Option<&'a name::Name> {
-    let key = beginnings.last()?.key;
-    let names = pool.iter().map(|t| &t.engine.name);
-    names.max_by_key(|name| holders::rank(key, name))
-}
