Forget an instance that stopped as planned once it is lost

Cause, from reading the change of the membership: machines that leave as planned were remembered for ten minutes like those that may live behind a cut. Where machines come and go all the time they would fill the 1,024 places, after which a new one is not heard at all. Change: an instance that told that it stops is forgotten after twelve seconds of silence. Test: instance_that_stopped_as_planned_is_forgotten (not run against the version before).

--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -139,21 +139,23 @@
     /// Notes which instances are lost, and returns the names of those that were not before;
     /// forgets those that have been for long.
     ///
-    /// Only the larger side of a cut forgets the other one and takes over its part of the limits.
+    /// Only the larger side of a cut forgets the other one and takes over its part of the limits. An
+    /// instance that said that it stops is forgotten as soon as it is lost.
     pub fn sweep(&mut self, now: time::Time) -> Vec<name::Name> {
         self.hints.retain(|_, until| *until > now);
-        let heard = self.heard(now) + 1;
-        let is_larger = 2 * heard > self.peers.len() + 1;
-        if is_larger {
-            self.peers.retain(|_, p| p.heard.after(FORGOTTEN) > now);
+        let mut lost = Vec::new();
+        for peer in self.peers.values_mut() {
+            if !peer.lost && peer.heard.after(LOST) <= now {
+                peer.lost = true;
+                lost.push(peer.digest.sender.clone());
+            }
         }
-        let silent = |p: &&mut Peer| !p.lost && p.heard.after(LOST) <= now;
-        let lost = self.peers.values_mut().filter(silent);
-        lost.map(|p| {
-            p.lost = true;
-            p.digest.sender.clone()
-        })
-        .collect()
+        let is_larger = 2 * (self.heard(now) + 1) > self.peers.len() + 1;
+        self.peers.retain(|_, peer| {
+            let is_forgotten = is_larger && peer.heard.after(FORGOTTEN) <= now;
+            !is_forgotten && !(peer.lost && peer.digest.leaving)
+        });
+        lost
     }
 
     /// Tells whether an instance is remembered, heard or not.
--- a/crates/core/tests/relay_reduce.rs
+++ b/crates/core/tests/relay_reduce.rs
@@ -268,6 +268,17 @@
     admitted
 }
 
+#[test]
+fn instance_that_stopped_as_planned_is_forgotten() {
+    let mut first = Instance::serving(0, 1);
+    let mut second = Instance::serving(1, 1);
+    second.state.leaving = true;
+    first.hear(START, second.digest(START));
+    first.apply(at(13_000), event::Event::Tick);
+    assert!(first.state.peers.addresses().is_empty());
+    assert_eq!(first.state.peers.instances(), 1);
+}
+
 #[test]
 fn instance_that_was_cut_off_for_long_is_still_told() {
     let mut first = Instance::serving(0, 1);
