--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -153,7 +153,8 @@
         let is_larger = 2 * (self.heard(now) + 1) > self.peers.len() + 1;
         self.peers.retain(|_, peer| {
             let is_forgotten = is_larger && peer.heard.after(FORGOTTEN) <= now;
-            !is_forgotten && !(peer.lost && peer.digest.leaving)
+            let is_gone = peer.lost && peer.digest.leaving;
+            !(is_forgotten || is_gone)
         });
         lost
     }
