Give the tests of usage caps a file of their own

Change: the tests of caps and of membership stand in relay_caps.rs, which offers requests by one function. No check or bound changed.

--- /dev/null
+++ b/crates/core/tests/relay_caps.rs
@@ -0,0 +1,226 @@
+//! Usage caps over all instances, also across cuts and restarts.
+
+mod relay_support;
+
+use guavausher_core::refusal;
+use guavausher_core::relay::event::{self, Signal};
+use guavausher_core::relay::route::Repeat;
+use guavausher_core::time;
+use relay_support::{Instance, START, ask, at, engine, engines, manifest, refused, sent};
+use rstest::rstest;
+
+const NOT_RUN: Signal = Signal::NotRun {
+    status: 503,
+    wait: None,
+};
+
+#[test]
+fn cap_refuses_what_is_beyond_and_tells_when_to_return() {
+    let mut instance = Instance::serving(1, 4);
+    instance.apply(START, manifest(2, 1_000.0, None));
+    let mut taken = 0;
+    let refusal = loop {
+        let now = at(taken);
+        let effects = instance.apply(
+            now,
+            event::Event::Arrived(ask(taken, now, Repeat::Stream, 1)),
+        );
+        match refused(&effects) {
+            Some(refusal) => break refusal,
+            None => taken += 1,
+        }
+    };
+    // A burst of 1,000 tokens at 100 each.
+    assert_eq!(taken, 10);
+    assert_eq!(refusal.code, refusal::Code::Limited);
+    assert_eq!(refusal.code.status(), 429);
+    assert!(refusal.retry_at.is_some_and(|t| t > at(taken)));
+}
+
+#[test]
+fn cap_gives_back_what_was_not_run() {
+    let mut instance = Instance::serving(1, 1);
+    instance.apply(START, manifest(2, 1_000.0, None));
+    for id in 0..50 {
+        instance.send(START, ask(id, START, Repeat::Stream, 1));
+        instance.signal(START, id, NOT_RUN);
+    }
+}
+
+/// Three instances that hear of each other admit little more than one alone would.
+#[test]
+fn cap_is_shared_by_digests() {
+    let mut all: Vec<_> = (0..3).map(|i| Instance::serving(i, 4)).collect();
+    for instance in &mut all {
+        instance.apply(START, manifest(2, 10_000.0, None));
+    }
+    let mut admitted = 0;
+    let mut id = 0;
+    for step in 0..80 {
+        let now = at(step * 100);
+        let digests: Vec<_> = all.iter().map(|i| i.digest(now)).collect();
+        for instance in &mut all {
+            for digest in digests.iter().cloned() {
+                instance.hear(now, digest);
+            }
+            admitted += offer(instance, now, &mut id);
+        }
+    }
+    // Eight seconds at 10,000 a second and a burst of 10,000; a tenth over is allowed.
+    assert!(admitted <= 99_000, "{admitted}");
+    assert!(admitted >= 80_000, "{admitted}");
+}
+
+/// Cut off from each other, the instances together keep to the cap.
+#[test]
+fn cap_is_divided_when_instances_cannot_talk() {
+    let mut all: Vec<_> = (0..3).map(|i| Instance::serving(i, 4)).collect();
+    let digests: Vec<_> = all.iter().map(|i| i.digest(START)).collect();
+    for instance in &mut all {
+        instance.apply(START, manifest(2, 10_000.0, None));
+        for digest in digests.iter().cloned() {
+            instance.hear(START, digest);
+        }
+    }
+    let mut admitted = 0;
+    let mut id = 0;
+    for step in 20..100 {
+        let now = at(step * 100);
+        for instance in &mut all {
+            admitted += offer(instance, now, &mut id);
+        }
+    }
+    assert!(admitted <= 99_000, "{admitted}");
+}
+
+/// Found on the own day long-cut: the larger side of a cut used the whole cap, as soon as its
+/// members heard of each other's use and again once they had forgotten the smaller side, which
+/// then did the same.
+#[rstest]
+#[case::soon(2_000, 100_000)]
+#[case::late(20_000, 100_000)]
+#[case::across_the_end(16_000, 20_000)]
+#[case::at_the_end(20_000, 20_000)]
+fn cap_is_kept_to_by_both_sides_of_a_cut(#[case] from: u64, #[case] healed: u64) {
+    let admitted = admitted_around_a_cut(from, healed);
+    assert!(admitted <= 99_000, "{admitted}");
+}
+
+/// Found there as well: once the cut had healed, all that the other side had used meanwhile was
+/// charged at once, and nothing was admitted for seconds.
+#[test]
+fn cap_is_there_at_once_after_a_cut() {
+    let admitted = admitted_around_a_cut(20_000, 20_000);
+    assert!(admitted >= 72_000, "{admitted}");
+}
+
+/// Units that five instances admit in the eight seconds after `from`, while three and two of them
+/// cannot talk to each other until `healed`; the cap is 10,000 a second.
+fn admitted_around_a_cut(from: u64, healed: u64) -> u32 {
+    let mut all: Vec<_> = (0..5).map(|i| Instance::serving(i, 4)).collect();
+    let digests: Vec<_> = all.iter().map(|i| i.digest(START)).collect();
+    for instance in &mut all {
+        instance.apply(START, manifest(2, 10_000.0, None));
+        for digest in digests.iter().cloned() {
+            instance.hear(START, digest);
+        }
+    }
+    let mut admitted = 0;
+    let mut id = 0;
+    for step in 1..=(from + 8_000) / 100 {
+        let now = at(step * 100);
+        let digests: Vec<_> = all.iter().map(|i| i.digest(now)).collect();
+        for (index, instance) in all.iter_mut().enumerate() {
+            let is_near = |other: &usize| step * 100 >= healed || (*other < 3) == (index < 3);
+            for other in (0..digests.len()).filter(is_near) {
+                instance.hear(now, digests[other].clone());
+            }
+            instance.apply(now, event::Event::Tick);
+            let units = offer(instance, now, &mut id);
+            admitted += if step * 100 > from { units } else { 0 };
+        }
+    }
+    admitted
+}
+
+#[test]
+fn instance_that_stopped_as_planned_is_forgotten() {
+    let mut first = Instance::serving(0, 1);
+    let mut second = Instance::serving(1, 1);
+    second.state.leaving = true;
+    first.hear(START, second.digest(START));
+    first.apply(at(13_000), event::Event::Tick);
+    assert!(first.state.peers.addresses().is_empty());
+    assert_eq!(first.state.peers.instances(), 1);
+}
+
+#[test]
+fn instance_that_was_cut_off_for_long_is_still_told() {
+    let mut first = Instance::serving(0, 1);
+    let second = Instance::serving(1, 1);
+    first.hear(START, second.digest(START));
+    for second in 1..60 {
+        first.apply(at(second * 1_000), event::Event::Tick);
+    }
+    let told = first.state.peers.addresses();
+    assert!(told.contains(&second.state.own.address));
+}
+
+/// Found on a deployment with tight caps (trouble-3 of Tirta Sulam with half the usual caps): all
+/// processes were killed, and each workspace got its burst once more.
+#[test]
+fn cap_gives_no_second_burst_after_a_restart() {
+    let mut instance = Instance::new(1);
+    instance.state.settings.first = false;
+    instance.apply(START, manifest(1, 10_000.0, None));
+    instance.apply(START, engines(vec![engine(0), engine(1)]));
+    let mut admitted = 0;
+    for id in 0..2_000 {
+        let now = at(id);
+        let arrived = event::Event::Arrived(ask(id, now, Repeat::Stream, 1));
+        if sent(&instance.apply(now, arrived)).is_some() {
+            admitted += 100;
+            instance.signal(now, id, Signal::Whole { status: 200 });
+        }
+    }
+    // Two seconds at 10,000 a second and half of the tolerated tenth, without the burst of 10,000.
+    assert!(admitted <= 24_500, "{admitted}");
+    assert!(admitted >= 18_000, "{admitted}");
+}
+
+#[test]
+fn cap_level_is_learned_from_the_others() {
+    let mut old = Instance::serving(2, 1);
+    old.apply(START, manifest(2, 10_000.0, None));
+    let mut new = Instance::new(1);
+    new.state.settings.first = false;
+    new.apply(at(5), manifest(2, 10_000.0, None));
+    new.apply(at(5), engines(vec![engine(0)]));
+    let mut taken = 0;
+    let mut is_taken = |new: &mut Instance, now| {
+        taken += 1;
+        let arrived = event::Event::Arrived(ask(taken, now, Repeat::Stream, 1));
+        let effects = new.apply(now, arrived);
+        new.signal(now, taken, Signal::Abandoned);
+        sent(&effects).is_some()
+    };
+    let before = (0..200).filter(|_| is_taken(&mut new, at(6))).count();
+    assert!(before < 50, "{before}");
+    new.hear(at(7), old.digest(at(7)));
+    let after = (0..200).filter(|_| is_taken(&mut new, at(8))).count();
+    assert!(after > 90, "the whole burst of 100 requests: {after}");
+}
+
+/// Offers twenty requests of 100 units; returns the units that are admitted.
+fn offer(instance: &mut Instance, now: time::Time, id: &mut u64) -> u32 {
+    let mut admitted = 0;
+    for _ in 0..20 {
+        *id += 1;
+        let arrived = event::Event::Arrived(ask(*id, now, Repeat::Stream, 1));
+        if sent(&instance.apply(now, arrived)).is_some() {
+            admitted += 100;
+            instance.signal(now, *id, Signal::Whole { status: 200 });
+        }
+    }
+    admitted
+}
