Catch up by changes, from several sources, in place of whole lists from one

Cause: all but three instances hear of changes from their peers, and each that was behind fetched the whole list, some 60 KB, from the one peer that was furthest ahead, at the same moment as the others. A link of 10 Mbit/s carries that to a few of them within the limit of 0.9 s; the rest failed and came again together. A process that had just listed was further than all others and brought this about without any change. The time until a change is known grew with the fleet and with the list: 0.65 s at the median, up to 5.6 s in a wave of departures.

Change: a fetch brings what has changed since a revision; the source is drawn among those ahead (core::relay::catch_up), after 0.25 s without an answer the store is asked and then another peer; positions carry a hash of the content, so that what is the same is not fetched at all.

It works since no step depends on one instance, and what is moved grows with the changes and not with the list.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -7,6 +7,7 @@
 pub mod ask;
 pub mod budget;
 pub mod caps;
+pub mod catch_up;
 pub mod census;
 pub mod clock;
 pub mod digest;
--- /dev/null
+++ b/crates/core/src/relay/catch_up.rs
@@ -0,0 +1,161 @@
+//! From where an instance that is behind gets the changes that it has missed.
+//!
+//! All instances that depend on their peers are behind at the same moment. None of them relies on one
+//! source: each asks a peer by lot, does not wait long before it asks another, and asks the store
+//! as well. A source that fails is left alone for a while.
+
+use std::collections;
+use std::hash::Hasher;
+use std::net;
+use std::time::Duration;
+
+use super::digest;
+use super::peers;
+use crate::name;
+use crate::time;
+
+/// Time without an answer after which another source is asked as well.
+const HEDGE: Duration = Duration::from_millis(250);
+/// Sources that are asked at the same time.
+const MAX_ASKED: usize = 3;
+/// How long a source that failed is left alone.
+const AVOIDED: Duration = Duration::from_secs(2);
+/// Peers that are drawn, of which the furthest is asked.
+const DRAWN: u64 = 2;
+
+/// Where changes come from.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// The store.
+    Store,
+    /// Another instance.
+    Peer {
+        /// Its name.
+        name: name::Name,
+        /// Where it serves changes.
+        address: net::SocketAddr,
+    },
+}
+
+/// What an instance knows when it looks for changes of a kind.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// Other instances.
+    pub peers: &'a peers::Peers,
+    /// Place of the kind in a digest.
+    pub kind: usize,
+    /// What is known here.
+    pub own: digest::Position,
+    /// Whether the store can be asked for changes since then.
+    pub store: bool,
+}
+
+/// The questions of one instance about one kind of object.
+#[derive(Clone, Debug)]
+pub struct CatchUp {
+    seed: u64,
+    /// How long a change may come from the store before peers are asked.
+    patience: Duration,
+    /// Questions so far.
+    count: u64,
+    /// When this instance was first seen to be behind, since it last was not.
+    behind: Option<time::Time>,
+    /// Sources without an answer, with the time of the question.
+    asked: Vec<(Source, time::Time)>,
+    avoided: collections::BTreeMap<name::Name, time::Time>,
+}
+
+impl CatchUp {
+    /// Builds the state of an instance; `patience` is how long it waits for the store's own news.
+    pub fn new(own: &name::Name, patience: Duration) -> Self {
+        Self {
+            seed: twox_hash::XxHash64::oneshot(0, own.as_bytes()),
+            patience,
+            count: 0,
+            behind: None,
+            asked: Vec::new(),
+            avoided: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Returns how long this instance has known that it is behind, if it is.
+    pub fn behind(&self, now: time::Time) -> Option<Duration> {
+        self.behind.map(|since| since.until(now))
+    }
+
+    /// Returns the next source to be asked, if it is time for one; `is_told` says that the store tells
+    /// this instance nothing.
+    pub fn next(&mut self, now: time::Time, view: View<'_>, is_told: bool) -> Option<Source> {
+        if view.peers.beyond(now, view.kind, view.own).next().is_none() {
+            self.behind = None;
+            return None;
+        }
+        let since = *self.behind.get_or_insert(now);
+        let is_early = !is_told && since.after(self.patience) > now;
+        let last = self.asked.iter().map(|(_, at)| at.after(HEDGE)).max();
+        let is_asked = last.is_some_and(|until| until > now);
+        if is_early || is_asked || self.asked.len() >= MAX_ASKED {
+            return None;
+        }
+        self.avoided.retain(|_, until| *until > now);
+        let source = self.choose(now, view)?;
+        self.asked.push((source.clone(), now));
+        Some(source)
+    }
+
+    /// Notes that a question has ended, with an answer or without.
+    pub fn ended(&mut self, now: time::Time, source: &Source, answered: bool) {
+        self.asked.retain(|(asked, _)| asked != source);
+        if let Source::Peer { name, .. } = source
+            && !answered
+        {
+            self.avoided.insert(name.clone(), now.after(AVOIDED));
+        }
+    }
+
+    /// Picks a peer by lot; the store if one was asked in vain or there is none.
+    fn choose(&mut self, now: time::Time, view: View<'_>) -> Option<Source> {
+        let is_store_free = view.store && !self.is_asked(&Source::Store);
+        let is_hedge = !self.asked.is_empty() || !self.avoided.is_empty();
+        if is_store_free && is_hedge {
+            return Some(Source::Store);
+        }
+        let beyond = view.peers.beyond(now, view.kind, view.own);
+        let sources = beyond.map(|peer| {
+            let source = Source::Peer {
+                name: peer.digest.sender.clone(),
+                address: peer.digest.address,
+            };
+            (source, peer.position(view.kind).changed)
+        });
+        let (avoided, free): (Vec<_>, Vec<_>) = sources
+            .filter(|(source, _)| !self.is_asked(source))
+            .partition(|(source, _)| self.is_avoided(source));
+        let pool = if free.is_empty() { avoided } else { free };
+        if pool.is_empty() {
+            return is_store_free.then_some(Source::Store);
+        }
+        let drawn = (0..DRAWN).map(|_| {
+            let place = self.draw() % pool.len() as u64;
+            pool[place as usize].clone()
+        });
+        let drawn: Vec<_> = drawn.collect();
+        let furthest = drawn.into_iter().max_by_key(|(_, changed)| *changed);
+        furthest.map(|(source, _)| source)
+    }
+
+    fn is_asked(&self, source: &Source) -> bool {
+        self.asked.iter().any(|(asked, _)| asked == source)
+    }
+
+    fn is_avoided(&self, source: &Source) -> bool {
+        matches!(source, Source::Peer { name, .. } if self.avoided.contains_key(name))
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.count += 1;
+        let mut hasher = twox_hash::XxHash64::with_seed(self.seed);
+        hasher.write_u64(self.count);
+        hasher.finish()
+    }
+}
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -62,8 +62,10 @@
 /// How far an instance has read one kind of object.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Position {
-    /// Revision of the last change that it knows of.
+    /// Revision up to which it knows of all changes, 0 before it has read any.
     pub changed: u64,
+    /// Hash of the names and revisions of the objects.
+    pub content: u64,
 }
 
 /// All that one instance tells.
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -259,11 +259,33 @@
             .collect()
     }
 
-    /// Returns the instance that has read a kind of object furthest, if it is further than `own`.
-    pub fn furthest(&self, now: time::Time, kind: usize, own: u64) -> Option<&Peer> {
+    /// Returns the instances that know of changes of a kind of object that this one does not.
+    pub fn beyond(
+        &self,
+        now: time::Time,
+        kind: usize,
+        own: digest::Position,
+    ) -> impl Iterator<Item = &Peer> {
+        let fresh = self.peers.values().filter(move |p| !is_quiet(p, now));
+        fresh.filter(move |p| {
+            let position = p.position(kind);
+            position.changed > own.changed && position.content != own.content
+        })
+    }
+
+    /// Returns the highest revision at which an instance knows the same objects of a kind.
+    pub fn confirmed(&self, now: time::Time, kind: usize, own: digest::Position) -> u64 {
         let fresh = self.peers.values().filter(|p| !is_quiet(p, now));
-        let changed = |p: &&Peer| p.digest.positions.get(kind).map_or(0, |x| x.changed);
-        fresh.filter(|p| changed(p) > own).max_by_key(changed)
+        let same = fresh.map(|p| p.position(kind));
+        let same = same.filter(|position| position.content == own.content);
+        same.fold(own.changed, |most, position| most.max(position.changed))
+    }
+}
+
+impl Peer {
+    /// Returns how far it has read a kind of object.
+    pub fn position(&self, kind: usize) -> digest::Position {
+        self.digest.positions.get(kind).copied().unwrap_or_default()
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/relay_catch_up.rs
@@ -0,0 +1,148 @@
+//! From where instances that are behind get what they have missed.
+
+mod relay_support;
+
+use std::collections;
+use std::time::Duration;
+
+use guavausher_core::relay::{catch_up, digest, peers};
+use guavausher_core::time;
+use relay_support::{Instance, START, at, name};
+use rstest::rstest;
+
+const KIND: usize = 0;
+const PATIENCE: Duration = Duration::from_millis(250);
+
+fn position(changed: u64) -> digest::Position {
+    digest::Position {
+        changed,
+        content: changed,
+    }
+}
+
+/// Returns what an instance knows of others that have read this far.
+fn peers_at(now: time::Time, revisions: &[u64]) -> peers::Peers {
+    let mut peers = peers::Peers::new("127.0.0.1:1".parse().unwrap());
+    for (index, revision) in (1..).zip(revisions) {
+        let peer = Instance::new(index);
+        peers.hear(now, peer.state.digest(now, vec![position(*revision)]));
+    }
+    peers
+}
+
+fn view(peers: &peers::Peers, own: u64, store: bool) -> catch_up::View<'_> {
+    catch_up::View {
+        peers,
+        kind: KIND,
+        own: position(own),
+        store,
+    }
+}
+
+fn peer(source: Option<catch_up::Source>) -> Option<String> {
+    match source? {
+        catch_up::Source::Peer { name, .. } => Some(name.to_string()),
+        catch_up::Source::Store => Some(String::from("store")),
+    }
+}
+
+/// All that were behind asked the one furthest ahead, whose link could not carry it (DRAIN at 75
+/// instances).
+#[test]
+fn next_spreads_the_instances_that_are_behind() {
+    let peers = peers_at(START, &[9; 12]);
+    let mut asked: collections::BTreeMap<String, usize> = collections::BTreeMap::new();
+    for index in 0..72 {
+        let mut own = catch_up::CatchUp::new(&name(&format!("own-{index}")), PATIENCE);
+        let source = peer(own.next(START, view(&peers, 5, false), true)).unwrap();
+        *asked.entry(source).or_default() += 1;
+    }
+    assert!(asked.len() >= 10, "{asked:?}");
+    // Six each on average.
+    assert!(asked.values().all(|count| *count <= 18), "{asked:?}");
+}
+
+#[test]
+fn next_prefers_those_further_ahead() {
+    let peers = peers_at(START, &[6, 6, 9, 9]);
+    let further = (0..100).filter(|index| {
+        let mut own = catch_up::CatchUp::new(&name(&format!("own-{index}")), PATIENCE);
+        let source = peer(own.next(START, view(&peers, 5, false), true)).unwrap();
+        ["front-3", "front-4"].contains(&source.as_str())
+    });
+    // Two of four are drawn and the further one is asked: three quarters on average.
+    assert!(further.count() > 60);
+}
+
+#[test]
+fn next_asks_the_store_when_a_peer_gives_no_answer_soon() {
+    let peers = peers_at(START, &[9, 9, 9]);
+    let mut own = catch_up::CatchUp::new(&name("own"), PATIENCE);
+    let first = peer(own.next(START, view(&peers, 5, true), true)).unwrap();
+    assert_ne!(first, "store");
+    assert_eq!(own.next(at(200), view(&peers, 5, true), true), None);
+    let second = peer(own.next(at(250), view(&peers, 5, true), true));
+    assert_eq!(second.as_deref(), Some("store"));
+    let third = peer(own.next(at(500), view(&peers, 5, true), true)).unwrap();
+    assert!(third != first && third != "store");
+    assert_eq!(
+        own.next(at(750), view(&peers, 5, true), true),
+        None,
+        "three at most"
+    );
+}
+
+#[test]
+fn next_goes_elsewhere_after_a_failure() {
+    let peers = peers_at(START, &[9, 9]);
+    let mut own = catch_up::CatchUp::new(&name("own"), PATIENCE);
+    let first = own.next(START, view(&peers, 5, false), true).unwrap();
+    own.ended(at(10), &first, false);
+    let second = own.next(at(10), view(&peers, 5, false), true).unwrap();
+    assert_ne!(first, second);
+    own.ended(at(20), &second, false);
+    // With none left, those that failed are asked again.
+    assert!(own.next(at(20), view(&peers, 5, false), true).is_some());
+}
+
+#[rstest]
+#[case::told_at_once(true, 0, true)]
+#[case::by_the_store_too_early(false, 200, false)]
+#[case::by_the_store_late(false, 250, true)]
+fn next_waits_for_the_news_of_the_store(
+    #[case] is_told: bool,
+    #[case] after: u64,
+    #[case] asks: bool,
+) {
+    let peers = peers_at(at(0), &[9]);
+    let mut own = catch_up::CatchUp::new(&name("own"), PATIENCE);
+    let first = own.next(START, view(&peers, 5, false), is_told);
+    let later = own.next(at(after), view(&peers, 5, false), is_told);
+    assert_eq!(first.or(later).is_some(), asks);
+}
+
+/// A process that has just listed is further than all others, and all of them fetched its list.
+#[test]
+fn next_asks_nobody_for_what_is_the_same() {
+    let mut peers = peers::Peers::new("127.0.0.1:1".parse().unwrap());
+    let newcomer = Instance::new(1);
+    let same = digest::Position {
+        changed: 9,
+        content: 5,
+    };
+    peers.hear(START, newcomer.state.digest(START, vec![same]));
+    let mut own = catch_up::CatchUp::new(&name("own"), PATIENCE);
+    assert_eq!(own.next(START, view(&peers, 5, true), true), None);
+    assert_eq!(peers.confirmed(START, KIND, position(5)), 9);
+}
+
+#[test]
+fn behind_tells_since_when() {
+    let peers = peers_at(START, &[9]);
+    let mut own = catch_up::CatchUp::new(&name("own"), PATIENCE);
+    assert_eq!(own.behind(START), None);
+    own.next(START, view(&peers, 5, false), true);
+    assert_eq!(own.behind(at(300)), Some(Duration::from_millis(300)));
+    own.next(at(400), view(&peers, 9, false), true);
+    assert_eq!(own.behind(at(400)), None);
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,4 +34,5 @@
 mod record;
 pub mod shell;
 mod slot;
+pub mod snapshot;
 mod text;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -6,13 +6,13 @@
 use std::rc;
 use std::time::Duration;
 
-use guavausher_core::name;
 use guavausher_core::relay::{digest, event, tallies};
 use tokio::net::UdpSocket;
 
 use crate::channel;
 use crate::clock;
 use crate::shell;
+use crate::snapshot;
 
 /// Time between two digests.
 const INTERVAL: Duration = Duration::from_millis(150);
@@ -24,31 +24,13 @@
 const MAX_SNAPSHOT: usize = 16 << 20;
 /// What is asked for to get counts instead of the snapshot of a kind.
 const TALLIES: u8 = u8::MAX;
+/// Bytes of a question: what is asked for, and since which revision.
+const QUESTION: usize = 1 + size_of::<u64>();
 /// Longest time to fetch a snapshot.
 const FETCH: Duration = Duration::from_millis(900);
 
-/// One object of a kind.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Item {
-    /// Name.
-    pub name: name::Name,
-    /// Revision of its last change.
-    pub revision: u64,
-    /// Content as it was read.
-    pub body: Vec<u8>,
-}
-
-/// All objects of a kind.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Snapshot {
-    /// Revision of the last change of the kind that is in it.
-    pub changed: u64,
-    /// Objects by name.
-    pub items: Vec<Item>,
-}
-
 /// Snapshots by kind, which other instances may fetch.
-pub type Snapshots = rc::Rc<cell::RefCell<Vec<Snapshot>>>;
+pub type Snapshots = rc::Rc<cell::RefCell<Vec<snapshot::Snapshot>>>;
 
 /// Starts telling digests, hearing them and serving snapshots.
 ///
@@ -121,12 +103,22 @@
     shell: &shell::Shell,
     snapshots: &Snapshots,
 ) -> Option<()> {
-    if channel.inbox.is_empty() {
-        channel.fill().await.ok()?;
-    }
-    let bytes = match *channel.inbox.first()? {
+    let question = loop {
+        if let Some(question) = channel.inbox.first_chunk::<QUESTION>() {
+            break *question;
+        }
+        if channel.fill().await.ok()? == 0 {
+            return None;
+        }
+    };
+    let [kind, since @ ..] = question;
+    let bytes = match kind {
         TALLIES => encode(&shell.state.borrow().tallies.since(0)),
-        kind => encode(snapshots.borrow().get(usize::from(kind))?),
+        kind => {
+            let snapshots = snapshots.borrow();
+            let snapshot = snapshots.get(usize::from(kind))?;
+            encode(&snapshot.since(u64::from_be_bytes(since)))
+        }
     };
     let bytes = bytes.ok()?;
     let length = u32::try_from(bytes.len()).ok()?;
@@ -136,22 +128,28 @@
     channel::write_all(&channel.stream, &bytes).await.ok()
 }
 
-/// Fetches the snapshot of a kind from another instance; `None` if it cannot be had.
-pub async fn fetch(address: net::SocketAddr, kind: u8) -> Option<Snapshot> {
-    ask(address, kind).await
+/// Fetches what another instance knows of a kind beyond a revision; `None` if it cannot be had.
+pub async fn fetch(address: net::SocketAddr, kind: u8, since: u64) -> Option<snapshot::Delta> {
+    ask(address, kind, since).await
 }
 
 /// Fetches all counts that another instance knows; `None` if they cannot be had.
 pub async fn fetch_tallies(address: net::SocketAddr) -> Option<Vec<tallies::Tally>> {
-    ask(address, TALLIES).await
+    ask(address, TALLIES, 0).await
 }
 
-async fn ask<T: serde::de::DeserializeOwned>(address: net::SocketAddr, what: u8) -> Option<T> {
+async fn ask<T: serde::de::DeserializeOwned>(
+    address: net::SocketAddr,
+    what: u8,
+    since: u64,
+) -> Option<T> {
     /// Bytes of the length before a snapshot.
     const PREFIX: usize = 4;
     let fetching = async {
         let mut channel = channel::Channel::connect(address, FETCH).await.ok()?;
-        channel::write_all(&channel.stream, &[what]).await.ok()?;
+        let mut question = [what; QUESTION];
+        question[1..].copy_from_slice(&since.to_be_bytes());
+        channel::write_all(&channel.stream, &question).await.ok()?;
         loop {
             if let Some(prefix) = channel.inbox.first_chunk::<PREFIX>() {
                 let length = u32::from_be_bytes(*prefix) as usize;
