Send pulses between digests, so that instances keep each other in sight at 75

Cause: a digest goes to 16 others in a round of 0.15 s, so at 75 instances one hears from each other each 0.7 s, and 1.2 s of silence count as away. The silence that counts was fixed, the time between two messages grew with the fleet.

Change: core::relay::gossip says who gets what in a round. Digests take turns as before; a pulse (who, how far it has read, whether it hears from the store, what it admitted) goes to so many others that each is reached twice within the silence that counts, up to the planned 380 instances.

round_keeps_all_in_sight_though_a_message_is_lost fails without pulses at 74, 299 and 379 others.

--- a/crates/core/src/relay/catch_up.rs
+++ b/crates/core/src/relay/catch_up.rs
@@ -123,7 +123,7 @@
         let beyond = view.peers.beyond(now, view.kind, view.own);
         let sources = beyond.map(|peer| {
             let source = Source::Peer {
-                name: peer.digest.sender.clone(),
+                name: peer.digest.pulse.sender.clone(),
                 address: peer.digest.address,
             };
             (source, peer.position(view.kind).changed)
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use super::census;
+use super::pulse;
 use super::rollouts;
 use super::tallies;
 use super::tracked;
@@ -71,28 +72,16 @@
 /// All that one instance tells.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Digest {
-    /// Its name.
-    pub sender: name::Name,
-    /// Number of its process; a higher one knows nothing of before.
-    pub incarnation: u64,
+    /// What is also told by itself.
+    pub pulse: pulse::Pulse,
     /// Where it listens for digests and serves snapshots.
     pub address: net::SocketAddr,
     /// Its estimate of the true time in microseconds since the Unix epoch.
     pub micros: u64,
-    /// Instances that it hears, itself included; they share what it knows of usage.
-    pub hears: u32,
-    /// Whether it is stopping.
-    pub leaving: bool,
-    /// Whether it hears of each change from the store.
-    pub fed: bool,
-    /// How far it has read each kind of object.
-    pub positions: Vec<Position>,
     /// Its work on engines.
     pub loads: Vec<EngineLoad>,
     /// Work that it has given to services.
     pub work: Vec<Work>,
-    /// What it has admitted.
-    pub spent: Vec<Spent>,
     /// What it has counted in the newest windows.
     pub counts: Vec<census::Count>,
     /// Answers of the versions of services that are moved.
@@ -108,8 +97,8 @@
     pub fn tally(&self) -> tallies::Tally {
         tallies::Tally {
             process: tallies::Process {
-                name: self.sender.clone(),
-                incarnation: self.incarnation,
+                name: self.pulse.sender.clone(),
+                incarnation: self.pulse.incarnation,
             },
             counts: self.counts.clone(),
         }
--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -7,6 +7,7 @@
 use super::digest;
 use super::engine;
 use super::manifest;
+use super::pulse;
 use super::rollouts;
 
 /// An event for the reducer.
@@ -29,6 +30,8 @@
     Manifest(sync::Arc<manifest::Manifest>),
     /// The orders to move services have changed.
     Rollouts(Vec<rollouts::Order>),
+    /// Another instance's pulse has come.
+    Beat(pulse::Pulse),
     /// Another instance's digest has come.
     Heard(digest::Digest),
     /// Time has passed.
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::digest;
+use super::pulse;
 use crate::name;
 use crate::time;
 
@@ -39,6 +40,8 @@
     /// Its last digest.
     pub digest: digest::Digest,
     /// When that came.
+    pub told: time::Time,
+    /// When it was last heard.
     pub heard: time::Time,
     /// Whether it has been silent for so long that it is taken as lost.
     pub lost: bool,
@@ -78,8 +81,8 @@
 
     /// Takes a digest; returns what it adds to the caps, or `None` if it is an old one.
     pub fn hear(&mut self, now: time::Time, digest: digest::Digest) -> Option<Vec<Charge>> {
-        let known = self.peers.get(&digest.sender);
-        if known.is_some_and(|p| is_former(p, &digest, now)) {
+        let known = self.peers.get(&digest.pulse.sender);
+        if known.is_some_and(|p| is_former(p, &digest.pulse, now)) {
             return None;
         }
         if known.is_none() && self.peers.len() >= MAX_PEERS {
@@ -87,42 +90,34 @@
         }
         self.hints.remove(&digest.address);
         self.hint(now, digest.members.iter().copied().take(MAX_TOLD));
-        let known = self.peers.get(&digest.sender);
-        let same = known.filter(|p| p.digest.incarnation == digest.incarnation);
-        let is_first = same.is_none();
-        let was_quiet = same.is_some_and(|p| is_quiet(p, now));
-        let mut charged = same.map(|p| p.charged.clone()).unwrap_or_default();
-        let mut charges = Vec::new();
-        for spent in &digest.spent {
-            let before = charged.entry(spent.workspace.clone()).or_default();
-            let units = spent.units.saturating_sub(*before);
-            *before = spent.units.max(*before);
-            let units = match was_quiet {
-                true => units.min(unheard(spent, digest.hears)),
-                false => units,
-            };
-            if units > 0 && !is_first {
-                charges.push(Charge {
-                    workspace: spent.workspace.clone(),
-                    units,
-                });
-            }
-        }
         self.add_work(&digest);
-        let peer = Peer {
-            heard: now,
-            lost: false,
-            charged,
-            digest,
-        };
-        self.peers.insert(peer.digest.sender.clone(), peer);
+        let known = self.peers.get_mut(&digest.pulse.sender);
+        if let Some(peer) = known.filter(|p| p.is_same(&digest.pulse)) {
+            let charges = peer.charge(now, &digest.pulse);
+            peer.digest = digest;
+            peer.told = now;
+            return Some(charges);
+        }
+        let name = digest.pulse.sender.clone();
+        self.peers.insert(name, Peer::new(now, digest));
+        Some(Vec::new())
+    }
+
+    /// Takes a pulse; returns what it adds to the caps, or `None` if no digest came before it.
+    pub fn beat(&mut self, now: time::Time, pulse: pulse::Pulse) -> Option<Vec<Charge>> {
+        let peer = self.peers.get_mut(&pulse.sender)?;
+        if !peer.is_same(&pulse) {
+            return None;
+        }
+        let charges = peer.charge(now, &pulse);
+        peer.digest.pulse = pulse;
         Some(charges)
     }
 
     /// Adds what an instance has given since its last digest; a new process begins at zero.
     fn add_work(&mut self, digest: &digest::Digest) {
-        let known = self.peers.get(&digest.sender);
-        let same = known.filter(|p| p.digest.incarnation == digest.incarnation);
+        let known = self.peers.get(&digest.pulse.sender);
+        let same = known.filter(|p| p.is_same(&digest.pulse));
         for work in &digest.work {
             let told = same.and_then(|p| p.digest.work.iter().find(|w| w.service == work.service));
             let before = told.map_or(0, |w| w.micros);
@@ -147,13 +142,13 @@
         for peer in self.peers.values_mut() {
             if !peer.lost && peer.heard.after(LOST) <= now {
                 peer.lost = true;
-                lost.push(peer.digest.sender.clone());
+                lost.push(peer.digest.pulse.sender.clone());
             }
         }
         let is_larger = 2 * (self.heard(now) + 1) > self.peers.len() + 1;
         self.peers.retain(|_, peer| {
             let is_forgotten = is_larger && peer.heard.after(FORGOTTEN) <= now;
-            let is_gone = peer.lost && peer.digest.leaving;
+            let is_gone = peer.lost && peer.digest.pulse.leaving;
             !(is_forgotten || is_gone)
         });
         lost
@@ -190,8 +185,8 @@
     pub fn serving(&self, now: time::Time) -> impl Iterator<Item = &name::Name> {
         let heard = self.peers.values().filter(move |p| !is_quiet(p, now));
         heard
-            .filter(|p| !p.digest.leaving)
-            .map(|p| &p.digest.sender)
+            .filter(|p| !p.digest.pulse.leaving)
+            .map(|p| &p.digest.pulse.sender)
     }
 
     /// Returns how many instances that come before `own` hear of changes from the store.
@@ -209,15 +204,15 @@
 
     fn fed(&self, now: time::Time) -> impl Iterator<Item = &name::Name> {
         let heard = self.peers.values().filter(move |p| !is_quiet(p, now));
-        let fed = heard.filter(|p| p.digest.fed && !p.digest.leaving);
-        fed.map(|p| &p.digest.sender)
+        let fed = heard.filter(|p| p.digest.pulse.fed && !p.digest.pulse.leaving);
+        fed.map(|p| &p.digest.pulse.sender)
     }
 
     /// Returns where to ask the instances that are heard, the one that has run longest first.
     pub fn eldest(&self, now: time::Time) -> Vec<net::SocketAddr> {
         let heard = self.peers.values().filter(|p| !is_quiet(p, now));
         let mut digests: Vec<_> = heard.map(|p| &p.digest).collect();
-        digests.sort_by_key(|digest| digest.incarnation);
+        digests.sort_by_key(|digest| digest.pulse.incarnation);
         digests.into_iter().map(|digest| digest.address).collect()
     }
 
@@ -234,9 +229,13 @@
     /// Returns the part of shared limits that this instance and those it hears may use; those of
     /// which only an address is known may be using theirs.
     pub fn part(&self, now: time::Time) -> f64 {
-        let serving = self.peers.values().filter(|p| !p.digest.leaving);
+        let serving = self.peers.values().filter(|p| !p.digest.pulse.leaving);
         let heard = serving.filter(|p| !is_quiet(p, now)).count() + 1;
-        let leaving = self.peers.values().filter(|p| p.digest.leaving).count();
+        let leaving = self
+            .peers
+            .values()
+            .filter(|p| p.digest.pulse.leaving)
+            .count();
         let all = self.peers.len() - leaving + self.hints.len() + 1;
         heard as f64 / all as f64
     }
@@ -245,7 +244,7 @@
     pub fn has_quiet(&self, now: time::Time) -> bool {
         self.peers
             .values()
-            .any(|p| !p.digest.leaving && !p.lost && is_quiet(p, now))
+            .any(|p| !p.digest.pulse.leaving && !p.lost && is_quiet(p, now))
     }
 
     /// Returns how far the others' true time lies ahead of this instance's, in microseconds.
@@ -253,7 +252,7 @@
         let fresh = self.peers.values().filter(|p| !is_quiet(p, now));
         fresh
             .map(|p| {
-                let age = p.heard.until(now).as_micros() as i64;
+                let age = p.told.until(now).as_micros() as i64;
                 p.digest.micros as i64 + age - micros as i64
             })
             .collect()
@@ -283,9 +282,55 @@
 }
 
 impl Peer {
+    /// Builds what is known after a first digest, whose usage is not charged again.
+    fn new(now: time::Time, digest: digest::Digest) -> Self {
+        let spent = digest.pulse.spent.iter();
+        Self {
+            told: now,
+            heard: now,
+            lost: false,
+            charged: spent.map(|s| (s.workspace.clone(), s.units)).collect(),
+            digest,
+        }
+    }
+
+    /// Tells whether a pulse comes from the same process.
+    fn is_same(&self, pulse: &pulse::Pulse) -> bool {
+        self.digest.pulse.incarnation == pulse.incarnation
+    }
+
+    /// Notes that it was heard; returns what it has admitted since it was last.
+    fn charge(&mut self, now: time::Time, pulse: &pulse::Pulse) -> Vec<Charge> {
+        let was_quiet = is_quiet(self, now);
+        self.heard = now;
+        self.lost = false;
+        let mut charges = Vec::new();
+        for spent in &pulse.spent {
+            let before = self.charged.entry(spent.workspace.clone()).or_default();
+            let units = spent.units.saturating_sub(*before);
+            *before = spent.units.max(*before);
+            let units = match was_quiet {
+                true => units.min(unheard(spent, pulse.hears)),
+                false => units,
+            };
+            if units > 0 {
+                charges.push(Charge {
+                    workspace: spent.workspace.clone(),
+                    units,
+                });
+            }
+        }
+        charges
+    }
+
     /// Returns how far it has read a kind of object.
     pub fn position(&self, kind: usize) -> digest::Position {
-        self.digest.positions.get(kind).copied().unwrap_or_default()
+        self.digest
+            .pulse
+            .positions
+            .get(kind)
+            .copied()
+            .unwrap_or_default()
     }
 }
 
@@ -293,8 +338,8 @@
 ///
 /// Numbers of processes come from the time of day, which may have jumped back: a process that was
 /// heard a moment ago cannot have been followed by another one, one that is silent can.
-fn is_former(peer: &Peer, digest: &digest::Digest, now: time::Time) -> bool {
-    peer.digest.incarnation > digest.incarnation && peer.heard.after(REPLACED) > now
+fn is_former(peer: &Peer, pulse: &pulse::Pulse, now: time::Time) -> bool {
+    peer.digest.pulse.incarnation > pulse.incarnation && peer.heard.after(REPLACED) > now
 }
 
 /// Returns an instance's place in the order in which they hear from the store. Names of one
--- /dev/null
+++ b/crates/core/src/relay/pulse.rs
@@ -0,0 +1,23 @@
+//! The part of a digest that instances tell each other most often.
+
+use super::digest;
+use crate::name;
+
+/// What others must know soon: that an instance lives, how far it has read, and what it admits.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Pulse {
+    /// Its name.
+    pub sender: name::Name,
+    /// Number of its process; a higher one knows nothing of before.
+    pub incarnation: u64,
+    /// Instances that it hears, itself included; they share what it knows of usage.
+    pub hears: u32,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Whether it hears of each change from the store.
+    pub fed: bool,
+    /// How far it has read each kind of object.
+    pub positions: Vec<digest::Position>,
+    /// What it has admitted.
+    pub spent: Vec<digest::Spent>,
+}
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -13,6 +13,8 @@
 use super::fleet;
 use super::flight;
 use super::manifest;
+use super::peers;
+use super::pulse;
 use super::route;
 use super::state;
 use crate::name;
@@ -46,6 +48,7 @@
         event::Event::Fed(fed) => feed(state, now, fed),
         event::Event::Manifest(manifest) => in_force(state, now, manifest),
         event::Event::Rollouts(orders) => state.rollouts.replace(orders),
+        event::Event::Beat(pulse) => beat(state, now, pulse),
         event::Event::Heard(digest) => hear(state, now, digest),
         event::Event::Tick => tick(state, now),
     }
@@ -246,30 +249,52 @@
 }
 
 fn hear(state: &mut state::State, now: time::Time, digest: digest::Digest) {
-    if digest.sender == state.own.name {
+    let sender = digest.pulse.sender.clone();
+    if sender == state.own.name {
         return;
     }
-    let is_member = state.peers.is_member(now, &digest.sender);
-    let sender = digest.sender.clone();
+    let is_member = state.peers.is_member(now, &sender);
     state.tallies.learn(&digest.tally());
-    for spent in &digest.spent {
-        if let Some(level) = spent.level {
-            state.caps.learn(now, &spent.workspace, level);
-        }
-    }
     state.fleet.hear(&sender, &digest.loads);
     state.rollouts.hear(&sender, &digest.trials);
     state.suspects.hear(now, &sender, &digest.crashes);
+    learn_levels(state, now, &digest.pulse);
     let charges = state.peers.hear(now, digest).unwrap_or_default();
-    for charge in charges {
-        state.caps.charge(now, &charge.workspace, charge.units);
+    charge(state, now, charges);
+    if !is_member {
+        state.caps.divide(now, state.peers.part(now));
+    }
+    note_outage(state, now);
+}
+
+fn beat(state: &mut state::State, now: time::Time, pulse: pulse::Pulse) {
+    if pulse.sender == state.own.name {
+        return;
     }
+    let is_member = state.peers.is_member(now, &pulse.sender);
+    learn_levels(state, now, &pulse);
+    let charges = state.peers.beat(now, pulse).unwrap_or_default();
+    charge(state, now, charges);
     if !is_member {
         state.caps.divide(now, state.peers.part(now));
     }
     note_outage(state, now);
 }
 
+fn learn_levels(state: &mut state::State, now: time::Time, pulse: &pulse::Pulse) {
+    for spent in &pulse.spent {
+        if let Some(level) = spent.level {
+            state.caps.learn(now, &spent.workspace, level);
+        }
+    }
+}
+
+fn charge(state: &mut state::State, now: time::Time, charges: Vec<peers::Charge>) {
+    for charge in charges {
+        state.caps.charge(now, &charge.workspace, charge.units);
+    }
+}
+
 fn tick(state: &mut state::State, now: time::Time) {
     for name in state.peers.sweep(now) {
         state.fleet.hear(&name, &[]);
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -14,6 +14,7 @@
 use super::manifest;
 use super::outage;
 use super::peers;
+use super::pulse;
 use super::rollouts;
 use super::settings;
 use super::suspects;
@@ -122,29 +123,36 @@
         own.sum::<u64>() + self.peers.work(service)
     }
 
-    /// Returns what to tell the other instances; the shell adds how far it has read.
-    pub fn digest(&self, now: time::Time, positions: Vec<digest::Position>) -> digest::Digest {
+    /// Returns what to tell the other instances most often; the shell adds how far it has read.
+    pub fn pulse(&self, now: time::Time, positions: Vec<digest::Position>) -> pulse::Pulse {
         let spent = self.caps.spent().map(|(workspace, units)| digest::Spent {
             workspace: workspace.clone(),
             units,
             level: self.caps.level(now, workspace),
         });
+        pulse::Pulse {
+            sender: self.own.name.clone(),
+            incarnation: self.own.incarnation,
+            hears: self.peers.heard(now) as u32 + 1,
+            leaving: self.leaving,
+            fed: self.fed,
+            positions,
+            spent: spent.collect(),
+        }
+    }
+
+    /// Returns all that other instances are told.
+    pub fn digest(&self, now: time::Time, positions: Vec<digest::Position>) -> digest::Digest {
         let work = self.fleet.work().map(|(service, micros)| digest::Work {
             service: service.clone(),
             micros,
         });
         digest::Digest {
-            sender: self.own.name.clone(),
-            incarnation: self.own.incarnation,
+            pulse: self.pulse(now, positions),
             address: self.own.address,
             micros: self.clock.micros(now),
-            hears: self.peers.heard(now) as u32 + 1,
-            leaving: self.leaving,
-            fed: self.fed,
-            positions,
             loads: self.fleet.loads(),
             work: work.collect(),
-            spent: spent.collect(),
             counts: self.tallies.own(TOLD_WINDOWS),
             trials: self.rollouts.told(),
             crashes: self.suspects.told(),
--- /dev/null
+++ b/crates/core/tests/relay_gossip.rs
@@ -0,0 +1,108 @@
+//! Who hears of whom, and how often.
+
+mod relay_support;
+
+use std::collections;
+use std::net;
+
+use guavausher_core::relay::{event, gossip};
+use relay_support::{Instance, START, at};
+use rstest::rstest;
+
+/// Time between two rounds.
+const INTERVAL: u64 = 150;
+/// Silence after which an instance counts as away.
+const QUIET: u64 = 1_200;
+
+fn address(index: usize) -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, 1], 8_000 + index as u16))
+}
+
+/// At 75 instances one datagram that was lost made an instance count as away: caps were cut, what it
+/// had admitted was charged in part, and others followed the store in its place.
+#[rstest]
+#[case::one(1)]
+#[case::all_in_each_round(16)]
+#[case::two_turns(17)]
+#[case::users_fleet(74)]
+#[case::three_hundred(299)]
+#[case::planned_size(379)]
+fn round_keeps_all_in_sight_though_a_message_is_lost(#[case] others: usize) {
+    let addresses: Vec<_> = (0..others).map(address).collect();
+    let mut heard: collections::BTreeMap<_, Vec<u64>> = collections::BTreeMap::new();
+    for number in 0..200 {
+        let round = gossip::round(&addresses, number);
+        for address in round.digests.iter().chain(&round.pulses) {
+            let times = heard.entry(*address).or_default();
+            times.push(number as u64 * INTERVAL);
+        }
+    }
+    assert_eq!(heard.len(), others);
+    for times in heard.values() {
+        let with_one_lost = times.windows(3).map(|w| w[2] - w[0]);
+        assert!(with_one_lost.max().unwrap() < QUIET, "{times:?}");
+    }
+}
+
+#[rstest]
+#[case::few(8)]
+#[case::many(379)]
+fn round_tells_nobody_twice(#[case] others: usize) {
+    let addresses: Vec<_> = (0..others).map(address).collect();
+    for number in 0..50 {
+        let round = gossip::round(&addresses, number);
+        let all: Vec<_> = round.digests.iter().chain(&round.pulses).collect();
+        let distinct: collections::BTreeSet<_> = all.iter().collect();
+        assert_eq!(distinct.len(), all.len());
+    }
+}
+
+#[test]
+fn round_of_nobody_is_empty() {
+    assert_eq!(gossip::round(&[], 7), gossip::Round::default());
+}
+
+#[test]
+fn beat_keeps_an_instance_in_sight_and_tells_how_far_it_is() {
+    let mut own = Instance::new(1);
+    let mut other = Instance::new(2);
+    own.hear(START, other.digest(START));
+    other.state.fed = true;
+    let pulse = other.state.pulse(at(1_000), Vec::new());
+    own.apply(at(1_000), event::Event::Beat(pulse));
+    let name = other.state.own.name.clone();
+    assert!(own.state.peers.is_member(at(2_100), &name));
+    assert!(own.state.peers.is_fed(at(2_100)));
+    assert!(!own.state.peers.is_member(at(2_200), &name));
+}
+
+#[test]
+fn beat_of_another_process_waits_for_its_digest() {
+    let mut own = Instance::new(1);
+    let mut other = Instance::new(2);
+    own.hear(START, other.digest(START));
+    other.state.own.incarnation = 2;
+    let pulse = other.state.pulse(at(1_000), Vec::new());
+    own.apply(at(1_000), event::Event::Beat(pulse));
+    let name = other.state.own.name.clone();
+    assert!(!own.state.peers.is_member(at(1_300), &name));
+}
+
+#[test]
+fn beat_charges_what_was_admitted_once() {
+    let mut own = Instance::serving(1, 1);
+    let mut other = Instance::serving(2, 1);
+    let manifest = relay_support::manifest(2, 1_000.0, None);
+    for instance in [&mut own, &mut other] {
+        instance.apply(START, manifest.clone());
+    }
+    own.hear(START, other.digest(START));
+    let route = guavausher_core::relay::route::Repeat::Idempotent;
+    other.send(at(10), relay_support::ask(1, at(10), route, 2));
+    let pulse = other.state.pulse(at(10), Vec::new());
+    let ward = relay_support::name("ward");
+    for _ in 0..2 {
+        own.apply(at(10), event::Event::Beat(pulse.clone()));
+        assert_eq!(own.state.caps.level(at(10), &ward), Some(100));
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod client;
 pub mod clock;
 mod compose;
+pub mod datagram;
 pub mod dialect;
 pub mod door;
 pub mod events;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -6,20 +6,17 @@
 use std::rc;
 use std::time::Duration;
 
-use guavausher_core::relay::{digest, event, tallies};
+use guavausher_core::relay::{event, gossip, tallies};
 use tokio::net::UdpSocket;
 
 use crate::channel;
 use crate::clock;
+use crate::datagram;
 use crate::shell;
 use crate::snapshot;
 
-/// Time between two digests.
+/// Time between two rounds of messages.
 const INTERVAL: Duration = Duration::from_millis(150);
-/// Largest digest in bytes.
-const MAX_DIGEST: usize = 32 * 1024;
-/// Instances that one round of digests reaches.
-const FAN_OUT: usize = 16;
 /// Largest snapshot in bytes.
 const MAX_SNAPSHOT: usize = 16 << 20;
 /// What is asked for to get counts instead of the snapshot of a kind.
@@ -61,37 +58,46 @@
 }
 
 async fn tell(shell: rc::Rc<shell::Shell>, socket: rc::Rc<UdpSocket>) {
-    let mut round = 0_usize;
-    loop {
+    for number in 0.. {
         tokio::time::sleep(INTERVAL).await;
-        round = round.wrapping_add(1);
         let now = clock::now();
         let positions = shell.positions.borrow().clone();
-        let (digest, addresses) = {
+        let (digest, round) = {
             let state = shell.state.borrow();
-            (state.digest(now, positions), state.peers.addresses())
-        };
-        let Ok(bytes) = encode(&digest) else {
-            log::error!("digest cannot be encoded");
-            continue;
+            let round = gossip::round(&state.peers.addresses(), number);
+            (state.digest(now, positions), round)
         };
-        let count = addresses.len();
-        let first = round.wrapping_mul(FAN_OUT);
-        let reached = (0..count.min(FAN_OUT)).map(|i| addresses[(first + i) % count]);
-        for address in reached {
-            // A datagram that is lost is made up for by the next one.
-            let _ = socket.try_send_to(&bytes, address);
+        let pulse = digest.pulse.clone();
+        send(&socket, &round.digests, &datagram::Datagram::Digest(digest));
+        send(&socket, &round.pulses, &datagram::Datagram::Pulse(pulse));
+    }
+}
+
+fn send(socket: &UdpSocket, addresses: &[net::SocketAddr], datagram: &datagram::Datagram) {
+    if addresses.is_empty() {
+        return;
+    }
+    match datagram.encode() {
+        Ok(bytes) => {
+            for address in addresses {
+                // A datagram that is lost is made up for by the next one.
+                let _ = socket.try_send_to(&bytes, *address);
+            }
         }
+        Err(fault) => log::error!(fault:% = fault; "datagram cannot be encoded"),
     }
 }
 
 async fn hear(shell: rc::Rc<shell::Shell>, socket: rc::Rc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_DIGEST];
+    let mut buffer = vec![0; datagram::MAX_BYTES];
     loop {
         match socket.recv(&mut buffer).await {
-            Ok(length) => match decode::<digest::Digest>(&buffer[..length]) {
-                Ok(digest) => shell.apply(event::Event::Heard(digest)),
-                Err(fault) => log::warn!(fault:% = fault; "digest cannot be read"),
+            Ok(length) => match datagram::Datagram::decode(&buffer[..length]) {
+                Ok(datagram::Datagram::Digest(digest)) => {
+                    shell.apply(event::Event::Heard(digest));
+                }
+                Ok(datagram::Datagram::Pulse(pulse)) => shell.apply(event::Event::Beat(pulse)),
+                Err(fault) => log::warn!(fault:% = fault; "datagram cannot be read"),
             },
             Err(fault) => log::debug!(fault:% = fault; "datagram refused"),
         }
@@ -113,11 +119,11 @@
     };
     let [kind, since @ ..] = question;
     let bytes = match kind {
-        TALLIES => encode(&shell.state.borrow().tallies.since(0)),
+        TALLIES => datagram::encode(&shell.state.borrow().tallies.since(0)),
         kind => {
             let snapshots = snapshots.borrow();
             let snapshot = snapshots.get(usize::from(kind))?;
-            encode(&snapshot.since(u64::from_be_bytes(since)))
+            datagram::encode(&snapshot.since(u64::from_be_bytes(since)))
         }
     };
     let bytes = bytes.ok()?;
@@ -157,7 +163,7 @@
                     return None;
                 }
                 if let Some(bytes) = channel.inbox.get(PREFIX..PREFIX + length) {
-                    return decode(bytes).ok();
+                    return datagram::decode(bytes).ok();
                 }
             }
             if channel.fill().await.ok()? == 0 {
@@ -167,13 +173,3 @@
     };
     tokio::time::timeout(FETCH, fetching).await.ok().flatten()
 }
-
-fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, bincode::error::EncodeError> {
-    bincode::serde::encode_to_vec(value, bincode::config::standard())
-}
-
-fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, bincode::error::DecodeError> {
-    let config = bincode::config::standard().with_limit::<MAX_SNAPSHOT>();
-    let (value, _) = bincode::serde::decode_from_slice(bytes, config)?;
-    Ok(value)
-}
