Give up on engines that send bytes without end

The users say that an engine in trouble may send bytes without end, in a head or a body.

Cause: each bound was on one element (a line, a head, an event that may go on elsewhere), none on how many follow each other. Now interim answers, bytes that are read past, one event and one answer that is no stream are bounded; beyond it the attempt counts as broken, the channel closes, and a request that may go on does. The client of the store read heads and bodies by a copy of the same code and uses the one copy now, its bounds with it.

--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -5,14 +5,14 @@
 use std::net;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use guavausher_core::time;
 use guavausher_core::verdict;
 
 use crate::channel;
 use crate::clock;
 use crate::framing;
-use crate::head;
+use crate::reading;
 
 /// Longest time to open a channel.
 const CONNECT: Duration = Duration::from_millis(800);
@@ -22,8 +22,6 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 /// Longest body of a reply in bytes.
 const MAX_BODY: usize = 4 << 20;
-/// Longest head of a reply in bytes.
-const MAX_HEAD: usize = 16 * 1024;
 
 /// A call.
 #[derive(Clone, Debug)]
@@ -137,9 +135,10 @@
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(call.body);
     channel::write_all(&channel.stream, &bytes).await.ok()?;
-    let head = read_head(channel).await?;
+    let channel::Channel { stream, inbox, .. } = channel;
+    let head = reading::read_head(stream, inbox).await.ok()?;
     let framing = head.answer_framing(call.method).ok()?;
-    let body = read_body(channel, framing).await?;
+    let body = reading::read_body(stream, inbox, framing, MAX_BODY).await?;
     let keeps = head.keeps_channel() && framing != framing::Framing::Close;
     let reply = Reply {
         status: head.status(),
@@ -147,41 +146,3 @@
     };
     Some((reply, keeps))
 }
-
-async fn read_head(channel: &mut channel::Channel) -> Option<head::Head> {
-    loop {
-        if let Some(parsed) = head::answer(&channel.inbox).ok()? {
-            let _ = channel.inbox.split_to(parsed.length);
-            if parsed.head.status() >= 200 {
-                return Some(parsed.head);
-            }
-            continue;
-        }
-        if channel.inbox.len() > MAX_HEAD || channel.fill().await.ok()? == 0 {
-            return None;
-        }
-    }
-}
-
-/// Reads a whole body of bounded length.
-pub(crate) async fn read_body(
-    channel: &mut channel::Channel,
-    framing: framing::Framing,
-) -> Option<Bytes> {
-    let mut decoder = framing::Decoder::new(framing);
-    let mut body = BytesMut::new();
-    loop {
-        while let Some(piece) = decoder.take(&mut channel.inbox).ok()? {
-            body.extend_from_slice(&piece);
-            if body.len() > MAX_BODY {
-                return None;
-            }
-        }
-        if decoder.is_done() {
-            return Some(body.freeze());
-        }
-        if channel.fill().await.ok()? == 0 {
-            return decoder.ends_with_channel().then(|| body.freeze());
-        }
-    }
-}
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -12,13 +12,74 @@
     last: Option<u64>,
 }
 
-/// An event that is longer than the limit.
+/// Bytes that come without an end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, displaydoc::Display)]
 pub enum Fault {
-    /// an event is longer than the limit
+    /// an event or an answer is longer than the limit
     TooLong,
 }
 
+/// Counts the bytes of an answer, so that one without an end is noticed.
+#[derive(Clone, Copy, Debug)]
+pub struct Bound {
+    left: usize,
+    /// Whether each event starts anew.
+    by_event: bool,
+    /// Whether the line has had no byte so far.
+    is_blank: bool,
+}
+
+impl Bound {
+    /// Bounds each event of a stream.
+    pub const fn event() -> Self {
+        Self {
+            left: MAX_EVENT,
+            by_event: true,
+            is_blank: true,
+        }
+    }
+
+    /// Bounds a whole answer to this many bytes.
+    pub const fn total(limit: usize) -> Self {
+        Self {
+            left: limit,
+            by_event: false,
+            is_blank: true,
+        }
+    }
+
+    /// Counts bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they are too many.
+    pub fn add(&mut self, bytes: &[u8]) -> Result<(), Fault> {
+        let rest = match self.by_event {
+            true => self.after_event(bytes),
+            false => bytes.len(),
+        };
+        self.left = self.left.checked_sub(rest).ok_or(Fault::TooLong)?;
+        Ok(())
+    }
+
+    /// Returns the number of bytes after the last end of an event, and counts anew from there.
+    fn after_event(&mut self, bytes: &[u8]) -> usize {
+        let mut rest = bytes.len();
+        for (place, byte) in bytes.iter().enumerate() {
+            if *byte == b'\n' && self.is_blank {
+                self.left = MAX_EVENT;
+                rest = bytes.len() - place - 1;
+            }
+            self.is_blank = match byte {
+                b'\n' => true,
+                b'\r' => self.is_blank,
+                _ => false,
+            };
+        }
+        rest
+    }
+}
+
 impl Events {
     /// Returns the id of the last event that was passed on.
     pub const fn last(&self) -> Option<u64> {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use guavausher_core::relay::{ask, effect, event, route};
 use guavausher_core::time;
 use tokio::net::TcpStream;
 
 use crate::channel;
-use crate::client;
 use crate::clock;
+use crate::events;
 use crate::framing;
 use crate::head;
 use crate::intake;
@@ -25,6 +25,13 @@
 /// Lowest status of an answer that states a failure of the engine.
 const FAILURE: u16 = 500;
 
+/// Longest answer that is read whole before it is passed on, in bytes.
+const MAX_WHOLE: usize = 128 * 1024;
+/// Longest body of an engine's failure in bytes.
+const MAX_FAILURE: usize = 1 << 20;
+/// Longest answer that is no stream, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(crate) enum Ending {
@@ -171,8 +178,7 @@
             return Err(reading::BROKEN_LATER);
         }
         if status < FAILURE && self.holds(framing) {
-            let body = client::read_body(engine, framing).await;
-            let body = body.ok_or(reading::BROKEN_LATER)?;
+            let body = self.body(engine, framing, MAX_WHOLE).await?;
             self.keep(engine, &answer, framing, is_sent);
             let kept = output::Kept {
                 head: answer.head,
@@ -182,8 +188,7 @@
             return Ok(Ending::Signal(self.relay(&kept, output).await));
         }
         if status >= FAILURE {
-            let body = client::read_body(engine, framing).await;
-            let body = body.ok_or(reading::BROKEN_LATER)?;
+            let body = self.body(engine, framing, MAX_FAILURE).await?;
             self.keep(engine, &answer, framing, is_sent);
             let head = answer.head;
             return Ok(Ending::Failing(output::Kept { head, body }));
@@ -196,12 +201,22 @@
     /// Tells whether an answer is read whole before it is passed on, so that another engine can
     /// answer if this one breaks off.
     fn holds(&self, framing: framing::Framing) -> bool {
-        /// Longest such answer in bytes.
-        const MAX_WHOLE: u64 = 128 * 1024;
-        let is_short = matches!(framing, framing::Framing::Length(n) if n <= MAX_WHOLE);
+        let is_short = matches!(framing, framing::Framing::Length(n) if n <= MAX_WHOLE as u64);
         is_short && self.ask.route.repeat == route::Repeat::Idempotent
     }
 
+    /// Reads a body of bounded length.
+    async fn body(
+        &self,
+        engine: &mut channel::Channel,
+        framing: framing::Framing,
+        limit: usize,
+    ) -> Result<Bytes, event::Signal> {
+        let channel::Channel { stream, inbox, .. } = engine;
+        let body = reading::read_body(stream, inbox, framing, limit).await;
+        body.ok_or(reading::BROKEN_LATER)
+    }
+
     /// Passes the head and the body on as it comes.
     async fn pass(
         &self,
@@ -227,11 +242,16 @@
         }
         let mut began = !is_stream;
         output.events.restart();
+        let mut bound = match is_stream {
+            true => events::Bound::event(),
+            false => events::Bound::total(MAX_ANSWER),
+        };
         loop {
             while let Some(piece) = decoder
                 .take(&mut engine.inbox)
                 .map_err(|_| reading::BROKEN_LATER)?
             {
+                bound.add(&piece).map_err(|_| reading::BROKEN_LATER)?;
                 let piece = match by_event {
                     true => output
                         .events
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -1,6 +1,6 @@
 //! Reading of engines' answers.
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use guavausher_core::relay::event;
 use tokio::net::TcpStream;
 
@@ -11,6 +11,11 @@
 /// Longest head of an answer in bytes.
 const MAX_HEAD: usize = 32 * 1024;
 
+/// Interim answers before a final one.
+const MAX_INTERIM: usize = 8;
+/// Longest body that is read past, in bytes.
+const MAX_SKIPPED: usize = 256 * 1024;
+
 /// A break after some bytes of an answer.
 pub(crate) const BROKEN_LATER: event::Signal = event::Signal::Broken { unanswered: false };
 
@@ -19,6 +24,7 @@
     stream: &TcpStream,
     inbox: &mut BytesMut,
 ) -> Result<head::Head, event::Signal> {
+    let mut interim = 0;
     loop {
         let parsed = head::answer(inbox).map_err(|_| BROKEN_LATER)?;
         if let Some(parsed) = parsed {
@@ -26,6 +32,10 @@
             if parsed.head.status() >= 200 {
                 return Ok(parsed.head);
             }
+            interim += 1;
+            if interim > MAX_INTERIM {
+                return Err(BROKEN_LATER);
+            }
             continue;
         }
         let unanswered = inbox.is_empty();
@@ -39,6 +49,31 @@
     }
 }
 
+/// Reads a whole body of at most `limit` bytes; `None` if it is longer or not whole.
+pub(crate) async fn read_body(
+    stream: &TcpStream,
+    inbox: &mut BytesMut,
+    framing: framing::Framing,
+    limit: usize,
+) -> Option<Bytes> {
+    let mut decoder = framing::Decoder::new(framing);
+    let mut body = BytesMut::new();
+    loop {
+        while let Some(piece) = decoder.take(inbox).ok()? {
+            body.extend_from_slice(&piece);
+            if body.len() > limit {
+                return None;
+            }
+        }
+        if decoder.is_done() {
+            return Some(body.freeze());
+        }
+        if channel::fill(stream, inbox).await.ok()? == 0 {
+            return decoder.ends_with_channel().then(|| body.freeze());
+        }
+    }
+}
+
 /// Reads past a body.
 pub(crate) async fn skip_body(
     stream: &TcpStream,
@@ -46,8 +81,14 @@
     framing: framing::Framing,
 ) -> Result<(), event::Signal> {
     let mut decoder = framing::Decoder::new(framing);
+    let mut skipped = 0;
     loop {
-        while decoder.take(inbox).map_err(|_| BROKEN_LATER)?.is_some() {}
+        while let Some(piece) = decoder.take(inbox).map_err(|_| BROKEN_LATER)? {
+            skipped += piece.len();
+        }
+        if skipped > MAX_SKIPPED {
+            return Err(BROKEN_LATER);
+        }
         if decoder.is_done() {
             return Ok(());
         }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -70,6 +70,8 @@
     Hang(String),
     /// Answers after the head, without reading the body.
     Early(String),
+    /// Sends bytes, and then others again and again until the channel is closed.
+    Endless(String, String),
 }
 
 /// A request as an engine received it.
@@ -96,6 +98,8 @@
     pub channels: rc::Rc<cell::Cell<usize>>,
     /// Channels whose other end has gone while they hung.
     pub left: rc::Rc<cell::Cell<usize>>,
+    /// Bytes that were taken of answers without an end.
+    pub flooded: rc::Rc<cell::Cell<usize>>,
 }
 
 impl Engine {
@@ -106,19 +110,20 @@
             seen: rc::Rc::default(),
             channels: rc::Rc::default(),
             left: rc::Rc::default(),
+            flooded: rc::Rc::default(),
         };
         let script = rc::Rc::new(cell::RefCell::new(collections::VecDeque::from(replies)));
-        let (seen, channels, left) = (
-            engine.seen.clone(),
-            engine.channels.clone(),
-            engine.left.clone(),
-        );
+        let channels = engine.channels.clone();
+        let served = Served {
+            seen: engine.seen.clone(),
+            left: engine.left.clone(),
+            flooded: engine.flooded.clone(),
+        };
         tokio::task::spawn_local(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
                 channels.set(channels.get() + 1);
-                let (script, seen, left) = (script.clone(), seen.clone(), left.clone());
-                tokio::task::spawn_local(serve(stream, script, seen, left));
+                tokio::task::spawn_local(serve(stream, script.clone(), served.clone()));
             }
         });
         engine
@@ -129,11 +134,18 @@
     }
 }
 
+/// What an engine notes of its channels.
+#[derive(Clone)]
+struct Served {
+    seen: rc::Rc<cell::RefCell<Vec<Seen>>>,
+    left: rc::Rc<cell::Cell<usize>>,
+    flooded: rc::Rc<cell::Cell<usize>>,
+}
+
 async fn serve(
     mut stream: TcpStream,
     script: rc::Rc<cell::RefCell<collections::VecDeque<Reply>>>,
-    seen: rc::Rc<cell::RefCell<Vec<Seen>>>,
-    left: rc::Rc<cell::Cell<usize>>,
+    served: Served,
 ) {
     let mut bytes = Vec::new();
     loop {
@@ -158,7 +170,7 @@
             request.body = bytes.drain(..length).collect();
         }
         let id = request.header("x-id").unwrap_or_default();
-        seen.borrow_mut().push(request);
+        served.seen.borrow_mut().push(request);
         let text = |t: &str| t.replace("{id}", &id).into_bytes();
         match reply {
             Some(Reply::Keep(t)) => stream.write_all(&text(&t)).await.unwrap(),
@@ -183,7 +195,17 @@
                 stream.write_all(&text(&t)).await.unwrap();
                 let mut rest = Vec::new();
                 let _ = stream.read_to_end(&mut rest).await;
-                left.set(left.get() + 1);
+                served.left.set(served.left.get() + 1);
+                return;
+            }
+            Some(Reply::Endless(t, more)) => {
+                stream.write_all(&text(&t)).await.unwrap();
+                let more = text(&more);
+                while stream.write_all(&more).await.is_ok() {
+                    served.flooded.set(served.flooded.get() + more.len());
+                    tokio::task::yield_now().await;
+                }
+                served.left.set(served.left.get() + 1);
                 return;
             }
             None => return,
