--- /dev/null
+++ b/crates/core/src/relay/peer.rs
@@ -0,0 +1,110 @@
+//! One other instance.
+
+use std::collections;
+use std::time::Duration;
+
+use super::digest;
+use super::pulse;
+use crate::name;
+use crate::time;
+
+/// Silence after which an instance may be cut off.
+const QUIET: Duration = Duration::from_millis(1_200);
+/// Silence after which another process may have taken an instance's place.
+const REPLACED: Duration = Duration::from_millis(500);
+
+/// One instance.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its last digest.
+    pub digest: digest::Digest,
+    /// When that came.
+    pub told: time::Time,
+    /// When it was last heard.
+    pub heard: time::Time,
+    /// Whether it has been silent for so long that it is taken as lost.
+    pub lost: bool,
+    /// Highest spent units by workspace that were charged here.
+    charged: collections::BTreeMap<name::Name, u64>,
+}
+
+/// What a digest adds to a workspace's cap.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Charge {
+    /// The workspace.
+    pub workspace: name::Name,
+    /// Units.
+    pub units: u64,
+}
+
+impl Peer {
+    /// Builds what is known after a first digest, whose usage is not charged again.
+    pub(super) fn new(now: time::Time, digest: digest::Digest) -> Self {
+        let spent = digest.pulse.spent.iter();
+        Self {
+            told: now,
+            heard: now,
+            lost: false,
+            charged: spent.map(|s| (s.workspace.clone(), s.units)).collect(),
+            digest,
+        }
+    }
+
+    /// Tells whether it has been silent for so long that it may be cut off.
+    pub(super) fn is_quiet(&self, now: time::Time) -> bool {
+        self.heard.after(QUIET) <= now
+    }
+
+    /// Tells whether a pulse comes from a process before the one that was heard last.
+    ///
+    /// Numbers of processes come from the time of day, which may have jumped back: a process that was
+    /// heard a moment ago cannot have been followed by another one, one that is silent can.
+    pub(super) fn is_former(&self, pulse: &pulse::Pulse, now: time::Time) -> bool {
+        self.digest.pulse.incarnation > pulse.incarnation && self.heard.after(REPLACED) > now
+    }
+
+    /// Tells whether a pulse comes from the same process.
+    pub(super) fn is_same(&self, pulse: &pulse::Pulse) -> bool {
+        self.digest.pulse.incarnation == pulse.incarnation
+    }
+
+    /// Notes that it was heard; returns what it has admitted since it was last.
+    pub(super) fn charge(&mut self, now: time::Time, pulse: &pulse::Pulse) -> Vec<Charge> {
+        let was_quiet = self.is_quiet(now);
+        self.heard = now;
+        self.lost = false;
+        let mut charges = Vec::new();
+        for spent in &pulse.spent {
+            let before = self.charged.entry(spent.workspace.clone()).or_default();
+            let units = spent.units.saturating_sub(*before);
+            *before = spent.units.max(*before);
+            let units = match was_quiet {
+                true => units.min(unheard(spent, pulse.hears)),
+                false => units,
+            };
+            if units > 0 {
+                charges.push(Charge {
+                    workspace: spent.workspace.clone(),
+                    units,
+                });
+            }
+        }
+        charges
+    }
+
+    /// Returns how far it has read a kind of object.
+    pub fn position(&self, kind: usize) -> digest::Position {
+        self.digest
+            .pulse
+            .positions
+            .get(kind)
+            .copied()
+            .unwrap_or_default()
+    }
+}
+
+/// Returns an instance's part of what is left of the usage of those on its side of a cut, who
+/// kept to their part of the cap all the while.
+fn unheard(spent: &digest::Spent, hears: u32) -> u64 {
+    spent.level.unwrap_or(0).div_ceil(u64::from(hears.max(1)))
+}
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -5,14 +5,11 @@
 use std::time::Duration;
 
 use super::digest;
+use super::peer;
 use super::pulse;
 use crate::name;
 use crate::time;
 
-/// Silence after which an instance may be cut off.
-const QUIET: Duration = Duration::from_millis(1_200);
-/// Silence after which another process may have taken an instance's place.
-const REPLACED: Duration = Duration::from_millis(500);
 /// Silence after which an instance is taken as lost, and its work with it.
 const LOST: Duration = Duration::from_secs(12);
 /// Silence after which an instance is forgotten. Until then it may live behind a cut and use its
@@ -27,37 +24,13 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     own: net::SocketAddr,
-    peers: collections::BTreeMap<name::Name, Peer>,
+    peers: collections::BTreeMap<name::Name, peer::Peer>,
     /// Addresses of which nothing has been heard yet, until when they are tried.
     hints: collections::BTreeMap<net::SocketAddr, time::Time>,
     /// Microseconds of work that all of them have given to each service since this process began.
     work: collections::BTreeMap<name::Name, u64>,
 }
 
-/// One instance.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// Its last digest.
-    pub digest: digest::Digest,
-    /// When that came.
-    pub told: time::Time,
-    /// When it was last heard.
-    pub heard: time::Time,
-    /// Whether it has been silent for so long that it is taken as lost.
-    pub lost: bool,
-    /// Highest spent units by workspace that were charged here.
-    charged: collections::BTreeMap<name::Name, u64>,
-}
-
-/// What a digest adds to a workspace's cap.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Charge {
-    /// The workspace.
-    pub workspace: name::Name,
-    /// Units.
-    pub units: u64,
-}
-
 impl Peers {
     /// Builds the view of an instance that listens on `own`.
     pub const fn new(own: net::SocketAddr) -> Self {
@@ -80,9 +53,9 @@
     }
 
     /// Takes a digest; returns what it adds to the caps, or `None` if it is an old one.
-    pub fn hear(&mut self, now: time::Time, digest: digest::Digest) -> Option<Vec<Charge>> {
+    pub fn hear(&mut self, now: time::Time, digest: digest::Digest) -> Option<Vec<peer::Charge>> {
         let known = self.peers.get(&digest.pulse.sender);
-        if known.is_some_and(|p| is_former(p, &digest.pulse, now)) {
+        if known.is_some_and(|p| p.is_former(&digest.pulse, now)) {
             return None;
         }
         if known.is_none() && self.peers.len() >= MAX_PEERS {
@@ -99,12 +72,12 @@
             return Some(charges);
         }
         let name = digest.pulse.sender.clone();
-        self.peers.insert(name, Peer::new(now, digest));
+        self.peers.insert(name, peer::Peer::new(now, digest));
         Some(Vec::new())
     }
 
     /// Takes a pulse; returns what it adds to the caps, or `None` if no digest came before it.
-    pub fn beat(&mut self, now: time::Time, pulse: pulse::Pulse) -> Option<Vec<Charge>> {
+    pub fn beat(&mut self, now: time::Time, pulse: pulse::Pulse) -> Option<Vec<peer::Charge>> {
         let peer = self.peers.get_mut(&pulse.sender)?;
         if !peer.is_same(&pulse) {
             return None;
@@ -161,11 +134,11 @@
 
     /// Tells whether an instance is known and heard.
     pub fn is_member(&self, now: time::Time, name: &name::Name) -> bool {
-        self.peers.get(name).is_some_and(|p| !is_quiet(p, now))
+        self.peers.get(name).is_some_and(|p| !p.is_quiet(now))
     }
 
     /// Returns the other instances.
-    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+    pub fn all(&self) -> impl Iterator<Item = &peer::Peer> {
         self.peers.values()
     }
 
@@ -177,13 +150,13 @@
 
     /// Returns some addresses to tell others.
     pub fn told(&self, now: time::Time) -> Vec<net::SocketAddr> {
-        let fresh = self.peers.values().filter(|p| !is_quiet(p, now));
+        let fresh = self.peers.values().filter(|p| !p.is_quiet(now));
         fresh.map(|p| p.digest.address).take(MAX_TOLD).collect()
     }
 
     /// Returns the names of the instances that are heard and not stopping.
     pub fn serving(&self, now: time::Time) -> impl Iterator<Item = &name::Name> {
-        let heard = self.peers.values().filter(move |p| !is_quiet(p, now));
+        let heard = self.peers.values().filter(move |p| !p.is_quiet(now));
         heard
             .filter(|p| !p.digest.pulse.leaving)
             .map(|p| &p.digest.pulse.sender)
@@ -203,14 +176,14 @@
     }
 
     fn fed(&self, now: time::Time) -> impl Iterator<Item = &name::Name> {
-        let heard = self.peers.values().filter(move |p| !is_quiet(p, now));
+        let heard = self.peers.values().filter(move |p| !p.is_quiet(now));
         let fed = heard.filter(|p| p.digest.pulse.fed && !p.digest.pulse.leaving);
         fed.map(|p| &p.digest.pulse.sender)
     }
 
     /// Returns where to ask the instances that are heard, the one that has run longest first.
     pub fn eldest(&self, now: time::Time) -> Vec<net::SocketAddr> {
-        let heard = self.peers.values().filter(|p| !is_quiet(p, now));
+        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
         let mut digests: Vec<_> = heard.map(|p| &p.digest).collect();
         digests.sort_by_key(|digest| digest.pulse.incarnation);
         digests.into_iter().map(|digest| digest.address).collect()
@@ -218,7 +191,7 @@
 
     /// Returns how many others are heard.
     pub fn heard(&self, now: time::Time) -> usize {
-        self.peers.values().filter(|p| !is_quiet(p, now)).count()
+        self.peers.values().filter(|p| !p.is_quiet(now)).count()
     }
 
     /// Returns the number of instances that share the work, this one included.
@@ -230,7 +203,7 @@
     /// which only an address is known may be using theirs.
     pub fn part(&self, now: time::Time) -> f64 {
         let serving = self.peers.values().filter(|p| !p.digest.pulse.leaving);
-        let heard = serving.filter(|p| !is_quiet(p, now)).count() + 1;
+        let heard = serving.filter(|p| !p.is_quiet(now)).count() + 1;
         let leaving = self
             .peers
             .values()
@@ -243,7 +216,7 @@
     /// Returns the units a second that the instances that are heard are asked for, by workspace.
     pub fn demands(&self, now: time::Time) -> collections::BTreeMap<name::Name, f64> {
         let mut demands = collections::BTreeMap::new();
-        let heard = self.peers.values().filter(|p| !is_quiet(p, now));
+        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
         let spent = heard.flat_map(|p| &p.digest.pulse.spent);
         for spent in spent.filter(|spent| spent.demand > 0) {
             let sum = demands.entry(spent.workspace.clone()).or_default();
@@ -256,12 +229,12 @@
     pub fn has_quiet(&self, now: time::Time) -> bool {
         self.peers
             .values()
-            .any(|p| !p.digest.pulse.leaving && !p.lost && is_quiet(p, now))
+            .any(|p| !p.digest.pulse.leaving && !p.lost && p.is_quiet(now))
     }
 
     /// Returns how far the others' true time lies ahead of this instance's, in microseconds.
     pub fn ahead(&self, now: time::Time, micros: u64) -> Vec<i64> {
-        let fresh = self.peers.values().filter(|p| !is_quiet(p, now));
+        let fresh = self.peers.values().filter(|p| !p.is_quiet(now));
         fresh
             .map(|p| {
                 let age = p.told.until(now).as_micros() as i64;
@@ -276,8 +249,8 @@
         now: time::Time,
         kind: usize,
         own: digest::Position,
-    ) -> impl Iterator<Item = &Peer> {
-        let fresh = self.peers.values().filter(move |p| !is_quiet(p, now));
+    ) -> impl Iterator<Item = &peer::Peer> {
+        let fresh = self.peers.values().filter(move |p| !p.is_quiet(now));
         fresh.filter(move |p| {
             let position = p.position(kind);
             position.changed > own.changed && position.content != own.content
@@ -286,86 +259,15 @@
 
     /// Returns the highest revision at which an instance knows the same objects of a kind.
     pub fn confirmed(&self, now: time::Time, kind: usize, own: digest::Position) -> u64 {
-        let fresh = self.peers.values().filter(|p| !is_quiet(p, now));
+        let fresh = self.peers.values().filter(|p| !p.is_quiet(now));
         let same = fresh.map(|p| p.position(kind));
         let same = same.filter(|position| position.content == own.content);
         same.fold(own.changed, |most, position| most.max(position.changed))
     }
 }
 
-impl Peer {
-    /// Builds what is known after a first digest, whose usage is not charged again.
-    fn new(now: time::Time, digest: digest::Digest) -> Self {
-        let spent = digest.pulse.spent.iter();
-        Self {
-            told: now,
-            heard: now,
-            lost: false,
-            charged: spent.map(|s| (s.workspace.clone(), s.units)).collect(),
-            digest,
-        }
-    }
-
-    /// Tells whether a pulse comes from the same process.
-    fn is_same(&self, pulse: &pulse::Pulse) -> bool {
-        self.digest.pulse.incarnation == pulse.incarnation
-    }
-
-    /// Notes that it was heard; returns what it has admitted since it was last.
-    fn charge(&mut self, now: time::Time, pulse: &pulse::Pulse) -> Vec<Charge> {
-        let was_quiet = is_quiet(self, now);
-        self.heard = now;
-        self.lost = false;
-        let mut charges = Vec::new();
-        for spent in &pulse.spent {
-            let before = self.charged.entry(spent.workspace.clone()).or_default();
-            let units = spent.units.saturating_sub(*before);
-            *before = spent.units.max(*before);
-            let units = match was_quiet {
-                true => units.min(unheard(spent, pulse.hears)),
-                false => units,
-            };
-            if units > 0 {
-                charges.push(Charge {
-                    workspace: spent.workspace.clone(),
-                    units,
-                });
-            }
-        }
-        charges
-    }
-
-    /// Returns how far it has read a kind of object.
-    pub fn position(&self, kind: usize) -> digest::Position {
-        self.digest
-            .pulse
-            .positions
-            .get(kind)
-            .copied()
-            .unwrap_or_default()
-    }
-}
-
-/// Tells whether a digest comes from a process before the one that was heard last.
-///
-/// Numbers of processes come from the time of day, which may have jumped back: a process that was
-/// heard a moment ago cannot have been followed by another one, one that is silent can.
-fn is_former(peer: &Peer, pulse: &pulse::Pulse, now: time::Time) -> bool {
-    peer.digest.pulse.incarnation > pulse.incarnation && peer.heard.after(REPLACED) > now
-}
-
 /// Returns an instance's place in the order in which they hear from the store. Names of one
 /// failure domain are often alike, and a cut there must not meet all that hear.
 fn feeding_order(name: &name::Name) -> u64 {
     twox_hash::XxHash64::oneshot(0, name.as_bytes())
 }
-
-/// Returns an instance's part of what is left of the usage of those on its side of a cut, who
-/// kept to their part of the cap all the while.
-fn unheard(spent: &digest::Spent, hears: u32) -> u64 {
-    spent.level.unwrap_or(0).div_ceil(u64::from(hears.max(1)))
-}
-
-fn is_quiet(peer: &Peer, now: time::Time) -> bool {
-    peer.heard.after(QUIET) <= now
-}
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -13,7 +13,7 @@
 use super::fleet;
 use super::flight;
 use super::manifest;
-use super::peers;
+use super::peer;
 use super::pulse;
 use super::route;
 use super::state;
@@ -289,7 +289,7 @@
     }
 }
 
-fn charge(state: &mut state::State, now: time::Time, charges: Vec<peers::Charge>) {
+fn charge(state: &mut state::State, now: time::Time, charges: Vec<peer::Charge>) {
     for charge in charges {
         state.caps.charge(now, &charge.workspace, charge.units);
     }
