Notice a silent store early enough for work to stop at engines that leave

Cause: the three instances that follow the store lost it at the same moment. Their watches waited 2.5 s and 0.9 s for the answer before they knew, and said all the while that they heard from the store, so that nobody took over. The wait was fixed; the bound comes with the deployment.

Change: the watch of engines takes its times from the drain bound (core::relay::pace). All kinds come from one store, so one watch tells whether it is silent, and the others keep their pace.

pace_notices_silence_early_enough_for_work_to_stop holds the whole way (notice, pulse, look, list, pulse, look, fetch) under the bound; with the former times it is 4.4 s.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -22,6 +22,7 @@
 pub mod holders;
 pub mod manifest;
 pub mod outage;
+pub mod pace;
 pub mod peer;
 pub mod peers;
 pub mod pulse;
