Forget questions that never ended when catching up

Found by reading: a fetch whose task failed would have stayed among the three that may be asked at once, and three of them would have kept an instance from asking anyone. Each question ends after two seconds in any case. next_forgets_a_question_that_never_ends fails without it.

--- a/crates/core/src/relay/catch_up.rs
+++ b/crates/core/src/relay/catch_up.rs
@@ -18,6 +18,8 @@
 const HEDGE: Duration = Duration::from_millis(250);
 /// Sources that are asked at the same time.
 const MAX_ASKED: usize = 3;
+/// Time after which a question has ended in any case.
+const LONGEST: Duration = Duration::from_secs(2);
 /// How long a source that failed is left alone.
 const AVOIDED: Duration = Duration::from_secs(2);
 /// Peers that are drawn, of which the furthest is asked.
@@ -90,6 +92,7 @@
             self.behind = None;
             return None;
         }
+        self.asked.retain(|(_, at)| at.after(LONGEST) > now);
         let since = *self.behind.get_or_insert(now);
         let is_early = !is_told && since.after(self.patience) > now;
         let last = self.asked.iter().map(|(_, at)| at.after(HEDGE)).max();
--- a/crates/core/tests/relay_catch_up.rs
+++ b/crates/core/tests/relay_catch_up.rs
@@ -105,6 +105,18 @@
     assert!(own.next(at(20), view(&peers, 5, false), true).is_some());
 }
 
+#[test]
+fn next_forgets_a_question_that_never_ends() {
+    let mut own = catch_up::CatchUp::new(&name("own"), PATIENCE);
+    for millis in [0, 250, 500] {
+        let peers = peers_at(at(millis), &[9, 9, 9, 9]);
+        assert!(own.next(at(millis), view(&peers, 5, false), true).is_some());
+    }
+    let peers = peers_at(at(2_000), &[9, 9, 9, 9]);
+    assert_eq!(own.next(at(1_900), view(&peers, 5, false), true), None);
+    assert!(own.next(at(2_000), view(&peers, 5, false), true).is_some());
+}
+
 #[rstest]
 #[case::told_at_once(true, 0, true)]
 #[case::by_the_store_too_early(false, 200, false)]
