--- a/crates/relay/tests/endless.rs
+++ b/crates/relay/tests/endless.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use rstest::rstest;
-use support::{Engine, Relay, Reply, request};
+use support::script::Reply;
+use support::{Engine, Relay, request};
 
 /// Bytes that an engine may get rid of before its channel is closed: what a relay takes of one
 /// answer, and the buffers of the sockets.
--- a/crates/relay/tests/forwarding.rs
+++ b/crates/relay/tests/forwarding.rs
@@ -4,7 +4,8 @@
 
 use guavausher_relay::clock;
 use rstest::rstest;
-use support::{Engine, Relay, Reply, events, request, whole};
+use support::script::Reply;
+use support::{Engine, Relay, events, request, whole};
 
 #[test]
 fn forward_passes_request_and_answer_unchanged() {
--- a/crates/relay/tests/log_lines.rs
+++ b/crates/relay/tests/log_lines.rs
@@ -6,7 +6,8 @@
 
 use guavausher_core::relay::{event, manifest, workspace};
 use rstest::rstest;
-use support::{Engine, Relay, Reply, events, lines, request, whole};
+use support::script::Reply;
+use support::{Engine, Relay, events, lines, request, whole};
 
 const SENT: [&str; 12] = [
     "ahead",
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -2,9 +2,8 @@
 #![allow(dead_code)]
 
 pub mod lines;
+pub mod script;
 
-use std::cell;
-use std::collections;
 use std::future;
 use std::net;
 use std::rc;
@@ -18,7 +17,9 @@
 use guavausher_core::time;
 use guavausher_relay::{clock, dialect, door, head, shell};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
+
+pub use script::{Engine, Seen, until};
 
 /// Longest wait for anything in a test.
 pub const LIMIT: Duration = Duration::from_secs(20);
@@ -57,174 +58,6 @@
     }
 }
 
-/// What a scripted engine does with a request.
-#[derive(Clone, Debug)]
-pub enum Reply {
-    /// Sends bytes and keeps the channel; `{id}` stands for the request's id.
-    Keep(String),
-    /// Sends bytes and closes the channel.
-    Close(String),
-    /// Sends bytes and resets the channel.
-    Reset(String),
-    /// Sends bytes and then nothing more.
-    Hang(String),
-    /// Answers after the head, without reading the body.
-    Early(String),
-    /// Sends bytes, and then others again and again until the channel is closed.
-    Endless(String, String),
-}
-
-/// A request as an engine received it.
-#[derive(Clone, Debug)]
-pub struct Seen {
-    pub head: String,
-    pub body: Vec<u8>,
-}
-
-impl Seen {
-    pub fn header(&self, name: &str) -> Option<String> {
-        self.head.lines().find_map(|line| {
-            let (key, value) = line.split_once(':')?;
-            key.eq_ignore_ascii_case(name)
-                .then(|| String::from(value.trim()))
-        })
-    }
-}
-
-/// An engine that answers by a script.
-pub struct Engine {
-    pub address: net::SocketAddr,
-    pub seen: rc::Rc<cell::RefCell<Vec<Seen>>>,
-    pub channels: rc::Rc<cell::Cell<usize>>,
-    /// Channels whose other end has gone while they hung.
-    pub left: rc::Rc<cell::Cell<usize>>,
-    /// Bytes that were taken of answers without an end.
-    pub flooded: rc::Rc<cell::Cell<usize>>,
-}
-
-impl Engine {
-    pub async fn start(replies: Vec<Reply>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let engine = Self {
-            address: listener.local_addr().unwrap(),
-            seen: rc::Rc::default(),
-            channels: rc::Rc::default(),
-            left: rc::Rc::default(),
-            flooded: rc::Rc::default(),
-        };
-        let script = rc::Rc::new(cell::RefCell::new(collections::VecDeque::from(replies)));
-        let channels = engine.channels.clone();
-        let served = Served {
-            seen: engine.seen.clone(),
-            left: engine.left.clone(),
-            flooded: engine.flooded.clone(),
-        };
-        tokio::task::spawn_local(async move {
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                channels.set(channels.get() + 1);
-                tokio::task::spawn_local(serve(stream, script.clone(), served.clone()));
-            }
-        });
-        engine
-    }
-
-    pub fn runs(&self) -> usize {
-        self.seen.borrow().len()
-    }
-}
-
-/// What an engine notes of its channels.
-#[derive(Clone)]
-struct Served {
-    seen: rc::Rc<cell::RefCell<Vec<Seen>>>,
-    left: rc::Rc<cell::Cell<usize>>,
-    flooded: rc::Rc<cell::Cell<usize>>,
-}
-
-async fn serve(
-    mut stream: TcpStream,
-    script: rc::Rc<cell::RefCell<collections::VecDeque<Reply>>>,
-    served: Served,
-) {
-    let mut bytes = Vec::new();
-    loop {
-        let Some(head) = until(&mut stream, &mut bytes, b"\r\n\r\n").await else {
-            return;
-        };
-        let head = String::from_utf8(head).unwrap();
-        let mut request = Seen {
-            head,
-            body: Vec::new(),
-        };
-        let reply = script.borrow_mut().pop_front();
-        let is_early = matches!(reply, Some(Reply::Early(_)));
-        let length = request.header("content-length");
-        let length: usize = length.map_or(0, |l| l.parse().unwrap());
-        if !is_early {
-            while bytes.len() < length {
-                if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
-                    return;
-                }
-            }
-            request.body = bytes.drain(..length).collect();
-        }
-        let id = request.header("x-id").unwrap_or_default();
-        served.seen.borrow_mut().push(request);
-        let text = |t: &str| t.replace("{id}", &id).into_bytes();
-        match reply {
-            Some(Reply::Keep(t)) => stream.write_all(&text(&t)).await.unwrap(),
-            Some(Reply::Early(t)) => {
-                stream.write_all(&text(&t)).await.unwrap();
-                let _ = stream.read_buf(&mut bytes).await;
-                tokio::time::sleep(LIMIT).await;
-                return;
-            }
-            Some(Reply::Close(t)) => {
-                stream.write_all(&text(&t)).await.unwrap();
-                return;
-            }
-            Some(Reply::Reset(t)) => {
-                stream.write_all(&text(&t)).await.unwrap();
-                // The bytes are to arrive before the reset.
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                stream.set_zero_linger().unwrap();
-                return;
-            }
-            Some(Reply::Hang(t)) => {
-                stream.write_all(&text(&t)).await.unwrap();
-                let mut rest = Vec::new();
-                let _ = stream.read_to_end(&mut rest).await;
-                served.left.set(served.left.get() + 1);
-                return;
-            }
-            Some(Reply::Endless(t, more)) => {
-                stream.write_all(&text(&t)).await.unwrap();
-                let more = text(&more);
-                while stream.write_all(&more).await.is_ok() {
-                    served.flooded.set(served.flooded.get() + more.len());
-                    tokio::task::yield_now().await;
-                }
-                served.left.set(served.left.get() + 1);
-                return;
-            }
-            None => return,
-        }
-    }
-}
-
-/// Reads up to and including a mark.
-pub async fn until(stream: &mut TcpStream, bytes: &mut Vec<u8>, mark: &[u8]) -> Option<Vec<u8>> {
-    loop {
-        if let Some(at) = bytes.windows(mark.len()).position(|w| w == mark) {
-            return Some(bytes.drain(..at + mark.len()).collect());
-        }
-        if stream.read_buf(bytes).await.ok()? == 0 {
-            return None;
-        }
-    }
-}
-
 pub fn route(prefix: &str, repeat: route::Repeat, attempts: u32) -> route::Route {
     route::Route {
         name: name::Name::from(prefix),
