Divide a large fleet into groups that exchange summaries

Cause: a full mesh. Each instance sends a pulse to a third of all others in each round of 150 ms and a digest to 16, each with an entry for each of 40 workspaces; four fifths of them cross domains.

Change: a fleet of more than 128 is divided by failure domain, and a domain of more than 128 again (`core::relay::group`). Members of a group talk as before. Three delegates of each group, on whom all agree by a hash, tell one delegate of each other group in turn what the group does in sum, and their own group what is outside (`groups`, `summary`, `sum`); what each process counted goes from two delegates to the three that compete for the duties (`account`, `works`). Counters of several delegates are merged by the highest, each aligned when it is first heard, so that one may end without a charge lost or made twice. Usage caps: admission by request and not by time, so that callers of a workspace who are spread over hundreds of instances are not refused while the cap has room. Those that follow the store step in a few at a time (`feeding`). A fleet of 128 or less works as it did.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -4,6 +4,7 @@
 //! knows about the world comes in as data: the manifest, the engines, what callers send, how
 //! attempts end and what other instances tell in their digests.
 
+pub mod account;
 pub mod allowance;
 pub mod ask;
 pub mod budget;
@@ -16,11 +17,16 @@
 pub mod effect;
 pub mod engine;
 pub mod event;
+pub mod feeding;
 pub mod fleet;
 pub mod flight;
 pub mod gossip;
+pub mod group;
+pub mod groups;
 pub mod holders;
 pub mod manifest;
+pub mod member;
+pub mod message;
 pub mod outage;
 pub mod pace;
 pub mod peer;
@@ -33,7 +39,10 @@
 pub mod service;
 pub mod settings;
 pub mod state;
+pub mod sum;
+pub mod summary;
 pub mod suspects;
 pub mod tallies;
 mod tracked;
+pub mod works;
 pub mod workspace;
--- a/crates/core/src/relay/allowance.rs
+++ b/crates/core/src/relay/allowance.rs
@@ -8,14 +8,10 @@
 
 use crate::time;
 
-/// Time until what an instance admits is known to the others.
-const LAG: Duration = Duration::from_millis(400);
 /// Time in which room below the burst is filled.
 const FILL: Duration = Duration::from_secs(2);
 /// Span over which demand is averaged.
 const SPAN: Duration = Duration::from_secs(1);
-/// Longest time for which an unused allowance is kept.
-const KEPT: Duration = Duration::from_millis(500);
 
 /// What a cap leaves.
 #[derive(Clone, Copy, Debug)]
@@ -27,27 +23,41 @@
 }
 
 /// The demand of a workspace and what this instance may admit of it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Allowance {
     /// Units a second that callers have asked this instance for.
     demand: f64,
     /// The same of the other instances.
     others: f64,
-    /// Units that this instance may admit.
+    /// What they may admit before it is heard here.
+    unheard: f64,
+    /// Part of a request that this instance may admit.
     credit: f64,
     at: time::Time,
 }
 
 impl Allowance {
+    /// Builds the state of an instance; `seed` keeps instances from admitting at the same moments.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            demand: 0.0,
+            others: 0.0,
+            unheard: 0.0,
+            credit: seed as f64 / u64::MAX as f64,
+            at: time::Time::default(),
+        }
+    }
+
     /// Returns the units a second that this instance is asked for.
     pub fn demand(&self, now: time::Time) -> f64 {
         let elapsed = self.at.until(now).as_secs_f64();
         self.demand * (-elapsed / SPAN.as_secs_f64()).exp()
     }
 
-    /// Sets what the other instances are asked for.
-    pub fn hear(&mut self, others: f64) {
+    /// Sets what the other instances are asked for, and the time until what they admit is heard.
+    pub fn hear(&mut self, others: f64, lag: Duration) {
         self.others = others;
+        self.unheard = others * lag.as_secs_f64();
     }
 
     /// Takes units if this instance may admit them.
@@ -60,19 +70,20 @@
     /// Returns when they may be admitted if not now.
     pub fn take(&mut self, now: time::Time, units: f64, room: Room) -> Result<(), time::Time> {
         self.demand = self.demand(now) + units / SPAN.as_secs_f64();
-        let elapsed = self.at.until(now).min(KEPT).as_secs_f64();
         self.at = self.at.max(now);
-        let part = self.demand / (self.demand + self.others);
-        let inflow = (room.rate + room.left.max(0.0) / FILL.as_secs_f64()) * part;
-        self.credit = (self.credit + inflow * elapsed).min(units.max(inflow * KEPT.as_secs_f64()));
-        if units + self.others * LAG.as_secs_f64() <= room.left {
+        let inflow = room.rate + room.left.max(0.0) / FILL.as_secs_f64();
+        let share = (inflow / (self.demand + self.others)).min(1.0);
+        // By request and not by time: many instances that are each asked now and then would save up.
+        self.credit = (self.credit + share).min(1.0);
+        if units + self.unheard <= room.left {
             return Ok(());
         }
-        if self.credit >= units {
-            self.credit -= units;
+        if self.credit >= 1.0 {
+            self.credit -= 1.0;
             return Ok(());
         }
-        let wait = (units - self.credit) / inflow.max(f64::MIN_POSITIVE);
+        let inflow = inflow * self.demand / (self.demand + self.others);
+        let wait = units * (1.0 - self.credit) / inflow.max(f64::MIN_POSITIVE);
         Err(now.after(Duration::from_secs_f64(wait.min(1e6))))
     }
 }
--- a/crates/core/src/relay/caps.rs
+++ b/crates/core/src/relay/caps.rs
@@ -23,6 +23,8 @@
     meters: collections::BTreeMap<name::Name, Meter>,
     /// Part of each cap that this instance and those that it hears from may use.
     part: f64,
+    /// Keeps instances from admitting at the same moments.
+    seed: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -34,12 +36,23 @@
     at: time::Time,
     /// Units that this instance has admitted in its life.
     spent: u64,
+    /// Units that the other members of its group have, as far as they were charged here.
+    mates: u64,
     /// Whether the level is known rather than taken to be the highest.
     known: bool,
     allowance: allowance::Allowance,
 }
 
 impl Caps {
+    /// Builds the caps of an instance that knows none yet.
+    pub const fn new(seed: u64) -> Self {
+        Self {
+            meters: collections::BTreeMap::new(),
+            part: 1.0,
+            seed,
+        }
+    }
+
     /// Takes over the caps of a manifest.
     ///
     /// A process that follows another one does not know what was used a moment ago. Its meters then
@@ -65,8 +78,9 @@
                 },
                 at: now,
                 spent: 0,
+                mates: 0,
                 known,
-                allowance: allowance::Allowance::default(),
+                allowance: allowance::Allowance::new(self.seed),
             });
             meter.drain(now, self.part);
             meter.rate = workspace.rate;
@@ -122,11 +136,16 @@
         Ok(())
     }
 
-    /// Takes over what the other instances are asked for, in units a second by workspace.
-    pub fn hear_demands(&mut self, demands: &collections::BTreeMap<name::Name, f64>) {
+    /// Takes over what the other instances are asked for, in units a second by workspace, and how
+    /// long it takes until they are heard.
+    pub fn hear_demands(
+        &mut self,
+        demands: &collections::BTreeMap<name::Name, f64>,
+        lag: Duration,
+    ) {
         for (workspace, meter) in &mut self.meters {
             let others = demands.get(workspace).copied().unwrap_or(0.0);
-            meter.allowance.hear(others);
+            meter.allowance.hear(others, lag);
         }
     }
 
@@ -144,7 +163,15 @@
         }
     }
 
-    /// Charges what another instance has admitted.
+    /// Charges what another member of the group has admitted.
+    pub fn charge_mate(&mut self, now: time::Time, workspace: &name::Name, units: u64) {
+        self.charge(now, workspace, units);
+        if let Some(meter) = self.meters.get_mut(workspace) {
+            meter.mates += units;
+        }
+    }
+
+    /// Charges what other instances have admitted.
     pub fn charge(&mut self, now: time::Time, workspace: &name::Name, units: u64) {
         if let Some(meter) = self.meters.get_mut(workspace) {
             meter.drain(now, self.part);
@@ -167,6 +194,12 @@
         self.meters.iter().map(|(name, meter)| (name, meter.spent))
     }
 
+    /// Returns what this instance and the other members of its group have admitted, by workspace.
+    pub fn group(&self) -> impl Iterator<Item = (&name::Name, u64)> {
+        let meters = self.meters.iter();
+        meters.map(|(name, meter)| (name, meter.spent + meter.mates))
+    }
+
     /// Returns the level of a workspace's meter, if it is known.
     pub fn level(&self, now: time::Time, workspace: &name::Name) -> Option<u64> {
         let mut meter = self.meters.get(workspace).filter(|m| m.known)?.clone();
@@ -175,15 +208,6 @@
     }
 }
 
-impl Default for Caps {
-    fn default() -> Self {
-        Self {
-            meters: collections::BTreeMap::new(),
-            part: 1.0,
-        }
-    }
-}
-
 fn unknown_level(settings: &settings::Settings, workspace: &workspace::Workspace) -> f64 {
     /// Part of the tolerated excess that a new process may give away.
     const SHARE: f64 = 0.5;
--- a/crates/core/src/relay/catch_up.rs
+++ b/crates/core/src/relay/catch_up.rs
@@ -124,12 +124,12 @@
             return Some(Source::Store);
         }
         let beyond = view.peers.beyond(now, view.kind, view.own);
-        let sources = beyond.map(|peer| {
+        let sources = beyond.map(|reader| {
             let source = Source::Peer {
-                name: peer.digest.pulse.sender.clone(),
-                address: peer.digest.address,
+                name: reader.name.clone(),
+                address: reader.address,
             };
-            (source, peer.position(view.kind).changed)
+            (source, reader.position.changed)
         });
         let (avoided, free): (Vec<_>, Vec<_>) = sources
             .filter(|(source, _)| !self.is_asked(source))
--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -7,7 +7,6 @@
 pub mod orders;
 pub mod usage;
 
-use std::collections;
 use std::time::Duration;
 
 use super::peers;
@@ -26,8 +25,10 @@
 const MOVES: Duration = Duration::from_millis(400);
 /// Time between two looks for instances that are gone for good.
 const SWEEPS: Duration = Duration::from_secs(60);
-/// Instances that compete for the lease.
-const CANDIDATES: usize = 3;
+
+/// Time until a process that has just started hears of the others that it knows to be there; before, it
+/// would take itself for the first of those that compete for the lease.
+const ALONE: Duration = Duration::from_millis(800);
 
 /// A call that is due.
 #[derive(Clone, Debug)]
@@ -72,6 +73,8 @@
     /// Orders of engines.
     pub orders: orders::Orders,
     planner: scaling::Planner,
+    /// From when on it competes for the lease.
+    joins: Option<time::Time>,
     /// When the moves to new versions are looked at again.
     moves: time::Time,
     /// When instances that are gone are looked for; not before this one would remember any that
@@ -87,6 +90,7 @@
             usage: usage::Usage::default(),
             orders: orders::Orders::default(),
             planner: scaling::Planner::default(),
+            joins: None,
             moves: time::Time::default(),
             sweep: None,
         }
@@ -104,7 +108,10 @@
 
     /// Returns what is due.
     pub fn tick(&mut self, now: time::Time, state: &state::State) -> Vec<Work> {
-        let outputs = self.lease.tick(now, turn(now, state));
+        let joins = *self.joins.get_or_insert(now.after(ALONE));
+        let is_settled = joins <= now || state.peers.unheard() == 0;
+        let turn = state.turn(now).filter(|_| is_settled);
+        let outputs = self.lease.tick(now, turn);
         let mut work = self.translate(outputs);
         // The demand is followed without the lease too, so that a new holder knows it.
         let wanted = self.planner.plan(now, state);
@@ -148,11 +155,3 @@
         work
     }
 }
-
-/// Returns this instance's place among those that compete for the lease.
-fn turn(now: time::Time, state: &state::State) -> Option<usize> {
-    let heard = state.peers.serving(now);
-    let names: collections::BTreeSet<_> = heard.chain([&state.own.name]).collect();
-    let place = names.into_iter().position(|name| *name == state.own.name)?;
-    (place < CANDIDATES && !state.leaving).then_some(place)
-}
--- a/crates/core/src/relay/duties/usage.rs
+++ b/crates/core/src/relay/duties/usage.rs
@@ -9,8 +9,10 @@
 use crate::relay::tallies;
 use crate::time;
 
-/// Time after the end of a window in which the last counts arrive.
+/// Time after the end of a window in which the last counts arrive from the own group.
 const SETTLE: Duration = Duration::from_millis(1_000);
+/// The same from other groups, through their delegates.
+const FAR_SETTLE: Duration = Duration::from_millis(2_500);
 /// Part of the time until a report is due that is left to instances that cannot be heard.
 const QUIET_PART: f64 = 0.5;
 /// Time before a failed call is made again.
@@ -171,9 +173,13 @@
     let length = state.settings.usage_window.as_micros() as u64;
     let end = (window + 1) * length;
     let late = state.settings.usage_late.mul_f64(QUIET_PART);
-    let wait = match state.peers.has_quiet(now) {
-        true => late.max(SETTLE),
+    let settle = match state.peers.division().is_divided() {
+        true => FAR_SETTLE,
         false => SETTLE,
     };
+    let wait = match state.peers.has_quiet(now) {
+        true => late.max(settle),
+        false => settle,
+    };
     state.clock.micros(now) >= end + wait.as_micros() as u64
 }
--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -3,12 +3,14 @@
 use std::sync;
 use std::time::Duration;
 
+use super::account;
 use super::ask;
 use super::digest;
 use super::engine;
 use super::manifest;
 use super::pulse;
 use super::rollouts;
+use super::summary;
 
 /// An event for the reducer.
 #[derive(Clone, Debug)]
@@ -30,6 +32,10 @@
     Manifest(sync::Arc<manifest::Manifest>),
     /// The orders to move services have changed.
     Rollouts(Vec<rollouts::Order>),
+    /// What delegates tell of the members of their group has come.
+    Accounts(Vec<account::Account>),
+    /// A delegate's summary has come.
+    Summed(summary::Summary),
     /// Another instance's pulse has come.
     Beat(pulse::Pulse),
     /// Another instance's digest has come.
--- /dev/null
+++ b/crates/core/src/relay/member.rs
@@ -0,0 +1,16 @@
+//! An instance by its name and place.
+
+use std::net;
+
+use crate::name;
+
+/// An instance.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+pub struct Member {
+    /// Its name.
+    pub name: name::Name,
+    /// The failure domain that it runs in.
+    pub domain: name::Name,
+    /// Where it listens for messages of other instances.
+    pub address: net::SocketAddr,
+}
--- /dev/null
+++ b/crates/core/src/relay/message.rs
@@ -0,0 +1,92 @@
+//! Messages between instances, and who gets them in each round.
+
+use std::net;
+
+use super::account;
+use super::digest;
+use super::event;
+use super::pulse;
+use super::state;
+use super::summary;
+use crate::time;
+
+/// Processes of which one message tells.
+const MAX_ACCOUNTS: usize = 8;
+
+/// What one datagram brings.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub enum Message {
+    /// All that an instance tells.
+    Digest(digest::Digest),
+    /// The part of it that is told most often.
+    Pulse(pulse::Pulse),
+    /// What a delegate tells of many instances.
+    Summary(summary::Summary),
+    /// What a delegate tells of each member of its group.
+    Accounts(Vec<account::Account>),
+}
+
+/// A message and who gets it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Parcel {
+    /// The message.
+    pub message: Message,
+    /// Where it goes.
+    pub addresses: Vec<net::SocketAddr>,
+}
+
+impl From<Message> for event::Event {
+    fn from(message: Message) -> Self {
+        match message {
+            Message::Digest(digest) => Self::Heard(digest),
+            Message::Pulse(pulse) => Self::Beat(pulse),
+            Message::Summary(summary) => Self::Summed(summary),
+            Message::Accounts(accounts) => Self::Accounts(accounts),
+        }
+    }
+}
+
+/// Returns what an instance sends in a round; rounds are numbered without a gap.
+pub fn round(
+    state: &state::State,
+    now: time::Time,
+    number: usize,
+    positions: &[digest::Position],
+) -> Vec<Parcel> {
+    let round = state.round(now, number);
+    let relayed = state.relayed(now, number);
+    let positions = || positions.to_vec();
+    let digest = parcel(round.digests, || {
+        Message::Digest(state.digest(now, positions()))
+    });
+    let pulse = parcel(round.pulses, || {
+        Message::Pulse(state.pulse(now, positions()))
+    });
+    let summary = parcel(relayed.summaries, || {
+        Message::Summary(state.summary(now, positions()))
+    });
+    let outside = parcel(relayed.outside, || Message::Summary(state.outside(now)));
+    let parcels = [digest, pulse, summary, outside].into_iter().flatten();
+    let accounts = accounts(state, now, &relayed.accounts);
+    parcels.chain(accounts).collect()
+}
+
+fn parcel(addresses: Vec<net::SocketAddr>, message: impl Fn() -> Message) -> Option<Parcel> {
+    let is_any = !addresses.is_empty();
+    is_any.then(|| Parcel {
+        message: message(),
+        addresses,
+    })
+}
+
+fn accounts(state: &state::State, now: time::Time, addresses: &[net::SocketAddr]) -> Vec<Parcel> {
+    if addresses.is_empty() {
+        return Vec::new();
+    }
+    let accounts = state.accounts(now);
+    let parcels = accounts.chunks(MAX_ACCOUNTS).map(|accounts| Parcel {
+        message: Message::Accounts(accounts.to_vec()),
+        addresses: addresses.to_vec(),
+    });
+    parcels.collect()
+}
--- a/crates/core/src/relay/pulse.rs
+++ b/crates/core/src/relay/pulse.rs
@@ -1,6 +1,7 @@
 //! The part of a digest that instances tell each other most often.
 
 use super::digest;
+use super::group;
 use crate::name;
 
 /// What others must know soon: that an instance lives, how far it has read, and what it admits.
@@ -8,6 +9,10 @@
 pub struct Pulse {
     /// Its name.
     pub sender: name::Name,
+    /// The failure domain that it runs in.
+    pub domain: name::Name,
+    /// How it takes the fleet to be divided.
+    pub division: group::Division,
     /// Number of its process; a higher one knows nothing of before.
     pub incarnation: u64,
     /// Instances that it hears, itself included; they share what it knows of usage.
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use super::account;
 use super::ask;
 use super::digest;
 use super::effect;
@@ -17,6 +18,7 @@
 use super::pulse;
 use super::route;
 use super::state;
+use super::summary;
 use crate::name;
 use crate::refusal;
 use crate::time;
@@ -32,6 +34,8 @@
 const MIN_PATIENCE: Duration = Duration::from_millis(150);
 /// The same as a multiple of the expected time.
 const PATIENCE: u32 = 4;
+/// In place of an instance's name for the work of all outside the own group.
+const OUTSIDE: &str = "(outside)";
 /// Longest pause of a stream that may go on elsewhere, as a multiple of a pause on time.
 const PAUSE: u32 = 2;
 
@@ -48,6 +52,8 @@
         event::Event::Fed(fed) => feed(state, now, fed),
         event::Event::Manifest(manifest) => in_force(state, now, manifest),
         event::Event::Rollouts(orders) => state.rollouts.replace(orders),
+        event::Event::Accounts(accounts) => learn_accounts(state, now, &accounts),
+        event::Event::Summed(summary) => sum_up(state, now, summary),
         event::Event::Beat(pulse) => beat(state, now, pulse),
         event::Event::Heard(digest) => hear(state, now, digest),
         event::Event::Tick => tick(state, now),
@@ -250,7 +256,7 @@
 
 fn hear(state: &mut state::State, now: time::Time, digest: digest::Digest) {
     let sender = digest.pulse.sender.clone();
-    if sender == state.own.name {
+    if sender == state.own.name || !state.peers.is_mate(&digest.pulse) {
         return;
     }
     let is_member = state.peers.is_member(now, &sender);
@@ -258,7 +264,7 @@
     state.fleet.hear(&sender, &digest.loads);
     state.rollouts.hear(&sender, &digest.trials);
     state.suspects.hear(now, &sender, &digest.crashes);
-    learn_levels(state, now, &digest.pulse);
+    learn_levels(state, now, &digest.pulse.spent);
     let charges = state.peers.hear(now, digest).unwrap_or_default();
     charge(state, now, charges);
     if !is_member {
@@ -268,11 +274,11 @@
 }
 
 fn beat(state: &mut state::State, now: time::Time, pulse: pulse::Pulse) {
-    if pulse.sender == state.own.name {
+    if pulse.sender == state.own.name || !state.peers.is_mate(&pulse) {
         return;
     }
     let is_member = state.peers.is_member(now, &pulse.sender);
-    learn_levels(state, now, &pulse);
+    learn_levels(state, now, &pulse.spent);
     let charges = state.peers.beat(now, pulse).unwrap_or_default();
     charge(state, now, charges);
     if !is_member {
@@ -281,8 +287,32 @@
     note_outage(state, now);
 }
 
-fn learn_levels(state: &mut state::State, now: time::Time, pulse: &pulse::Pulse) {
-    for spent in &pulse.spent {
+fn sum_up(state: &mut state::State, now: time::Time, summary: summary::Summary) {
+    for sighting in &summary.crashes {
+        if sighting.instance != state.own.name {
+            state
+                .suspects
+                .hear(now, &sighting.instance, &[sighting.crash]);
+        }
+    }
+    learn_levels(state, now, &summary.sum.spent);
+    for charge in state.peers.sum_up(now, summary) {
+        state.caps.charge(now, &charge.workspace, charge.units);
+    }
+    note_outage(state, now);
+}
+
+fn learn_accounts(state: &mut state::State, now: time::Time, accounts: &[account::Account]) {
+    for account in accounts {
+        let process = &account.process;
+        state.tallies.learn(&account.tally());
+        state.rollouts.hear(&process.name, &account.trials);
+        state.peers.account(now, process, &account.work);
+    }
+}
+
+fn learn_levels(state: &mut state::State, now: time::Time, spent: &[digest::Spent]) {
+    for spent in spent {
         if let Some(level) = spent.level {
             state.caps.learn(now, &spent.workspace, level);
         }
@@ -291,7 +321,7 @@
 
 fn charge(state: &mut state::State, now: time::Time, charges: Vec<peer::Charge>) {
     for charge in charges {
-        state.caps.charge(now, &charge.workspace, charge.units);
+        state.caps.charge_mate(now, &charge.workspace, charge.units);
     }
 }
 
@@ -301,8 +331,15 @@
         state.out.push(effect::Effect::Lost(name));
     }
     state.caps.divide(now, state.peers.part(now));
-    state.caps.hear_demands(&state.peers.demands(now));
+    let demands = state.peers.demands(now);
+    state.caps.hear_demands(&demands, state.peers.lag());
+    if state.peers.division().is_divided() {
+        let loads = state.peers.groups().loads(now);
+        state.fleet.hear(&name::Name::from(OUTSIDE), &loads);
+    }
     note_outage(state, now);
+    let is_short = state.is_short_of_feeders(now);
+    state.feeding.note(now, is_short);
     state.tallies.sweep(state.window(now));
     let micros = state.clock.micros(now);
     let ahead = state.peers.ahead(now, micros);
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -4,19 +4,26 @@
 use std::net;
 use std::sync;
 
+use super::account;
 use super::budget;
 use super::caps;
 use super::clock;
 use super::digest;
 use super::effect;
+use super::feeding;
 use super::fleet;
 use super::flight;
+use super::gossip;
+use super::group;
 use super::manifest;
+use super::member;
 use super::outage;
 use super::peers;
 use super::pulse;
 use super::rollouts;
 use super::settings;
+use super::sum;
+use super::summary;
 use super::suspects;
 use super::tallies;
 use crate::name;
@@ -24,6 +31,10 @@
 
 /// Windows that a digest tells.
 const TOLD_WINDOWS: usize = 3;
+/// Windows before the present one that delegates tell of their group.
+const ACCOUNT_WINDOWS: u64 = 2;
+/// Instances that may be chosen for the duties.
+const CANDIDATES: usize = 3;
 
 /// Who an instance is.
 #[derive(Clone, Debug)]
@@ -71,6 +82,8 @@
     pub fed: bool,
     /// Whether any instance does.
     pub outage: outage::Outage,
+    /// Whether this one is to hear of changes from the store itself.
+    pub feeding: feeding::Feeding,
     pub(super) out: Vec<effect::Effect>,
 }
 
@@ -81,14 +94,19 @@
             name: own.name.clone(),
             incarnation: own.incarnation,
         };
+        let seed = group::order(&own.name);
         Self {
             tallies: tallies::Tallies::new(process),
             fleet: fleet::Fleet::new(own.domain.clone()),
-            peers: peers::Peers::new(own.address),
+            peers: peers::Peers::new(member::Member {
+                name: own.name.clone(),
+                domain: own.domain.clone(),
+                address: own.address,
+            }),
             own,
             settings,
             manifest: None,
-            caps: caps::Caps::default(),
+            caps: caps::Caps::new(seed),
             budget: budget::Budget::default(),
             rollouts: rollouts::Rollouts::default(),
             clock,
@@ -97,16 +115,28 @@
             leaving: false,
             fed: false,
             outage: outage::Outage::default(),
+            feeding: feeding::Feeding::default(),
             out: Vec::new(),
         }
     }
 
-    /// Tells whether this instance is to hear of changes from the store itself, because not enough
-    /// of those before it in the order of their names do.
+    /// Tells whether this instance is to hear of changes from the store itself.
     pub fn is_feeder(&self, now: time::Time) -> bool {
-        /// Instances that hear of changes from the store and tell the others.
-        const FEEDERS: usize = 3;
-        self.peers.fed_before(now, &self.own.name) < FEEDERS
+        if self.fed {
+            return self.is_short_of_feeders(now);
+        }
+        let turn = feeding::Turn {
+            before: self.peers.before(now, &self.own.name),
+            groups: self.peers.groups().count() + 1,
+            // One message may be lost.
+            news: gossip::period(self.peers.all().count()) + gossip::INTERVAL,
+        };
+        self.feeding.is_due(now, turn)
+    }
+
+    /// Tells whether not enough instances that come before this one hear of changes from the store.
+    pub(super) fn is_short_of_feeders(&self, now: time::Time) -> bool {
+        self.peers.fed_before(now, &self.own.name) < feeding::FEEDERS
     }
 
     /// Returns the usage window of the present.
@@ -133,6 +163,8 @@
         });
         pulse::Pulse {
             sender: self.own.name.clone(),
+            domain: self.own.domain.clone(),
+            division: self.peers.division(),
             incarnation: self.own.incarnation,
             hears: self.peers.heard(now) as u32 + 1,
             leaving: self.leaving,
@@ -160,4 +192,142 @@
             members: self.peers.told(now),
         }
     }
+
+    /// Returns this instance's place among those that compete for the duties, if it is one of them.
+    pub fn turn(&self, now: time::Time) -> Option<usize> {
+        let candidates = self.candidates(now);
+        candidates.iter().position(|c| c.name == self.own.name)
+    }
+
+    /// Returns the instances that compete for the duties, in the order of their names.
+    pub fn candidates(&self, now: time::Time) -> Vec<member::Member> {
+        let mut candidates = self.peers.candidates(now, self.leaving);
+        candidates.truncate(CANDIDATES);
+        candidates
+    }
+
+    /// Returns whom this instance tells of itself in a round: the delegates of its group more often than
+    /// other members, since all other groups hear from them.
+    pub fn round(&self, now: time::Time, number: usize) -> gossip::Round {
+        /// Rounds after which a delegate is told again.
+        const DELEGATE_ROUNDS: usize = 2;
+        let mut round = gossip::round(&self.peers.addresses(), number);
+        let is_due = number.is_multiple_of(DELEGATE_ROUNDS);
+        if is_due && self.peers.division().is_divided() {
+            let delegates = self.peers.delegates(now, self.leaving).into_iter();
+            let others = delegates.filter(|d| d.name != self.own.name);
+            round.add(others.map(|d| d.address));
+        }
+        round
+    }
+
+    /// Returns whom this instance tells of its group and of the others in a round. One that is no
+    /// delegate answers those that take it for one, so that they learn who is.
+    pub fn relayed(&self, now: time::Time, number: usize) -> gossip::Relayed {
+        if !self.peers.is_delegate(now) {
+            let contacts = self.peers.groups().contacts(now);
+            let delegates = contacts.filter(|contact| contact.is_from_delegate());
+            return gossip::Relayed {
+                summaries: delegates.map(|contact| contact.address).collect(),
+                ..gossip::Relayed::default()
+            };
+        }
+        let mates: Vec<_> = self.peers.all().map(|p| p.digest.address).collect();
+        let routes = self.peers.routes(now);
+        let delegates = self.peers.delegates(now, self.leaving);
+        let place = delegates.iter().position(|d| d.name == self.own.name);
+        let own = self.peers.group();
+        let candidates = self.candidates(now).into_iter();
+        let far = candidates.filter(|c| self.peers.group_of(c) != own);
+        let far: Vec<_> = far.map(|c| c.address).collect();
+        gossip::relayed(&mates, routes.values(), &far, place.unwrap_or(0), number)
+    }
+
+    /// Returns what the other groups are told of this one.
+    pub fn summary(&self, now: time::Time, positions: Vec<digest::Position>) -> summary::Summary {
+        let demands = self.peers.mate_demands(now);
+        let spent = self.caps.group().map(|(workspace, units)| digest::Spent {
+            workspace: workspace.clone(),
+            units,
+            demand: self.caps.demand(now, workspace) + demands.get(workspace).copied().unwrap_or(0),
+            level: self.caps.level(now, workspace),
+        });
+        let mates = self.peers.sum(now);
+        let mut loads = sum::Loads::default();
+        loads.add(&mates.loads);
+        loads.add(&self.fleet.loads());
+        let sum = sum::Sum {
+            heard: mates.heard + u32::from(!self.leaving),
+            spent: spent.filter(|s| s.units > 0 || s.demand > 0).collect(),
+            loads: loads.into_vec(),
+        };
+        let own_fed = (self.fed && !self.leaving).then(|| self.own.name.clone());
+        let delegates = self.peers.delegates(now, self.leaving);
+        let route = summary::Route {
+            group: self.peers.group(),
+            addresses: delegates.into_iter().map(|d| d.address).collect(),
+            known: self.peers.sharing() as u32 + u32::from(!self.leaving),
+            silent: 0,
+        };
+        summary::Summary {
+            scope: summary::Scope::Group(self.peers.group()),
+            positions,
+            sum,
+            feeders: own_fed.into_iter().chain(self.peers.feeders(now)).collect(),
+            candidates: self.peers.near_candidates(now, self.leaving),
+            routes: vec![route],
+            ..self.empty_summary()
+        }
+    }
+
+    /// Returns what the own group is told of all others.
+    pub fn outside(&self, now: time::Time) -> summary::Summary {
+        let groups = self.peers.groups();
+        let mut sum = groups.sum(now);
+        for spent in &mut sum.spent {
+            spent.level = self.caps.level(now, &spent.workspace);
+        }
+        let feeders: collections::BTreeSet<_> = groups.feeders(now).cloned().collect();
+        let candidates: collections::BTreeSet<_> = groups.candidates(now).cloned().collect();
+        summary::Summary {
+            scope: summary::Scope::Outside,
+            positions: Vec::new(),
+            sum,
+            feeders: feeders.into_iter().collect(),
+            candidates: candidates.into_iter().take(CANDIDATES).collect(),
+            routes: groups.routes(now).collect(),
+            ..self.empty_summary()
+        }
+    }
+
+    fn empty_summary(&self) -> summary::Summary {
+        summary::Summary {
+            sender: self.own.name.clone(),
+            incarnation: self.own.incarnation,
+            address: self.own.address,
+            division: self.peers.division(),
+            scope: summary::Scope::Outside,
+            positions: Vec::new(),
+            sum: sum::Sum::default(),
+            feeders: Vec::new(),
+            candidates: Vec::new(),
+            routes: Vec::new(),
+            crashes: self.suspects.sightings(&self.own.name),
+        }
+    }
+
+    /// Returns what the holder of the duties has to know of each process of the own group.
+    pub fn accounts(&self, now: time::Time) -> Vec<account::Account> {
+        let first = self.window(now).saturating_sub(ACCOUNT_WINDOWS);
+        let own = self.digest(now, Vec::new());
+        let mates = self.peers.all().map(|peer| &peer.digest);
+        let all = mates.chain([&own]);
+        let accounts = all.map(|digest| account::Account {
+            process: digest.tally().process,
+            counts: self.tallies.of(&digest.tally().process, first),
+            work: digest.work.clone(),
+            trials: digest.trials.clone(),
+        });
+        accounts.collect()
+    }
 }
--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::digest;
+use super::summary;
 use crate::name;
 use crate::time;
 
@@ -96,6 +97,27 @@
             .collect()
     }
 
+    /// Returns what to tell other groups: the newest crashes, by who saw them; `own` saw its own.
+    pub fn sightings(&self, own: &name::Name) -> Vec<summary::Sighting> {
+        let mine = self.own.iter().map(|(print, entry)| (own, *print, entry));
+        let others = self.others.iter().flat_map(|(print, by)| {
+            let seen = by.iter();
+            seen.map(|(instance, entry)| (instance, *print, entry))
+        });
+        let mut all: Vec<_> = mine.chain(others).collect();
+        all.sort_by_key(|(_, _, entry)| std::cmp::Reverse(entry.expiry));
+        let newest = all.into_iter().take(MAX_TOLD);
+        newest
+            .map(|(instance, fingerprint, entry)| summary::Sighting {
+                instance: instance.clone(),
+                crash: digest::Crash {
+                    fingerprint,
+                    crashes: entry.crashes,
+                },
+            })
+            .collect()
+    }
+
     fn sweep(&mut self, now: time::Time) {
         self.own.retain(|_, entry| entry.expiry > now);
         self.others.retain(|_, by| {
--- a/crates/core/src/relay/tallies.rs
+++ b/crates/core/src/relay/tallies.rs
@@ -71,6 +71,15 @@
         self.own.newest(windows)
     }
 
+    /// Returns the counts of one process from a window on.
+    pub fn of(&self, process: &Process, window: u64) -> Vec<census::Count> {
+        let census = match *process == self.process {
+            true => Some(&self.own),
+            false => self.others.get(process),
+        };
+        census.map_or_else(Vec::new, |census| census.since(window))
+    }
+
     /// Returns all counts from a window on.
     pub fn since(&self, window: u64) -> Vec<Tally> {
         let tallies = self.others.iter().chain([(&self.process, &self.own)]);
--- a/crates/core/tests/relay_catch_up.rs
+++ b/crates/core/tests/relay_catch_up.rs
@@ -22,7 +22,7 @@
 
 /// Returns what an instance knows of others that have read this far.
 fn peers_at(now: time::Time, revisions: &[u64]) -> peers::Peers {
-    let mut peers = peers::Peers::new("127.0.0.1:1".parse().unwrap());
+    let mut peers = relay_support::no_peers();
     for (index, revision) in (1..).zip(revisions) {
         let peer = Instance::new(index);
         peers.hear(now, peer.state.digest(now, vec![position(*revision)]));
@@ -136,7 +136,7 @@
 /// A process that has just listed is further than all others, and all of them fetched its list.
 #[test]
 fn next_asks_nobody_for_what_is_the_same() {
-    let mut peers = peers::Peers::new("127.0.0.1:1".parse().unwrap());
+    let mut peers = relay_support::no_peers();
     let newcomer = Instance::new(1);
     let same = digest::Position {
         changed: 9,
--- /dev/null
+++ b/crates/core/tests/relay_support/fleet.rs
@@ -0,0 +1,319 @@
+//! A fleet of reducers in one process, with a network that delays, loses and doubles messages.
+
+use std::collections;
+use std::net;
+use std::time::Duration;
+
+use guavausher_core::name;
+use guavausher_core::relay::{digest, event, member, message, state};
+use guavausher_core::time;
+
+use super::{Instance, at, engine, engines, manifest};
+
+/// Milliseconds of a step.
+pub const STEP: u64 = 50;
+/// Steps between two rounds of messages.
+const ROUND: u64 = 3;
+/// Steps between two ticks.
+const TICK: u64 = 2;
+/// Steps until an instance that knows that it is behind has fetched what it lacks.
+const FETCH: u64 = 2;
+/// Bytes of the headers of a datagram.
+const HEADERS: u64 = 28;
+
+/// What one instance has sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sent {
+    pub messages: u64,
+    pub bytes: u64,
+    /// Of these, bytes to another failure domain.
+    pub far_bytes: u64,
+}
+
+/// How the network fails.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Net {
+    /// Messages of a thousand that are lost.
+    pub lost: u64,
+    /// Messages of a thousand that come twice, the second late.
+    pub doubled: u64,
+}
+
+struct Node {
+    instance: Instance,
+    positions: Vec<digest::Position>,
+    /// When it has fetched what it lacks.
+    fetched: Option<(u64, digest::Position)>,
+    is_up: bool,
+    sent: Sent,
+}
+
+pub struct Fleet {
+    nodes: Vec<Node>,
+    places: collections::HashMap<net::SocketAddr, usize>,
+    net: Net,
+    /// Failure domain that no message enters or leaves.
+    cut: Option<name::Name>,
+    on_the_way: collections::BTreeMap<u64, Vec<(usize, usize, message::Message)>>,
+    step: u64,
+    noise: u64,
+    domains: usize,
+    incarnation: u64,
+}
+
+impl Fleet {
+    /// Starts this many instances in so many failure domains; each has listed those before it.
+    pub fn new(size: usize, domains: usize, net: Net) -> Self {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            places: collections::HashMap::new(),
+            net,
+            cut: None,
+            on_the_way: collections::BTreeMap::new(),
+            step: 0,
+            noise: 1,
+            domains,
+            incarnation: 1,
+        };
+        for index in 0..size {
+            let instance = fleet.build(index);
+            let node = Node {
+                positions: vec![digest::Position::default()],
+                fetched: None,
+                is_up: true,
+                sent: Sent::default(),
+                instance,
+            };
+            fleet.places.insert(node.instance.state.own.address, index);
+            fleet.nodes.push(node);
+        }
+        for index in 0..size {
+            let members: Vec<_> = (0..=index).map(|other| fleet.member(other)).collect();
+            let now = fleet.now();
+            fleet.nodes[index].instance.state.peers.list(now, members);
+        }
+        fleet
+    }
+
+    fn build(&self, index: usize) -> Instance {
+        let address = net::SocketAddr::from(([127, 0, 0, 1], 10_000 + index as u16));
+        let own = state::Own {
+            name: name::Name::from(format!(
+                "front-{:04}-{index}",
+                scatter(index as u64) % 10_000
+            )),
+            incarnation: self.incarnation,
+            address,
+            domain: name::Name::from(format!("d{}", index % self.domains)),
+        };
+        let mut instance = Instance::of(own);
+        instance.apply(self.now(), manifest(1, 0.0, None));
+        instance.apply(self.now(), engines((0..4).map(engine).collect()));
+        instance
+    }
+
+    fn member(&self, index: usize) -> member::Member {
+        let own = &self.nodes[index].instance.state.own;
+        member::Member {
+            name: own.name.clone(),
+            domain: own.domain.clone(),
+            address: own.address,
+        }
+    }
+
+    pub fn now(&self) -> time::Time {
+        at(self.step * STEP)
+    }
+
+    pub fn size(&self) -> usize {
+        self.nodes.len()
+    }
+
+    pub fn instance(&mut self, index: usize) -> &mut Instance {
+        &mut self.nodes[index].instance
+    }
+
+    /// Returns the states of the instances that run.
+    pub fn states(&self) -> impl Iterator<Item = &state::State> {
+        let up = self.nodes.iter().filter(|node| node.is_up);
+        up.map(|node| &node.instance.state)
+    }
+
+    pub fn apply_all(&mut self, event: &event::Event) {
+        let now = self.now();
+        for node in &mut self.nodes {
+            node.instance.apply(now, event.clone());
+        }
+    }
+
+    /// Stops instances without a word.
+    pub fn kill(&mut self, which: impl Fn(usize) -> bool) {
+        for (index, node) in self.nodes.iter_mut().enumerate() {
+            node.is_up &= !which(index);
+        }
+    }
+
+    /// Starts all instances anew; each has the list of all.
+    pub fn restart(&mut self) {
+        self.incarnation += 1;
+        let members: Vec<_> = (0..self.size()).map(|index| self.member(index)).collect();
+        for index in 0..self.size() {
+            let mut instance = self.build(index);
+            instance.state.peers.list(self.now(), members.clone());
+            let node = &mut self.nodes[index];
+            node.instance = instance;
+            node.is_up = true;
+            node.positions = vec![digest::Position::default()];
+        }
+    }
+
+    /// Cuts a failure domain off from the others, or none.
+    pub fn cut(&mut self, domain: Option<usize>) {
+        self.cut = domain.map(|number| name::Name::from(format!("d{number}")));
+    }
+
+    /// Lets an instance read a change.
+    pub fn tell(&mut self, index: usize, changed: u64) {
+        self.nodes[index].positions = vec![position(changed)];
+    }
+
+    /// Lets instances follow the store that are to do so.
+    pub fn feed(&mut self) {
+        let now = self.now();
+        for node in self.nodes.iter_mut().filter(|node| node.is_up) {
+            let is_feeder = node.instance.state.is_feeder(now);
+            node.instance.apply(now, event::Event::Fed(is_feeder));
+        }
+    }
+
+    /// Returns how many instances follow the store.
+    pub fn feeders(&self) -> usize {
+        self.states().filter(|state| state.fed).count()
+    }
+
+    /// Returns how many of those that run have not read as far as this.
+    pub fn behind(&self, changed: u64) -> usize {
+        let up = self.nodes.iter().filter(|node| node.is_up);
+        up.filter(|node| node.positions[0].changed < changed)
+            .count()
+    }
+
+    /// Returns what each instance has sent since the last question.
+    pub fn take_sent(&mut self) -> Vec<Sent> {
+        let sent = self.nodes.iter_mut();
+        sent.map(|node| std::mem::take(&mut node.sent)).collect()
+    }
+
+    /// Plays one step.
+    pub fn play(&mut self) {
+        self.deliver();
+        let now = self.now();
+        for index in 0..self.size() {
+            if !self.nodes[index].is_up {
+                continue;
+            }
+            if (self.step + index as u64).is_multiple_of(TICK) {
+                self.nodes[index].instance.apply(now, event::Event::Tick);
+                self.catch_up(index);
+            }
+            if (self.step + index as u64).is_multiple_of(ROUND) {
+                self.send(index);
+            }
+        }
+        self.step += 1;
+    }
+
+    pub fn play_for(&mut self, span: Duration) {
+        let steps = span.as_millis() as u64 / STEP;
+        (0..steps).for_each(|_| self.play());
+    }
+
+    fn catch_up(&mut self, index: usize) {
+        let now = self.now();
+        let node = &mut self.nodes[index];
+        if let Some((step, position)) = node.fetched.filter(|(step, _)| *step <= self.step) {
+            let _ = step;
+            node.fetched = None;
+            if position.changed > node.positions[0].changed {
+                node.positions = vec![position];
+            }
+        }
+        let beyond = node.instance.state.peers.beyond(now, 0, node.positions[0]);
+        let furthest = beyond
+            .map(|reader| reader.position)
+            .max_by_key(|p| p.changed);
+        if let Some(position) = furthest.filter(|_| node.fetched.is_none()) {
+            node.fetched = Some((self.step + FETCH, position));
+        }
+    }
+
+    fn send(&mut self, index: usize) {
+        let now = self.now();
+        let number = (self.step / ROUND) as usize;
+        let node = &self.nodes[index];
+        let parcels = message::round(&node.instance.state, now, number, &node.positions);
+        for parcel in parcels {
+            let bytes = bincode::serde::encode_to_vec(&parcel.message, bincode::config::standard());
+            let bytes = bytes.unwrap().len() as u64 + HEADERS;
+            for address in &parcel.addresses {
+                let to = self.places[address];
+                self.count(index, to, bytes);
+                self.post(index, to, &parcel.message);
+            }
+        }
+    }
+
+    fn count(&mut self, from: usize, to: usize, bytes: u64) {
+        let is_far = from % self.domains != to % self.domains;
+        let sent = &mut self.nodes[from].sent;
+        sent.messages += 1;
+        sent.bytes += bytes;
+        sent.far_bytes += if is_far { bytes } else { 0 };
+    }
+
+    fn post(&mut self, from: usize, to: usize, message: &message::Message) {
+        if self.draw() % 1_000 >= self.net.lost {
+            let step = self.step + 1;
+            let due = self.on_the_way.entry(step).or_default();
+            due.push((from, to, message.clone()));
+        }
+        if self.draw() % 1_000 < self.net.doubled {
+            let step = self.step + 4;
+            let due = self.on_the_way.entry(step).or_default();
+            due.push((from, to, message.clone()));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now();
+        for (from, to, message) in self.on_the_way.remove(&self.step).unwrap_or_default() {
+            let domains = [from, to].map(|index| &self.nodes[index].instance.state.own.domain);
+            let is_cut = domains[0] != domains[1]
+                && domains
+                    .iter()
+                    .any(|domain| Some(*domain) == self.cut.as_ref());
+            let node = &mut self.nodes[to];
+            if node.is_up && !is_cut {
+                node.instance.apply(now, event::Event::from(message));
+            }
+        }
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.noise = scatter(self.noise.wrapping_add(1));
+        self.noise >> 16
+    }
+}
+
+pub fn position(changed: u64) -> digest::Position {
+    digest::Position {
+        changed,
+        content: changed,
+    }
+}
+
+/// A permutation that spreads successive numbers.
+fn scatter(value: u64) -> u64 {
+    let mixed = value.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) ^ (mixed >> 32)
+}
--- a/crates/core/tests/relay_support/mod.rs
+++ b/crates/core/tests/relay_support/mod.rs
@@ -1,13 +1,15 @@
 //! Builders for the tests of `core::relay`.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use std::sync;
 use std::time::Duration;
 
 use guavausher_core::name;
 use guavausher_core::relay::{
-    ask, clock, digest, effect, engine, event, manifest, reduce, route, service, settings, state,
-    workspace,
+    ask, clock, digest, effect, engine, event, manifest, member, peers, reduce, route, service,
+    settings, state, workspace,
 };
 use guavausher_core::time;
 
@@ -115,6 +117,15 @@
     }
 }
 
+/// What an instance that has heard of nobody knows.
+pub fn no_peers() -> peers::Peers {
+    peers::Peers::new(member::Member {
+        name: name("own"),
+        domain: name("a"),
+        address: "127.0.0.1:1".parse().unwrap(),
+    })
+}
+
 /// An instance of which the name starts with `front-`.
 pub struct Instance {
     pub state: state::State,
@@ -128,6 +139,10 @@
             address: format!("127.0.0.1:{}", 8_000 + index).parse().unwrap(),
             domain: name("a"),
         };
+        Self::of(own)
+    }
+
+    pub fn of(own: state::Own) -> Self {
         let clock = clock::Clock::new(START, EPOCH);
         Self {
             state: state::State::new(own, settings::Settings::default(), clock),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -6,7 +6,7 @@
 use std::rc;
 use std::time::Duration;
 
-use guavausher_core::relay::{event, gossip, tallies};
+use guavausher_core::relay::{event, gossip, message, tallies};
 use tokio::net::UdpSocket;
 
 use crate::channel;
@@ -15,8 +15,6 @@
 use crate::shell;
 use crate::snapshot;
 
-/// Time between two rounds of messages.
-const INTERVAL: Duration = Duration::from_millis(150);
 /// Largest snapshot in bytes.
 const MAX_SNAPSHOT: usize = 16 << 20;
 /// What is asked for to get counts instead of the snapshot of a kind.
@@ -59,27 +57,20 @@
 
 async fn tell(shell: rc::Rc<shell::Shell>, socket: rc::Rc<UdpSocket>) {
     for number in 0.. {
-        tokio::time::sleep(INTERVAL).await;
+        tokio::time::sleep(gossip::INTERVAL).await;
         let now = clock::now();
         let positions = shell.positions.borrow().clone();
-        let (digest, round) = {
-            let state = shell.state.borrow();
-            let round = gossip::round(&state.peers.addresses(), number);
-            (state.digest(now, positions), round)
-        };
-        let pulse = digest.pulse.clone();
-        send(&socket, &round.digests, &datagram::Datagram::Digest(digest));
-        send(&socket, &round.pulses, &datagram::Datagram::Pulse(pulse));
+        let parcels = message::round(&shell.state.borrow(), now, number, &positions);
+        for parcel in parcels {
+            send(&socket, &parcel);
+        }
     }
 }
 
-fn send(socket: &UdpSocket, addresses: &[net::SocketAddr], datagram: &datagram::Datagram) {
-    if addresses.is_empty() {
-        return;
-    }
-    match datagram.encode() {
+fn send(socket: &UdpSocket, parcel: &message::Parcel) {
+    match datagram::encode(&parcel.message) {
         Ok(bytes) => {
-            for address in addresses {
+            for address in &parcel.addresses {
                 // A datagram that is lost is made up for by the next one.
                 let _ = socket.try_send_to(&bytes, *address);
             }
@@ -92,11 +83,8 @@
     let mut buffer = vec![0; datagram::MAX_BYTES];
     loop {
         match socket.recv(&mut buffer).await {
-            Ok(length) => match datagram::Datagram::decode(&buffer[..length]) {
-                Ok(datagram::Datagram::Digest(digest)) => {
-                    shell.apply(event::Event::Heard(digest));
-                }
-                Ok(datagram::Datagram::Pulse(pulse)) => shell.apply(event::Event::Beat(pulse)),
+            Ok(length) => match datagram::decode::<message::Message>(&buffer[..length]) {
+                Ok(message) => shell.apply(event::Event::from(message)),
                 Err(fault) => log::warn!(fault:% = fault; "datagram cannot be read"),
             },
             Err(fault) => log::debug!(fault:% = fault; "datagram refused"),
