Save up an allowance in tokens again

Change: tokens again, added with each request and not with time (what hundreds of sparse instances need).

--- a/crates/core/src/relay/allowance.rs
+++ b/crates/core/src/relay/allowance.rs
@@ -12,6 +12,8 @@
 const FILL: Duration = Duration::from_secs(2);
 /// Span over which demand is averaged.
 const SPAN: Duration = Duration::from_secs(1);
+/// Time of which the allowance is kept beyond that for one request.
+const KEPT: Duration = Duration::from_millis(500);
 
 /// What a cap leaves.
 #[derive(Clone, Copy, Debug)]
@@ -31,7 +33,9 @@
     others: f64,
     /// What they may admit before it is heard here.
     unheard: f64,
-    /// Part of a request that this instance may admit.
+    /// Part of its first request that this instance may admit at once.
+    lot: f64,
+    /// Units that this instance may admit.
     credit: f64,
     at: time::Time,
 }
@@ -43,7 +47,8 @@
             demand: 0.0,
             others: 0.0,
             unheard: 0.0,
-            credit: seed as f64 / u64::MAX as f64,
+            lot: seed as f64 / u64::MAX as f64,
+            credit: 0.0,
             at: time::Time::default(),
         }
     }
@@ -71,19 +76,20 @@
     pub fn take(&mut self, now: time::Time, units: f64, room: Room) -> Result<(), time::Time> {
         self.demand = self.demand(now) + units / SPAN.as_secs_f64();
         self.at = self.at.max(now);
-        let inflow = room.rate + room.left.max(0.0) / FILL.as_secs_f64();
-        let share = (inflow / (self.demand + self.others)).min(1.0);
-        // By request and not by time: many instances that are each asked now and then would save up.
-        self.credit = (self.credit + share).min(1.0);
+        let all = room.rate + room.left.max(0.0) / FILL.as_secs_f64();
+        let asked = self.demand + self.others;
+        let inflow = all * self.demand / asked;
+        // By request and not by time: an instance that is asked now and then has its part as well.
+        self.credit += units * ((all / asked).min(1.0) + std::mem::take(&mut self.lot));
+        self.credit = self.credit.min(units.max(inflow * KEPT.as_secs_f64()));
         if units + self.unheard <= room.left {
             return Ok(());
         }
-        if self.credit >= 1.0 {
-            self.credit -= 1.0;
+        if self.credit >= units {
+            self.credit -= units;
             return Ok(());
         }
-        let inflow = inflow * self.demand / (self.demand + self.others);
-        let wait = units * (1.0 - self.credit) / inflow.max(f64::MIN_POSITIVE);
+        let wait = (units - self.credit) / inflow.max(f64::MIN_POSITIVE);
         Err(now.after(Duration::from_secs_f64(wait.min(1e6))))
     }
 }
