--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -1,5 +1,11 @@
 //! Other instances: those of the own group as their digests show them, all others as sums.
 
+mod readers;
+mod roles;
+mod shares;
+
+pub use readers::Reader;
+
 use std::collections;
 use std::net;
 use std::time::Duration;
@@ -10,7 +16,6 @@
 use super::member;
 use super::peer;
 use super::pulse;
-use super::sum;
 use super::summary;
 use super::tallies;
 use super::works;
@@ -261,86 +266,6 @@
         fresh.map(|p| p.digest.address).take(MAX_TOLD).collect()
     }
 
-    /// Returns the names of the members of the own group that are heard and not stopping.
-    pub fn serving(&self, now: time::Time) -> impl Iterator<Item = &name::Name> {
-        let heard = self.peers.values().filter(move |p| !p.is_quiet(now));
-        heard
-            .filter(|p| !p.digest.pulse.leaving)
-            .map(|p| &p.digest.pulse.sender)
-    }
-
-    /// Returns how many instances that come before `own` hear of changes from the store.
-    pub fn fed_before(&self, now: time::Time, own: &name::Name) -> usize {
-        let own = group::order(own);
-        let fed: collections::BTreeSet<_> = self.fed(now).collect();
-        let before = fed.into_iter().filter(|name| group::order(name) < own);
-        before.count()
-    }
-
-    /// Returns how many members of the own group come before `own` in the order in which they are
-    /// to hear from the store, those not heard yet included.
-    pub fn before(&self, now: time::Time, own: &name::Name) -> usize {
-        let own = group::order(own);
-        let hints = self
-            .hints
-            .keys()
-            .filter_map(|address| self.listed.get(address));
-        let listed = hints.filter(|m| self.group_of(m) == self.group());
-        let names = self.serving(now).chain(listed.map(|m| &m.name));
-        let names: collections::BTreeSet<_> = names.collect();
-        let before = names.into_iter().filter(|name| group::order(name) < own);
-        before.count()
-    }
-
-    /// Tells whether any of them hears of changes from the store.
-    pub fn is_fed(&self, now: time::Time) -> bool {
-        self.fed(now).next().is_some()
-    }
-
-    fn fed(&self, now: time::Time) -> impl Iterator<Item = &name::Name> {
-        let heard = self.peers.values().filter(move |p| !p.is_quiet(now));
-        let fed = heard.filter(|p| p.digest.pulse.fed && !p.digest.pulse.leaving);
-        let fed = fed.map(|p| &p.digest.pulse.sender);
-        fed.chain(self.groups.feeders(now))
-    }
-
-    /// Returns the first in the order of their names of those that may be chosen for the duties.
-    pub fn candidates(&self, now: time::Time, leaving: bool) -> Vec<member::Member> {
-        let mates = self.mates(now, leaving);
-        first(mates.chain(self.groups.candidates(now).cloned()))
-    }
-
-    /// Returns those of the own group among them.
-    pub fn near_candidates(&self, now: time::Time, leaving: bool) -> Vec<member::Member> {
-        first(self.mates(now, leaving))
-    }
-
-    /// Returns the members of the own group that are heard and not stopping, this one included.
-    fn mates(&self, now: time::Time, leaving: bool) -> impl Iterator<Item = member::Member> {
-        let heard = self.peers.values().filter(move |p| !p.is_quiet(now));
-        let serving = heard.filter(|p| !p.digest.pulse.leaving);
-        let mates = serving.map(|p| member::Member {
-            name: p.digest.pulse.sender.clone(),
-            domain: p.digest.pulse.domain.clone(),
-            address: p.digest.address,
-        });
-        mates.chain((!leaving).then(|| self.own.clone()))
-    }
-
-    /// Returns the delegates of the own group as this instance sees it.
-    pub fn delegates(&self, now: time::Time, leaving: bool) -> Vec<member::Member> {
-        let mut mates: Vec<_> = self.mates(now, leaving).collect();
-        mates.sort_by_key(|mate| group::order(&mate.name));
-        mates.truncate(group::DELEGATES);
-        mates
-    }
-
-    /// Tells whether this instance speaks with other groups.
-    pub fn is_delegate(&self, now: time::Time) -> bool {
-        let is_own = |mate: &member::Member| mate.name == self.own.name;
-        self.division.is_divided() && self.delegates(now, false).iter().any(is_own)
-    }
-
     /// Returns what is known of the other groups.
     pub const fn groups(&self) -> &groups::Groups {
         &self.groups
@@ -369,119 +294,6 @@
         routes
     }
 
-    /// Returns what the members of the own group do besides this one.
-    pub fn sum(&self, now: time::Time) -> sum::Sum {
-        let mut loads = sum::Loads::default();
-        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
-        heard.for_each(|p| loads.add(&p.digest.loads));
-        sum::Sum {
-            heard: self.serving(now).count() as u32,
-            spent: Vec::new(),
-            loads: loads.into_vec(),
-        }
-    }
-
-    /// Returns how many members of the own group besides this one may be using their part of the shared
-    /// limits.
-    pub fn sharing(&self) -> usize {
-        let sharing = self.peers.values().filter(|p| !p.digest.pulse.leaving);
-        sharing.count()
-    }
-
-    /// Returns some members of the own group that hear of changes from the store.
-    pub fn feeders(&self, now: time::Time) -> Vec<name::Name> {
-        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
-        let fed = heard.filter(|p| p.digest.pulse.fed && !p.digest.pulse.leaving);
-        let mut fed: Vec<_> = fed.map(|p| p.digest.pulse.sender.clone()).collect();
-        fed.sort_by_key(group::order);
-        fed.truncate(MAX_NAMED);
-        fed
-    }
-
-    /// Returns where to ask the instances that are heard, the one that has run longest first.
-    pub fn eldest(&self, now: time::Time) -> Vec<net::SocketAddr> {
-        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
-        let mut digests: Vec<_> = heard.map(|p| &p.digest).collect();
-        digests.sort_by_key(|digest| digest.pulse.incarnation);
-        digests.into_iter().map(|digest| digest.address).collect()
-    }
-
-    /// Returns how many others are heard.
-    pub fn heard(&self, now: time::Time) -> usize {
-        let mates = self.peers.values().filter(|p| !p.is_quiet(now)).count();
-        mates + self.groups.heard(now)
-    }
-
-    /// Returns the number of instances that share the work, this one included.
-    pub fn instances(&self) -> usize {
-        self.peers.len() + self.groups.known() + 1
-    }
-
-    /// Returns the part of shared limits that this instance and those it hears may use; those of
-    /// which only an address is known may be using theirs.
-    pub fn part(&self, now: time::Time) -> f64 {
-        let serving = self.peers.values().filter(|p| !p.digest.pulse.leaving);
-        let heard = serving.filter(|p| !p.is_quiet(now)).count() + self.groups.heard(now) + 1;
-        let all = self.sharing() + self.groups.known() + self.unheard() + 1;
-        heard as f64 / all as f64
-    }
-
-    /// Returns the instances of which only an address is known and of which no summary tells.
-    pub fn unheard(&self) -> usize {
-        let own = self.group();
-        let is_unheard = |address: &&net::SocketAddr| {
-            let group = self
-                .listed
-                .get(*address)
-                .map(|member| self.group_of(member));
-            group.is_none_or(|group| group == own || !self.groups.has_heard(&group))
-        };
-        self.hints.keys().filter(is_unheard).count()
-    }
-
-    /// Returns the units a second that the other members of the own group are asked for, by
-    /// workspace.
-    pub fn mate_demands(&self, now: time::Time) -> collections::BTreeMap<name::Name, u64> {
-        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
-        let mut demands = collections::BTreeMap::new();
-        for spent in heard.flat_map(|p| &p.digest.pulse.spent) {
-            *demands.entry(spent.workspace.clone()).or_default() += spent.demand;
-        }
-        demands
-    }
-
-    /// Returns the units a second that the other instances are asked for, by workspace.
-    pub fn demands(&self, now: time::Time) -> collections::BTreeMap<name::Name, f64> {
-        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
-        let mates = heard.flat_map(|p| &p.digest.pulse.spent);
-        let others = self.groups.fresh(now).flat_map(|s| &s.sum.spent);
-        let mut demands = collections::BTreeMap::new();
-        for spent in mates.chain(others).filter(|spent| spent.demand > 0) {
-            let sum = demands.entry(spent.workspace.clone()).or_default();
-            *sum += spent.demand as f64;
-        }
-        demands
-    }
-
-    /// Returns the time until what one instance admits is known to all others.
-    pub fn lag(&self) -> Duration {
-        /// Within one group.
-        const NEAR: Duration = Duration::from_millis(400);
-        /// Through the delegates of two groups.
-        const FAR: Duration = Duration::from_millis(700);
-        match self.division.is_divided() {
-            true => FAR,
-            false => NEAR,
-        }
-    }
-
-    /// Tells whether an instance has fallen silent that may yet be heard soon.
-    pub fn has_quiet(&self, now: time::Time) -> bool {
-        let mut peers = self.peers.values();
-        let is_quiet = peers.any(|p| !p.digest.pulse.leaving && !p.lost && p.is_quiet(now));
-        is_quiet || self.groups.has_quiet(now)
-    }
-
     /// Returns how far the others' true time lies ahead of this instance's, in microseconds.
     pub fn ahead(&self, now: time::Time, micros: u64) -> Vec<i64> {
         let fresh = self.peers.values().filter(|p| !p.is_quiet(now));
@@ -492,58 +304,4 @@
             })
             .collect()
     }
-
-    /// Returns the instances that know of changes of a kind of object that this one does not.
-    pub fn beyond(
-        &self,
-        now: time::Time,
-        kind: usize,
-        own: digest::Position,
-    ) -> impl Iterator<Item = Reader<'_>> {
-        let readers = self.readers(now, kind);
-        readers.filter(move |reader| {
-            let position = reader.position;
-            position.changed > own.changed && position.content != own.content
-        })
-    }
-
-    /// Returns the highest revision at which an instance knows the same objects of a kind.
-    pub fn confirmed(&self, now: time::Time, kind: usize, own: digest::Position) -> u64 {
-        let same = self.readers(now, kind).map(|reader| reader.position);
-        let same = same.filter(|position| position.content == own.content);
-        same.fold(own.changed, |most, position| most.max(position.changed))
-    }
-
-    /// Returns the instances that are heard themselves, with how far they have read a kind.
-    fn readers(&self, now: time::Time, kind: usize) -> impl Iterator<Item = Reader<'_>> {
-        let mates = self.peers.values().filter(move |p| !p.is_quiet(now));
-        let mates = mates.map(move |p| Reader {
-            name: &p.digest.pulse.sender,
-            address: p.digest.address,
-            position: p.position(kind),
-        });
-        let contacts = self.groups.contacts(now).map(move |summary| Reader {
-            name: &summary.sender,
-            address: summary.address,
-            position: summary.positions.get(kind).copied().unwrap_or_default(),
-        });
-        mates.chain(contacts)
-    }
-}
-
-/// Returns the first instances in the order of their names.
-fn first(members: impl Iterator<Item = member::Member>) -> Vec<member::Member> {
-    let all: collections::BTreeSet<_> = members.collect();
-    all.into_iter().take(MAX_NAMED).collect()
-}
-
-/// An instance that may tell what it has read.
-#[derive(Clone, Copy, Debug)]
-pub struct Reader<'a> {
-    /// Its name.
-    pub name: &'a name::Name,
-    /// Where it serves changes.
-    pub address: net::SocketAddr,
-    /// How far it has read.
-    pub position: digest::Position,
 }
--- /dev/null
+++ b/crates/core/src/relay/peers/readers.rs
@@ -0,0 +1,58 @@
+//! How far other instances have read the store.
+
+use std::net;
+
+use super::Peers;
+use crate::name;
+use crate::relay::digest;
+use crate::time;
+
+/// An instance that may tell what it has read.
+#[derive(Clone, Copy, Debug)]
+pub struct Reader<'a> {
+    /// Its name.
+    pub name: &'a name::Name,
+    /// Where it serves changes.
+    pub address: net::SocketAddr,
+    /// How far it has read.
+    pub position: digest::Position,
+}
+
+impl Peers {
+    /// Returns the instances that know of changes of a kind of object that this one does not.
+    pub fn beyond(
+        &self,
+        now: time::Time,
+        kind: usize,
+        own: digest::Position,
+    ) -> impl Iterator<Item = Reader<'_>> {
+        let readers = self.readers(now, kind);
+        readers.filter(move |reader| {
+            let position = reader.position;
+            position.changed > own.changed && position.content != own.content
+        })
+    }
+
+    /// Returns the highest revision at which an instance knows the same objects of a kind.
+    pub fn confirmed(&self, now: time::Time, kind: usize, own: digest::Position) -> u64 {
+        let same = self.readers(now, kind).map(|reader| reader.position);
+        let same = same.filter(|position| position.content == own.content);
+        same.fold(own.changed, |most, position| most.max(position.changed))
+    }
+
+    /// Returns the instances that are heard themselves, with how far they have read a kind.
+    fn readers(&self, now: time::Time, kind: usize) -> impl Iterator<Item = Reader<'_>> {
+        let mates = self.peers.values().filter(move |p| !p.is_quiet(now));
+        let mates = mates.map(move |p| Reader {
+            name: &p.digest.pulse.sender,
+            address: p.digest.address,
+            position: p.position(kind),
+        });
+        let contacts = self.groups.contacts(now).map(move |summary| Reader {
+            name: &summary.sender,
+            address: summary.address,
+            position: summary.positions.get(kind).copied().unwrap_or_default(),
+        });
+        mates.chain(contacts)
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/peers/roles.rs
@@ -0,0 +1,117 @@
+//! Who among the instances follows the store, competes for the duties or speaks with other groups.
+
+use std::collections;
+use std::net;
+
+use super::MAX_NAMED;
+use super::Peers;
+use crate::name;
+use crate::relay::group;
+use crate::relay::member;
+use crate::time;
+
+impl Peers {
+    /// Returns the names of the members of the own group that are heard and not stopping.
+    pub fn serving(&self, now: time::Time) -> impl Iterator<Item = &name::Name> {
+        let heard = self.peers.values().filter(move |p| !p.is_quiet(now));
+        heard
+            .filter(|p| !p.digest.pulse.leaving)
+            .map(|p| &p.digest.pulse.sender)
+    }
+
+    /// Returns how many instances that come before `own` hear of changes from the store.
+    pub fn fed_before(&self, now: time::Time, own: &name::Name) -> usize {
+        let own = group::order(own);
+        let fed: collections::BTreeSet<_> = self.fed(now).collect();
+        let before = fed.into_iter().filter(|name| group::order(name) < own);
+        before.count()
+    }
+
+    /// Returns how many members of the own group come before `own` in the order in which they are
+    /// to hear from the store, those not heard yet included.
+    pub fn before(&self, now: time::Time, own: &name::Name) -> usize {
+        let own = group::order(own);
+        let hints = self
+            .hints
+            .keys()
+            .filter_map(|address| self.listed.get(address));
+        let listed = hints.filter(|m| self.group_of(m) == self.group());
+        let names = self.serving(now).chain(listed.map(|m| &m.name));
+        let names: collections::BTreeSet<_> = names.collect();
+        let before = names.into_iter().filter(|name| group::order(name) < own);
+        before.count()
+    }
+
+    /// Tells whether any of them hears of changes from the store.
+    pub fn is_fed(&self, now: time::Time) -> bool {
+        self.fed(now).next().is_some()
+    }
+
+    fn fed(&self, now: time::Time) -> impl Iterator<Item = &name::Name> {
+        let heard = self.peers.values().filter(move |p| !p.is_quiet(now));
+        let fed = heard.filter(|p| p.digest.pulse.fed && !p.digest.pulse.leaving);
+        let fed = fed.map(|p| &p.digest.pulse.sender);
+        fed.chain(self.groups.feeders(now))
+    }
+
+    /// Returns the first in the order of their names of those that may be chosen for the duties.
+    pub fn candidates(&self, now: time::Time, leaving: bool) -> Vec<member::Member> {
+        let mates = self.mates(now, leaving);
+        first(mates.chain(self.groups.candidates(now).cloned()))
+    }
+
+    /// Returns those of the own group among them.
+    pub fn near_candidates(&self, now: time::Time, leaving: bool) -> Vec<member::Member> {
+        first(self.mates(now, leaving))
+    }
+
+    /// Returns the members of the own group that are heard and not stopping, this one included.
+    fn mates(&self, now: time::Time, leaving: bool) -> impl Iterator<Item = member::Member> {
+        let heard = self.peers.values().filter(move |p| !p.is_quiet(now));
+        let serving = heard.filter(|p| !p.digest.pulse.leaving);
+        let mates = serving.map(|p| member::Member {
+            name: p.digest.pulse.sender.clone(),
+            domain: p.digest.pulse.domain.clone(),
+            address: p.digest.address,
+        });
+        mates.chain((!leaving).then(|| self.own.clone()))
+    }
+
+    /// Returns the delegates of the own group as this instance sees it.
+    pub fn delegates(&self, now: time::Time, leaving: bool) -> Vec<member::Member> {
+        let mut mates: Vec<_> = self.mates(now, leaving).collect();
+        mates.sort_by_key(|mate| group::order(&mate.name));
+        mates.truncate(group::DELEGATES);
+        mates
+    }
+
+    /// Tells whether this instance speaks with other groups.
+    pub fn is_delegate(&self, now: time::Time) -> bool {
+        let is_own = |mate: &member::Member| mate.name == self.own.name;
+        self.division.is_divided() && self.delegates(now, false).iter().any(is_own)
+    }
+
+    /// Returns some members of the own group that hear of changes from the store.
+    pub fn feeders(&self, now: time::Time) -> Vec<name::Name> {
+        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
+        let fed = heard.filter(|p| p.digest.pulse.fed && !p.digest.pulse.leaving);
+        let mut fed: Vec<_> = fed.map(|p| p.digest.pulse.sender.clone()).collect();
+        fed.sort_by_key(group::order);
+        fed.truncate(MAX_NAMED);
+        fed
+    }
+
+    /// Returns where to ask the instances that are heard, the one that has run longest first.
+    pub fn eldest(&self, now: time::Time) -> Vec<net::SocketAddr> {
+        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
+        let mut digests: Vec<_> = heard.map(|p| &p.digest).collect();
+        digests.sort_by_key(|digest| digest.pulse.incarnation);
+        digests.into_iter().map(|digest| digest.address).collect()
+    }
+}
+
+/// Returns the first instances in the order of their names.
+fn first(members: impl Iterator<Item = member::Member>) -> Vec<member::Member> {
+    let all: collections::BTreeSet<_> = members.collect();
+    all.into_iter().take(MAX_NAMED).collect()
+}
--- /dev/null
+++ b/crates/core/src/relay/peers/shares.rs
@@ -0,0 +1,107 @@
+//! How many instances there are, and what they ask of the shared limits.
+
+use std::collections;
+use std::net;
+use std::time::Duration;
+
+use super::Peers;
+use crate::name;
+use crate::relay::sum;
+use crate::time;
+
+impl Peers {
+    /// Returns what the members of the own group do besides this one.
+    pub fn sum(&self, now: time::Time) -> sum::Sum {
+        let mut loads = sum::Loads::default();
+        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
+        heard.for_each(|p| loads.add(&p.digest.loads));
+        sum::Sum {
+            heard: self.serving(now).count() as u32,
+            spent: Vec::new(),
+            loads: loads.into_vec(),
+        }
+    }
+
+    /// Returns how many members of the own group besides this one may be using their part of the shared
+    /// limits.
+    pub fn sharing(&self) -> usize {
+        let sharing = self.peers.values().filter(|p| !p.digest.pulse.leaving);
+        sharing.count()
+    }
+
+    /// Returns how many others are heard.
+    pub fn heard(&self, now: time::Time) -> usize {
+        let mates = self.peers.values().filter(|p| !p.is_quiet(now)).count();
+        mates + self.groups.heard(now)
+    }
+
+    /// Returns the number of instances that share the work, this one included.
+    pub fn instances(&self) -> usize {
+        self.peers.len() + self.groups.known() + 1
+    }
+
+    /// Returns the part of shared limits that this instance and those it hears may use; those of
+    /// which only an address is known may be using theirs.
+    pub fn part(&self, now: time::Time) -> f64 {
+        let serving = self.peers.values().filter(|p| !p.digest.pulse.leaving);
+        let heard = serving.filter(|p| !p.is_quiet(now)).count() + self.groups.heard(now) + 1;
+        let all = self.sharing() + self.groups.known() + self.unheard() + 1;
+        heard as f64 / all as f64
+    }
+
+    /// Returns the instances of which only an address is known and of which no summary tells.
+    pub fn unheard(&self) -> usize {
+        let own = self.group();
+        let is_unheard = |address: &&net::SocketAddr| {
+            let group = self
+                .listed
+                .get(*address)
+                .map(|member| self.group_of(member));
+            group.is_none_or(|group| group == own || !self.groups.has_heard(&group))
+        };
+        self.hints.keys().filter(is_unheard).count()
+    }
+
+    /// Returns the units a second that the other members of the own group are asked for, by
+    /// workspace.
+    pub fn mate_demands(&self, now: time::Time) -> collections::BTreeMap<name::Name, u64> {
+        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
+        let mut demands = collections::BTreeMap::new();
+        for spent in heard.flat_map(|p| &p.digest.pulse.spent) {
+            *demands.entry(spent.workspace.clone()).or_default() += spent.demand;
+        }
+        demands
+    }
+
+    /// Returns the units a second that the other instances are asked for, by workspace.
+    pub fn demands(&self, now: time::Time) -> collections::BTreeMap<name::Name, f64> {
+        let heard = self.peers.values().filter(|p| !p.is_quiet(now));
+        let mates = heard.flat_map(|p| &p.digest.pulse.spent);
+        let others = self.groups.fresh(now).flat_map(|s| &s.sum.spent);
+        let mut demands = collections::BTreeMap::new();
+        for spent in mates.chain(others).filter(|spent| spent.demand > 0) {
+            let sum = demands.entry(spent.workspace.clone()).or_default();
+            *sum += spent.demand as f64;
+        }
+        demands
+    }
+
+    /// Returns the time until what one instance admits is known to all others.
+    pub fn lag(&self) -> Duration {
+        /// Within one group.
+        const NEAR: Duration = Duration::from_millis(400);
+        /// Through the delegates of two groups.
+        const FAR: Duration = Duration::from_millis(700);
+        match self.division.is_divided() {
+            true => FAR,
+            false => NEAR,
+        }
+    }
+
+    /// Tells whether an instance has fallen silent that may yet be heard soon.
+    pub fn has_quiet(&self, now: time::Time) -> bool {
+        let mut peers = self.peers.values();
+        let is_quiet = peers.any(|p| !p.digest.pulse.leaving && !p.lost && p.is_quiet(now));
+        is_quiet || self.groups.has_quiet(now)
+    }
+}
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -1,14 +1,14 @@
 //! All that an instance knows for opaque forwarding.
 
+mod telling;
+
 use std::collections;
 use std::net;
 use std::sync;
 
-use super::account;
 use super::budget;
 use super::caps;
 use super::clock;
-use super::digest;
 use super::effect;
 use super::feeding;
 use super::fleet;
@@ -19,20 +19,13 @@
 use super::member;
 use super::outage;
 use super::peers;
-use super::pulse;
 use super::rollouts;
 use super::settings;
-use super::sum;
-use super::summary;
 use super::suspects;
 use super::tallies;
 use crate::name;
 use crate::time;
 
-/// Windows that a digest tells.
-const TOLD_WINDOWS: usize = 3;
-/// Windows before the present one that delegates tell of their group.
-const ACCOUNT_WINDOWS: u64 = 2;
 /// Instances that may be chosen for the duties.
 const CANDIDATES: usize = 3;
 
@@ -153,46 +146,6 @@
         own.sum::<u64>() + self.peers.work(service)
     }
 
-    /// Returns what to tell the other instances most often; the shell adds how far it has read.
-    pub fn pulse(&self, now: time::Time, positions: Vec<digest::Position>) -> pulse::Pulse {
-        let spent = self.caps.spent().map(|(workspace, units)| digest::Spent {
-            workspace: workspace.clone(),
-            units,
-            demand: self.caps.demand(now, workspace),
-            level: self.caps.level(now, workspace),
-        });
-        pulse::Pulse {
-            sender: self.own.name.clone(),
-            domain: self.own.domain.clone(),
-            division: self.peers.division(),
-            incarnation: self.own.incarnation,
-            hears: self.peers.heard(now) as u32 + 1,
-            leaving: self.leaving,
-            fed: self.fed,
-            positions,
-            spent: spent.collect(),
-        }
-    }
-
-    /// Returns all that other instances are told.
-    pub fn digest(&self, now: time::Time, positions: Vec<digest::Position>) -> digest::Digest {
-        let work = self.fleet.work().map(|(service, micros)| digest::Work {
-            service: service.clone(),
-            micros,
-        });
-        digest::Digest {
-            pulse: self.pulse(now, positions),
-            address: self.own.address,
-            micros: self.clock.micros(now),
-            loads: self.fleet.loads(),
-            work: work.collect(),
-            counts: self.tallies.own(TOLD_WINDOWS),
-            trials: self.rollouts.told(),
-            crashes: self.suspects.told(),
-            members: self.peers.told(now),
-        }
-    }
-
     /// Returns this instance's place among those that compete for the duties, if it is one of them.
     pub fn turn(&self, now: time::Time) -> Option<usize> {
         let candidates = self.candidates(now);
@@ -205,129 +158,4 @@
         candidates.truncate(CANDIDATES);
         candidates
     }
-
-    /// Returns whom this instance tells of itself in a round: the delegates of its group more often than
-    /// other members, since all other groups hear from them.
-    pub fn round(&self, now: time::Time, number: usize) -> gossip::Round {
-        /// Rounds after which a delegate is told again.
-        const DELEGATE_ROUNDS: usize = 2;
-        let mut round = gossip::round(&self.peers.addresses(), number);
-        let is_due = number.is_multiple_of(DELEGATE_ROUNDS);
-        if is_due && self.peers.division().is_divided() {
-            let delegates = self.peers.delegates(now, self.leaving).into_iter();
-            let others = delegates.filter(|d| d.name != self.own.name);
-            round.add(others.map(|d| d.address));
-        }
-        round
-    }
-
-    /// Returns whom this instance tells of its group and of the others in a round. One that is no
-    /// delegate answers those that take it for one, so that they learn who is.
-    pub fn relayed(&self, now: time::Time, number: usize) -> gossip::Relayed {
-        if !self.peers.is_delegate(now) {
-            let contacts = self.peers.groups().contacts(now);
-            let delegates = contacts.filter(|contact| contact.is_from_delegate());
-            return gossip::Relayed {
-                summaries: delegates.map(|contact| contact.address).collect(),
-                ..gossip::Relayed::default()
-            };
-        }
-        let mates: Vec<_> = self.peers.all().map(|p| p.digest.address).collect();
-        let routes = self.peers.routes(now);
-        let delegates = self.peers.delegates(now, self.leaving);
-        let place = delegates.iter().position(|d| d.name == self.own.name);
-        let own = self.peers.group();
-        let candidates = self.candidates(now).into_iter();
-        let far = candidates.filter(|c| self.peers.group_of(c) != own);
-        let far: Vec<_> = far.map(|c| c.address).collect();
-        gossip::relayed(&mates, routes.values(), &far, place.unwrap_or(0), number)
-    }
-
-    /// Returns what the other groups are told of this one.
-    pub fn summary(&self, now: time::Time, positions: Vec<digest::Position>) -> summary::Summary {
-        let demands = self.peers.mate_demands(now);
-        let spent = self.caps.group().map(|(workspace, units)| digest::Spent {
-            workspace: workspace.clone(),
-            units,
-            demand: self.caps.demand(now, workspace) + demands.get(workspace).copied().unwrap_or(0),
-            level: self.caps.level(now, workspace),
-        });
-        let mates = self.peers.sum(now);
-        let mut loads = sum::Loads::default();
-        loads.add(&mates.loads);
-        loads.add(&self.fleet.loads());
-        let sum = sum::Sum {
-            heard: mates.heard + u32::from(!self.leaving),
-            spent: spent.filter(|s| s.units > 0 || s.demand > 0).collect(),
-            loads: loads.into_vec(),
-        };
-        let own_fed = (self.fed && !self.leaving).then(|| self.own.name.clone());
-        let delegates = self.peers.delegates(now, self.leaving);
-        let route = summary::Route {
-            group: self.peers.group(),
-            addresses: delegates.into_iter().map(|d| d.address).collect(),
-            known: self.peers.sharing() as u32 + u32::from(!self.leaving),
-            silent: 0,
-        };
-        summary::Summary {
-            scope: summary::Scope::Group(self.peers.group()),
-            positions,
-            sum,
-            feeders: own_fed.into_iter().chain(self.peers.feeders(now)).collect(),
-            candidates: self.peers.near_candidates(now, self.leaving),
-            routes: vec![route],
-            ..self.empty_summary()
-        }
-    }
-
-    /// Returns what the own group is told of all others.
-    pub fn outside(&self, now: time::Time) -> summary::Summary {
-        let groups = self.peers.groups();
-        let mut sum = groups.sum(now);
-        for spent in &mut sum.spent {
-            spent.level = self.caps.level(now, &spent.workspace);
-        }
-        let feeders: collections::BTreeSet<_> = groups.feeders(now).cloned().collect();
-        let candidates: collections::BTreeSet<_> = groups.candidates(now).cloned().collect();
-        summary::Summary {
-            scope: summary::Scope::Outside,
-            positions: Vec::new(),
-            sum,
-            feeders: feeders.into_iter().collect(),
-            candidates: candidates.into_iter().take(CANDIDATES).collect(),
-            routes: groups.routes(now).collect(),
-            ..self.empty_summary()
-        }
-    }
-
-    fn empty_summary(&self) -> summary::Summary {
-        summary::Summary {
-            sender: self.own.name.clone(),
-            incarnation: self.own.incarnation,
-            address: self.own.address,
-            division: self.peers.division(),
-            scope: summary::Scope::Outside,
-            positions: Vec::new(),
-            sum: sum::Sum::default(),
-            feeders: Vec::new(),
-            candidates: Vec::new(),
-            routes: Vec::new(),
-            crashes: self.suspects.sightings(&self.own.name),
-        }
-    }
-
-    /// Returns what the holder of the duties has to know of each process of the own group.
-    pub fn accounts(&self, now: time::Time) -> Vec<account::Account> {
-        let first = self.window(now).saturating_sub(ACCOUNT_WINDOWS);
-        let own = self.digest(now, Vec::new());
-        let mates = self.peers.all().map(|peer| &peer.digest);
-        let all = mates.chain([&own]);
-        let accounts = all.map(|digest| account::Account {
-            process: digest.tally().process,
-            counts: self.tallies.of(&digest.tally().process, first),
-            work: digest.work.clone(),
-            trials: digest.trials.clone(),
-        });
-        accounts.collect()
-    }
 }
