Forget the work of members that a division sends to other groups

Found by reading.

Cause: what an instance tells of its work is kept until it is lost, and a division drops the instance without that.

Evidence: division_forgets_the_work_of_members_that_went_to_other_groups, which fails without the change in reduce.rs (1 in place of 0).

--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -50,6 +50,8 @@
     /// Instances that a list has named, by address, with their failure domains.
     listed: collections::BTreeMap<net::SocketAddr, member::Member>,
     works: works::Works,
+    /// Instances that have gone to another group and were not asked for yet.
+    departed: Vec<name::Name>,
 }
 
 impl Peers {
@@ -63,6 +65,7 @@
             hints: collections::BTreeMap::new(),
             listed: collections::BTreeMap::new(),
             works: works::Works::new(),
+            departed: Vec::new(),
         }
     }
 
@@ -84,11 +87,20 @@
         }
         self.division = division;
         let own = self.group();
-        self.peers
-            .retain(|name, peer| division.group(&peer.digest.pulse.domain, name) == own);
+        let is_mate = |name: &name::Name, peer: &peer::Peer| {
+            division.group(&peer.digest.pulse.domain, name) == own
+        };
+        let departed = self.peers.extract_if(.., |name, peer| !is_mate(name, peer));
+        self.departed.extend(departed.map(|(name, _)| name));
         self.groups.clear();
     }
 
+    /// Returns the instances that have gone to another group since the last question: what they do is
+    /// told in sums from then on.
+    pub fn take_departed(&mut self) -> Vec<name::Name> {
+        std::mem::take(&mut self.departed)
+    }
+
     /// Divides the fleet if it has grown too large for its groups.
     fn divide_by_size(&mut self) {
         let listed = self.listed.values().map(|member| &member.domain);
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -330,6 +330,9 @@
         state.fleet.hear(&name, &[]);
         state.out.push(effect::Effect::Lost(name));
     }
+    for name in state.peers.take_departed() {
+        state.fleet.hear(&name, &[]);
+    }
     state.caps.divide(now, state.peers.part(now));
     let demands = state.peers.demands(now);
     state.caps.hear_demands(&demands, state.peers.lag());
--- a/crates/core/tests/relay_fleet.rs
+++ b/crates/core/tests/relay_fleet.rs
@@ -2,13 +2,13 @@
 
 mod relay_support;
 
+use std::net;
 use std::time::Duration;
 
-use guavausher_core::relay::event;
-use guavausher_core::relay::group;
 use guavausher_core::relay::route::Repeat;
+use guavausher_core::relay::{effect, event, group, member, state};
 use relay_support::fleet::{Fleet, Net, STEP, Sent};
-use relay_support::{ask, manifest, name, refused};
+use relay_support::{Instance, START, ask, engine, engines, manifest, name, refused};
 use rstest::rstest;
 
 /// A tenth of all messages is lost, and some come twice.
@@ -277,6 +277,42 @@
     assert!(admitted >= asked / 100 * 98, "{admitted} of {asked}");
 }
 
+/// Once the fleet is divided, the work of another group comes as a sum and not from its members as well.
+#[test]
+fn division_forgets_the_work_of_members_that_went_to_other_groups() {
+    let mut own = Instance::serving(1, 1);
+    let mut other = Instance::of(state::Own {
+        domain: name("b"),
+        ..Instance::new(2).state.own
+    });
+    other.apply(START, manifest(1, 0.0, None));
+    other.apply(START, engines(vec![engine(0)]));
+    other.send(START, ask(1, START, Repeat::Stream, 1));
+    own.hear(START, other.digest(START));
+    assert_eq!(work_at_the_engine(&mut own, 1), 1);
+    let members = (0..=group::MAX_SIZE as u16).map(|index| member::Member {
+        name: name(&format!("m{index}")),
+        domain: name(if index % 2 == 0 { "a" } else { "b" }),
+        address: net::SocketAddr::from(([127, 0, 0, 2], 20_000 + index)),
+    });
+    own.state.peers.list(START, members);
+    own.apply(START, event::Event::Tick);
+    assert_eq!(own.state.peers.all().count(), 0);
+    assert_eq!(work_at_the_engine(&mut own, 2), 0);
+}
+
+/// Returns the requests of all at the engine that a request of this id is sent to.
+fn work_at_the_engine(instance: &mut Instance, id: u64) -> u32 {
+    let arrived = event::Event::Arrived(ask(id, START, Repeat::Stream, 1));
+    let effects = instance.apply(START, arrived);
+    let running = effects.iter().find_map(|effect| match effect {
+        effect::Effect::Send { dispatch, .. } => Some(dispatch.choice.running),
+        _ => None,
+    });
+    instance.signal(START, id, event::Signal::Whole { status: 200 });
+    running.unwrap()
+}
+
 /// A crash that one instance saw blocks the request at all others in time.
 #[test]
 fn crashes_are_known_everywhere() {
