--- a/crates/core/tests/relay_fleet.rs
+++ b/crates/core/tests/relay_fleet.rs
@@ -257,6 +257,30 @@
     assert!(f64::from(hot) >= 0.9 * owed, "{hot} {owed}");
 }
 
+/// What either side of a cut used of a cap in the meantime is charged to the other once it has healed.
+#[test]
+fn cap_is_kept_around_a_cut_of_a_domain() {
+    let rate = 8_000.0;
+    let mut fleet = met(140, 2, BAD);
+    fleet.apply_all(&manifest(2, rate, None));
+    let (mut ids, mut admitted) = (0, Vec::new());
+    for step in 0..(20_000 / STEP) {
+        fleet.cut((40..160).contains(&step).then_some(1));
+        fleet.play();
+        let callers = (6.0 * rate / 100.0 / 1_000.0 * STEP as f64) as u64;
+        let units = (0..callers).map(|_| {
+            ids += 1;
+            offer(&mut fleet, ids)
+        });
+        admitted.push(units.sum::<u32>());
+    }
+    let window = (8_000 / STEP) as usize;
+    let sums = admitted.windows(window).map(|w| w.iter().sum::<u32>());
+    let most = sums.max().unwrap();
+    let allowed = (8.0 * rate + rate) * 1.1;
+    assert!(f64::from(most) <= allowed, "{most} {allowed}");
+}
+
 /// What a workspace with few callers sends within its cap is not refused.
 #[rstest]
 #[case::grown(75, 3)]
