Log the fingerprint of a request, and each crash that is counted

When a caller complained that one request was sent on after engines had crashed under it, no line told which attempts carried that request, nor that a crash was counted, nor how many were known. The lines sent and refused bear the fingerprint now, and a line tells of each crash that is counted. Nothing else is changed.

--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -38,6 +38,15 @@
         /// What it showed.
         sign: fleet::Sign,
     },
+    /// An engine is taken to have crashed under a request.
+    Crashed {
+        /// The engine.
+        engine: name::Name,
+        /// Fingerprint of the request.
+        fingerprint: u64,
+        /// Crashes under it that this instance knows of, this one included.
+        known: usize,
+    },
     /// An engine has come into use.
     Started(name::Name),
     /// An engine gets no new work.
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -167,9 +167,16 @@
 fn broken(state: &mut state::State, now: time::Time, request: u64, unanswered: bool) {
     may_have_run(state, now, request);
     end(state, now, request, fleet::Sign::Broke);
-    let fingerprint = state.flights.get(&request).map(|f| f.ask.fingerprint);
+    let flight = state.flights.get(&request);
+    let engine = flight.and_then(|f| f.tried.last().cloned());
+    let fingerprint = flight.map(|f| f.ask.fingerprint);
     if let Some(fingerprint) = fingerprint.filter(|_| unanswered) {
         state.suspects.crashed(now, fingerprint);
+        state.out.push(effect::Effect::Crashed {
+            engine: engine.unwrap_or_default(),
+            fingerprint,
+            known: state.suspects.known(now, fingerprint) as usize,
+        });
         if state.suspects.is_blocked(now, fingerprint) {
             return close::give_up(state, now, request, refusal::Code::UpstreamFailed, None);
         }
--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -58,11 +58,15 @@
 
     /// Tells whether a request is not to be sent.
     pub fn is_blocked(&self, now: time::Time, fingerprint: u64) -> bool {
+        self.known(now, fingerprint) >= LIMIT
+    }
+
+    /// Returns how many crashes under a request are known.
+    pub fn known(&self, now: time::Time, fingerprint: u64) -> u32 {
         let own = self.own.get(&fingerprint).into_iter();
         let others = self.others.get(&fingerprint).into_iter();
         let all = own.chain(others.flat_map(|by| by.values()));
-        let crashes: u32 = all.filter(|e| e.expiry > now).map(|e| e.crashes).sum();
-        crashes >= LIMIT
+        all.filter(|e| e.expiry > now).map(|e| e.crashes).sum()
     }
 
     /// Takes over what another instance has seen.
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -27,7 +27,7 @@
     };
     log::info!(id:% = ask.trace, reason = refusal.code.as_str(),
         verdict = refusal.verdict.as_str(), workspace:% = workspace, route:% = ask.route.name,
-        service:% = ask.service, engines = ground.engines, sent = ground.sent,
+        service:% = ask.service, print:% = print(ask), engines = ground.engines, sent = ground.sent,
         expected_ms = ground.expected.map_or(0, |e| e.as_millis() as u64),
         cap_part = ground.part, units = ask.units,
         return_ms = refusal.retry_at.map_or(0, |at| now.until(at).as_millis() as u64),
@@ -40,12 +40,17 @@
     let choice = &dispatch.choice;
     log::info!(id:% = ask.trace, route:% = ask.route.name, service:% = ask.service,
         workspace:% = ask.workspace.clone().unwrap_or_default(),
-        engine:% = choice.engine, attempt = dispatch.number, prompt = ask.prompt,
+        print:% = print(ask), engine:% = choice.engine, attempt = dispatch.number, prompt = ask.prompt,
         left_ms = clock::now().until(ask.deadline).as_millis() as u64,
         expected_ms = choice.expected.as_millis() as u64, ahead = choice.ahead,
         fresh = choice.fresh, running = choice.running; "sent");
 }
 
+/// Returns the fingerprint of a request, by which it is known at all instances.
+fn print(ask: &ask::Ask) -> String {
+    format!("{:016x}", ask.fingerprint)
+}
+
 /// Logs and counts the end of an attempt.
 pub(crate) fn ended(
     shell: &shell::Shell,
--- a/crates/relay/tests/log_lines.rs
+++ b/crates/relay/tests/log_lines.rs
@@ -9,7 +9,7 @@
 use support::script::Reply;
 use support::{Engine, Relay, events, lines, request, whole};
 
-const SENT: [&str; 12] = [
+const SENT: [&str; 13] = [
     "ahead",
     "attempt",
     "engine",
@@ -17,18 +17,20 @@
     "fresh",
     "id",
     "left_ms",
+    "print",
     "prompt",
     "route",
     "running",
     "service",
     "workspace",
 ];
-const REFUSED: [&str; 14] = [
+const REFUSED: [&str; 15] = [
     "after_ms",
     "cap_part",
     "engines",
     "expected_ms",
     "id",
+    "print",
     "reason",
     "return_ms",
     "route",
@@ -65,6 +67,7 @@
         assert_eq!(line.number("prompt"), 700.0);
         assert_eq!(line.number("fresh"), 700.0);
         assert!(line.number("left_ms") <= 9_000.0);
+        assert_eq!(line.text("print").len(), 16);
     });
 }
 
