--- a/crates/core/tests/relay_support/fleet.rs
+++ b/crates/core/tests/relay_support/fleet.rs
@@ -167,6 +167,17 @@
         }
     }
 
+    /// Starts one instance anew; it has the list of all.
+    pub fn restart_one(&mut self, index: usize) {
+        self.incarnation += 1;
+        let members: Vec<_> = (0..self.size()).map(|other| self.member(other)).collect();
+        let mut instance = self.build(index);
+        instance.state.peers.list(self.now(), members);
+        let node = &mut self.nodes[index];
+        node.instance = instance;
+        node.positions = vec![digest::Position::default()];
+    }
+
     /// Cuts a failure domain off from the others, or none.
     pub fn cut(&mut self, domain: Option<usize>) {
         self.cut = domain.map(|number| name::Name::from(format!("d{number}")));
--- a/crates/core/tests/relay_support/mod.rs
+++ b/crates/core/tests/relay_support/mod.rs
@@ -1,6 +1,7 @@
 //! Builders for the tests of `core::relay`.
 #![allow(dead_code)]
 
+pub mod engines;
 pub mod fleet;
 
 use std::sync;
