Remember which engines ended under a request, not who saw a break

Cause: what was counted was a broken channel before any byte of an answer, by the instance that saw it. So an end after the head or in silence never counted; an engine that lives and resets channels did; a restart began again at one, which others took for old news; a failure of an engine cleared the count; and it was asked at arrivals only, for 60 s.

Now an end is one incarnation of an engine, shown by the list (gone without a word, or started anew) or by silence after all its channels broke, while other engines answer. Sets of ends merge by union, any instance tells them, an answer excuses a request everywhere, and each placement asks. Those with most ends are kept and told first, the others by turns, for ten minutes.

Replaced: request_that_crashes_engines_is_blocked_everywhere let three channels break with no engine ended; three engines end in it now.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -7,6 +7,7 @@
 pub mod account;
 pub mod allowance;
 pub mod ask;
+pub mod breaks;
 pub mod budget;
 pub mod caps;
 pub mod catch_up;
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -53,13 +53,17 @@
     pub pair: rollouts::Pair,
 }
 
-/// Engines that crashed under one request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Crash {
+/// Engines that ended under one request, by hashes of name and incarnation.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Suspect {
     /// Hash of method, path, caller and body.
     pub fingerprint: u64,
-    /// Crashes that the sender has seen.
-    pub crashes: u32,
+    /// Ends that count against it.
+    pub ends: Vec<u64>,
+    /// Ends that do not, since an engine has answered it.
+    pub excused: Vec<u64>,
+    /// How long this is to be remembered, in milliseconds.
+    pub left: u64,
 }
 
 /// How far an instance has read one kind of object.
@@ -88,8 +92,8 @@
     pub counts: Vec<census::Count>,
     /// Answers of the versions of services that are moved.
     pub trials: Vec<Trial>,
-    /// Requests under which engines crashed.
-    pub crashes: Vec<Crash>,
+    /// Requests under which engines ended.
+    pub suspects: Vec<Suspect>,
     /// Addresses of some instances that it hears from.
     pub members: Vec<net::SocketAddr>,
 }
--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -38,13 +38,13 @@
         /// What it showed.
         sign: fleet::Sign,
     },
-    /// An engine is taken to have crashed under a request.
-    Crashed {
+    /// An engine has ended while it worked on a request.
+    Ended {
         /// The engine.
         engine: name::Name,
         /// Fingerprint of the request.
         fingerprint: u64,
-        /// Crashes under it that this instance knows of, this one included.
+        /// Engines that ended under it and count, as far as this instance knows.
         known: usize,
     },
     /// An engine has come into use.
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -39,6 +39,28 @@
     pub started: Vec<name::Name>,
     /// Engines that take no new work from now on.
     pub left: Vec<name::Name>,
+    /// Engines that have ended without a word.
+    pub ended: Vec<Ended>,
+}
+
+/// An engine that has ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Ended {
+    /// Its name.
+    pub name: name::Name,
+    /// Its start.
+    pub incarnation: u64,
+}
+
+/// How an engine stands in the list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// It is there.
+    Listed,
+    /// It has said that it leaves.
+    Leaving,
+    /// It is missing, or another incarnation is there.
+    Gone,
 }
 
 impl Fleet {
@@ -72,6 +94,9 @@
                 continue;
             }
             tracked.gone = Some(vanish.unwrap_or(now).max(now));
+            if vanish.is_none() {
+                change.ended.extend(tracked.ended());
+            }
             change.left.push(name.clone());
         }
         self.sweep(now);
@@ -84,7 +109,9 @@
         if let (0, Some(known)) = (engine.incarnation, &known) {
             engine.incarnation = known.engine.incarnation;
         }
+        let former = known.as_ref().and_then(|t| t.ended());
         let Some(tracked) = known.filter(|t| t.engine.incarnation >= engine.incarnation) else {
+            change.ended.extend(former);
             let is_leaving = engine.leaving;
             self.engines
                 .insert(name.clone(), tracked::Tracked::new(engine));
@@ -148,6 +175,16 @@
         self.engines.values().map(|t| &t.engine)
     }
 
+    /// Returns how the engine of an attempt stands.
+    pub fn standing(&self, now: time::Time, choice: &Choice) -> Standing {
+        let tracked = self.engines.get(&choice.engine);
+        match tracked.filter(|t| t.engine.incarnation == choice.incarnation) {
+            Some(tracked) if tracked.engine.leaving => Standing::Leaving,
+            Some(tracked) if tracked.is_open(now) => Standing::Listed,
+            _ => Standing::Gone,
+        }
+    }
+
     /// Tells whether a service has an engine of a version that may get new work.
     pub fn has_version(&self, now: time::Time, service: &name::Name, version: &name::Name) -> bool {
         let mut open = self.open(now);
@@ -258,6 +295,11 @@
 }
 
 impl Sign {
+    /// Tells whether the engine has answered.
+    pub const fn is_answer(self) -> bool {
+        matches!(self, Self::Good | Self::Bad | Self::Full)
+    }
+
     /// Tells whether the engine is avoided for a while.
     pub const fn avoids(self) -> bool {
         matches!(self, Self::Silent | Self::Unreachable | Self::Moved)
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod close;
+mod ending;
 
 use std::time::Duration;
 
@@ -63,10 +64,6 @@
 
 fn arrive(state: &mut state::State, now: time::Time, ask: ask::Ask) {
     let request = ask.id;
-    if state.suspects.is_blocked(now, ask.fingerprint) {
-        let refusal = close::not_run(refusal::Code::Suspect, None);
-        return close::refuse(state, request, refusal, close::ground(state, now, &ask, 0));
-    }
     if let Some(workspace) = &ask.workspace {
         state.caps.divide(now, state.peers.part(now));
         if let Err(fits) = state.caps.take(now, workspace, ask.units) {
@@ -98,6 +95,9 @@
         return;
     };
     let ask = &flight.ask;
+    if state.suspects.is_blocked(now, ask.fingerprint) {
+        return close::give_up(state, now, request, refusal::Code::Suspect, None);
+    }
     if now.after(MIN_LEFT) >= ask.deadline {
         return close::give_up(state, now, request, refusal::Code::Deadline, None);
     }
@@ -229,6 +229,9 @@
 fn engines(state: &mut state::State, now: time::Time, list: Vec<engine::Engine>) {
     let kept = state.outage.kept_until(now, &state.settings);
     let change = state.fleet.replace(now, list, kept);
+    for ended in &change.ended {
+        ending::ended(state, now, &ended.name, ended.incarnation);
+    }
     let started = change.started.into_iter().map(effect::Effect::Started);
     let left = change.left.into_iter().map(effect::Effect::Left);
     state.out.extend(started.chain(left));
@@ -263,7 +266,7 @@
     state.tallies.learn(&digest.tally());
     state.fleet.hear(&sender, &digest.loads);
     state.rollouts.hear(&sender, &digest.trials);
-    state.suspects.hear(now, &sender, &digest.crashes);
+    state.suspects.hear(now, &digest.suspects);
     learn_levels(state, now, &digest.pulse.spent);
     let charges = state.peers.hear(now, digest).unwrap_or_default();
     charge(state, now, charges);
@@ -288,13 +291,7 @@
 }
 
 fn sum_up(state: &mut state::State, now: time::Time, summary: summary::Summary) {
-    for sighting in &summary.crashes {
-        if sighting.instance != state.own.name {
-            state
-                .suspects
-                .hear(now, &sighting.instance, &[sighting.crash]);
-        }
-    }
+    state.suspects.hear(now, &summary.suspects);
     learn_levels(state, now, &summary.sum.spent);
     for charge in state.peers.sum_up(now, summary) {
         state.caps.charge(now, &charge.workspace, charge.units);
@@ -326,6 +323,7 @@
 }
 
 fn tick(state: &mut state::State, now: time::Time) {
+    ending::settle(state, now);
     for name in state.peers.sweep(now) {
         state.fleet.hear(&name, &[]);
         state.out.push(effect::Effect::Lost(name));
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use super::close;
+use super::ending;
 use crate::refusal;
+use crate::relay::breaks;
 use crate::relay::effect;
 use crate::relay::event;
 use crate::relay::fleet;
@@ -28,14 +30,20 @@
         event::Signal::Whole { status } => whole(state, now, request, status),
         event::Signal::NotRun { status, wait } => refused(state, now, request, status, wait),
         event::Signal::Unsent => unsent(state, now, request),
-        event::Signal::Broken { unanswered } => broken(state, now, request, unanswered),
+        event::Signal::Broken { .. } => {
+            may_have_run(state, now, request);
+            ending::note(state, now, request, breaks::Symptom::Broken);
+            end(state, now, request, fleet::Sign::Broke);
+            again(state, now, request, refusal::Code::UpstreamFailed);
+        }
         event::Signal::Stalled => {
             may_have_run(state, now, request);
+            ending::note(state, now, request, breaks::Symptom::Silent);
             end(state, now, request, fleet::Sign::Silent);
             again(state, now, request, refusal::Code::UpstreamFailed);
         }
         event::Signal::Expired => expired(state, now, request),
-        event::Signal::Abandoned => abandoned(state, request),
+        event::Signal::Abandoned => abandoned(state, now, request),
     }
 }
 
@@ -63,6 +71,7 @@
         return;
     };
     running.first = true;
+    state.breaks.answered(&running.choice, running.began);
     let took = running.began.until(now);
     let (service, choice) = (&flight.ask.service, &running.choice);
     let (route, version) = (&flight.ask.route.name, &choice.version);
@@ -136,7 +145,9 @@
         if let Some(held) = held.filter(|_| is_good) {
             state.fleet.held(&service, held);
         }
-        state.suspects.cleared(fingerprint);
+        if is_good {
+            state.suspects.answered(fingerprint);
+        }
     }
     end(state, now, request, sign);
     state.flights.remove(&request);
@@ -164,26 +175,6 @@
     again(state, now, request, refusal::Code::Overloaded);
 }
 
-fn broken(state: &mut state::State, now: time::Time, request: u64, unanswered: bool) {
-    may_have_run(state, now, request);
-    end(state, now, request, fleet::Sign::Broke);
-    let flight = state.flights.get(&request);
-    let engine = flight.and_then(|f| f.tried.last().cloned());
-    let fingerprint = flight.map(|f| f.ask.fingerprint);
-    if let Some(fingerprint) = fingerprint.filter(|_| unanswered) {
-        state.suspects.crashed(now, fingerprint);
-        state.out.push(effect::Effect::Crashed {
-            engine: engine.unwrap_or_default(),
-            fingerprint,
-            known: state.suspects.known(now, fingerprint) as usize,
-        });
-        if state.suspects.is_blocked(now, fingerprint) {
-            return close::give_up(state, now, request, refusal::Code::UpstreamFailed, None);
-        }
-    }
-    again(state, now, request, refusal::Code::UpstreamFailed);
-}
-
 /// Sends a request to another engine if that is allowed, or gives the final answer.
 fn again(state: &mut state::State, now: time::Time, request: u64, code: refusal::Code) {
     let Some(flight) = state.flights.get(&request) else {
@@ -213,6 +204,7 @@
 
 fn expired(state: &mut state::State, now: time::Time, request: u64) {
     may_have_run(state, now, request);
+    ending::note(state, now, request, breaks::Symptom::Silent);
     let began = state
         .flights
         .get(&request)
@@ -227,7 +219,8 @@
     close::give_up(state, now, request, refusal::Code::Deadline, None);
 }
 
-fn abandoned(state: &mut state::State, request: u64) {
+fn abandoned(state: &mut state::State, now: time::Time, request: u64) {
+    ending::note(state, now, request, breaks::Symptom::Silent);
     if let Some(flight) = state.flights.remove(&request)
         && let Some(running) = flight.running
     {
@@ -254,6 +247,9 @@
         }
         state.fleet.end(&running.choice, running.first);
         state.fleet.judge(now, &running.choice, sign);
+        if sign.is_answer() {
+            state.breaks.answered(&running.choice, running.began);
+        }
         if sign.avoids() {
             state.out.push(effect::Effect::Avoided {
                 engine: running.choice.engine,
--- /dev/null
+++ b/crates/core/src/relay/reduce/ending.rs
@@ -0,0 +1,78 @@
+//! Engines that end while they work on requests.
+
+use crate::name;
+use crate::relay::breaks;
+use crate::relay::effect;
+use crate::relay::fleet;
+use crate::relay::state;
+use crate::time;
+
+/// Notes that the attempt under way ends without a whole answer.
+pub(super) fn note(
+    state: &mut state::State,
+    now: time::Time,
+    request: u64,
+    symptom: breaks::Symptom,
+) {
+    let Some(flight) = state.flights.get(&request) else {
+        return;
+    };
+    let Some(running) = &flight.running else {
+        return;
+    };
+    let choice = &running.choice;
+    let noted = breaks::Break {
+        fingerprint: flight.ask.fingerprint,
+        engine: choice.engine.clone(),
+        incarnation: choice.incarnation,
+        symptom,
+        at: now,
+    };
+    match state.fleet.standing(now, choice) {
+        fleet::Standing::Listed => state.breaks.note(noted),
+        fleet::Standing::Gone => suspect(state, now, noted),
+        // What runs there ends with it, as was said before.
+        fleet::Standing::Leaving => {}
+    }
+}
+
+/// Counts the end of an engine against what it worked on.
+pub(super) fn ended(
+    state: &mut state::State,
+    now: time::Time,
+    engine: &name::Name,
+    incarnation: u64,
+) {
+    for ended in state.breaks.ended(engine, incarnation) {
+        suspect(state, now, ended);
+    }
+}
+
+/// Judges engines that have said nothing since their channels broke.
+pub(super) fn settle(state: &mut state::State, now: time::Time) {
+    if state.breaks.is_empty() {
+        return;
+    }
+    let flights = &state.flights;
+    let is_busy = |at: &breaks::Break| {
+        let mut running = flights.values().filter_map(|f| f.running.as_ref());
+        running.any(|r| {
+            let is_there = r.choice.engine == at.engine && r.choice.incarnation == at.incarnation;
+            is_there && r.began < at.at
+        })
+    };
+    for ended in state.breaks.settle(now, is_busy) {
+        suspect(state, now, ended);
+    }
+}
+
+fn suspect(state: &mut state::State, now: time::Time, ended: breaks::Break) {
+    let (fingerprint, incarnation) = (ended.fingerprint, ended.incarnation);
+    let suspects = &mut state.suspects;
+    let known = suspects.ended(now, fingerprint, &ended.engine, incarnation);
+    state.out.push(effect::Effect::Ended {
+        engine: ended.engine,
+        fingerprint,
+        known,
+    });
+}
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -6,6 +6,7 @@
 use std::net;
 use std::sync;
 
+use super::breaks;
 use super::budget;
 use super::caps;
 use super::clock;
@@ -65,7 +66,9 @@
     pub clock: clock::Clock,
     /// Other instances.
     pub peers: peers::Peers,
-    /// Requests under which engines crash.
+    /// Attempts that may have ended with their engine.
+    pub breaks: breaks::Breaks,
+    /// Requests under which engines ended.
     pub suspects: suspects::Suspects,
     /// Requests in progress.
     pub flights: collections::HashMap<u64, flight::Flight>,
@@ -103,6 +106,7 @@
             budget: budget::Budget::default(),
             rollouts: rollouts::Rollouts::default(),
             clock,
+            breaks: breaks::Breaks::default(),
             suspects: suspects::Suspects::default(),
             flights: collections::HashMap::new(),
             leaving: false,
--- a/crates/core/src/relay/state/telling.rs
+++ b/crates/core/src/relay/state/telling.rs
@@ -53,7 +53,7 @@
             work: work.collect(),
             counts: self.tallies.own(TOLD_WINDOWS),
             trials: self.rollouts.told(),
-            crashes: self.suspects.told(),
+            suspects: self.suspects.told(now),
             members: self.peers.told(now),
         }
     }
@@ -128,7 +128,7 @@
             feeders: own_fed.into_iter().chain(self.peers.feeders(now)).collect(),
             candidates: self.peers.near_candidates(now, self.leaving),
             routes: vec![route],
-            ..self.empty_summary()
+            ..self.empty_summary(now)
         }
     }
 
@@ -148,11 +148,11 @@
             feeders: feeders.into_iter().collect(),
             candidates: candidates.into_iter().take(CANDIDATES).collect(),
             routes: groups.routes(now).collect(),
-            ..self.empty_summary()
+            ..self.empty_summary(now)
         }
     }
 
-    fn empty_summary(&self) -> summary::Summary {
+    fn empty_summary(&self, now: time::Time) -> summary::Summary {
         summary::Summary {
             sender: self.own.name.clone(),
             incarnation: self.own.incarnation,
@@ -164,7 +164,7 @@
             feeders: Vec::new(),
             candidates: Vec::new(),
             routes: Vec::new(),
-            crashes: self.suspects.sightings(&self.own.name),
+            suspects: self.suspects.told(now),
         }
     }
 
--- a/crates/core/src/relay/summary.rs
+++ b/crates/core/src/relay/summary.rs
@@ -30,15 +30,6 @@
     pub silent: u64,
 }
 
-/// Crashes under one request, by who saw them.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Sighting {
-    /// The instance that saw them.
-    pub instance: name::Name,
-    /// What it saw.
-    pub crash: digest::Crash,
-}
-
 /// One delegate's view of several instances.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Summary {
@@ -62,8 +53,8 @@
     pub candidates: Vec<member::Member>,
     /// The groups that this is about.
     pub routes: Vec<Route>,
-    /// Crashes that the sender knows of.
-    pub crashes: Vec<Sighting>,
+    /// Requests under which engines ended.
+    pub suspects: Vec<digest::Suspect>,
 }
 
 impl Summary {
--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -1,132 +1,177 @@
-//! Requests under which engines crash.
+//! Requests under which engines ended, as all instances know them.
+//!
+//! An end is one incarnation of an engine. What is known merges by union, so any instance may tell
+//! it on, and neither a repeat nor the restart of the one that saw it changes anything.
 
 use std::collections;
 use std::time::Duration;
 
 use super::digest;
-use super::summary;
 use crate::name;
 use crate::time;
 
-/// Crashes at which a request is not sent any more.
-const LIMIT: u32 = 3;
-/// How long a crash is remembered.
-const MEMORY: Duration = Duration::from_secs(60);
+/// Engines that may end under a request before it is not sent any more.
+const LIMIT: usize = 3;
+/// How long an end is remembered.
+const MEMORY: Duration = Duration::from_secs(600);
+/// By how much a time that is told must be later than the own one to replace it. What instances
+/// tell each other in turns would else never expire.
+const SKEW: Duration = Duration::from_secs(5);
 /// Requests that are remembered.
 const MAX_ENTRIES: usize = 256;
-/// Requests that one digest tells.
-const MAX_TOLD: usize = 16;
+/// Ends of each kind that are remembered for one request.
+const MAX_ENDS: usize = 8;
+/// Requests answered last that are remembered.
+const MAX_ANSWERED: usize = 256;
+/// Requests with most ends that one message tells.
+const MAX_WORST: usize = 16;
+/// Other requests that one message tells, by turns.
+const MAX_OTHERS: usize = 16;
 
-/// Crashes by the fingerprint of the request.
+/// Requests under which engines ended.
 ///
-/// A whole answer clears a request, so that one which many callers send alike is not blocked by
-/// crashes that it has not caused.
+/// An answer excuses a request from the ends before it, at all instances: a popular one runs at most
+/// engines that end, and is not the cause.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
-    own: collections::HashMap<u64, Entry>,
-    others: collections::HashMap<u64, collections::BTreeMap<name::Name, Entry>>,
+    entries: collections::HashMap<u64, Entry>,
+    answered: collections::VecDeque<u64>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Entry {
-    crashes: u32,
+    ends: collections::BTreeSet<u64>,
+    excused: collections::BTreeSet<u64>,
     expiry: time::Time,
 }
 
 impl Suspects {
-    /// Notes that an engine crashed under a request.
-    pub fn crashed(&mut self, now: time::Time, fingerprint: u64) {
-        if self.own.len() >= MAX_ENTRIES {
-            self.sweep(now);
-        }
-        if self.own.len() >= MAX_ENTRIES && !self.own.contains_key(&fingerprint) {
-            return;
-        }
-        let entry = self.own.entry(fingerprint).or_insert(Entry {
-            crashes: 0,
-            expiry: now,
-        });
-        entry.crashes += 1;
-        entry.expiry = now.after(MEMORY);
+    /// Notes that an engine ended under a request; returns how many have, as far as is known.
+    pub fn ended(
+        &mut self,
+        now: time::Time,
+        fingerprint: u64,
+        engine: &name::Name,
+        incarnation: u64,
+    ) -> usize {
+        let end = twox_hash::XxHash64::oneshot(incarnation, engine.as_bytes());
+        self.learn(
+            now,
+            &digest::Suspect {
+                fingerprint,
+                ends: vec![end],
+                excused: Vec::new(),
+                left: MEMORY.as_millis() as u64,
+            },
+        );
+        self.entries.get(&fingerprint).map_or(0, |e| e.ends.len())
     }
 
-    /// Notes that a request was answered whole.
-    pub fn cleared(&mut self, fingerprint: u64) {
-        self.own.remove(&fingerprint);
-        self.others.remove(&fingerprint);
+    /// Notes that an engine answered a request.
+    pub fn answered(&mut self, fingerprint: u64) {
+        if self.answered.len() >= MAX_ANSWERED {
+            self.answered.pop_front();
+        }
+        self.answered.push_back(fingerprint);
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.excuse();
+        }
     }
 
     /// Tells whether a request is not to be sent.
     pub fn is_blocked(&self, now: time::Time, fingerprint: u64) -> bool {
-        self.known(now, fingerprint) >= LIMIT
+        let entry = self.entries.get(&fingerprint);
+        entry.is_some_and(|e| e.expiry > now && e.ends.len() >= LIMIT)
     }
 
-    /// Returns how many crashes under a request are known.
-    pub fn known(&self, now: time::Time, fingerprint: u64) -> u32 {
-        let own = self.own.get(&fingerprint).into_iter();
-        let others = self.others.get(&fingerprint).into_iter();
-        let all = own.chain(others.flat_map(|by| by.values()));
-        all.filter(|e| e.expiry > now).map(|e| e.crashes).sum()
+    /// Takes over what another instance knows.
+    pub fn hear(&mut self, now: time::Time, told: &[digest::Suspect]) {
+        for suspect in told.iter().take(MAX_WORST + MAX_OTHERS) {
+            self.learn(now, suspect);
+        }
     }
 
-    /// Takes over what another instance has seen.
-    pub fn hear(&mut self, now: time::Time, from: &name::Name, crashes: &[digest::Crash]) {
-        for crash in crashes.iter().take(MAX_TOLD) {
-            if self.others.len() >= MAX_ENTRIES && !self.others.contains_key(&crash.fingerprint) {
-                self.sweep(now);
-                continue;
-            }
-            let by = self.others.entry(crash.fingerprint).or_default();
-            let known = by.get(from).map_or(0, |e| e.crashes);
-            if crash.crashes > known {
-                let entry = Entry {
-                    crashes: crash.crashes,
-                    expiry: now.after(MEMORY),
-                };
-                by.insert(from.clone(), entry);
-            }
+    fn learn(&mut self, now: time::Time, told: &digest::Suspect) {
+        let left = Duration::from_millis(told.left).min(MEMORY);
+        if left <= SKEW {
+            return;
+        }
+        let is_known = self.entries.contains_key(&told.fingerprint);
+        if !is_known && self.entries.len() >= MAX_ENTRIES {
+            self.make_room(now);
+        }
+        let entry = self.entries.entry(told.fingerprint).or_default();
+        entry.merge(told);
+        let expiry = now.after(left);
+        if !is_known || expiry > entry.expiry.after(SKEW) {
+            entry.expiry = expiry;
+        }
+        if self.answered.contains(&told.fingerprint) {
+            entry.excuse();
         }
     }
 
-    /// Returns what to tell: the newest crashes.
-    pub fn told(&self) -> Vec<digest::Crash> {
-        let mut all: Vec<_> = self.own.iter().collect();
-        all.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.expiry));
-        let newest = all.into_iter().take(MAX_TOLD);
-        newest
-            .map(|(fingerprint, entry)| digest::Crash {
-                fingerprint: *fingerprint,
-                crashes: entry.crashes,
-            })
+    /// Returns what to tell: the requests under which most engines ended, and the others by turns.
+    pub fn told(&self, now: time::Time) -> Vec<digest::Suspect> {
+        let live = self.entries.iter().filter(|(_, entry)| entry.expiry > now);
+        let mut all: Vec<_> = live.collect();
+        all.sort_by_key(|(print, entry)| (std::cmp::Reverse(entry.ends.len()), **print));
+        let others = all.split_off(all.len().min(MAX_WORST));
+        let turn = match others.len() {
+            0 => 0,
+            count => draw(now) % count,
+        };
+        let turns = others.iter().cycle().skip(turn);
+        let others = turns.take(others.len().min(MAX_OTHERS));
+        let told = all.iter().chain(others);
+        told.map(|(print, entry)| entry.tell(now, **print))
             .collect()
     }
 
-    /// Returns what to tell other groups: the newest crashes, by who saw them; `own` saw its own.
-    pub fn sightings(&self, own: &name::Name) -> Vec<summary::Sighting> {
-        let mine = self.own.iter().map(|(print, entry)| (own, *print, entry));
-        let others = self.others.iter().flat_map(|(print, by)| {
-            let seen = by.iter();
-            seen.map(|(instance, entry)| (instance, *print, entry))
-        });
-        let mut all: Vec<_> = mine.chain(others).collect();
-        all.sort_by_key(|(_, _, entry)| std::cmp::Reverse(entry.expiry));
-        let newest = all.into_iter().take(MAX_TOLD);
-        newest
-            .map(|(instance, fingerprint, entry)| summary::Sighting {
-                instance: instance.clone(),
-                crash: digest::Crash {
-                    fingerprint,
-                    crashes: entry.crashes,
-                },
-            })
-            .collect()
+    /// Forgets what has expired, else the request with the fewest ends.
+    fn make_room(&mut self, now: time::Time) {
+        self.entries.retain(|_, entry| entry.expiry > now);
+        if self.entries.len() < MAX_ENTRIES {
+            return;
+        }
+        let all = self.entries.iter();
+        let least = all.min_by_key(|(_, entry)| (entry.ends.len(), entry.expiry));
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.entries.remove(&fingerprint);
+        }
+    }
+}
+
+impl Entry {
+    fn merge(&mut self, told: &digest::Suspect) {
+        add(&mut self.excused, told.excused.iter().copied());
+        let ends = told.ends.iter().copied();
+        let excused = &self.excused;
+        add(&mut self.ends, ends.filter(|end| !excused.contains(end)));
+        self.ends.retain(|end| !excused.contains(end));
+    }
+
+    fn excuse(&mut self) {
+        let ends = std::mem::take(&mut self.ends);
+        add(&mut self.excused, ends.into_iter());
     }
 
-    fn sweep(&mut self, now: time::Time) {
-        self.own.retain(|_, entry| entry.expiry > now);
-        self.others.retain(|_, by| {
-            by.retain(|_, entry| entry.expiry > now);
-            !by.is_empty()
-        });
+    fn tell(&self, now: time::Time, fingerprint: u64) -> digest::Suspect {
+        digest::Suspect {
+            fingerprint,
+            ends: self.ends.iter().copied().collect(),
+            excused: self.excused.iter().copied().collect(),
+            left: now.until(self.expiry).as_millis() as u64,
+        }
     }
 }
+
+fn add(set: &mut collections::BTreeSet<u64>, ends: impl Iterator<Item = u64>) {
+    let room = MAX_ENDS.saturating_sub(set.len());
+    set.extend(ends.take(room));
+}
+
+/// Returns a number that changes from one round of messages to the next.
+fn draw(now: time::Time) -> usize {
+    twox_hash::XxHash64::oneshot(now.as_micros(), &[]) as usize
+}
--- a/crates/core/src/relay/tracked.rs
+++ b/crates/core/src/relay/tracked.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::engine;
+use super::fleet;
 use crate::name;
 use crate::time;
 
@@ -121,6 +122,14 @@
         !self.engine.leaving && self.gone.is_none_or(|at| now < at)
     }
 
+    /// Returns this engine as one that has ended, if it had not said that it leaves.
+    pub fn ended(&self) -> Option<fleet::Ended> {
+        (!self.engine.leaving).then(|| fleet::Ended {
+            name: self.engine.name.clone(),
+            incarnation: self.engine.incarnation,
+        })
+    }
+
     /// Tells whether nothing speaks against it at the moment.
     pub fn is_sound(&self, now: time::Time) -> bool {
         now >= self.paused && now >= self.silent
--- a/crates/core/tests/relay_fleet.rs
+++ b/crates/core/tests/relay_fleet.rs
@@ -337,13 +337,15 @@
     running.unwrap()
 }
 
-/// A crash that one instance saw blocks the request at all others in time.
+/// Ends of engines that three instances saw block the request at all others in time.
 #[test]
 fn crashes_are_known_everywhere() {
     let mut fleet = met(295, 5, BAD);
     let now = fleet.now();
     for index in [3, 50, 290] {
-        fleet.instance(index).state.suspects.crashed(now, 77);
+        let engine = name(&format!("e{index}"));
+        let state = &mut fleet.instance(index).state;
+        state.suspects.ended(now, 77, &engine, 1);
     }
     fleet.play_for(Duration::from_secs(3));
     let now = fleet.now();
--- a/crates/core/tests/relay_reduce.rs
+++ b/crates/core/tests/relay_reduce.rs
@@ -359,24 +359,31 @@
     assert!(bad < 40, "{counts:?}");
 }
 
-/// A request that crashes engines is not sent any more after three crashes at any instances.
+/// A request is not sent any more after three engines have ended under it, at any instances.
 #[test]
 fn request_that_crashes_engines_is_blocked_everywhere() {
     let mut all: Vec<_> = (0..3).map(|i| Instance::serving(i, 6)).collect();
-    for (instance, id) in all.iter_mut().zip(0..) {
-        let mut killer = ask(id, START, Repeat::Stream, 1);
+    let mut list: Vec<_> = (0..6).map(engine).collect();
+    for index in 0..3 {
+        let id = index as u64;
+        let mut killer = ask(id, at(id), Repeat::Stream, 1);
         killer.fingerprint = 77;
-        instance.send(START, killer);
-        instance.signal(at(1), id, UNANSWERED);
+        let chosen = all[index].send(at(id), killer);
+        all[index].signal(at(id), id, UNANSWERED);
+        let ended = list.iter_mut().find(|e| e.name == chosen).unwrap();
+        ended.incarnation += 1;
+        for instance in &mut all {
+            instance.apply(at(id), engines(list.clone()));
+        }
     }
-    let digests: Vec<_> = all.iter().map(|i| i.digest(at(2))).collect();
+    let digests: Vec<_> = all.iter().map(|i| i.digest(at(4))).collect();
     for instance in &mut all {
         for digest in digests.iter().cloned() {
-            instance.hear(at(2), digest);
+            instance.hear(at(4), digest);
         }
-        let mut killer = ask(9, at(3), Repeat::Stream, 1);
+        let mut killer = ask(9, at(5), Repeat::Stream, 1);
         killer.fingerprint = 77;
-        let effects = instance.apply(at(3), event::Event::Arrived(killer));
+        let effects = instance.apply(at(5), event::Event::Arrived(killer));
         let refusal = refused(&effects).unwrap();
         assert_eq!(refusal.code, refusal::Code::Suspect);
         assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
--- a/crates/core/tests/relay_support/engines.rs
+++ b/crates/core/tests/relay_support/engines.rs
@@ -23,6 +23,9 @@
 /// Steps after which a caller leaves an engine that says nothing.
 const LEAVE: u64 = 20;
 
+/// Steps until callers reach an instance that has started.
+const READY: u64 = 10;
+
 /// How the end of an engine shows at the instances.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum End {
@@ -77,11 +80,20 @@
     works: Vec<Work>,
 }
 
+/// An engine began to run the crasher.
+#[derive(Clone, Copy, Debug)]
+pub struct Run {
+    /// Step.
+    pub at: u64,
+    /// Step at which the instance that sent it had started.
+    pub since: u64,
+}
+
 /// What came of it.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
-    /// Steps at which an engine began to run the crasher.
-    pub runs: Vec<u64>,
+    /// Steps at which an engine began to run the crasher, and since when its instance ran.
+    pub runs: Vec<Run>,
     /// Steps at which an engine ended.
     pub ends: Vec<u64>,
     /// Other requests that were refused as ones that crash engines.
@@ -97,7 +109,10 @@
         let Some(third) = self.ends.get(2) else {
             return 0;
         };
-        self.runs.iter().filter(|run| **run > third + steps).count()
+        self.runs
+            .iter()
+            .filter(|run| run.at > third + steps)
+            .count()
     }
 }
 
@@ -106,6 +121,8 @@
     plan: Plan,
     engines: Vec<Engine>,
     asks: collections::HashMap<(usize, u64), u64>,
+    /// Step at which each instance started.
+    starts: Vec<u64>,
     step: u64,
     last: u64,
     noise: u64,
@@ -124,6 +141,7 @@
             plan,
             engines: engines.collect(),
             asks: collections::HashMap::new(),
+            starts: vec![0; instances],
             step: 0,
             last: 0,
             noise: 1,
@@ -247,7 +265,7 @@
     fn arrive(&mut self, fingerprint: u64) {
         self.last += 1;
         let (now, id) = (self.fleet.now(), self.last);
-        let index = (self.draw() % self.fleet.size() as u64) as usize;
+        let index = self.ready();
         let ask = ask::Ask {
             fingerprint,
             ..super::ask(id, now, route::Repeat::ResumableStream, 2)
@@ -257,8 +275,19 @@
         self.perform(index, effects);
     }
 
+    /// Draws an instance that callers reach.
+    fn ready(&mut self) -> usize {
+        loop {
+            let index = (self.draw() % self.fleet.size() as u64) as usize;
+            if self.starts[index] == 0 || self.starts[index] + READY <= self.step {
+                return index;
+            }
+        }
+    }
+
     fn restart(&mut self, index: usize) {
         self.fleet.restart_one(index);
+        self.starts[index] = self.step;
         for engine in &mut self.engines {
             engine.works.retain(|work| work.instance != index);
         }
@@ -314,7 +343,9 @@
         if self.engines[index].ended.is_some() {
             work.due = self.step + LEAVE;
         } else if fingerprint == CRASHER {
-            self.outcome.runs.push(self.step);
+            let since = self.starts[instance];
+            let at = self.step;
+            self.outcome.runs.push(Run { at, since });
             work.due = self.step + FUSE;
         }
         self.engines[index].works.push(work);
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -160,13 +160,13 @@
             effect::Effect::Avoided { engine, sign } => {
                 log::info!(engine:% = engine, sign:? = sign; "engine avoided");
             }
-            effect::Effect::Crashed {
+            effect::Effect::Ended {
                 engine,
                 fingerprint,
                 known,
             } => {
                 log::warn!(engine:% = engine, print:% = format!("{fingerprint:016x}"),
-                    known = known; "engine crashed under a request");
+                    known = known; "engine ended under a request");
             }
             effect::Effect::Started(engine) => log::info!(engine:% = engine; "engine in use"),
             effect::Effect::Left(engine) => self.left(&engine),
