Know a request again by its caller, not by the caller's key

A caller that sent a request under which engines had ended once more, with another of its keys, had it sent on as if it were new (BUDGET).

Cause: the fingerprint took the key as sent. A workspace may hold several keys, and they change. It takes the workspace's name now.

Evidence: print_is_of_the_caller, case other_key, failed before.

--- a/crates/relay/src/carry.rs
+++ b/crates/relay/src/carry.rs
@@ -304,7 +304,7 @@
         .prompt
         .map(|p| p.saturating_add(shape.output.unwrap_or(0)));
     let workspace = entry.workspace;
-    let key = request.head.get(names.key).unwrap_or("");
+    let caller = workspace.as_ref().map(|w| w.name.clone());
     ask::Ask {
         id,
         trace,
@@ -324,7 +324,7 @@
         fingerprint: hash_of(&[
             request.method.as_bytes(),
             request.target.as_bytes(),
-            key.as_bytes(),
+            caller.unwrap_or_default().as_bytes(),
             &request.body,
         ]),
         route,
--- a/crates/relay/tests/log_lines.rs
+++ b/crates/relay/tests/log_lines.rs
@@ -4,6 +4,7 @@
 
 use std::sync;
 
+use guavausher_core::name;
 use guavausher_core::relay::{event, manifest, workspace};
 use rstest::rstest;
 use support::script::Reply;
@@ -71,6 +72,32 @@
     });
 }
 
+/// A caller that sends a request again with another of its keys does not make it another request.
+#[rstest]
+#[case::other_key("other", true)]
+#[case::other_caller("theirs", false)]
+fn print_is_of_the_caller(#[case] key: &str, #[case] is_same: bool) {
+    support::run(async {
+        let replies = vec![Reply::Keep(whole(200, "x")), Reply::Keep(whole(200, "x"))];
+        let (engine, relay) = serving(replies).await;
+        let mut parts = support::parts(2);
+        let callers = parts.workspaces.as_mut().unwrap();
+        callers[0].keys.push(name::Name::from("other"));
+        callers.push(workspace::Workspace {
+            name: name::Name::from("guild"),
+            keys: vec![name::Name::from("theirs")],
+            ..callers[0].clone()
+        });
+        relay.inform(parts, &[&engine]);
+        let first = request("POST", "/pay/", "r1", "kit");
+        let second = request("POST", "/pay/", "r2", "kit").replace("secret", key);
+        assert_eq!(relay.ask(&first).await.unwrap().status, 200);
+        assert_eq!(relay.ask(&second).await.unwrap().status, 200);
+        let sent = lines::all("sent");
+        assert_eq!(sent[0].text("print") == sent[1].text("print"), is_same);
+    });
+}
+
 #[rstest]
 #[case::whole("/pay/", vec![Reply::Keep(whole(200, "x"))], &["whole"])]
 #[case::not_run("/pay/", vec![Reply::Keep(not_run())], &["not-run"])]
