--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -29,6 +29,8 @@
 
 /// Longest time that a watch waits.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(30);
+/// Time until another engine takes the place of one that ended by itself.
+const REPLACEMENT: time::Duration = time::Duration::from_millis(500);
 /// Engines that may be there at once.
 const MAX_ENGINES: u32 = 64;
 
@@ -73,6 +75,7 @@
     reports: sync::Mutex<collections::BTreeMap<u64, wire::Usage>>,
     faults: sync::Mutex<Faults>,
     born: sync::atomic::AtomicU64,
+    crashes: sync::mpsc::Sender<String>,
 }
 
 struct Running {
@@ -87,6 +90,7 @@
 /// Fails if an address can't be bound.
 pub fn start(config: Config) -> io::Result<handle::Handle> {
     let server = server::Server::bind(config.listen, 1)?;
+    let (crashes, crashed) = sync::mpsc::channel();
     let site = sync::Arc::new(Site {
         objects: sync::Mutex::default(),
         changes: watch::Sender::new(0),
@@ -96,7 +100,10 @@
         reports: sync::Mutex::default(),
         faults: sync::Mutex::default(),
         born: sync::atomic::AtomicU64::new(1),
+        crashes,
     });
+    let replaced = sync::Arc::downgrade(&site);
+    std::thread::spawn(move || replace(&replaced, crashed));
     for service in &config.services {
         for domain in &config.domains {
             for _ in 0..service.count {
@@ -107,6 +114,24 @@
     server.run(move |request| respond(site.clone(), request))
 }
 
+/// Replaces engines that end by themselves for as long as the site is there.
+fn replace(site: &sync::Weak<Site>, crashed: sync::mpsc::Receiver<String>) {
+    for name in crashed {
+        let Some(site) = site.upgrade() else {
+            return;
+        };
+        let entry = lock(&site.engines)
+            .get(&name)
+            .map(|engine| engine.entry.clone());
+        let Some(entry) = entry.filter(|_| site.crash(&name)) else {
+            continue;
+        };
+        std::thread::sleep(REPLACEMENT);
+        // Without a free port there is no other engine.
+        let _ = site.add(&entry.service, &entry.zone, entry.slots, entry.spot);
+    }
+}
+
 fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
@@ -246,7 +271,7 @@
     fn add(&self, service: &str, domain: &str, slots: u32, spot: bool) -> io::Result<()> {
         let born = self.born.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let name = format!("{service}-{born}");
-        let handle = engine::start(name.clone(), slots, self.log.clone())?;
+        let handle = engine::start(name.clone(), slots, self.log.clone(), self.crashes.clone())?;
         let entry = servers::Entry {
             service: service.to_owned(),
             address: handle.address(),
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -22,6 +22,8 @@
 const PACE: time::Duration = time::Duration::from_millis(15);
 /// Prompt tokens that are read in a millisecond.
 const READING: u32 = 80;
+/// The word in a body under which an engine ends once it has made an event.
+const POISON: &[u8] = b"CRASH";
 /// Requests that are remembered.
 const MAX_RUNS: usize = 100_000;
 
@@ -52,10 +54,17 @@
     slots: u32,
     log: sync::Arc<Log>,
     running: sync::atomic::AtomicU32,
+    /// Takes the name of an engine that ends by itself.
+    crashes: sync::mpsc::Sender<String>,
 }
 
 /// Starts an engine on a free port.
-pub(super) fn start(name: String, slots: u32, log: sync::Arc<Log>) -> io::Result<handle::Handle> {
+pub(super) fn start(
+    name: String,
+    slots: u32,
+    log: sync::Arc<Log>,
+    crashes: sync::mpsc::Sender<String>,
+) -> io::Result<handle::Handle> {
     let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
     let server = server::Server::bind(any, 1)?;
     let engine = sync::Arc::new(Engine {
@@ -63,6 +72,7 @@
         slots,
         log,
         running: sync::atomic::AtomicU32::new(0),
+        crashes,
     });
     server.run(move |request| respond(engine.clone(), request))
 }
@@ -94,7 +104,8 @@
             let prompt = prompt.parse().unwrap_or(0);
             let events = output.parse().unwrap_or(STRIDE).div_ceil(STRIDE);
             let after = request::header(&request, names.resume).parse().unwrap_or(0);
-            stream(place, prompt, after..events)
+            let is_poison = request.body().windows(POISON.len()).any(|w| w == POISON);
+            stream(place, prompt, after..events, is_poison)
         }
         None => reply::json(http::StatusCode::OK, &serde_json::json!({ "done": id })),
     };
@@ -123,10 +134,14 @@
     }
 }
 
-fn stream(place: Place, prompt: u32, events: std::ops::Range<u32>) -> reply::Response {
+fn stream(
+    place: Place,
+    prompt: u32,
+    events: std::ops::Range<u32>,
+    is_poison: bool,
+) -> reply::Response {
     let (pieces, body) = mpsc::channel(8);
     tokio::spawn(async move {
-        let _place = place;
         let reading = time::Duration::from_millis(u64::from(prompt / READING));
         tokio::time::sleep(reading).await;
         for event in events {
@@ -135,6 +150,10 @@
                 return;
             }
             tokio::time::sleep(PACE).await;
+            if is_poison {
+                // The site may be ending as well.
+                let _ = place.engine.crashes.send(place.engine.name.clone());
+            }
         }
     });
     let mut response = http::Response::new(out::Body::Pieces(body));
