Take what an engine says of itself: it leaves, or wants nothing for a while

What callers saw: requests went on to an engine that had said in its answers that it leaves, until the list said so too (DRAIN), and an engine that had turned a request away for a while got the next one at once, was full again and turned that away as well (BUDGET).

Cause: the header of a leaving engine was not read, and Retry-After of an engine's 503 served as advice to the caller only.

Both are facts about one incarnation of an engine now, decoded by the relay from each head it reads (final, interim, refusal, failure, an answer to another request) and kept by core::relay::words. Leaving goes through one way, whether the list, a peer or the engine says so; it is told to others for 15 s in digests and summaries, and neither an older list nor one without the engine undoes it. A hold is a deadline of this instance, at most ten minutes; a shorter word does not shorten it; values that are no time hold nothing off. Where all hold off, a request is refused at once as not run, with a time of return from the first end, spread over a second. A move to a new version uses the old one meanwhile.

--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -66,6 +66,17 @@
     pub left: u64,
 }
 
+/// An engine that leaves.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Departure {
+    /// The engine.
+    pub engine: name::Name,
+    /// Its start.
+    pub incarnation: u64,
+    /// How long this is to be remembered, in milliseconds.
+    pub left: u64,
+}
+
 /// How far an instance has read one kind of object.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Position {
@@ -94,6 +105,8 @@
     pub trials: Vec<Trial>,
     /// Requests under which engines ended.
     pub suspects: Vec<Suspect>,
+    /// Engines that leave, of which it has heard lately.
+    pub departures: Vec<Departure>,
     /// Addresses of some instances that it hears from.
     pub members: Vec<net::SocketAddr>,
 }
--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -50,7 +50,21 @@
     /// An engine has come into use.
     Started(name::Name),
     /// An engine gets no new work.
-    Left(name::Name),
+    Left {
+        /// The engine.
+        engine: name::Name,
+        /// Who said so.
+        source: Source,
+        /// How old the news is.
+        age: Duration,
+    },
+    /// An engine wants nothing from this instance.
+    Held {
+        /// The engine.
+        engine: name::Name,
+        /// Until when.
+        until: time::Time,
+    },
     /// A manifest is in force.
     InForce {
         /// Its version.
@@ -60,6 +74,17 @@
     Lost(name::Name),
 }
 
+/// From where it is known that an engine leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// The engine said so in an answer.
+    Answer,
+    /// The list of engines says so, or does not have it any more.
+    List,
+    /// Another instance told it.
+    Peer,
+}
+
 /// What a final answer of our own rests on, for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Ground {
--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -11,6 +11,8 @@
 use super::pulse;
 use super::rollouts;
 use super::summary;
+use crate::name;
+use crate::time;
 
 /// An event for the reducer.
 #[derive(Clone, Debug)]
@@ -24,6 +26,15 @@
         /// What happened.
         signal: Signal,
     },
+    /// An engine has said something of itself in an answer.
+    Said {
+        /// The engine.
+        engine: name::Name,
+        /// Its start.
+        incarnation: u64,
+        /// What it said.
+        saying: Saying,
+    },
     /// The list of engines has changed.
     Engines(Vec<engine::Engine>),
     /// The store tells this instance of changes from now on, or does so no more.
@@ -44,6 +55,15 @@
     Tick,
 }
 
+/// What an engine says of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Saying {
+    /// It leaves.
+    Leaving,
+    /// It wants nothing from this instance until then.
+    HoldsOff(time::Time),
+}
+
 /// Progress or end of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Signal {
--- a/crates/core/src/relay/fleet/choose.rs
+++ b/crates/core/src/relay/fleet/choose.rs
@@ -54,6 +54,8 @@
     NoEngine,
     /// Those that are known have failed this request, or take no more channels.
     Excluded,
+    /// The others want nothing from this instance; the first does again at that time.
+    Held(time::Time),
 }
 
 /// What limits the choice.
@@ -97,6 +99,9 @@
             .filter(|t| limits.barred.is_none_or(|v| t.engine.version != *v))
             .filter(|t| limits.channels.is_none_or(|most| t.load().running < most))
             .collect();
+        let held = |t: &&tracked::Tracked| self.hold_end(now, &t.engine);
+        let first = usable.iter().filter_map(held).min();
+        let usable: Vec<_> = usable.into_iter().filter(|t| held(t).is_none()).collect();
         let usual = usual_badness(&usable);
         let sound = |t: &&&tracked::Tracked| t.is_sound(now) && !t.is_outlier(usual);
         let sound: Vec<_> = usable.iter().filter(sound).copied().collect();
@@ -108,7 +113,8 @@
             self.candidate(now, ask, t, &beginnings, is_agreed)
         });
         let best = candidates.min_by(|a, b| a.cost.total_cmp(&b.cost));
-        best.map(|candidate| candidate.choice).ok_or(Lack::Excluded)
+        let choice = best.map(|candidate| candidate.choice);
+        choice.ok_or(first.map_or(Lack::Excluded, Lack::Held))
     }
 
     fn candidate(
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -20,6 +20,7 @@
 use super::route;
 use super::state;
 use super::summary;
+use super::words;
 use crate::name;
 use crate::refusal;
 use crate::time;
@@ -49,6 +50,11 @@
     match event {
         event::Event::Arrived(ask) => arrive(state, now, ask),
         event::Event::Attempt { request, signal } => attempt::attempt(state, now, request, signal),
+        event::Event::Said {
+            engine,
+            incarnation,
+            saying,
+        } => said(state, now, engine, incarnation, saying),
         event::Event::Engines(list) => engines(state, now, list),
         event::Event::Fed(fed) => feed(state, now, fed),
         event::Event::Manifest(manifest) => in_force(state, now, manifest),
@@ -114,19 +120,28 @@
         channels: channels(state, &ask.service),
     };
     let chosen = state.fleet.choose(now, ask, limits);
-    let chosen = chosen.or_else(|lack| match pick.yields {
-        true => state.fleet.choose(
-            now,
-            ask,
-            fleet::Limits {
+    let chosen = chosen.or_else(|lack| {
+        let others = match lack {
+            fleet::Lack::Held(_) if pick.prefers => fleet::Limits {
+                version: None,
+                barred: pick.only.as_ref(),
+                ..limits
+            },
+            fleet::Lack::Excluded | fleet::Lack::NoEngine if pick.yields => fleet::Limits {
                 barred: None,
                 ..limits
             },
-        ),
-        false => Err(lack),
+            _ => return Err(lack),
+        };
+        let other = state.fleet.choose(now, ask, others);
+        other.map_err(|_| lack)
     });
     let choice = match chosen {
         Ok(choice) => choice,
+        Err(fleet::Lack::Held(until)) => {
+            let at = until.after(spread(ask));
+            return close::give_up(state, now, request, refusal::Code::Overloaded, Some(at));
+        }
         Err(_) => {
             let at = now.after(ENGINE_RETURN);
             return close::give_up(state, now, request, refusal::Code::NoUpstream, Some(at));
@@ -140,6 +155,14 @@
     send(state, now, request, choice);
 }
 
+/// Returns how much later than others a caller is to come back, so that they do not come together.
+fn spread(ask: &ask::Ask) -> Duration {
+    /// Longest such time in milliseconds.
+    const LONGEST: u64 = 1_000;
+    let draw = twox_hash::XxHash64::oneshot(0, ask.trace.as_bytes());
+    Duration::from_millis(draw % LONGEST)
+}
+
 /// Returns how many channels one engine of a service takes from all instances.
 fn channels(state: &state::State, service: &name::Name) -> Option<u32> {
     let manifest = state.manifest.as_ref()?;
@@ -233,10 +256,55 @@
         ending::ended(state, now, &ended.name, ended.incarnation);
     }
     let started = change.started.into_iter().map(effect::Effect::Started);
-    let left = change.left.into_iter().map(effect::Effect::Left);
+    let left = change.left.into_iter().map(|engine| effect::Effect::Left {
+        engine,
+        source: effect::Source::List,
+        age: Duration::ZERO,
+    });
     state.out.extend(started.chain(left));
 }
 
+/// Takes what an engine says of itself.
+fn said(
+    state: &mut state::State,
+    now: time::Time,
+    engine: name::Name,
+    incarnation: u64,
+    saying: event::Saying,
+) {
+    let has_left = match saying {
+        event::Saying::Leaving => state.fleet.leave(now, &engine, incarnation),
+        event::Saying::HoldsOff(until) => {
+            let held = engine.clone();
+            state.out.push(effect::Effect::Held {
+                engine: held,
+                until,
+            });
+            state.fleet.hold(now, &engine, incarnation, until)
+        }
+    };
+    if has_left {
+        state.out.push(effect::Effect::Left {
+            engine,
+            source: effect::Source::Answer,
+            age: Duration::ZERO,
+        });
+    }
+}
+
+/// Takes over from another instance which engines leave.
+fn depart(state: &mut state::State, now: time::Time, told: &[digest::Departure]) {
+    for departure in told {
+        if state.fleet.depart(now, departure) {
+            state.out.push(effect::Effect::Left {
+                engine: departure.engine.clone(),
+                source: effect::Source::Peer,
+                age: words::age(departure),
+            });
+        }
+    }
+}
+
 fn in_force(
     state: &mut state::State,
     now: time::Time,
@@ -267,6 +335,7 @@
     state.fleet.hear(&sender, &digest.loads);
     state.rollouts.hear(&sender, &digest.trials);
     state.suspects.hear(now, &digest.suspects);
+    depart(state, now, &digest.departures);
     learn_levels(state, now, &digest.pulse.spent);
     let charges = state.peers.hear(now, digest).unwrap_or_default();
     charge(state, now, charges);
@@ -292,6 +361,7 @@
 
 fn sum_up(state: &mut state::State, now: time::Time, summary: summary::Summary) {
     state.suspects.hear(now, &summary.suspects);
+    depart(state, now, &summary.departures);
     learn_levels(state, now, &summary.sum.spent);
     for charge in state.peers.sum_up(now, summary) {
         state.caps.charge(now, &charge.workspace, charge.units);
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -234,6 +234,7 @@
         return;
     };
     if let Some(running) = flight.running.take() {
+        let sign = state.fleet.sign(now, &running.choice, sign);
         let is_good = matches!(sign, fleet::Sign::Good);
         if is_good
             || matches!(
--- a/crates/core/src/relay/rollouts.rs
+++ b/crates/core/src/relay/rollouts.rs
@@ -85,6 +85,8 @@
 pub struct Pick {
     /// Only those of this version.
     pub only: Option<name::Name>,
+    /// Whether another version may serve where those of this version want nothing for a while.
+    pub prefers: bool,
     /// None of this version.
     pub barred: Option<name::Name>,
     /// Whether the barred version may serve where no other one is left: the old engines end as
@@ -154,12 +156,13 @@
         let target = Some(trial.order.target.clone());
         let is_bad = trial.is_bad();
         let barred = Pick {
-            only: None,
             barred: target.clone(),
             yields: trial.is_open() && !is_bad,
+            ..Pick::default()
         };
         let only = Pick {
             only: target,
+            prefers: trial.is_open(),
             ..Pick::default()
         };
         match trial.order.stage {
--- a/crates/core/src/relay/state/telling.rs
+++ b/crates/core/src/relay/state/telling.rs
@@ -54,6 +54,7 @@
             counts: self.tallies.own(TOLD_WINDOWS),
             trials: self.rollouts.told(),
             suspects: self.suspects.told(now),
+            departures: self.fleet.departures(now),
             members: self.peers.told(now),
         }
     }
@@ -165,6 +166,7 @@
             candidates: Vec::new(),
             routes: Vec::new(),
             suspects: self.suspects.told(now),
+            departures: self.fleet.departures(now),
         }
     }
 
--- a/crates/core/src/relay/summary.rs
+++ b/crates/core/src/relay/summary.rs
@@ -55,6 +55,8 @@
     pub routes: Vec<Route>,
     /// Requests under which engines ended.
     pub suspects: Vec<digest::Suspect>,
+    /// Engines that leave, of which the sender has heard lately.
+    pub departures: Vec<digest::Departure>,
 }
 
 impl Summary {
--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::digest;
+use super::hearsay;
 use crate::name;
 use crate::time;
 
@@ -14,9 +15,6 @@
 const LIMIT: usize = 3;
 /// How long an end is remembered.
 const MEMORY: Duration = Duration::from_secs(600);
-/// By how much a time that is told must be later than the own one to replace it. What instances
-/// tell each other in turns would else never expire.
-const SKEW: Duration = Duration::from_secs(5);
 /// Requests that are remembered.
 const MAX_ENTRIES: usize = 256;
 /// Ends of each kind that are remembered for one request.
@@ -92,18 +90,16 @@
     }
 
     fn learn(&mut self, now: time::Time, told: &digest::Suspect) {
-        let left = Duration::from_millis(told.left).min(MEMORY);
-        if left <= SKEW {
+        let Some(expiry) = hearsay::expiry(now, told.left, MEMORY) else {
             return;
-        }
+        };
         let is_known = self.entries.contains_key(&told.fingerprint);
         if !is_known && self.entries.len() >= MAX_ENTRIES {
             self.make_room(now);
         }
         let entry = self.entries.entry(told.fingerprint).or_default();
         entry.merge(told);
-        let expiry = now.after(left);
-        if !is_known || expiry > entry.expiry.after(SKEW) {
+        if !is_known || hearsay::is_later(expiry, entry.expiry) {
             entry.expiry = expiry;
         }
         if self.answered.contains(&told.fingerprint) {
@@ -117,13 +113,7 @@
         let mut all: Vec<_> = live.collect();
         all.sort_by_key(|(print, entry)| (std::cmp::Reverse(entry.ends.len()), **print));
         let others = all.split_off(all.len().min(MAX_WORST));
-        let turn = match others.len() {
-            0 => 0,
-            count => draw(now) % count,
-        };
-        let turns = others.iter().cycle().skip(turn);
-        let others = turns.take(others.len().min(MAX_OTHERS));
-        let told = all.iter().chain(others);
+        let told = all.iter().chain(hearsay::turn(now, &others, MAX_OTHERS));
         told.map(|(print, entry)| entry.tell(now, **print))
             .collect()
     }
@@ -170,8 +160,3 @@
     let room = MAX_ENDS.saturating_sub(set.len());
     set.extend(ends.take(room));
 }
-
-/// Returns a number that changes from one round of messages to the next.
-fn draw(now: time::Time) -> usize {
-    twox_hash::XxHash64::oneshot(now.as_micros(), &[]) as usize
-}
--- /dev/null
+++ b/crates/core/src/relay/words.rs
@@ -0,0 +1,165 @@
+//! What engines say of themselves: that they leave, or want nothing for a while.
+//!
+//! Both are about one incarnation of an engine and outlive its entry in the list, which may vanish
+//! and come back. That it leaves is told to all instances; that it wants nothing is between it and
+//! this one.
+
+use std::cmp;
+use std::collections;
+use std::time::Duration;
+
+use super::digest;
+use super::hearsay;
+use crate::name;
+use crate::time;
+
+/// How long the leaving of an engine is remembered.
+const MEMORY: Duration = Duration::from_secs(600);
+/// How long it is told; who starts later hears of it from the list, or from the engine.
+const NEWS: Duration = Duration::from_secs(15);
+/// Longest time for which an engine may want nothing.
+const MAX_HOLD: Duration = Duration::from_secs(600);
+/// Engines that are remembered.
+const MAX_ENGINES: usize = 1_024;
+/// Engines that one message tells.
+const MAX_TOLD: usize = 32;
+
+/// What engines have said of themselves.
+#[derive(Clone, Debug, Default)]
+pub struct Words {
+    engines: collections::BTreeMap<name::Name, Word>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Word {
+    incarnation: u64,
+    /// Until when no earlier incarnation is taken for a later one.
+    expiry: time::Time,
+    /// Until when its leaving is remembered; in the past if it has not said so.
+    leaving: time::Time,
+    /// Until when it wants nothing.
+    hold: time::Time,
+}
+
+/// Returns how old the news of a departure is.
+pub fn age(told: &digest::Departure) -> Duration {
+    MEMORY.saturating_sub(Duration::from_millis(told.left))
+}
+
+impl Words {
+    /// Notes that an engine leaves.
+    pub fn leave(&mut self, now: time::Time, engine: &name::Name, incarnation: u64) {
+        if let Some(word) = self.word(now, engine, incarnation)
+            && word.leaving <= now
+        {
+            word.leaving = now.after(MEMORY);
+        }
+    }
+
+    /// Takes over that an engine leaves from another instance.
+    pub fn hear(&mut self, now: time::Time, told: &digest::Departure) {
+        let Some(expiry) = hearsay::expiry(now, told.left, MEMORY) else {
+            return;
+        };
+        if let Some(word) = self.word(now, &told.engine, told.incarnation)
+            && hearsay::is_later(expiry, word.leaving)
+        {
+            word.leaving = expiry;
+        }
+    }
+
+    /// Notes until when an engine wants nothing; an earlier time does not shorten a later one, since
+    /// answers to requests that were sent together come in any order.
+    pub fn hold(
+        &mut self,
+        now: time::Time,
+        engine: &name::Name,
+        incarnation: u64,
+        until: time::Time,
+    ) {
+        let until = until.min(now.after(MAX_HOLD));
+        if let Some(word) = self.word(now, engine, incarnation) {
+            word.hold = word.hold.max(until);
+        }
+    }
+
+    /// Tells whether an engine has said that it leaves, or a later incarnation has been heard of.
+    pub fn has_left(&self, now: time::Time, engine: &name::Name, incarnation: u64) -> bool {
+        let word = self.engines.get(engine).filter(|word| word.end() > now);
+        word.is_some_and(|word| match word.incarnation.cmp(&incarnation) {
+            cmp::Ordering::Less => false,
+            cmp::Ordering::Equal => word.leaving > now,
+            cmp::Ordering::Greater => true,
+        })
+    }
+
+    /// Returns until when an engine wants nothing, if that is not over.
+    pub fn held(
+        &self,
+        now: time::Time,
+        engine: &name::Name,
+        incarnation: u64,
+    ) -> Option<time::Time> {
+        let hold = self.of(engine, incarnation)?.hold;
+        (hold > now).then_some(hold)
+    }
+
+    /// Returns the engines of which the others are to hear that they leave.
+    pub fn told(&self, now: time::Time) -> Vec<digest::Departure> {
+        let is_news = |word: &Word| word.leaving.after(NEWS) > now.after(MEMORY);
+        let news = self.engines.iter().filter(|(_, word)| is_news(word));
+        let news: Vec<_> = news.collect();
+        let told = hearsay::turn(now, &news, MAX_TOLD);
+        told.map(|(engine, word)| digest::Departure {
+            engine: (*engine).clone(),
+            incarnation: word.incarnation,
+            left: now.until(word.leaving).as_millis() as u64,
+        })
+        .collect()
+    }
+
+    fn of(&self, engine: &name::Name, incarnation: u64) -> Option<&Word> {
+        let word = self.engines.get(engine)?;
+        (word.incarnation == incarnation).then_some(word)
+    }
+
+    /// Returns the word of an incarnation, unless a later one has been heard of.
+    fn word(
+        &mut self,
+        now: time::Time,
+        engine: &name::Name,
+        incarnation: u64,
+    ) -> Option<&mut Word> {
+        if !self.engines.contains_key(engine) && self.engines.len() >= MAX_ENGINES {
+            self.make_room(now);
+        }
+        let expiry = now.after(MEMORY);
+        let word = self.engines.entry(engine.clone()).or_default();
+        if word.incarnation < incarnation || word.end() <= now {
+            *word = Word {
+                incarnation,
+                expiry,
+                ..Word::default()
+            };
+        }
+        (word.incarnation == incarnation).then_some(word)
+    }
+
+    /// Forgets what is over, else what is over first.
+    fn make_room(&mut self, now: time::Time) {
+        self.engines.retain(|_, word| word.end() > now);
+        if self.engines.len() < MAX_ENGINES {
+            return;
+        }
+        let first = self.engines.iter().min_by_key(|(_, word)| word.end());
+        if let Some(engine) = first.map(|(engine, _)| engine.clone()) {
+            self.engines.remove(&engine);
+        }
+    }
+}
+
+impl Word {
+    fn end(&self) -> time::Time {
+        self.expiry.max(self.leaving).max(self.hold)
+    }
+}
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -136,7 +136,7 @@
     bytes.extend_from_slice(call.body);
     channel::write_all(&channel.stream, &bytes).await.ok()?;
     let channel::Channel { stream, inbox, .. } = channel;
-    let head = reading::read_head(stream, inbox).await.ok()?;
+    let head = reading::read_head(stream, inbox, |_| {}).await.ok()?;
     let framing = head.answer_framing(call.method).ok()?;
     let body = reading::read_body(stream, inbox, framing, MAX_BODY).await?;
     let keeps = head.keeps_channel() && framing != framing::Framing::Close;
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -25,6 +25,8 @@
     pub stamp: &'static str,
     /// An engine's statement that it did not run the request.
     pub refusal: &'static str,
+    /// An engine's statement that it leaves, which is `1`.
+    pub leaving: &'static str,
     /// Headers of callers that stay here.
     pub reserved: &'static [&'static str],
     /// Headers of callers that always pass.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -22,6 +22,8 @@
 const CONNECT: Duration = Duration::from_millis(700);
 /// Answers to earlier requests that are passed over on one channel.
 const MAX_STALE: usize = 4;
+/// Status of an answer that turns a request away.
+const BUSY: u16 = 503;
 /// Lowest status of an answer that states a failure of the engine.
 const FAILURE: u16 = 500;
 
@@ -61,7 +63,8 @@
         let ending = self
             .exchange(&mut engine, &head, &mut is_sent, output)
             .await;
-        if let Some(wait) = engine.kept.take() {
+        let kept = engine.kept.take();
+        if let Some(wait) = kept.filter(|_| self.shell.is_listed(&self.dispatch.choice)) {
             self.shell.pool.put(self.dispatch, engine, wait);
         }
         ending.unwrap_or_else(Ending::Signal)
@@ -127,7 +130,7 @@
     ) -> Result<Answer, event::Signal> {
         let mut stale = 0;
         loop {
-            let head = reading::read_head(stream, inbox).await?;
+            let head = reading::read_head(stream, inbox, |head| self.notice(head)).await?;
             let id = head.get(self.shell.dialect.id);
             let is_own = id.is_none_or(|id| id == self.ask.trace.as_str());
             if is_own {
@@ -148,6 +151,26 @@
         }
     }
 
+    /// Notes what an engine says of itself in a head, whatever the answer is.
+    fn notice(&self, head: &head::Head) {
+        if head.get(self.shell.dialect.leaving) == Some("1") {
+            self.said(event::Saying::Leaving);
+        }
+        let wait = text::retry_after(head).filter(|wait| !wait.is_zero());
+        if let Some(wait) = wait.filter(|_| head.status() == BUSY) {
+            self.said(event::Saying::HoldsOff(clock::now().after(wait)));
+        }
+    }
+
+    fn said(&self, saying: event::Saying) {
+        let choice = &self.dispatch.choice;
+        self.shell.apply(event::Event::Said {
+            engine: choice.engine.clone(),
+            incarnation: choice.incarnation,
+            saying,
+        });
+    }
+
     /// Decides what becomes of an answer by its head.
     async fn judge(
         &self,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use guavausher_core::relay::state;
+use guavausher_core::relay::{effect, state};
 use guavausher_core::time;
 use prometheus_client::encoding;
 use prometheus_client::metrics::{counter, family, gauge, histogram};
@@ -29,6 +29,15 @@
     pub ending: &'static str,
 }
 
+/// Labels of what an engine said of itself.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
+pub struct Word {
+    /// `leaving` or `hold`.
+    pub word: &'static str,
+    /// `answer`, `list` or `peer`.
+    pub source: &'static str,
+}
+
 /// Labels of a count of engines.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
 struct Engines {
@@ -60,6 +69,8 @@
     pub attempts: family::Family<Ending, counter::Counter>,
     /// Calls to the platform.
     pub calls: family::Family<Call, counter::Counter>,
+    /// What engines said of themselves, by where it came from.
+    pub words: family::Family<Word, counter::Counter>,
     /// Requests in progress.
     pub progress: gauge::Gauge,
     /// Version of the manifest in force.
@@ -80,6 +91,7 @@
             requests: family::Family::default(),
             attempts: family::Family::default(),
             calls: family::Family::default(),
+            words: family::Family::default(),
             progress: gauge::Gauge::default(),
             manifest: gauge::Gauge::default(),
             lease: gauge::Gauge::default(),
@@ -108,6 +120,16 @@
         self.calls.get_or_create(&Call { call, status }).inc();
     }
 
+    /// Counts what an engine said of itself.
+    pub fn word(&self, word: &'static str, source: effect::Source) {
+        let source = match source {
+            effect::Source::Answer => "answer",
+            effect::Source::List => "list",
+            effect::Source::Peer => "peer",
+        };
+        self.words.get_or_create(&Word { word, source }).inc();
+    }
+
     /// Returns all metrics as text, with what the process believes at the moment.
     pub fn text(&self, now: time::Time, state: &state::State) -> String {
         let mut registry = registry::Registry::with_prefix("guavausher_relay");
@@ -118,6 +140,11 @@
             "Calls to the platform",
             self.calls.clone(),
         );
+        registry.register(
+            "engine_words",
+            "What engines said of themselves",
+            self.words.clone(),
+        );
         registry.register(
             "requests_in_progress",
             "Open requests",
@@ -143,7 +170,11 @@
         let engines: family::Family<Engines, gauge::Gauge> = family::Family::default();
         for engine in state.fleet.all() {
             let service = engine.service.to_string();
-            let standing = if engine.leaving { "leaving" } else { "open" };
+            let standing = match state.fleet.hold_end(now, engine) {
+                _ if engine.leaving => "leaving",
+                Some(_) => "held",
+                None => "open",
+            };
             let labels = Engines { service, standing };
             engines.get_or_create(&labels).inc();
         }
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -19,16 +19,18 @@
 /// A break after some bytes of an answer.
 pub(crate) const BROKEN_LATER: event::Signal = event::Signal::Broken { unanswered: false };
 
-/// Reads the head of a final answer.
+/// Reads the head of a final answer; `notice` sees those of interim ones too.
 pub(crate) async fn read_head(
     stream: &TcpStream,
     inbox: &mut BytesMut,
+    notice: impl Fn(&head::Head),
 ) -> Result<head::Head, event::Signal> {
     let mut interim = 0;
     loop {
         let parsed = head::answer(inbox).map_err(|_| BROKEN_LATER)?;
         if let Some(parsed) = parsed {
             let _ = inbox.split_to(parsed.length);
+            notice(&parsed.head);
             if parsed.head.status() >= 200 {
                 return Ok(parsed.head);
             }
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use guavausher_core::name;
-use guavausher_core::relay::{digest, effect, event, manifest, reduce, state};
+use guavausher_core::relay::{digest, effect, event, fleet, manifest, reduce, state};
 use guavausher_core::time;
 use tokio::sync;
 
@@ -127,6 +127,12 @@
         self.stopping.send_replace(true);
     }
 
+    /// Tells whether the engine of an attempt is still there and does not leave.
+    pub(crate) fn is_listed(&self, choice: &fleet::Choice) -> bool {
+        let state = self.state.borrow();
+        state.fleet.standing(clock::now(), choice) == fleet::Standing::Listed
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_progress(&self) -> usize {
         self.slots.borrow().len()
@@ -169,7 +175,16 @@
                     known = known; "engine ended under a request");
             }
             effect::Effect::Started(engine) => log::info!(engine:% = engine; "engine in use"),
-            effect::Effect::Left(engine) => self.left(&engine),
+            effect::Effect::Left {
+                engine,
+                source,
+                age,
+            } => self.left(&engine, source, age),
+            effect::Effect::Held { engine, until } => {
+                let hold = clock::now().until(until).as_millis() as u64;
+                self.metrics.word("hold", effect::Source::Answer);
+                log::info!(engine:% = engine, hold_ms = hold; "engine wants nothing");
+            }
             effect::Effect::InForce { version } => {
                 self.metrics.manifest.set(version as i64);
                 log::info!(version = version; "manifest in force");
@@ -178,9 +193,11 @@
         }
     }
 
-    fn left(&self, engine: &name::Name) {
+    fn left(&self, engine: &name::Name, source: effect::Source, age: Duration) {
         self.pool.close(engine);
-        log::info!(engine:% = engine; "engine leaving or gone");
+        self.metrics.word("leaving", source);
+        log::info!(engine:% = engine, source:? = source, age_ms = age.as_millis() as u64;
+            "engine leaving or gone");
     }
 
     fn step(&self, request: u64, step: slot::Step) {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -47,6 +47,7 @@
         resume: "X-Resume",
         stamp: "X-Stamp",
         refusal: "X-Refused",
+        leaving: "X-Leaving",
         reserved: &["X-Reserved"],
         kept: &["X-Id", "X-Model"],
         ready: "/ready",
