Let the stand-in's engines leave and hold off by their answers

The stand-in of the platform knew leaving by the list only. /standin/leave lets an engine say it in its answers, /standin/hold lets it turn requests away for a while.

--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -81,6 +81,7 @@
 struct Running {
     handle: handle::Handle,
     entry: servers::Entry,
+    words: sync::Arc<engine::Words>,
 }
 
 /// Starts a site with its engines.
@@ -271,7 +272,14 @@
     fn add(&self, service: &str, domain: &str, slots: u32, spot: bool) -> io::Result<()> {
         let born = self.born.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let name = format!("{service}-{born}");
-        let handle = engine::start(name.clone(), slots, self.log.clone(), self.crashes.clone())?;
+        let words = sync::Arc::<engine::Words>::default();
+        let handle = engine::start(
+            name.clone(),
+            slots,
+            self.log.clone(),
+            words.clone(),
+            self.crashes.clone(),
+        )?;
         let entry = servers::Entry {
             service: service.to_owned(),
             address: handle.address(),
@@ -284,7 +292,14 @@
             spot,
         };
         lock(&self.objects).set(names::SERVERS, &name, &raw(&entry));
-        lock(&self.engines).insert(name, Running { handle, entry });
+        lock(&self.engines).insert(
+            name,
+            Running {
+                handle,
+                entry,
+                words,
+            },
+        );
         self.told();
         Ok(())
     }
@@ -302,6 +317,13 @@
         true
     }
 
+    /// Lets an engine say something of itself in its answers; its entry says nothing of it.
+    fn say(&self, name: &str, say: impl Fn(&engine::Words)) -> bool {
+        let engines = lock(&self.engines);
+        let engine = engines.get(name);
+        engine.map(|running| say(&running.words)).is_some()
+    }
+
     /// Ends an engine at once; its entry goes with it.
     fn crash(&self, name: &str) -> bool {
         let Some(running) = lock(&self.engines).remove(name) else {
@@ -317,6 +339,8 @@
     /// Answers a question about the site, or changes it.
     fn steer(&self, what: &str, request: &request::Request) -> reply::Response {
         let name = request::query(request, "name");
+        let span = request::query(request, "seconds").parse().unwrap_or(0.0);
+        let span = time::Duration::try_from_secs_f64(span).unwrap_or_default();
         let status = http::StatusCode::OK;
         match what {
             "requests" => reply::json(status, &self.log.runs()),
@@ -331,6 +355,8 @@
             },
             "drain" if self.drain(&name) => reply::done(),
             "crash" if self.crash(&name) => reply::done(),
+            "leave" if self.say(&name, engine::Words::leave) => reply::done(),
+            "hold" if self.say(&name, |words| words.hold(span)) => reply::done(),
             _ => reply::missing(),
         }
     }
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -49,11 +49,42 @@
     }
 }
 
+/// What an engine says of itself in its answers.
+#[derive(Default)]
+pub struct Words {
+    leaving: sync::atomic::AtomicBool,
+    /// Until when it turns requests away.
+    hold: sync::Mutex<Option<time::Instant>>,
+}
+
+impl Words {
+    /// Lets it say from now on that it leaves.
+    pub fn leave(&self) {
+        self.leaving.store(true, sync::atomic::Ordering::Relaxed);
+    }
+
+    /// Lets it turn requests away for a while.
+    pub fn hold(&self, span: time::Duration) {
+        *super::lock(&self.hold) = time::Instant::now().checked_add(span);
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(sync::atomic::Ordering::Relaxed)
+    }
+
+    /// Returns for how long it still turns requests away.
+    fn held(&self) -> Option<time::Duration> {
+        let hold = (*super::lock(&self.hold))?;
+        hold.checked_duration_since(time::Instant::now())
+    }
+}
+
 struct Engine {
     name: String,
     slots: u32,
     log: sync::Arc<Log>,
     running: sync::atomic::AtomicU32,
+    words: sync::Arc<Words>,
     /// Takes the name of an engine that ends by itself.
     crashes: sync::mpsc::Sender<String>,
 }
@@ -63,6 +94,7 @@
     name: String,
     slots: u32,
     log: sync::Arc<Log>,
+    words: sync::Arc<Words>,
     crashes: sync::mpsc::Sender<String>,
 ) -> io::Result<handle::Handle> {
     let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
@@ -72,6 +104,7 @@
         slots,
         log,
         running: sync::atomic::AtomicU32::new(0),
+        words,
         crashes,
     });
     server.run(move |request| respond(engine.clone(), request))
@@ -80,6 +113,20 @@
 async fn respond(
     engine: sync::Arc<Engine>,
     request: http::Request<body::Incoming>,
+) -> reply::Outcome {
+    let is_leaving = engine.words.is_leaving();
+    let mut outcome = answer(engine, request).await;
+    if let Ok(response) = outcome.as_mut()
+        && is_leaving
+    {
+        put(response, names::dialect().leaving, "1");
+    }
+    outcome
+}
+
+async fn answer(
+    engine: sync::Arc<Engine>,
+    request: http::Request<body::Incoming>,
 ) -> reply::Outcome {
     let request = match request::read(request).await {
         Ok(request) => request,
@@ -94,6 +141,15 @@
     if id.is_empty() {
         return Ok(refuse(http::StatusCode::BAD_REQUEST, &id));
     }
+    if let Some(held) = engine.words.held() {
+        let mut response = refuse(http::StatusCode::SERVICE_UNAVAILABLE, &id);
+        put(
+            &mut response,
+            "retry-after",
+            &format!("{:.3}", held.as_secs_f64()),
+        );
+        return Ok(response);
+    }
     let Some(place) = Place::take(&engine) else {
         return Ok(refuse(http::StatusCode::SERVICE_UNAVAILABLE, &id));
     };
