--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -40,7 +40,7 @@
     let choice = &dispatch.choice;
     log::info!(id:% = ask.trace, route:% = ask.route.name, service:% = ask.service,
         workspace:% = ask.workspace.clone().unwrap_or_default(),
-        print:% = print(ask), engine:% = choice.engine, attempt = dispatch.number, prompt = ask.prompt,
+        print:% = print(ask), engine:% = choice.engine, version:% = choice.version, attempt = dispatch.number, prompt = ask.prompt,
         left_ms = clock::now().until(ask.deadline).as_millis() as u64,
         expected_ms = choice.expected.as_millis() as u64, ahead = choice.ahead,
         fresh = choice.fresh, running = choice.running; "sent");
--- a/crates/relay/tests/log_lines.rs
+++ b/crates/relay/tests/log_lines.rs
@@ -10,7 +10,7 @@
 use support::script::Reply;
 use support::{Engine, Relay, events, lines, request, whole};
 
-const SENT: [&str; 13] = [
+const SENT: [&str; 14] = [
     "ahead",
     "attempt",
     "engine",
@@ -23,6 +23,7 @@
     "route",
     "running",
     "service",
+    "version",
     "workspace",
 ];
 const REFUSED: [&str; 15] = [
@@ -64,6 +65,7 @@
         assert_eq!(line.text("route"), "/pay/");
         assert_eq!(line.text("service"), "service");
         assert_eq!(line.text("workspace"), "ward");
+        assert_eq!(line.text("version"), "v1");
         assert_eq!(line.number("attempt"), 1.0);
         assert_eq!(line.number("prompt"), 700.0);
         assert_eq!(line.number("fresh"), 700.0);
