Give back no engine while a service moves to another version

Cause: not the test of slowness. The new version's engines start beside the old ones; the planner saw twice the engines that demand needs and gave nine back, mostly the new version's. It had 11 answers, 12 are needed to judge it, and nothing more came. Ruled out by the logs: little power (new first events took 2.5 times what was expected, old ones 1.1).

Evidence: orders_take_no_engine_while_a_service_moves, three of four cases failed before.

Cost: engines of both versions are paid for while the move lasts. Which engines a smaller order takes away is the platform's choice.

--- a/crates/core/src/relay/rollouts.rs
+++ b/crates/core/src/relay/rollouts.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Returns the order to move a service, if there is one.
+    pub fn order(&self, service: &name::Name) -> Option<&Order> {
+        self.trials.get(service).map(|trial| &trial.order)
+    }
+
     /// Decides which engines a request may go to; a repeat never goes to a version on trial.
     pub fn pick(
         &mut self,
--- a/crates/core/src/relay/scaling.rs
+++ b/crates/core/src/relay/scaling.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::duties::orders;
+use super::rollouts;
 use super::service;
 use super::state;
 use crate::name;
@@ -117,10 +118,31 @@
             target,
             busy: busy.unwrap_or(0.0),
         };
-        plan.orders(&present)
+        let mut orders = plan.orders(&present);
+        if is_moving(now, state, &service.name) {
+            // Which engines are taken away is not ours to choose: they may be the new version's.
+            orders.retain(|order| order.count >= there(&present, &order.subject));
+        }
+        orders
     }
 }
 
+/// Tells whether engines of two versions of a service are to be there.
+fn is_moving(now: time::Time, state: &state::State, service: &name::Name) -> bool {
+    let order = state.rollouts.order(service);
+    order.is_some_and(|order| match order.stage {
+        rollouts::Stage::Ordered | rollouts::Stage::Running => true,
+        rollouts::Stage::RolledBack => state.fleet.has_version(now, service, &order.target),
+        rollouts::Stage::Completed => false,
+    })
+}
+
+/// Returns the engines that an order is about.
+fn there(present: &collections::BTreeMap<name::Name, Present>, subject: &orders::Subject) -> u32 {
+    let present = present.get(&subject.domain);
+    present.map_or(0, |p| if subject.spot { p.spot } else { p.steady })
+}
+
 /// What a service needs.
 #[derive(Clone, Copy, Debug)]
 struct Target {
--- a/crates/core/tests/relay_duties.rs
+++ b/crates/core/tests/relay_duties.rs
@@ -8,7 +8,7 @@
 use guavausher_core::lease;
 use guavausher_core::relay::duties::{self, Work, orders, usage};
 use guavausher_core::relay::event::{self, Signal};
-use guavausher_core::relay::{clock, engine, route, service, tallies};
+use guavausher_core::relay::{clock, engine, rollouts, route, service, tallies};
 use guavausher_core::store;
 use guavausher_core::time;
 use guavausher_core::verdict;
@@ -456,3 +456,47 @@
     let same = holder.orders.iter().filter(|o| o.subject == *subject);
     assert!(same.count() >= 4);
 }
+
+fn moving(stage: rollouts::Stage) -> event::Event {
+    event::Event::Rollouts(vec![rollouts::Order {
+        service: name("model"),
+        target: name("v2"),
+        span: Duration::from_secs(12),
+        stage,
+        due: Some(EPOCH + 12_000_000),
+    }])
+}
+
+/// The users' day "hasty" (EXPOSURE): our own orders took the engines of the version on trial away,
+/// and it passed with eleven answers.
+#[rstest]
+#[case::ordered(rollouts::Stage::Ordered, true)]
+#[case::running(rollouts::Stage::Running, true)]
+#[case::taken_back(rollouts::Stage::RolledBack, true)]
+#[case::completed(rollouts::Stage::Completed, false)]
+fn orders_take_no_engine_while_a_service_moves(
+    #[case] stage: rollouts::Stage,
+    #[case] is_kept: bool,
+) {
+    let mut instance = Instance::serving(1, 0);
+    let mut holder = ordering(&mut instance);
+    let old = [("a", 3, true), ("b", 3, true), ("c", 3, true)];
+    instance.apply(START, engines(pool(&old)));
+    for step in 0..40 {
+        holder.tick(at(step * 100), &mut instance);
+    }
+    instance.apply(at(4_000), moving(stage));
+    let both = [old, [("a", 3, false), ("b", 3, false), ("c", 3, false)]].concat();
+    let mut both = pool(&both);
+    for engine in &mut both[9..] {
+        engine.version = name("v2");
+    }
+    instance.apply(at(4_000), engines(both));
+    let before = holder.orders.len();
+    for step in 40..200 {
+        holder.tick(at(step * 100), &mut instance);
+    }
+    let given = &holder.orders[before..];
+    let fewer = given.iter().filter(|order| order.count < 3).count();
+    assert_eq!(fewer == 0, is_kept, "{given:?}");
+}
