Complete a move only if enough was seen of the new version

A version of which next to nothing was seen passed for good when three quarters of its time were over: doubt counted as a pass.

Now it passes at that time, or later, once it has been seen enough to be judged, or, at a service that is used little, in 0.3 of what the share allows. With too little shortly before it is due it is taken back.

Evidence: version_is_completed_only_if_enough_was_seen, cases nothing_seen and little_seen failed before.

--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -121,7 +121,9 @@
         work.extend(self.usage.tick(now, state));
         if now >= self.moves {
             self.moves = now.after(MOVES);
-            let verdicts = state.rollouts.verdicts(state.clock.micros(now));
+            let verdicts = state
+                .rollouts
+                .verdicts(&state.settings, state.clock.micros(now));
             work.extend(verdicts.into_iter().map(Work::Move));
         }
         let sweep = self.sweep.get_or_insert(now.after(peers::FORGOTTEN));
--- a/crates/core/src/relay/rollouts.rs
+++ b/crates/core/src/relay/rollouts.rs
@@ -17,6 +17,10 @@
 const EXPOSURE_MARGIN: f64 = 0.7;
 /// Part of the time after which a version without fault is done.
 const ENOUGH: f64 = 0.75;
+/// Part of the time after which a version of which too little was seen is taken back.
+const LAST: f64 = 0.93;
+/// Part of the requests that a version may get of which it must have answered some to pass.
+const SEEN: f64 = 0.3;
 /// Answers of a new version before it is judged.
 const MIN_ANSWERS: u32 = 8;
 /// Bad answers below which a version is not bad.
@@ -263,9 +267,11 @@
     }
 
     /// Returns what the holder of the lease is to write at this true time.
-    pub fn verdicts(&self, micros: u64) -> Vec<Verdict> {
+    pub fn verdicts(&self, settings: &settings::Settings, micros: u64) -> Vec<Verdict> {
+        let share = settings.exposure * EXPOSURE_MARGIN;
         let open = self.trials.values().filter(|t| t.is_open());
-        open.filter_map(|trial| trial.verdict(micros)).collect()
+        open.filter_map(|trial| trial.verdict(share, micros))
+            .collect()
     }
 }
 
@@ -274,14 +280,17 @@
         matches!(self.order.stage, Stage::Ordered | Stage::Running)
     }
 
-    fn verdict(&self, micros: u64) -> Option<Verdict> {
+    fn verdict(&self, share: f64, micros: u64) -> Option<Verdict> {
         let span = self.order.span.as_micros() as u64;
         let due = self.order.due.unwrap_or(micros + span);
         let decide = due.saturating_sub((span as f64 * (1.0 - ENOUGH)) as u64);
+        let last = due.saturating_sub((span as f64 * (1.0 - LAST)) as u64);
         let stage = if self.is_bad() {
             Stage::RolledBack
-        } else if micros >= decide {
+        } else if micros >= decide && self.is_known(share) {
             Stage::Completed
+        } else if micros >= last {
+            Stage::RolledBack
         } else {
             Stage::Running
         };
@@ -296,10 +305,16 @@
 
     fn is_bad(&self) -> bool {
         let pairs = self.pairs();
-        let all = pairs
-            .values()
-            .fold(Pair::default(), |sum, pair| sum + *pair);
-        is_bad(&all) || pairs.values().any(is_bad)
+        is_bad(&sum(&pairs)) || pairs.values().any(is_bad)
+    }
+
+    /// Tells whether enough was seen of the new version for it to pass: enough to be judged, or, of
+    /// a service that is used little, a good part of the share that it may get.
+    fn is_known(&self, share: f64) -> bool {
+        let all = sum(&self.pairs());
+        let most = f64::from(all.new.answers + all.old.answers) * share;
+        let enough = f64::from(MIN_TIMED).min(most * SEEN);
+        f64::from(all.new.answers) >= enough
     }
 
     /// Returns the answers on each route at all instances.
@@ -348,6 +363,11 @@
     }
 }
 
+fn sum(pairs: &collections::BTreeMap<name::Name, Pair>) -> Pair {
+    let all = pairs.values();
+    all.fold(Pair::default(), |sum, pair| sum + *pair)
+}
+
 /// Tells whether the new version's answers are worse than chance explains.
 fn is_bad(pair: &Pair) -> bool {
     let (new, old) = (pair.new, pair.old);
--- a/crates/core/tests/relay_rollouts.rs
+++ b/crates/core/tests/relay_rollouts.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use guavausher_core::relay::event::{self, Signal};
-use guavausher_core::relay::{engine, rollouts, route};
+use guavausher_core::relay::{engine, rollouts, route, settings};
 use guavausher_core::time;
 use relay_support::{EPOCH, Instance, START, ask, at, engine, engines, name, refused, sent};
 use rstest::rstest;
@@ -67,7 +67,10 @@
     let exposed = (0..2_000).filter(|id| run(&mut instance, at(id * 4), *id, signal, slow));
     let exposed = exposed.count();
     assert!(exposed <= 50, "{exposed}");
-    let verdicts = instance.state.rollouts.verdicts(EPOCH + 8_000_000);
+    let verdicts = instance
+        .state
+        .rollouts
+        .verdicts(&settings::Settings::default(), EPOCH + 8_000_000);
     assert_eq!(verdicts[0].stage, rollouts::Stage::RolledBack);
 }
 
@@ -87,7 +90,10 @@
     }
     // A tenth of the requests is allowed.
     assert!(exposed <= 200, "{exposed}");
-    let verdicts = instance.state.rollouts.verdicts(EPOCH + 8_000_000);
+    let verdicts = instance
+        .state
+        .rollouts
+        .verdicts(&settings::Settings::default(), EPOCH + 8_000_000);
     assert_eq!(verdicts[0].stage, rollouts::Stage::RolledBack);
 }
 
@@ -107,17 +113,20 @@
         instance
             .state
             .rollouts
-            .verdicts(EPOCH + 5_000_000)
+            .verdicts(&settings::Settings::default(), EPOCH + 5_000_000)
             .is_empty()
     );
-    let verdicts = instance.state.rollouts.verdicts(EPOCH + 9_500_000);
+    let verdicts = instance
+        .state
+        .rollouts
+        .verdicts(&settings::Settings::default(), EPOCH + 9_500_000);
     assert_eq!(verdicts[0].stage, rollouts::Stage::Completed);
     instance.apply(at(9_500), order(rollouts::Stage::Completed));
     assert!(
         instance
             .state
             .rollouts
-            .verdicts(EPOCH + 9_600_000)
+            .verdicts(&settings::Settings::default(), EPOCH + 9_600_000)
             .is_empty()
     );
     for id in 2_000..2_050 {
@@ -131,6 +140,32 @@
     }
 }
 
+/// The users' day "hasty" (EXPOSURE): a version of which hardly anything was seen passed for good.
+#[rstest]
+#[case::nothing_seen(0, 600, rollouts::Stage::RolledBack)]
+#[case::little_seen(11, 1_000, rollouts::Stage::RolledBack)]
+#[case::as_much_as_it_may_get(70, 1_000, rollouts::Stage::Completed)]
+#[case::service_that_is_hardly_used(2, 30, rollouts::Stage::Completed)]
+#[case::service_that_is_not_used(0, 0, rollouts::Stage::Completed)]
+fn version_is_completed_only_if_enough_was_seen(
+    #[case] new: u32,
+    #[case] old: u32,
+    #[case] stage: rollouts::Stage,
+) {
+    let mut trials = rollouts::Rollouts::default();
+    let event::Event::Rollouts(orders) = order(rollouts::Stage::Running) else {
+        unreachable!()
+    };
+    trials.replace(orders);
+    for (version, count) in [("v1", old), ("v2", new)] {
+        for _ in 0..count {
+            trials.answered(&name("model"), &name("r"), &name(version), true);
+        }
+    }
+    let last = trials.verdicts(&settings::Settings::default(), EPOCH + 11_900_000);
+    assert_eq!(last[0].stage, stage);
+}
+
 /// A version that is bad on one route only is hidden in the sum.
 #[test]
 fn version_that_is_bad_on_one_route_is_taken_back() {
@@ -147,7 +182,10 @@
             trials.answered(&name("model"), &name("r2"), &name("v2"), count % 2 == 0);
         }
     }
-    assert_eq!(trials.verdicts(EPOCH)[0].stage, rollouts::Stage::RolledBack);
+    assert_eq!(
+        trials.verdicts(&settings::Settings::default(), EPOCH)[0].stage,
+        rollouts::Stage::RolledBack
+    );
 }
 
 #[test]
@@ -185,7 +223,10 @@
             Signal::Whole { status },
         );
     }
-    let verdicts = instance.state.rollouts.verdicts(EPOCH + 9_500_000);
+    let verdicts = instance
+        .state
+        .rollouts
+        .verdicts(&settings::Settings::default(), EPOCH + 9_500_000);
     assert_eq!(verdicts[0].stage, rollouts::Stage::Completed);
 }
 
