Split the reducer of forwarding by what its events are about

The choice of an engine for an attempt, what engines and their list say, and what other instances tell are modules of their own now. Nothing else is changed.

--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -4,12 +4,12 @@
 
 use super::close;
 use super::ending;
+use super::place;
 use crate::refusal;
 use crate::relay::breaks;
 use crate::relay::effect;
 use crate::relay::event;
 use crate::relay::fleet;
-use crate::relay::reduce;
 use crate::relay::route;
 use crate::relay::state;
 use crate::time;
@@ -55,9 +55,9 @@
     };
     flight.sent = flight.sent.saturating_sub(1);
     if flight.tried.len() < MAX_UNSENT {
-        return reduce::place(state, now, request);
+        return place::place(state, now, request);
     }
-    let at = now.after(reduce::ENGINE_RETURN);
+    let at = now.after(place::ENGINE_RETURN);
     close::give_up(state, now, request, refusal::Code::NoUpstream, Some(at));
 }
 
@@ -116,7 +116,7 @@
     };
     flight.failed = true;
     let is_own = status >= 500;
-    let repeatable = flight.ask.route.repeat.is_idempotent() && reduce::has_attempts(flight);
+    let repeatable = flight.ask.route.repeat.is_idempotent() && place::has_attempts(flight);
     let service = flight.ask.service.clone();
     let instances = state.peers.instances();
     let repeat = is_own
@@ -126,7 +126,7 @@
             .spend(now, &state.settings, &service, instances);
     if repeat {
         end(state, now, request, fleet::Sign::Bad);
-        return reduce::place(state, now, request);
+        return place::place(state, now, request);
     }
     state.out.push(effect::Effect::Relay { request });
 }
@@ -187,9 +187,9 @@
             .budget
             .spend(now, &state.settings, &service, instances);
     if may {
-        return reduce::place(state, now, request);
+        return place::place(state, now, request);
     }
-    let at = now.after(reduce::ENGINE_RETURN);
+    let at = now.after(place::ENGINE_RETURN);
     close::give_up(state, now, request, code, Some(at));
 }
 
@@ -198,7 +198,7 @@
         let repeat = flight.ask.route.repeat;
         let is_open = !flight.answering || repeat == route::Repeat::ResumableStream;
         let is_safe = !flight.ran || repeat.is_idempotent();
-        is_open && is_safe && reduce::has_attempts(flight)
+        is_open && is_safe && place::has_attempts(flight)
     })
 }
 
--- /dev/null
+++ b/crates/core/src/relay/reduce/engines.rs
@@ -0,0 +1,55 @@
+//! What the list says of engines, and what they say of themselves.
+
+use std::time::Duration;
+
+use super::ending;
+use crate::name;
+use crate::relay::effect;
+use crate::relay::engine;
+use crate::relay::event;
+use crate::relay::state;
+use crate::time;
+
+/// Takes over the list of engines.
+pub(super) fn replace(state: &mut state::State, now: time::Time, list: Vec<engine::Engine>) {
+    let kept = state.outage.kept_until(now, &state.settings);
+    let change = state.fleet.replace(now, list, kept);
+    for ended in &change.ended {
+        ending::ended(state, now, &ended.name, ended.incarnation);
+    }
+    let started = change.started.into_iter().map(effect::Effect::Started);
+    let left = change.left.into_iter().map(|engine| effect::Effect::Left {
+        engine,
+        source: effect::Source::List,
+        age: Duration::ZERO,
+    });
+    state.out.extend(started.chain(left));
+}
+
+/// Takes what an engine says of itself.
+pub(super) fn said(
+    state: &mut state::State,
+    now: time::Time,
+    engine: name::Name,
+    incarnation: u64,
+    saying: event::Saying,
+) {
+    let has_left = match saying {
+        event::Saying::Leaving => state.fleet.leave(now, &engine, incarnation),
+        event::Saying::HoldsOff(until) => {
+            let held = engine.clone();
+            state.out.push(effect::Effect::Held {
+                engine: held,
+                until,
+            });
+            state.fleet.hold(now, &engine, incarnation, until)
+        }
+    };
+    if has_left {
+        state.out.push(effect::Effect::Left {
+            engine,
+            source: effect::Source::Answer,
+            age: Duration::ZERO,
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/reduce/heard.rs
@@ -0,0 +1,99 @@
+//! What other instances tell.
+
+use crate::relay::account;
+use crate::relay::digest;
+use crate::relay::effect;
+use crate::relay::peer;
+use crate::relay::pulse;
+use crate::relay::state;
+use crate::relay::summary;
+use crate::relay::words;
+use crate::time;
+
+/// Takes another instance's digest.
+pub(super) fn hear(state: &mut state::State, now: time::Time, digest: digest::Digest) {
+    let sender = digest.pulse.sender.clone();
+    if sender == state.own.name || !state.peers.is_mate(&digest.pulse) {
+        return;
+    }
+    let is_member = state.peers.is_member(now, &sender);
+    state.tallies.learn(&digest.tally());
+    state.fleet.hear(&sender, &digest.loads);
+    state.rollouts.hear(&sender, &digest.trials);
+    state.suspects.hear(now, &digest.suspects);
+    depart(state, now, &digest.departures);
+    learn_levels(state, now, &digest.pulse.spent);
+    let charges = state.peers.hear(now, digest).unwrap_or_default();
+    charge(state, now, charges);
+    if !is_member {
+        state.caps.divide(now, state.peers.part(now));
+    }
+    super::note_outage(state, now);
+}
+
+/// Takes another instance's pulse.
+pub(super) fn beat(state: &mut state::State, now: time::Time, pulse: pulse::Pulse) {
+    if pulse.sender == state.own.name || !state.peers.is_mate(&pulse) {
+        return;
+    }
+    let is_member = state.peers.is_member(now, &pulse.sender);
+    learn_levels(state, now, &pulse.spent);
+    let charges = state.peers.beat(now, pulse).unwrap_or_default();
+    charge(state, now, charges);
+    if !is_member {
+        state.caps.divide(now, state.peers.part(now));
+    }
+    super::note_outage(state, now);
+}
+
+/// Takes a delegate's summary.
+pub(super) fn sum_up(state: &mut state::State, now: time::Time, summary: summary::Summary) {
+    state.suspects.hear(now, &summary.suspects);
+    depart(state, now, &summary.departures);
+    learn_levels(state, now, &summary.sum.spent);
+    for charge in state.peers.sum_up(now, summary) {
+        state.caps.charge(now, &charge.workspace, charge.units);
+    }
+    super::note_outage(state, now);
+}
+
+/// Takes what delegates tell of the members of their group.
+pub(super) fn learn_accounts(
+    state: &mut state::State,
+    now: time::Time,
+    accounts: &[account::Account],
+) {
+    for account in accounts {
+        let process = &account.process;
+        state.tallies.learn(&account.tally());
+        state.rollouts.hear(&process.name, &account.trials);
+        state.peers.account(now, process, &account.work);
+    }
+}
+
+fn learn_levels(state: &mut state::State, now: time::Time, spent: &[digest::Spent]) {
+    for spent in spent {
+        if let Some(level) = spent.level {
+            state.caps.learn(now, &spent.workspace, level);
+        }
+    }
+}
+
+fn charge(state: &mut state::State, now: time::Time, charges: Vec<peer::Charge>) {
+    for charge in charges {
+        state.caps.charge_mate(now, &charge.workspace, charge.units);
+    }
+}
+
+/// Takes over from another instance which engines leave.
+fn depart(state: &mut state::State, now: time::Time, told: &[digest::Departure]) {
+    for departure in told {
+        if state.fleet.depart(now, departure) {
+            state.out.push(effect::Effect::Left {
+                engine: departure.engine.clone(),
+                source: effect::Source::Peer,
+                age: words::age(departure),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/reduce/place.rs
@@ -0,0 +1,171 @@
+//! The choice of an engine for each attempt, and refusal where none can serve it.
+
+use std::time::Duration;
+
+use super::close;
+use crate::name;
+use crate::refusal;
+use crate::relay::ask;
+use crate::relay::effect;
+use crate::relay::fleet;
+use crate::relay::flight;
+use crate::relay::route;
+use crate::relay::state;
+use crate::time;
+
+/// How much later than its goal a first event may be expected and the request still be sent, as
+/// a factor on the time of the goal.
+const LATENESS: f64 = 1.6;
+/// Time after which a request that no engine can take is worth another try.
+pub(super) const ENGINE_RETURN: Duration = Duration::from_millis(700);
+/// Time left below which nothing is sent any more.
+const MIN_LEFT: Duration = Duration::from_millis(20);
+/// Shortest time that an idempotent request waits for its answer before it goes elsewhere.
+const MIN_PATIENCE: Duration = Duration::from_millis(150);
+/// The same as a multiple of the expected time.
+const PATIENCE: u32 = 4;
+/// Longest pause of a stream that may go on elsewhere, as a multiple of a pause on time.
+const PAUSE: u32 = 2;
+
+/// Sends a request to an engine, or gives the final answer.
+pub(super) fn place(state: &mut state::State, now: time::Time, request: u64) {
+    let Some(flight) = state.flights.get(&request) else {
+        return;
+    };
+    let ask = &flight.ask;
+    if state.suspects.is_blocked(now, ask.fingerprint) {
+        return close::give_up(state, now, request, refusal::Code::Suspect, None);
+    }
+    if now.after(MIN_LEFT) >= ask.deadline {
+        return close::give_up(state, now, request, refusal::Code::Deadline, None);
+    }
+    let is_repeat = !flight.tried.is_empty();
+    let mut pick = state
+        .rollouts
+        .pick(&state.settings, &ask.service, is_repeat);
+    let is_there = |version: &name::Name| state.fleet.has_version(now, &ask.service, version);
+    pick.only = pick.only.filter(is_there);
+    let limits = fleet::Limits {
+        excluded: &flight.tried,
+        version: pick.only.as_ref(),
+        barred: pick.barred.as_ref(),
+        channels: channels(state, &ask.service),
+    };
+    let chosen = state.fleet.choose(now, ask, limits);
+    let chosen = chosen.or_else(|lack| {
+        let others = match lack {
+            fleet::Lack::Held(_) if pick.prefers => fleet::Limits {
+                version: None,
+                barred: pick.only.as_ref(),
+                ..limits
+            },
+            fleet::Lack::Excluded | fleet::Lack::NoEngine if pick.yields => fleet::Limits {
+                barred: None,
+                ..limits
+            },
+            _ => return Err(lack),
+        };
+        let other = state.fleet.choose(now, ask, others);
+        other.map_err(|_| lack)
+    });
+    let choice = match chosen {
+        Ok(choice) => choice,
+        Err(fleet::Lack::Held(until)) => {
+            let at = until.after(spread(ask));
+            return close::give_up(state, now, request, refusal::Code::Overloaded, Some(at));
+        }
+        Err(_) => {
+            let at = now.after(ENGINE_RETURN);
+            return close::give_up(state, now, request, refusal::Code::NoUpstream, Some(at));
+        }
+    };
+    let hopeless = hopeless(now, ask, choice.expected);
+    if let Some(at) = hopeless.filter(|_| !flight.answering) {
+        let code = refusal::Code::Overloaded;
+        return close::give_up_as(state, now, request, code, Some(at), Some(choice.expected));
+    }
+    send(state, now, request, choice);
+}
+
+/// Returns how much later than others a caller is to come back, so that they do not come together.
+fn spread(ask: &ask::Ask) -> Duration {
+    /// Longest such time in milliseconds.
+    const LONGEST: u64 = 1_000;
+    let draw = twox_hash::XxHash64::oneshot(0, ask.trace.as_bytes());
+    Duration::from_millis(draw % LONGEST)
+}
+
+/// Returns how many channels one engine of a service takes from all instances.
+fn channels(state: &state::State, service: &name::Name) -> Option<u32> {
+    let manifest = state.manifest.as_ref()?;
+    let service = manifest.services().get(service)?;
+    (service.channels > 0).then_some(service.channels)
+}
+
+/// Returns how many idle channels to one engine of a service this instance may keep, so that those
+/// of all instances leave room for requests on new ones.
+fn idle_channels(state: &state::State, service: &name::Name) -> usize {
+    /// Part of an engine's channels that may be idle.
+    const PART: u32 = 2;
+    let all = channels(state, service).map(|channels| channels / PART);
+    all.map_or(usize::MAX, |all| all as usize / state.peers.instances())
+}
+
+/// Returns when to come back if a first event after `expected` is too late to be worth the work.
+fn hopeless(now: time::Time, ask: &ask::Ask, expected: Duration) -> Option<time::Time> {
+    let goal = ask.arrived.until(ask.goal);
+    let limit = goal.mul_f64(LATENESS).min(now.until(ask.deadline));
+    (expected > limit).then(|| now.after(expected.saturating_sub(goal / 2)))
+}
+
+fn send(state: &mut state::State, now: time::Time, request: u64, choice: fleet::Choice) {
+    let Some(flight) = state.flights.get(&request) else {
+        return;
+    };
+    let idle = idle_channels(state, &flight.ask.service);
+    let Some(flight) = state.flights.get_mut(&request) else {
+        return;
+    };
+    state.fleet.start(now, &choice, &flight.ask);
+    flight.tried.push(choice.engine.clone());
+    flight.sent += 1;
+    flight.running = Some(flight::Running {
+        choice: choice.clone(),
+        began: now,
+        first: false,
+    });
+    let dispatch = effect::Dispatch {
+        number: flight.tried.len(),
+        patience: patience(now, flight, &choice),
+        pause: pause(flight),
+        idle,
+        choice,
+    };
+    state.out.push(effect::Effect::Send { request, dispatch });
+}
+
+/// Returns when a request that may be repeated is to go elsewhere if nothing has come.
+fn patience(
+    now: time::Time,
+    flight: &flight::Flight,
+    choice: &fleet::Choice,
+) -> Option<time::Time> {
+    let route = &flight.ask.route;
+    if !route.repeat.is_idempotent() || !has_attempts(flight) {
+        return None;
+    }
+    let goal = route.goal / 2;
+    let wait = (choice.expected * PATIENCE).max(goal).max(MIN_PATIENCE);
+    Some(now.after(wait))
+}
+
+/// Returns the longest pause of a stream that may go on at another engine.
+fn pause(flight: &flight::Flight) -> Option<Duration> {
+    let route = &flight.ask.route;
+    let may_resume = route.repeat == route::Repeat::ResumableStream && has_attempts(flight);
+    route.gap.filter(|_| may_resume).map(|gap| gap * PAUSE)
+}
+
+pub(super) fn has_attempts(flight: &flight::Flight) -> bool {
+    flight.sent < flight.ask.route.attempts
+}
