Keep what each process saw of a version on trial

What an instance had told of a new version's answers was replaced by its newest message: a restart, or an older message that came late, took back faults that had been seen, and the version got requests again.

Answers are kept by process now, ended ones included, and a message that tells less than one before changes nothing.

--- a/crates/core/src/relay/reduce/heard.rs
+++ b/crates/core/src/relay/reduce/heard.rs
@@ -17,9 +17,10 @@
         return;
     }
     let is_member = state.peers.is_member(now, &sender);
-    state.tallies.learn(&digest.tally());
+    let tally = digest.tally();
+    state.tallies.learn(&tally);
     state.fleet.hear(&sender, &digest.loads);
-    state.rollouts.hear(&sender, &digest.trials);
+    state.rollouts.hear(&tally.process, &digest.trials);
     state.suspects.hear(now, &digest.suspects);
     depart(state, now, &digest.departures);
     learn_levels(state, now, &digest.pulse.spent);
@@ -66,7 +67,7 @@
     for account in accounts {
         let process = &account.process;
         state.tallies.learn(&account.tally());
-        state.rollouts.hear(&process.name, &account.trials);
+        state.rollouts.hear(process, &account.trials);
         state.peers.account(now, process, &account.work);
     }
 }
--- a/crates/core/src/relay/rollouts.rs
+++ b/crates/core/src/relay/rollouts.rs
@@ -11,6 +11,7 @@
 
 use super::digest;
 use super::settings;
+use super::tallies;
 use crate::name;
 
 /// Part of the allowed exposure that is used.
@@ -21,6 +22,8 @@
 const LAST: f64 = 0.93;
 /// Part of the requests that a version may get of which it must have answered some to pass.
 const SEEN: f64 = 0.3;
+/// Processes of which answers are remembered for one move.
+const MAX_PROCESSES: usize = 4_096;
 /// Answers of a new version before it is judged.
 const MIN_ANSWERS: u32 = 8;
 /// Bad answers below which a version is not bad.
@@ -117,7 +120,8 @@
     requests: u64,
     exposed: u64,
     own: collections::BTreeMap<name::Name, Pair>,
-    others: collections::BTreeMap<name::Name, Vec<digest::Trial>>,
+    /// What each process tells, those that have ended included.
+    others: collections::BTreeMap<tallies::Process, Vec<digest::Trial>>,
 }
 
 /// All moves.
@@ -237,14 +241,16 @@
         })
     }
 
-    /// Takes over what another instance tells.
-    pub fn hear(&mut self, from: &name::Name, told: &[digest::Trial]) {
+    /// Takes over what a process of another instance tells.
+    pub fn hear(&mut self, from: &tallies::Process, told: &[digest::Trial]) {
         for trial in self.trials.values_mut() {
             let mine = told
                 .iter()
                 .filter(|t| t.service == trial.order.service && t.target == trial.order.target);
             let mine: Vec<_> = mine.cloned().collect();
-            if !mine.is_empty() {
+            let known = trial.others.get(from).map_or(0, |known| seen(known));
+            let is_room = trial.others.len() < MAX_PROCESSES || known > 0;
+            if seen(&mine) > known && is_room {
                 trial.others.insert(from.clone(), mine);
             }
         }
@@ -363,6 +369,16 @@
     }
 }
 
+/// Returns how much was seen of both versions on all routes; a process never tells less later.
+fn seen(told: &[digest::Trial]) -> u64 {
+    let tallies = told
+        .iter()
+        .flat_map(|trial| [trial.pair.new, trial.pair.old]);
+    tallies
+        .map(|tally| u64::from(tally.answers) + u64::from(tally.timed))
+        .sum()
+}
+
 fn sum(pairs: &collections::BTreeMap<name::Name, Pair>) -> Pair {
     let all = pairs.values();
     all.fold(Pair::default(), |sum, pair| sum + *pair)
--- a/crates/core/tests/relay_rollouts.rs
+++ b/crates/core/tests/relay_rollouts.rs
@@ -208,6 +208,29 @@
     assert_eq!(exposed.count(), 0);
 }
 
+/// What an instance saw counts though it has restarted since, and though an older message comes late.
+#[rstest]
+#[case::restarted(2)]
+#[case::older_message(1)]
+fn faults_seen_before_count(#[case] incarnation: u64) {
+    let good = Signal::Whole { status: 200 };
+    let mut other = trial();
+    for id in 0..100 {
+        run(&mut other, at(id * 4), id, good, 1);
+    }
+    let mut late = other.digest(at(500));
+    late.pulse.incarnation = incarnation;
+    let mut first = trial();
+    for id in 0..600 {
+        run(&mut first, at(id * 4), id, Signal::Whole { status: 500 }, 1);
+    }
+    let mut second = trial_at(2);
+    second.hear(at(3_000), first.digest(at(3_000)));
+    second.hear(at(3_050), late);
+    let exposed = (0..200).filter(|id| run(&mut second, at(3_100 + id * 4), *id, good, 1));
+    assert_eq!(exposed.count(), 0);
+}
+
 #[test]
 fn service_with_many_usual_failures_is_no_reason_to_roll_back() {
     let mut instance = trial();
