Decode and log the rate limits that engines state

A statement carries the span of time in which it was made, since responses arrive in any order: the later one applies, or the lower limit if their order is not certain. A response without a limit ends it only if it is the engine's own final one; 421 comes from another engine and says nothing. Nothing is decided by it yet.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -33,6 +33,7 @@
 pub mod prefill_totals;
 pub mod prefix_cache;
 pub mod process_report;
+pub mod rate_limit;
 pub mod reduce;
 pub mod request;
 pub mod retry_budget;
--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::fleet;
+use super::rate_limit;
 use crate::name;
 use crate::refusal;
 use crate::time;
@@ -65,6 +66,19 @@
         /// End of the hold.
         until: time::Time,
     },
+    /// An engine's rate limit has become known, has changed or has ended.
+    EngineLimited {
+        /// The engine.
+        engine: name::Name,
+        /// Its incarnation.
+        incarnation: u64,
+        /// The limit, or `None` if it has ended.
+        rate: Option<rate_limit::Rate>,
+        /// Source of the information.
+        source: Source,
+        /// Age of the information.
+        age: Duration,
+    },
     /// A manifest is in force.
     ManifestApplied {
         /// Its version.
@@ -74,7 +88,7 @@
     PeerLost(name::Name),
 }
 
-/// Source of the information that an engine is leaving.
+/// Source of information about an engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Source {
     /// A notice in a response of the engine.
@@ -105,6 +119,8 @@
     pub choice: fleet::Choice,
     /// Number of the attempt, from 1.
     pub number: usize,
+    /// When the reducer decided to send it.
+    pub decided_at: time::Time,
     /// Deadline for the first byte of the response; if `None`, only the request's deadline applies.
     pub response_deadline: Option<time::Time>,
     /// Longest gap within the response before the request continues at another engine.
--- a/crates/core/src/relay/engine_notices.rs
+++ b/crates/core/src/relay/engine_notices.rs
@@ -1,6 +1,7 @@
-//! Notices that engines add to their responses: that they are leaving, or on hold for a while.
+//! Notices that engines add to their responses: that they are leaving, on hold for a while, or take
+//! a limited rate of requests.
 //!
-//! Both are about one incarnation of an engine and outlive its entry in the list, which may
+//! All are about one incarnation of an engine and outlive its entry in the list, which may
 //! disappear and return. All instances are informed that an engine is leaving; a hold applies to
 //! this instance only.
 
@@ -10,6 +11,7 @@
 
 use super::digest;
 use super::peer_data;
+use super::rate_limit;
 use crate::name;
 use crate::time;
 
@@ -19,6 +21,9 @@
 const REPORT_PERIOD: Duration = Duration::from_secs(15);
 /// Longest hold that an engine may ask for.
 const MAX_HOLD: Duration = Duration::from_secs(600);
+/// How long a rate limit applies that no response has confirmed. Without this, an engine to which
+/// nothing is sent would be avoided forever.
+const LIMIT_RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of engines remembered.
 const MAX_ENGINES: usize = 1_024;
 /// Maximum number of engines reported in one message.
@@ -39,6 +44,8 @@
     leaving_until: time::Time,
     /// End of its hold.
     hold_end: time::Time,
+    /// Its last statement of a rate limit, or of the end of one.
+    limit: Option<rate_limit::Statement>,
 }
 
 /// Returns the time since an engine's notice that it is leaving.
@@ -107,6 +114,47 @@
         (hold_end > now).then_some(hold_end)
     }
 
+    /// Records whether a response contained a rate limit. Returns `true` if that changes the limit.
+    ///
+    /// A response without a limit is of interest only for an engine that stated one before.
+    pub fn record_limit(
+        &mut self,
+        now: time::Time,
+        engine: &name::Name,
+        incarnation: u64,
+        statement: rate_limit::Statement,
+    ) -> bool {
+        if statement.rate.is_none() && !self.has_stated_limit(engine, incarnation) {
+            return false;
+        }
+        let Some(notice) = self.entry(now, engine, incarnation) else {
+            return false;
+        };
+        let before = notice.rate_limit(now);
+        notice.limit = Some(
+            notice
+                .limit
+                .map_or(statement, |known| known.merge(statement)),
+        );
+        notice.rate_limit(now) != before
+    }
+
+    /// Returns `true` if an engine has stated a rate limit, even if that has ended since.
+    pub fn has_stated_limit(&self, engine: &name::Name, incarnation: u64) -> bool {
+        let notice = self.get(engine, incarnation);
+        notice.is_some_and(|notice| notice.limit.is_some())
+    }
+
+    /// Returns the rate limit of an engine, if one applies.
+    pub fn rate_limit(
+        &self,
+        now: time::Time,
+        engine: &name::Name,
+        incarnation: u64,
+    ) -> Option<rate_limit::Rate> {
+        self.get(engine, incarnation)?.rate_limit(now)
+    }
+
     /// Returns the leaving engines to report, in rotation if there are many.
     pub fn departures(&self, now: time::Time) -> Vec<digest::Departure> {
         let is_recent =
@@ -170,4 +218,10 @@
     fn expires_at(&self) -> time::Time {
         self.expiry.max(self.leaving_until).max(self.hold_end)
     }
+
+    fn rate_limit(&self, now: time::Time) -> Option<rate_limit::Rate> {
+        let statement = self.limit?;
+        let applies = statement.latest.after(LIMIT_RETENTION) > now;
+        statement.rate.filter(|_| applies)
+    }
 }
--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -8,6 +8,7 @@
 use super::heartbeat;
 use super::manifest;
 use super::process_report;
+use super::rate_limit;
 use super::request;
 use super::rollouts;
 use super::summary;
@@ -62,6 +63,8 @@
     Leaving,
     /// It asks this instance to send no requests until then.
     Hold(time::Time),
+    /// It takes a limited rate of requests from all instances together, or no longer does.
+    Limit(rate_limit::Statement),
 }
 
 /// Progress or end of an attempt.
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -12,6 +12,7 @@
 use super::engine_notices;
 use super::engine_state;
 use super::prefix_cache;
+use super::rate_limit;
 use super::request;
 use crate::name;
 use crate::routing::estimate;
@@ -190,6 +191,30 @@
         self.notices.hold_end(now, &engine.name, engine.incarnation)
     }
 
+    /// Records whether a response of an engine contained a rate limit; returns `true` if that
+    /// changes the limit.
+    pub fn record_limit(
+        &mut self,
+        now: time::Time,
+        engine: &name::Name,
+        incarnation: u64,
+        statement: rate_limit::Statement,
+    ) -> bool {
+        self.notices
+            .record_limit(now, engine, incarnation, statement)
+    }
+
+    /// Returns `true` if an engine has stated a rate limit, even if that has ended since.
+    pub fn has_stated_limit(&self, engine: &name::Name, incarnation: u64) -> bool {
+        self.notices.has_stated_limit(engine, incarnation)
+    }
+
+    /// Returns the rate limit that an engine has stated, if one applies.
+    pub fn rate_limit(&self, now: time::Time, engine: &engine::Engine) -> Option<rate_limit::Rate> {
+        self.notices
+            .rate_limit(now, &engine.name, engine.incarnation)
+    }
+
     /// Returns the leaving engines to report to other instances.
     pub fn departures(&self, now: time::Time) -> Vec<digest::Departure> {
         self.notices.departures(now)
--- a/crates/core/src/relay/reduce/dispatch.rs
+++ b/crates/core/src/relay/reduce/dispatch.rs
@@ -149,6 +149,7 @@
     });
     let dispatch = effect::Dispatch {
         number: flight.tried.len(),
+        decided_at: now,
         response_deadline: response_deadline(now, flight, &choice),
         max_gap: max_gap(flight),
         max_idle,
--- a/crates/core/src/relay/reduce/engines.rs
+++ b/crates/core/src/relay/reduce/engines.rs
@@ -7,6 +7,7 @@
 use crate::relay::effect;
 use crate::relay::engine;
 use crate::relay::event;
+use crate::relay::rate_limit;
 use crate::relay::state;
 use crate::time;
 
@@ -50,6 +51,10 @@
             });
             state.fleet.record_hold(now, &engine, incarnation, until)
         }
+        event::Notice::Limit(statement) => {
+            record_limit(state, now, &engine, incarnation, statement);
+            false
+        }
     };
     if has_left {
         state.out.push(effect::Effect::EngineLeft {
@@ -59,3 +64,26 @@
         });
     }
 }
+
+/// Records whether a response of an engine contained a rate limit.
+fn record_limit(
+    state: &mut state::State,
+    now: time::Time,
+    engine: &name::Name,
+    incarnation: u64,
+    statement: rate_limit::Statement,
+) {
+    if !state
+        .fleet
+        .record_limit(now, engine, incarnation, statement)
+    {
+        return;
+    }
+    state.out.push(effect::Effect::EngineLimited {
+        engine: engine.clone(),
+        incarnation,
+        rate: statement.rate,
+        source: effect::Source::Answer,
+        age: statement.latest.until(now),
+    });
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use guavausher_core::relay::{effect, event, request, route};
+use guavausher_core::relay::{effect, event, rate_limit, request, route};
 use guavausher_core::time;
 use tokio::net::TcpStream;
 
@@ -24,6 +24,10 @@
 const MAX_STALE_RESPONSES: usize = 4;
 /// Status of a response that rejects a request for lack of capacity.
 const UNAVAILABLE: u16 = 503;
+/// Lowest status of a final response.
+const MIN_FINAL_STATUS: u16 = 200;
+/// Status of a response from an engine other than the intended one.
+const MISDIRECTED: u16 = 421;
 /// Lowest status of a response that reports a failure of the engine.
 const MIN_FAILURE_STATUS: u16 = 500;
 
@@ -159,7 +163,8 @@
         }
     }
 
-    /// Applies the engine notices (leaving, on hold) in a response head, whatever its status.
+    /// Applies the engine notices (leaving, on hold, rate limit) in a response head, whatever its
+    /// status.
     fn apply_notices(&self, head: &head::Head) {
         if head.get(self.runtime.protocol.leaving) == Some("1") {
             self.apply_notice(event::Notice::Leaving);
@@ -168,6 +173,42 @@
         if let Some(wait) = wait.filter(|_| head.status() == UNAVAILABLE) {
             self.apply_notice(event::Notice::Hold(clock::now().after(wait)));
         }
+        self.apply_rate_limit(head);
+    }
+
+    /// Applies the rate limit in a response head, or its absence if the engine has stated one
+    /// before.
+    fn apply_rate_limit(&self, head: &head::Head) {
+        // A misdirected request was answered by another engine, which speaks for itself.
+        if head.status() == MISDIRECTED {
+            return;
+        }
+        let names = &self.runtime.protocol;
+        let is_own = head.get(names.id) == Some(self.request.trace.as_str());
+        let rate = head.get(names.rate_limit).map(parse_rate);
+        let rate = match rate {
+            Some(None) => return,
+            None if !(is_own && self.shows_end_of_limit(head)) => return,
+            rate => rate.flatten(),
+        };
+        let earliest = match is_own {
+            true => self.dispatch.decided_at,
+            false => time::Time::default(),
+        };
+        self.apply_notice(event::Notice::Limit(rate_limit::Statement {
+            rate,
+            earliest,
+            latest: clock::now(),
+        }));
+    }
+
+    /// Returns `true` if a response without a rate limit is the engine's own final one, and the
+    /// engine has stated a limit before.
+    fn shows_end_of_limit(&self, head: &head::Head) -> bool {
+        let names = &self.runtime.protocol;
+        let is_final = head.status() >= MIN_FINAL_STATUS;
+        let is_from_engine = head.get(names.stamp).is_some() || head.get(names.refusal).is_some();
+        is_final && is_from_engine && self.runtime.has_stated_limit(&self.dispatch.choice)
     }
 
     fn apply_notice(&self, notice: event::Notice) {
@@ -192,7 +233,8 @@
         let status = head.status();
         let framing = head.response_framing(&self.incoming.method);
         let framing = framing.map_err(|_| response_reader::BROKEN_RESPONSE)?;
-        let is_refusal = head.get(names.refusal).is_some() && status != 400 || status == 421;
+        let is_refusal =
+            head.get(names.refusal).is_some() && status != 400 || status == MISDIRECTED;
         if is_refusal {
             let wait = wire::retry_after(head);
             self.skip_response(engine, &response, framing, is_sent)
@@ -423,6 +465,10 @@
     }
 }
 
+fn parse_rate(text: &str) -> Option<rate_limit::Rate> {
+    rate_limit::Rate::from_per_second(text.parse().ok()?)
+}
+
 /// The head of a response to this request.
 #[derive(Debug)]
 struct Response {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -32,7 +32,7 @@
 /// Labels of an engine notice.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
 pub struct Notice {
-    /// `leaving` or `hold`.
+    /// `leaving`, `hold` or `limit`.
     pub word: &'static str,
     /// `answer`, `list` or `peer`.
     pub source: &'static str,
@@ -181,6 +181,7 @@
             let standing = match state.fleet.hold_end(now, engine) {
                 _ if engine.leaving => "leaving",
                 Some(_) => "held",
+                None if state.fleet.rate_limit(now, engine).is_some() => "limited",
                 None => "open",
             };
             let labels = Engines { service, standing };
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -27,6 +27,8 @@
     pub refusal: &'static str,
     /// Header by which an engine announces that it is leaving, with the value `1`.
     pub leaving: &'static str,
+    /// Header with the requests per second that an engine takes from all instances together.
+    pub rate_limit: &'static str,
     /// Headers of callers that are not forwarded to engines.
     pub reserved: &'static [&'static str],
     /// Headers of callers that are forwarded even if `Connection` lists them.
--- a/crates/relay/src/runtime.rs
+++ b/crates/relay/src/runtime.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use guavausher_core::name;
-use guavausher_core::relay::{digest, effect, event, fleet, manifest, reduce, state};
+use guavausher_core::relay::{digest, effect, event, fleet, manifest, rate_limit, reduce, state};
 use guavausher_core::time;
 use tokio::sync;
 
@@ -133,6 +133,14 @@
         state.fleet.status(clock::now(), choice) == fleet::Status::Listed
     }
 
+    /// Returns `true` if the engine of an attempt has stated a rate limit, even if that has ended
+    /// since.
+    pub(crate) fn has_stated_limit(&self, choice: &fleet::Choice) -> bool {
+        let state = self.state.borrow();
+        let fleet = &state.fleet;
+        fleet.has_stated_limit(&choice.engine, choice.incarnation)
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_progress(&self) -> usize {
         self.queues.borrow().len()
@@ -187,6 +195,13 @@
                 self.metrics.count_notice("hold", effect::Source::Answer);
                 log::info!(engine:% = engine, hold_ms = hold; "engine is on hold");
             }
+            effect::Effect::EngineLimited {
+                engine,
+                incarnation,
+                rate,
+                source,
+                age,
+            } => self.log_rate_limit(&engine, incarnation, rate, source, age),
             effect::Effect::ManifestApplied { version } => {
                 self.metrics.manifest.set(version as i64);
                 log::info!(version = version; "manifest in force");
@@ -202,6 +217,27 @@
             "engine leaving or gone");
     }
 
+    fn log_rate_limit(
+        &self,
+        engine: &name::Name,
+        incarnation: u64,
+        rate: Option<rate_limit::Rate>,
+        source: effect::Source,
+        age: Duration,
+    ) {
+        let age = age.as_millis() as u64;
+        match rate {
+            Some(rate) => {
+                self.metrics.count_notice("limit", source);
+                log::info!(engine:% = engine, incarnation = incarnation,
+                    per_second = rate.per_second(), source:? = source, age_ms = age;
+                    "engine limits its requests");
+            }
+            None => log::info!(engine:% = engine, incarnation = incarnation, source:? = source,
+                age_ms = age; "engine no longer limits its requests"),
+        }
+    }
+
     fn push_step(&self, request: u64, step: step_queue::Step) {
         match self.queues.borrow().get(&request) {
             Some(queue) => queue.push(step),
--- a/crates/relay/tests/log_lines.rs
+++ b/crates/relay/tests/log_lines.rs
@@ -6,6 +6,7 @@
 
 use guavausher_core::name;
 use guavausher_core::relay::{event, manifest, workspace};
+use guavausher_relay::clock;
 use rstest::rstest;
 use support::script::Reply;
 use support::{Engine, Relay, complete_response, events, lines, request};
@@ -257,3 +258,84 @@
 fn not_run() -> String {
     complete_response(503, "full").replace("X-Stamp", "X-Refused: 1\r\nX-Stamp")
 }
+
+fn limited_response(rate: &str) -> String {
+    let limit = format!("X-Limit: {rate}\r\nX-Stamp");
+    complete_response(200, "x").replace("X-Stamp", &limit)
+}
+
+fn limited(rate: &str) -> Reply {
+    Reply::Keep(limited_response(rate))
+}
+
+/// Sends a request for each reply, one after the other.
+async fn ask_each(replies: Vec<Reply>) -> (Engine, Relay) {
+    let count = replies.len();
+    let (engine, relay) = serving(replies).await;
+    for index in 0..count {
+        relay
+            .ask(&request("POST", "/pay/", &format!("r{index}"), "kit"))
+            .await;
+    }
+    (engine, relay)
+}
+
+/// The start, each change and the end of a rate limit have one line each, not each response.
+#[test]
+fn rate_limit_is_logged_when_it_changes() {
+    support::run(async {
+        let whole = || Reply::Keep(complete_response(200, "x"));
+        let replies = vec![
+            whole(),
+            limited("250000.5"),
+            limited("250000.5"),
+            limited("300000"),
+            whole(),
+            whole(),
+        ];
+        let (_engine, relay) = ask_each(replies).await;
+        let limits = lines::all("engine limits its requests");
+        let rates: Vec<_> = limits.iter().map(|l| l.number("per_second")).collect();
+        assert_eq!(rates, [250_000.5, 300_000.0]);
+        let ends = lines::all("engine no longer limits its requests");
+        assert_eq!(ends.len(), 1);
+        for line in limits.iter().chain(&ends) {
+            assert_eq!(line.text("engine"), "engine-0");
+            assert_eq!(line.text("source"), "Answer");
+            assert_eq!(line.number("incarnation"), 1.0);
+            assert!(line.number("age_ms") < 1_000.0);
+        }
+        let metrics = &relay.runtime.metrics;
+        let text = metrics.text(clock::now(), &relay.runtime.state.borrow());
+        assert!(text.contains("engine_words_total{word=\"limit\",source=\"answer\"} 2"));
+    });
+}
+
+/// An invalid rate, and a response of another engine at the same address, state nothing.
+#[rstest]
+#[case::word(limited("few"))]
+#[case::negative(limited("-2"))]
+#[case::not_a_number(limited("NaN"))]
+#[case::empty(limited(""))]
+#[case::misdirected(Reply::Keep(not_run().replace("503", "421").replace("X-Refused", "X-Limit: 2\r\nX-Refused")))]
+fn rate_limit_invalid_is_ignored(#[case] reply: Reply) {
+    support::run(async {
+        let _running = ask_each(vec![reply]).await;
+        assert_eq!(lines::all("engine limits its requests"), []);
+    });
+}
+
+/// Only a response of the engine itself shows that its limit has ended.
+#[rstest]
+#[case::misdirected(Reply::Keep(not_run().replace("503", "421")))]
+#[case::without_stamp(Reply::Keep(complete_response(502, "x").replace("X-Stamp", "X-Other")))]
+#[case::other_request(Reply::Keep(format!(
+    "{}{}", complete_response(200, "old").replace("{id}", "r9"), limited_response("250000")
+)))]
+fn rate_limit_survives_responses_of_others(#[case] reply: Reply) {
+    support::run(async {
+        let _running = ask_each(vec![limited("250000"), reply]).await;
+        assert_eq!(lines::all("engine limits its requests").len(), 1);
+        assert_eq!(lines::all("engine no longer limits its requests"), []);
+    });
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -49,6 +49,7 @@
         stamp: "X-Stamp",
         refusal: "X-Refused",
         leaving: "X-Leaving",
+        rate_limit: "X-Limit",
         reserved: &["X-Reserved"],
         forwarded: &["X-Id", "X-Model"],
         ready_path: "/ready",
