Test that engines' rate limits are kept by all instances together

The bound is the limit and the five requests that the users tolerate, without the half as much again.

--- /dev/null
+++ b/crates/core/tests/relay_limits.rs
@@ -0,0 +1,186 @@
+//! Rate limits that engines state, kept by all instances together.
+
+mod relay_support;
+
+use std::time::Duration;
+
+use guavausher_core::relay::route::RetryPolicy;
+use guavausher_core::relay::{event, rate_limit};
+use guavausher_core::{refusal, verdict};
+use relay_support::fleet::{Fleet, Network};
+use relay_support::limits::Simulation;
+use relay_support::{Instance, at, name, new_request, refused};
+use rstest::rstest;
+
+/// Time after which all instances must keep to a limit (`contactMs` of the large deployment).
+const NOTICE_TIME: Duration = Duration::from_secs(4);
+/// Length of the window in which requests are counted against a limit.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests beyond the limit that are tolerated in a window.
+const SLACK: f64 = 5.0;
+/// Requests per second that the two limited engines take.
+const LIMITS: [f64; 2] = [2.0, 3.0];
+
+/// Number of instances, failure domains and engines, and requests per second of all callers.
+#[derive(Clone, Copy, Debug)]
+struct Size(usize, usize, usize, f64);
+
+const SMALL: Size = Size(9, 3, 9, 80.0);
+const GROWN: Size = Size(75, 3, 20, 300.0);
+const LARGE: Size = Size(295, 5, 30, 600.0);
+
+fn simulation(size: Size) -> Simulation {
+    let Size(instances, domains, engines, load) = size;
+    let mut simulation = Simulation::new(instances, domains, engines, load);
+    simulation.run_for(Duration::from_secs(2));
+    for (engine, limit) in LIMITS.into_iter().enumerate() {
+        simulation.limit(engine, Some(limit));
+    }
+    simulation
+}
+
+/// The limit itself and no share of it beyond, although the deployments tolerate half as much
+/// again.
+fn allowed(limit: f64) -> f64 {
+    limit * WINDOW.as_secs_f64() + SLACK
+}
+
+fn assert_limits_kept(simulation: &Simulation, limits: &[f64], since: Duration) {
+    for (engine, limit) in limits.iter().enumerate() {
+        let most = simulation.most_arrivals(engine, since, WINDOW);
+        assert!(
+            most as f64 <= allowed(*limit),
+            "{most} requests at limit {limit}"
+        );
+    }
+}
+
+/// An engine that took 2 requests a second from all instances got 20 in 4 s from nine instances.
+#[rstest]
+#[case::small(SMALL)]
+#[case::grown(GROWN)]
+#[case::large(LARGE)]
+fn limited_engine_kept_to_its_limit_by_all_instances(#[case] size: Size) {
+    let mut simulation = simulation(size);
+    simulation.run_for(NOTICE_TIME);
+    let since = simulation.elapsed();
+    let span = Duration::from_secs(16);
+    simulation.run_for(span);
+    assert_limits_kept(&simulation, &LIMITS, since);
+    for (engine, limit) in LIMITS.into_iter().enumerate() {
+        let used = simulation.arrivals(engine, since) as f64 / span.as_secs_f64();
+        assert!(
+            used >= limit * 2.0 / 3.0,
+            "{used} requests a second of {limit}"
+        );
+    }
+    assert_eq!(simulation.refused, 0);
+}
+
+#[rstest]
+#[case::small(SMALL)]
+#[case::grown(GROWN)]
+#[case::large(LARGE)]
+fn limited_engine_kept_to_its_limit_while_instances_restart(#[case] size: Size) {
+    let mut simulation = simulation(size);
+    simulation.run_for(NOTICE_TIME);
+    simulation.restarts = true;
+    let since = simulation.elapsed();
+    simulation.run_for(Duration::from_secs(20));
+    assert_limits_kept(&simulation, &LIMITS, since);
+}
+
+#[rstest]
+#[case::small(SMALL)]
+#[case::grown(GROWN)]
+#[case::large(LARGE)]
+fn limited_engine_kept_to_its_limit_around_a_partition(#[case] size: Size) {
+    let mut simulation = simulation(size);
+    simulation.run_for(NOTICE_TIME);
+    let since = simulation.elapsed();
+    for partitioned in [Some(1), None, Some(0), None] {
+        simulation.fleet.partition(partitioned);
+        simulation.run_for(Duration::from_secs(6));
+    }
+    assert_limits_kept(&simulation, &LIMITS, since);
+}
+
+#[rstest]
+#[case::small(SMALL)]
+#[case::grown(GROWN)]
+#[case::large(LARGE)]
+fn limited_engine_kept_to_its_limit_after_a_change(#[case] size: Size) {
+    let mut simulation = simulation(size);
+    simulation.run_for(NOTICE_TIME);
+    for limits in [[8.0, 1.0], [1.0, 12.0], LIMITS] {
+        for (engine, limit) in limits.into_iter().enumerate() {
+            simulation.limit(engine, Some(limit));
+        }
+        simulation.run_for(NOTICE_TIME);
+        let since = simulation.elapsed();
+        simulation.run_for(Duration::from_secs(8));
+        assert_limits_kept(&simulation, &limits, since);
+    }
+}
+
+/// Instances that the engine has not answered since learn of its limit from others.
+#[rstest]
+#[case::nine(9, 3)]
+#[case::large(295, 5)]
+fn limit_known_at_all_instances(#[case] size: usize, #[case] domains: usize) {
+    let mut fleet = Fleet::new(
+        size,
+        domains,
+        Network {
+            lost: 100,
+            duplicated: 50,
+        },
+    );
+    fleet.run_for(Duration::from_secs(6));
+    let now = fleet.now();
+    fleet.instance(4).apply(now, limit_notice(Some(2.0), 0, 0));
+    fleet.run_for(Duration::from_secs(3));
+    let now = fleet.now();
+    let is_unaware = |state: &&guavausher_core::relay::state::State| {
+        let engine = state.fleet.all().find(|e| e.name == name("e0")).unwrap();
+        state.fleet.rate_limit(now, engine).is_none()
+    };
+    assert_eq!(fleet.states().filter(is_unaware).count(), 0);
+}
+
+/// What the limits leave no room for is refused at once, and no queue builds.
+#[test]
+fn request_beyond_the_limits_of_all_engines_is_refused_at_once() {
+    let mut instance = Instance::serving(0, 1);
+    instance.apply(at(0), limit_notice(Some(2.0), 0, 0));
+    let (mut sent, mut refusals) = (0, 0);
+    for id in 0..1_000 {
+        let now = at(id * 10);
+        let arrived = event::Event::Arrived(new_request(id, now, RetryPolicy::Stream, 2));
+        match refused(&instance.apply(now, arrived)) {
+            None => sent += 1,
+            Some(refusal) => {
+                refusals += 1;
+                assert_eq!(refusal.code, refusal::Code::Overloaded);
+                assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
+                assert!(refusal.retry_at.unwrap() > now);
+            }
+        }
+        instance.signal(now, id, event::Signal::First);
+        instance.signal(now, id, event::Signal::Whole { status: 200 });
+    }
+    assert!((15..=21).contains(&sent), "{sent} sent in 10 s");
+    assert_eq!(sent + refusals, 1_000);
+}
+
+fn limit_notice(limit: Option<f64>, earliest: u64, latest: u64) -> event::Event {
+    event::Event::EngineNotice {
+        engine: name("e0"),
+        incarnation: 1,
+        notice: event::Notice::Limit(rate_limit::Statement {
+            rate: limit.and_then(rate_limit::Rate::from_per_second),
+            earliest: at(earliest),
+            latest: at(latest),
+        }),
+    }
+}
--- a/crates/core/tests/relay_support/mod.rs
+++ b/crates/core/tests/relay_support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod engines;
 pub mod fleet;
+pub mod limits;
 
 use std::sync;
 use std::time::Duration;
--- a/crates/standins/src/bin/standin-site.rs
+++ b/crates/standins/src/bin/standin-site.rs
@@ -17,7 +17,8 @@
   --slots N            requests that an engine works on at once (default 8)
   --help, --version
 
-Under /standin/ it answers requests, orders and reports, and takes faults, drain and crash.
+Under /standin/ it answers requests, arrivals, orders and reports, and takes faults, drain, crash, leave,
+hold and limit.
 ";
 
 fn main() -> process::ExitCode {
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -343,9 +343,11 @@
         let name = request::query(request, "name");
         let span = request::query(request, "seconds").parse().unwrap_or(0.0);
         let span = time::Duration::try_from_secs_f64(span).unwrap_or_default();
+        let limit = request::query(request, "rate").parse().ok();
         let status = http::StatusCode::OK;
         match what {
             "requests" => reply::json(status, &self.log.runs()),
+            "arrivals" => reply::json(status, &self.log.arrivals()),
             "orders" => reply::json(status, &*lock(&self.orders)),
             "reports" => reply::json(status, &*lock(&self.reports)),
             "faults" => match request::json(request) {
@@ -359,6 +361,7 @@
             "crash" if self.crash(&name) => reply::done(),
             "leave" if self.say(&name, engine::Words::leave) => reply::done(),
             "hold" if self.say(&name, |words| words.hold(span)) => reply::done(),
+            "limit" if self.say(&name, |words| words.limit(limit)) => reply::done(),
             _ => reply::missing(),
         }
     }
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -27,10 +27,23 @@
 /// Requests that are remembered.
 const MAX_RUNS: usize = 100_000;
 
-/// Requests that engines ran, by the caller's id.
-#[derive(Default)]
+/// Requests that reached engines.
 pub struct Log {
+    start: time::Instant,
+    /// Engines that ran each request, by the caller's id.
     runs: sync::Mutex<collections::BTreeMap<String, Vec<String>>>,
+    /// Milliseconds from the start to each request, by engine.
+    arrivals: sync::Mutex<collections::BTreeMap<String, Vec<u64>>>,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            start: time::Instant::now(),
+            runs: sync::Mutex::default(),
+            arrivals: sync::Mutex::default(),
+        }
+    }
 }
 
 impl Log {
@@ -39,6 +52,20 @@
         super::lock(&self.runs).clone()
     }
 
+    /// Returns the milliseconds from the start to each request, by engine.
+    pub fn arrivals(&self) -> collections::BTreeMap<String, Vec<u64>> {
+        super::lock(&self.arrivals).clone()
+    }
+
+    fn arrived(&self, engine: &str) {
+        let at = self.start.elapsed().as_millis() as u64;
+        let mut arrivals = super::lock(&self.arrivals);
+        let arrivals = arrivals.entry(engine.to_owned()).or_default();
+        if arrivals.len() < MAX_RUNS {
+            arrivals.push(at);
+        }
+    }
+
     fn ran(&self, id: &str, engine: &str) {
         let mut runs = super::lock(&self.runs);
         if runs.len() < MAX_RUNS {
@@ -55,6 +82,8 @@
     leaving: sync::atomic::AtomicBool,
     /// Until when it turns requests away.
     hold: sync::Mutex<Option<time::Instant>>,
+    /// Requests per second that it states to take.
+    limit: sync::Mutex<Option<f64>>,
 }
 
 impl Words {
@@ -68,6 +97,15 @@
         *super::lock(&self.hold) = time::Instant::now().checked_add(span);
     }
 
+    /// Lets it state from now on how many requests per second it takes, or nothing of it.
+    pub fn limit(&self, rate: Option<f64>) {
+        *super::lock(&self.limit) = rate;
+    }
+
+    fn stated_limit(&self) -> Option<f64> {
+        *super::lock(&self.limit)
+    }
+
     fn is_leaving(&self) -> bool {
         self.leaving.load(sync::atomic::Ordering::Relaxed)
     }
@@ -114,13 +152,19 @@
     engine: sync::Arc<Engine>,
     request: http::Request<body::Incoming>,
 ) -> reply::Outcome {
+    engine.log.arrived(&engine.name);
     let is_leaving = engine.words.is_leaving();
+    let limit = engine.words.stated_limit();
     let mut outcome = answer(engine, request).await;
-    if let Ok(response) = outcome.as_mut()
-        && is_leaving
-    {
+    let Ok(response) = outcome.as_mut() else {
+        return outcome;
+    };
+    if is_leaving {
         put(response, names::dialect().leaving, "1");
     }
+    if let Some(limit) = limit {
+        put(response, names::dialect().rate_limit, &limit.to_string());
+    }
     outcome
 }
 
