Keep the rate limits of engines by all instances together

Cause: nobody read the statement; and a limit of the whole fleet that each instance would keep from what it sees alone would be exceeded by the number of instances.

Change: the instance that receives a statement applies it at once and tells the others, in a message of its own, so that processes of another build go on reading digests. Each group of instances has a few senders for each limited engine, on which its members agree by rendezvous hashing without messages; each spaces its requests evenly. A group's part of the limit is that of its reachable members among all instances, so the parts add up to at most the limit on both sides of a partition. A sender that did not use its part for 2 s sends a probe, since only a response shows the end of a limit; without any confirmation more and more instances become senders, and after a minute the limit is forgotten. What no engine can take is refused at once.

A finding on the way: two of three senders never used their part, because the delay that they had measured while the engine was overloaded never fades. A probe ignores it, and rare samples count more.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -27,6 +27,7 @@
 pub mod member;
 pub mod message;
 pub mod outage;
+pub mod pace;
 pub mod peer;
 pub mod peer_data;
 pub mod peers;
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -4,6 +4,7 @@
 
 use super::engine_state;
 use super::heartbeat;
+use super::rate_limit;
 use super::rollouts;
 use super::usage_counts;
 use super::window_counts;
@@ -82,6 +83,21 @@
     pub remaining_ms: u64,
 }
 
+/// What an engine stated of its rate limit.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct RateLimit {
+    /// The engine.
+    pub engine: name::Name,
+    /// The incarnation of the engine.
+    pub incarnation: u64,
+    /// The limit, or `None` if it has ended.
+    pub rate: Option<rate_limit::Rate>,
+    /// Age of the statement at most, in milliseconds.
+    pub oldest_ms: u64,
+    /// Age of the statement at least, in milliseconds.
+    pub newest_ms: u64,
+}
+
 /// How far an instance has read one kind of object.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Position {
--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -97,6 +97,8 @@
     List,
     /// A report of another instance.
     Peer,
+    /// No confirmation for so long that it is not believed any more.
+    Expiry,
 }
 
 /// Facts that a refusal is based on, for the log.
--- a/crates/core/src/relay/engine_notices.rs
+++ b/crates/core/src/relay/engine_notices.rs
@@ -2,8 +2,8 @@
 //! a limited rate of requests.
 //!
 //! All are about one incarnation of an engine and outlive its entry in the list, which may
-//! disappear and return. All instances are informed that an engine is leaving; a hold applies to
-//! this instance only.
+//! disappear and return. All instances are informed that an engine is leaving and of its rate limit;
+//! a hold applies to this instance only.
 
 use std::cmp;
 use std::collections;
@@ -24,6 +24,8 @@
 /// How long a rate limit applies that no response has confirmed. Without this, an engine to which
 /// nothing is sent would be avoided forever.
 const LIMIT_RETENTION: Duration = Duration::from_secs(60);
+/// Longest time that a message between instances is assumed to take.
+const MAX_TRANSIT: Duration = Duration::from_millis(500);
 /// Maximum number of engines remembered.
 const MAX_ENGINES: usize = 1_024;
 /// Maximum number of engines reported in one message.
@@ -48,6 +50,15 @@
     limit: Option<rate_limit::Statement>,
 }
 
+/// A rate limit that no response has confirmed for long.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ExpiredLimit {
+    /// The engine.
+    pub engine: name::Name,
+    /// The incarnation of the engine.
+    pub incarnation: u64,
+}
+
 /// Returns the time since an engine's notice that it is leaving.
 pub fn age(reported: &digest::Departure) -> Duration {
     RETENTION.saturating_sub(Duration::from_millis(reported.remaining_ms))
@@ -155,6 +166,67 @@
         self.get(engine, incarnation)?.rate_limit(now)
     }
 
+    /// Merges another instance's report of a rate limit; returns `true` if that changes the limit.
+    pub fn merge_limit(&mut self, now: time::Time, reported: &digest::RateLimit) -> bool {
+        let ages = [reported.oldest_ms, reported.newest_ms].map(Duration::from_millis);
+        if ages[1] >= LIMIT_RETENTION {
+            return false;
+        }
+        let statement = rate_limit::Statement {
+            rate: reported.rate,
+            earliest: now.before(ages[0].saturating_add(MAX_TRANSIT)),
+            latest: now.before(ages[1]),
+        };
+        self.record_limit(now, &reported.engine, reported.incarnation, statement)
+    }
+
+    /// Forgets the rate limits that no response has confirmed for long, and returns them.
+    pub fn expire_limits(&mut self, now: time::Time) -> Vec<ExpiredLimit> {
+        let mut expired = Vec::new();
+        for (engine, notice) in &mut self.engines {
+            let statement = notice.limit.filter(|statement| statement.rate.is_some());
+            if statement.is_some() && notice.rate_limit(now).is_none() {
+                notice.limit = None;
+                expired.push(ExpiredLimit {
+                    engine: engine.clone(),
+                    incarnation: notice.incarnation,
+                });
+            }
+        }
+        expired
+    }
+
+    /// Returns when a response last contained the rate limit of an engine.
+    pub fn limit_confirmed_at(&self, engine: &name::Name, incarnation: u64) -> Option<time::Time> {
+        let statement = self.get(engine, incarnation)?.limit?;
+        statement.rate.map(|_| statement.latest)
+    }
+
+    /// Returns the rate limits and ends of limits to report, in rotation if there are many.
+    pub fn limits(&self, now: time::Time) -> Vec<digest::RateLimit> {
+        let is_reported = |statement: &rate_limit::Statement| {
+            let period = match statement.rate {
+                Some(_) => LIMIT_RETENTION,
+                None => REPORT_PERIOD,
+            };
+            statement.latest.after(period) > now
+        };
+        let limits = self.engines.iter().filter_map(|(engine, notice)| {
+            let statement = notice.limit.filter(is_reported)?;
+            Some(digest::RateLimit {
+                engine: engine.clone(),
+                incarnation: notice.incarnation,
+                rate: statement.rate,
+                oldest_ms: statement.earliest.until(now).as_micros().div_ceil(1_000) as u64,
+                newest_ms: statement.latest.until(now).as_millis() as u64,
+            })
+        });
+        let limits: Vec<_> = limits.collect();
+        peer_data::sample(now, &limits, MAX_REPORTED)
+            .cloned()
+            .collect()
+    }
+
     /// Returns the leaving engines to report, in rotation if there are many.
     pub fn departures(&self, now: time::Time) -> Vec<digest::Departure> {
         let is_recent =
--- a/crates/core/src/relay/engine_state.rs
+++ b/crates/core/src/relay/engine_state.rs
@@ -5,6 +5,7 @@
 
 use super::engine;
 use super::fleet;
+use super::pace;
 use crate::name;
 use crate::time;
 
@@ -26,6 +27,8 @@
 const SILENT_PERIOD: Duration = Duration::from_secs(2);
 /// Weight of a new sample in a moving average.
 const SAMPLE_WEIGHT: f64 = 0.15;
+/// The same for an engine that takes a limited rate, and so is measured rarely.
+const RARE_SAMPLE_WEIGHT: f64 = 0.5;
 /// Bounds of an engine's delay relative to that of its service.
 const RATIO_BOUNDS: (f64, f64) = (0.5, 8.0);
 
@@ -59,6 +62,8 @@
     pub gone_at: Option<time::Time>,
     /// Delay relative to the estimate of its service.
     pub delay_ratio: f64,
+    /// Pace of the requests to it, if it takes a limited rate.
+    pub pace: Option<pace::Pace>,
     paused_until: time::Time,
     pause_count: u32,
     silent_until: time::Time,
@@ -103,6 +108,7 @@
             health: Health::default(),
             gone_at: None,
             delay_ratio: 1.0,
+            pace: None,
             paused_until: time::Time::default(),
             pause_count: 0,
             silent_until: time::Time::default(),
@@ -137,6 +143,11 @@
         now >= self.paused_until && now >= self.silent_until
     }
 
+    /// Returns `true` if its rate limit leaves room for a request of this instance.
+    pub fn admits(&self, now: time::Time) -> bool {
+        self.pace.is_none_or(|pace| pace.admits(now))
+    }
+
     /// Returns `true` if its error rate is much higher than `usual_rate`, the one of its service.
     pub fn is_outlier(&self, usual_rate: f64) -> bool {
         self.health.failures() >= MIN_FAILURES && self.health.error_rate() > 2.0 * usual_rate + 0.15
@@ -176,6 +187,10 @@
     pub fn update_delay_ratio(&mut self, took: Duration, expected: Duration) {
         let sample = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
         let sample = sample.clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
-        self.delay_ratio += SAMPLE_WEIGHT * (sample - self.delay_ratio);
+        let weight = match self.pace {
+            Some(_) => RARE_SAMPLE_WEIGHT,
+            None => SAMPLE_WEIGHT,
+        };
+        self.delay_ratio += weight * (sample - self.delay_ratio);
     }
 }
--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -52,6 +52,8 @@
     Heartbeat(heartbeat::Heartbeat),
     /// Another instance's digest has arrived.
     Digest(digest::Digest),
+    /// Another instance's report of rate limits has arrived.
+    RateLimits(Vec<digest::RateLimit>),
     /// Time has passed.
     Tick,
 }
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -11,6 +11,7 @@
 use super::engine;
 use super::engine_notices;
 use super::engine_state;
+use super::pace;
 use super::prefix_cache;
 use super::rate_limit;
 use super::request;
@@ -56,6 +57,15 @@
     pub incarnation: u64,
 }
 
+/// A limit that an engine is kept to.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitInForce {
+    /// Requests per second from all instances together.
+    pub rate: rate_limit::Rate,
+    /// When a response last contained it, or `None` if it comes from another source.
+    pub confirmed_at: Option<time::Time>,
+}
+
 /// Status of an engine in the list.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Status {
@@ -215,6 +225,49 @@
             .rate_limit(now, &engine.name, engine.incarnation)
     }
 
+    /// Merges another instance's report of a rate limit; returns `true` if that changes the limit.
+    pub fn merge_limit(&mut self, now: time::Time, reported: &digest::RateLimit) -> bool {
+        self.notices.merge_limit(now, reported)
+    }
+
+    /// Forgets the rate limits that no response has confirmed for long, and returns them.
+    pub fn expire_limits(&mut self, now: time::Time) -> Vec<engine_notices::ExpiredLimit> {
+        self.notices.expire_limits(now)
+    }
+
+    /// Returns the rate limits to report to other instances.
+    pub fn limits(&self, now: time::Time) -> Vec<digest::RateLimit> {
+        self.notices.limits(now)
+    }
+
+    /// Updates the pace of each engine; `part` returns this instance's part of an engine's limit.
+    /// If `is_settled` is `false`, this instance has not heard from all others yet.
+    pub fn update_paces(
+        &mut self,
+        now: time::Time,
+        is_settled: bool,
+        part: impl Fn(&engine::Engine, LimitInForce) -> pace::Part,
+    ) {
+        for state in self.engines.values_mut() {
+            let engine = &state.engine;
+            let (name, incarnation) = (&engine.name, engine.incarnation);
+            let rate = self.notices.rate_limit(now, name, incarnation);
+            let Some(rate) = rate else {
+                state.pace = None;
+                continue;
+            };
+            let limit = LimitInForce {
+                rate,
+                confirmed_at: self.notices.limit_confirmed_at(name, incarnation),
+            };
+            let part = part(engine, limit);
+            match &mut state.pace {
+                Some(pace) => pace.update(now, part),
+                None => state.pace = Some(pace::Pace::new(now, part, is_settled)),
+            }
+        }
+    }
+
     /// Returns the leaving engines to report to other instances.
     pub fn departures(&self, now: time::Time) -> Vec<digest::Departure> {
         self.notices.departures(now)
@@ -302,6 +355,9 @@
             .entry(request.service.clone())
             .or_default() += prefill.as_micros() as u64;
         if let Some(state) = self.get_mut(choice) {
+            if let Some(pace) = &mut state.pace {
+                pace.record_send(now);
+            }
             state.own_load.running += 1;
             state.own_load.pending_prefill = state
                 .own_load
--- a/crates/core/src/relay/fleet/choose.rs
+++ b/crates/core/src/relay/fleet/choose.rs
@@ -6,6 +6,7 @@
 use super::Fleet;
 use crate::name;
 use crate::relay::engine_state;
+use crate::relay::group;
 use crate::relay::prefix_cache;
 use crate::relay::request;
 use crate::time;
@@ -47,6 +48,8 @@
     pub uncached: u32,
     /// Number of requests that it is running.
     pub running: u32,
+    /// The engine that would have been selected if its rate limit had left room.
+    pub instead_of: Option<name::Name>,
 }
 
 /// Why no engine was selected.
@@ -57,8 +60,9 @@
     /// Those that may are excluded by the limits: for example they have failed this request, or
     /// accept no more connections.
     Excluded,
-    /// The others are on hold for this instance; the first hold ends at that time.
-    OnHold(time::Time),
+    /// The others are on hold for this instance or at their rate limit; the first of them may be
+    /// available at that time.
+    NotBefore(time::Time),
 }
 
 /// Limits of the selection.
@@ -106,16 +110,13 @@
             .filter(|t| limits.barred.is_none_or(|v| t.engine.version != *v))
             .filter(|t| limits.connections.is_none_or(|max| t.load().running < max))
             .collect();
-        let hold_end = |t: &&engine_state::EngineState| self.hold_end(now, &t.engine);
-        let first_hold_end = usable.iter().filter_map(hold_end).min();
-        let usable: Vec<_> = usable
+        let (usable, blocked): (Vec<_>, Vec<_>) = usable
             .into_iter()
-            .filter(|t| hold_end(t).is_none())
-            .collect();
+            .partition(|t| t.admits(now) && self.hold_end(now, &t.engine).is_none());
         let usual_rate = usual_error_rate(&usable);
-        let healthy =
-            |t: &&&engine_state::EngineState| t.is_healthy(now) && !t.is_outlier(usual_rate);
-        let healthy: Vec<_> = usable.iter().filter(healthy).copied().collect();
+        let is_healthy =
+            |t: &&engine_state::EngineState| t.is_healthy(now) && !t.is_outlier(usual_rate);
+        let healthy: Vec<_> = usable.iter().filter(|t| is_healthy(t)).copied().collect();
         let pool = if healthy.is_empty() {
             &usable
         } else {
@@ -123,13 +124,30 @@
         };
         let prefixes = prefix_cache::prefixes(request);
         let agreed = agreed(pool, &prefixes);
-        let candidates = pool.iter().map(|t| {
+        let candidate = |t: &&engine_state::EngineState| {
             let is_agreed = agreed == Some(&t.engine.name);
             self.candidate(now, request, t, &prefixes, is_agreed)
-        });
-        let best = candidates.min_by(|a, b| a.cost.total_cmp(&b.cost));
-        let choice = best.map(|candidate| candidate.choice);
-        choice.ok_or(first_hold_end.map_or(Unavailability::Excluded, Unavailability::OnHold))
+        };
+        let best = pool
+            .iter()
+            .map(candidate)
+            .min_by(|a, b| a.cost.total_cmp(&b.cost));
+        let Some(mut best) = best else {
+            let next_at = blocked.iter().map(|t| self.next_at(now, t)).min();
+            return Err(next_at.map_or(Unavailability::Excluded, Unavailability::NotBefore));
+        };
+        let limited = blocked.iter().filter(|t| !t.admits(now) && is_healthy(t));
+        let cheaper = limited.map(candidate).filter(|c| c.cost < best.cost);
+        let cheapest = cheaper.min_by(|a, b| a.cost.total_cmp(&b.cost));
+        best.choice.instead_of = cheapest.map(|c| c.choice.engine);
+        Ok(best.choice)
+    }
+
+    /// Returns when an engine that is on hold or at its rate limit may be available again.
+    fn next_at(&self, now: time::Time, state: &engine_state::EngineState) -> time::Time {
+        let hold_end = self.hold_end(now, &state.engine).unwrap_or(now);
+        let pace = state.pace.filter(|pace| !pace.admits(now));
+        pace.map_or(hold_end, |pace| hold_end.max(pace.retry_at(now)))
     }
 
     fn candidate(
@@ -161,7 +179,11 @@
         } else {
             1.0
         };
-        let expected = unadjusted.mul_f64(state.delay_ratio * cold_factor);
+        let needs_probe = state.pace.is_some_and(|pace| pace.needs_probe(now));
+        // What is known of the delay of an engine that needs a probe is out of date.
+        let delay_ratio = if needs_probe { 1.0 } else { state.delay_ratio };
+        let expected = unadjusted.mul_f64(delay_ratio * cold_factor);
+        let is_probe = needs_probe && now.after(expected) <= request.goal;
         let repeated = if is_agreed {
             f64::from(shared - cached) * (1.0 - AGREED_SHARE)
         } else {
@@ -179,7 +201,7 @@
             + f64::from(load.running) * RUNNING_MICROS
             + cross_domain;
         Candidate {
-            cost,
+            cost: if is_probe { 0.0 } else { cost },
             choice: Choice {
                 engine: engine.name.clone(),
                 incarnation: engine.incarnation,
@@ -190,6 +212,7 @@
                 pending_prefill,
                 uncached,
                 running: load.running,
+                instead_of: None,
             },
         }
     }
@@ -208,5 +231,5 @@
 ) -> Option<&'a name::Name> {
     let key = prefixes.last()?.key;
     let names = pool.iter().map(|t| &t.engine.name);
-    names.max_by_key(|name| prefix_cache::rank(key, name))
+    names.max_by_key(|name| group::rendezvous_rank(key, name))
 }
--- a/crates/core/src/relay/group.rs
+++ b/crates/core/src/relay/group.rs
@@ -6,6 +6,7 @@
 //! summaries with those of the others.
 
 use std::collections;
+use std::hash::Hasher;
 
 use crate::name;
 
@@ -86,3 +87,11 @@
 pub fn selection_key(instance: &name::Name) -> u64 {
     twox_hash::XxHash64::oneshot(0, instance.as_bytes())
 }
+
+/// Returns the rank of a candidate for a key (rendezvous hashing). All instances agree on the order
+/// of the candidates without exchanging messages.
+pub fn rendezvous_rank(key: u64, candidate: &name::Name) -> u64 {
+    let mut hasher = twox_hash::XxHash64::with_seed(key);
+    hasher.write(candidate.as_bytes());
+    hasher.finish()
+}
--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -1,9 +1,11 @@
 //! Messages between instances, and those that an instance sends in each round.
 
+use std::collections;
 use std::net;
 
 use super::digest;
 use super::event;
+use super::gossip;
 use super::heartbeat;
 use super::process_report;
 use super::state;
@@ -26,6 +28,8 @@
     /// A delegate's report on each member of its group.
     #[serde(rename = "Accounts")]
     ProcessReports(Vec<process_report::ProcessReport>),
+    /// Rate limits that engines have stated.
+    RateLimits(Vec<digest::RateLimit>),
 }
 
 /// A message and its recipients.
@@ -44,6 +48,7 @@
             Message::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat),
             Message::Summary(summary) => Self::Summary(summary),
             Message::ProcessReports(reports) => Self::ProcessReports(reports),
+            Message::RateLimits(limits) => Self::RateLimits(limits),
         }
     }
 }
@@ -58,6 +63,7 @@
     let recipients = state.recipients(now, number);
     let as_delegate = state.delegate_recipients(now, number);
     let positions = || positions.to_vec();
+    let limits = rate_limits(state, now, &recipients, &as_delegate);
     let digest = outgoing_to(recipients.digests, || {
         Message::Digest(state.digest(now, positions()))
     });
@@ -72,7 +78,28 @@
     });
     let messages = [digest, heartbeat, summary, outside].into_iter().flatten();
     let reports = reports(state, now, &as_delegate.process_reports);
-    messages.chain(reports).collect()
+    messages.chain(limits).chain(reports).collect()
+}
+
+/// Returns the message about rate limits, which goes to those that receive a digest or a summary.
+fn rate_limits(
+    state: &state::State,
+    now: time::Time,
+    recipients: &gossip::Recipients,
+    as_delegate: &gossip::DelegateRecipients,
+) -> Option<Outgoing> {
+    let limits = state.fleet.limits(now);
+    if limits.is_empty() {
+        return None;
+    }
+    let as_delegate = as_delegate.summaries.iter().chain(&as_delegate.outside);
+    let addresses = recipients.digests.iter().chain(as_delegate);
+    let addresses: collections::BTreeSet<_> = addresses.copied().collect();
+    Some(Outgoing {
+        message: Message::RateLimits(limits),
+        addresses: addresses.into_iter().collect(),
+    })
+    .filter(|outgoing| !outgoing.addresses.is_empty())
 }
 
 fn outgoing_to(addresses: Vec<net::SocketAddr>, message: impl Fn() -> Message) -> Option<Outgoing> {
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -2,9 +2,11 @@
 
 mod readers;
 mod roles;
+mod senders;
 mod shares;
 
 pub use readers::Reader;
+pub use senders::phase;
 
 use std::collections;
 use std::net;
@@ -283,10 +285,7 @@
 
     /// Returns `true` if an instance is remembered, reachable or not.
     pub fn is_known(&self, now: time::Time, name: &name::Name) -> bool {
-        let since = time::Time::from_micros(
-            now.as_micros()
-                .saturating_sub(FORGET_AFTER.as_micros() as u64),
-        );
+        let since = now.before(FORGET_AFTER);
         self.peers.contains_key(name) || self.prefill_totals.is_reported_since(name, since)
     }
 
--- a/crates/core/src/relay/peers/shares.rs
+++ b/crates/core/src/relay/peers/shares.rs
@@ -49,8 +49,13 @@
         let serving = self.peers.values().filter(|p| !p.digest.heartbeat.leaving);
         let reachable =
             serving.filter(|p| !p.is_unreachable(now)).count() + self.groups.reachable(now) + 1;
-        let all = self.limit_sharers() + self.groups.known_instances() + self.unreported() + 1;
-        reachable as f64 / all as f64
+        reachable as f64 / self.limit_holders() as f64
+    }
+
+    /// Returns the number of instances that may be using a share of a limit, reachable or not,
+    /// this one included.
+    pub(super) fn limit_holders(&self) -> usize {
+        self.limit_sharers() + self.groups.known_instances() + self.unreported() + 1
     }
 
     /// Returns how many instances are known by address only and are covered by no summary.
--- a/crates/core/src/relay/prefix_cache.rs
+++ b/crates/core/src/relay/prefix_cache.rs
@@ -59,14 +59,6 @@
         .collect()
 }
 
-/// Returns the rank of an engine for a prefix. All instances agree on the order without exchanging
-/// messages.
-pub fn rank(key: u64, engine: &name::Name) -> u64 {
-    let mut hasher = twox_hash::XxHash64::with_seed(key);
-    hasher.write(engine.as_bytes());
-    hasher.finish()
-}
-
 impl PrefixCache {
     /// Records that an engine processes a prompt.
     pub fn record(
--- a/crates/core/src/relay/rate_limit.rs
+++ b/crates/core/src/relay/rate_limit.rs
@@ -57,11 +57,10 @@
             return self;
         }
         if self.rate == other.rate {
-            return Self {
-                rate: self.rate,
-                earliest: self.earliest.max(other.earliest),
-                latest: self.latest.max(other.latest),
-            };
+            // A statement that instances report back to each other seems later each time it
+            // arrives, but its earliest time does not increase.
+            let is_later = other.earliest > self.earliest;
+            return if is_later { other } else { self };
         }
         let is_lower = match (self.rate, other.rate) {
             (Some(own), Some(other)) => own < other,
--- a/crates/core/src/relay/reduce/dispatch.rs
+++ b/crates/core/src/relay/reduce/dispatch.rs
@@ -57,7 +57,7 @@
     let chosen = state.fleet.choose(now, request, limits);
     let chosen = chosen.or_else(|reason| {
         let others = match reason {
-            fleet::Unavailability::OnHold(_) if pick.allows_others => fleet::Limits {
+            fleet::Unavailability::NotBefore(_) if pick.allows_others => fleet::Limits {
                 version: None,
                 barred: pick.only.as_ref(),
                 ..limits
@@ -77,7 +77,7 @@
     });
     let choice = match chosen {
         Ok(choice) => choice,
-        Err(fleet::Unavailability::OnHold(until)) => {
+        Err(fleet::Unavailability::NotBefore(until)) => {
             let at = until.after(retry_jitter(request));
             return refuse::give_up(state, now, id, refusal::Code::Overloaded, Some(at));
         }
--- a/crates/core/src/relay/reduce/engines.rs
+++ b/crates/core/src/relay/reduce/engines.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use super::crashes;
+use super::limits;
 use crate::name;
 use crate::relay::effect;
 use crate::relay::engine;
 use crate::relay::event;
-use crate::relay::rate_limit;
 use crate::relay::state;
 use crate::time;
 
@@ -31,6 +31,7 @@
             age: Duration::ZERO,
         });
     state.out.extend(started.chain(left));
+    limits::update(state, now);
 }
 
 /// Applies a notice of an engine.
@@ -52,7 +53,7 @@
             state.fleet.record_hold(now, &engine, incarnation, until)
         }
         event::Notice::Limit(statement) => {
-            record_limit(state, now, &engine, incarnation, statement);
+            limits::record(state, now, &engine, incarnation, statement);
             false
         }
     };
@@ -64,26 +65,3 @@
         });
     }
 }
-
-/// Records whether a response of an engine contained a rate limit.
-fn record_limit(
-    state: &mut state::State,
-    now: time::Time,
-    engine: &name::Name,
-    incarnation: u64,
-    statement: rate_limit::Statement,
-) {
-    if !state
-        .fleet
-        .record_limit(now, engine, incarnation, statement)
-    {
-        return;
-    }
-    state.out.push(effect::Effect::EngineLimited {
-        engine: engine.clone(),
-        incarnation,
-        rate: statement.rate,
-        source: effect::Source::Answer,
-        age: statement.latest.until(now),
-    });
-}
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -52,6 +52,12 @@
         Self(self.0.saturating_add(micros))
     }
 
+    /// Returns the time `span` before `self`, at least the epoch.
+    pub fn before(self, span: time::Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// Returns the duration from `self` until `later`, or zero if `later` is before `self`.
     pub fn until(self, later: Self) -> time::Duration {
         time::Duration::from_micros(later.0.saturating_sub(self.0))
--- a/crates/core/tests/relay_rate_limit.rs
+++ b/crates/core/tests/relay_rate_limit.rs
@@ -33,7 +33,7 @@
     }
 }
 
-/// A statement that is repeated stays as late as its latest repetition.
+/// A limit that is stated again is as late as the later statement.
 #[test]
 fn merge_of_equal_limits_keeps_the_later_times() {
     let merged = statement(Some(2.0), 0, 10).merge(statement(Some(2.0), 5, 15));
@@ -43,6 +43,13 @@
     assert_eq!(merged.merge(statement(None, 15, 20)).rate, None);
 }
 
+/// A statement that comes back from another instance is the same one, not a later one.
+#[test]
+fn merge_does_not_refresh_a_statement_that_comes_back() {
+    let own = statement(Some(2.0), 5, 10);
+    assert_eq!(own.merge(statement(Some(2.0), 4, 12)), own);
+}
+
 #[rstest]
 #[case::usual(2.5, Some(2.5))]
 #[case::zero(0.0, Some(0.1))]
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -34,7 +34,7 @@
 pub struct Notice {
     /// `leaving`, `hold` or `limit`.
     pub word: &'static str,
-    /// `answer`, `list` or `peer`.
+    /// `answer`, `list`, `peer` or `expiry`.
     pub source: &'static str,
 }
 
@@ -126,6 +126,7 @@
             effect::Source::Answer => "answer",
             effect::Source::List => "list",
             effect::Source::Peer => "peer",
+            effect::Source::Expiry => "expiry",
         };
         self.notices.get_or_create(&Notice { word, source }).inc();
     }
