Log and count the requests that a rate limit moved or refused

The logs could not tell an on-call engineer which limit moved a request. A request that an engine would have got if its limit had left room has a line with the engine, ten a second for each engine; a refusal says how many engines were at their limits; a counter has both; guavactl explain shows the limit beneath them. Tests: rate_limit_effects_are_logged_and_counted and explain_tells_the_rate_limit_behind_a_decision.

--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -106,6 +106,8 @@
 pub struct RefusalContext {
     /// Number of engines of the service that could get new requests.
     pub engines: usize,
+    /// Number of these whose rate limit left no room.
+    pub limited: usize,
     /// Expected time to the first event at the best of them, if that was the reason.
     pub expected: Option<Duration>,
     /// Part of the workspace's cap that this instance and the reachable ones may use.
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -310,6 +310,14 @@
         available.map(|t| &t.engine)
     }
 
+    /// Returns the number of engines of a service that may get new requests but whose rate limit
+    /// leaves no room for one of this instance now.
+    pub fn limited(&self, now: time::Time, service: &name::Name) -> usize {
+        let engines = self.of_service(service);
+        let limited = engines.filter(|t| t.is_available(now) && !t.admits(now));
+        limited.count()
+    }
+
     /// Returns all known engines, leaving ones included.
     pub fn all(&self) -> impl Iterator<Item = &engine::Engine> {
         self.engines.values().map(|t| &t.engine)
--- a/crates/core/src/relay/reduce/refuse.rs
+++ b/crates/core/src/relay/reduce/refuse.rs
@@ -113,6 +113,7 @@
     let available = state.fleet.available(now);
     effect::RefusalContext {
         engines: available.filter(|e| e.service == request.service).count(),
+        limited: state.fleet.limited(now, &request.service),
         expected: None,
         cap_share: state.peers.reachable_share(now),
         sent,
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -101,7 +101,8 @@
     }
 
     /// Returns the last lines before a step, of the same instance, about what the step rests on:
-    /// the engine that it names, the manifest, the store and the lease.
+    /// the engine that it names, the rate limits that left no room, the manifest, the store and the
+    /// lease.
     fn beliefs(&self, step: &Sourced) -> Vec<&log_line::Line> {
         let before = self.lines.iter().filter(|l| {
             l.source == step.source
@@ -112,11 +113,15 @@
         let before: Vec<_> = before.map(|l| &l.line).collect();
         let engine = step.line.get("engine");
         let about_engine = |l: &&&log_line::Line| engine.is_some() && l.get("engine") == engine;
+        let is_limited = step.line.get("limited").is_some_and(|count| count != "0");
+        let about_limit =
+            |l: &&&log_line::Line| is_limited && l.rest.contains("limits its requests");
         let about = |word: &'static str| {
             move |l: &&&log_line::Line| l.get("engine").is_none() && l.rest.contains(word)
         };
         let last = [
             before.iter().rev().find(about_engine),
+            before.iter().rev().find(about_limit),
             before.iter().rev().find(about("manifest in force")),
             before.iter().rev().find(about(" store ")),
         ];
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -65,3 +65,21 @@
     let fault = logs().explain("r9").unwrap_err();
     assert!(fault.to_string().contains("r9"), "{fault}");
 }
+
+/// A request that a rate limit has moved or refused is told with the limit.
+#[test]
+fn explain_tells_the_rate_limit_behind_a_decision() {
+    const LIMITED: &str = "\
+2026-08-01T09:40:05.000000Z up=1.0 INFO runtime engine limits its requests engine=e1 incarnation=1 per_second=2 source=Peer age_ms=120
+2026-08-01T09:40:05.300000Z up=1.3 INFO record engine at its rate limit passed over id=r1 engine=e1 stands_for=1
+2026-08-01T09:40:05.300000Z up=1.3 INFO record sent id=r1 engine=e2 attempt=1
+2026-08-01T09:40:05.400000Z up=1.4 INFO record refused id=r2 reason=overloaded engines=1 limited=1
+";
+    let mut logs = explain::Logs::default();
+    logs.add_text(0, LIMITED);
+    let story = |id: &str| logs.explain(id).unwrap().text;
+    for (id, age) in [("r1", "0.300"), ("r2", "0.400")] {
+        let belief = format!("believed, {age} s old: runtime engine limits its requests engine=e1");
+        assert!(story(id).contains(&belief), "{}", story(id));
+    }
+}
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -162,7 +162,7 @@
                     caller: stream,
                     dispatch,
                 };
-                record::sent(request, dispatch);
+                record::sent(runtime, request, dispatch);
                 let ending = supervise(&attempt, buffer, output).await;
                 last = Some(dispatch.clone());
                 match ending {
--- a/crates/relay/src/log_sampling.rs
+++ b/crates/relay/src/log_sampling.rs
@@ -1,4 +1,4 @@
-//! Sampling of the log lines of refused requests by workspace.
+//! Sampling of frequent log lines by the workspace or engine that they are about.
 
 use std::cell;
 use std::collections;
@@ -7,14 +7,14 @@
 use guavausher_core::name;
 use guavausher_core::time;
 
-/// Log lines for refusals of one workspace in one window.
+/// Log lines about one subject in one window.
 const MAX_LINES: u32 = 10;
 /// Length of a sampling window.
 const WINDOW: Duration = Duration::from_secs(1);
-/// Tracked workspaces above which expired windows are dropped.
-const MAX_WORKSPACES: usize = 256;
+/// Tracked subjects above which expired windows are dropped.
+const MAX_SUBJECTS: usize = 256;
 
-/// Counts refusals by workspace and selects those that are logged.
+/// Counts decisions by subject and selects those that are logged.
 #[derive(Debug, Default)]
 pub struct LogSampler {
     windows: cell::RefCell<collections::HashMap<name::Name, Window>>,
@@ -28,14 +28,14 @@
 }
 
 impl LogSampler {
-    /// Counts a refusal; returns how many refusals its log line represents, or `None` if it is not
-    /// logged.
-    pub fn admit(&self, now: time::Time, workspace: &name::Name) -> Option<u32> {
+    /// Counts a decision; returns how many decisions its log line represents, or `None` if it is
+    /// not logged.
+    pub fn admit(&self, now: time::Time, subject: &name::Name) -> Option<u32> {
         let mut windows = self.windows.borrow_mut();
-        if windows.len() >= MAX_WORKSPACES && !windows.contains_key(workspace) {
+        if windows.len() >= MAX_SUBJECTS && !windows.contains_key(subject) {
             windows.retain(|_, window| window.end > now);
         }
-        let window = windows.entry(workspace.clone()).or_default();
+        let window = windows.entry(subject.clone()).or_default();
         if now >= window.end {
             *window = Window {
                 end: now.after(WINDOW),
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -38,6 +38,13 @@
     pub source: &'static str,
 }
 
+/// Label of the effect of a rate limit on a request.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
+pub struct Limited {
+    /// `placed-elsewhere` or `refused`.
+    pub outcome: &'static str,
+}
+
 /// Labels of the number of engines.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
 struct Engines {
@@ -71,6 +78,8 @@
     pub calls: family::Family<Call, counter::Counter>,
     /// Engine notices by source.
     pub notices: family::Family<Notice, counter::Counter>,
+    /// Requests on which the rate limit of an engine had an effect.
+    pub limited: family::Family<Limited, counter::Counter>,
     /// Requests in progress.
     pub in_progress: gauge::Gauge,
     /// Version of the manifest in force.
@@ -92,6 +101,7 @@
             attempts: family::Family::default(),
             calls: family::Family::default(),
             notices: family::Family::default(),
+            limited: family::Family::default(),
             in_progress: gauge::Gauge::default(),
             manifest: gauge::Gauge::default(),
             lease: gauge::Gauge::default(),
@@ -131,6 +141,11 @@
         self.notices.get_or_create(&Notice { word, source }).inc();
     }
 
+    /// Counts a request on which the rate limit of an engine had an effect.
+    pub fn count_limited(&self, outcome: &'static str) {
+        self.limited.get_or_create(&Limited { outcome }).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format, with gauges of the current state.
     pub fn text(&self, now: time::Time, state: &state::State) -> String {
         let mut registry = registry::Registry::with_prefix("guavausher_relay");
@@ -146,6 +161,11 @@
             "Engine notices by kind and source",
             self.notices.clone(),
         );
+        registry.register(
+            "rate_limited_requests",
+            "Requests placed elsewhere or refused because of an engine's rate limit",
+            self.limited.clone(),
+        );
         registry.register(
             "requests_in_progress",
             "Requests in progress",
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -1,5 +1,6 @@
 //! Log lines of the decisions about requests.
 
+use guavausher_core::name;
 use guavausher_core::refusal;
 use guavausher_core::relay::{effect, event, request};
 use guavausher_core::verdict;
@@ -16,6 +17,9 @@
     context: effect::RefusalContext,
 ) {
     let now = clock::now();
+    if context.limited > 0 && refusal.verdict == verdict::Verdict::NotRun {
+        runtime.metrics.count_limited("refused");
+    }
     let workspace = request.workspace.clone().unwrap_or_default();
     let is_sampled = refusal.verdict == verdict::Verdict::NotRun && context.sent == 0;
     let stands_for = match is_sampled {
@@ -28,7 +32,7 @@
     log::info!(id:% = request.trace, reason = refusal.code.as_str(),
         verdict = refusal.verdict.as_str(), workspace:% = workspace, route:% = request.route.name,
         service:% = request.service, print:% = fingerprint(request), engines = context.engines,
-        sent = context.sent,
+        limited = context.limited, sent = context.sent,
         expected_ms = context.expected.map_or(0, |e| e.as_millis() as u64),
         cap_part = context.cap_share, units = request.units,
         return_ms = refusal.retry_at.map_or(0, |at| now.until(at).as_millis() as u64),
@@ -37,8 +41,15 @@
 }
 
 /// Logs the dispatch of a request with the inputs of the engine's selection.
-pub(crate) fn sent(request: &request::Request, dispatch: &effect::Dispatch) {
+pub(crate) fn sent(
+    runtime: &runtime::Runtime,
+    request: &request::Request,
+    dispatch: &effect::Dispatch,
+) {
     let choice = &dispatch.choice;
+    if let Some(limited) = &choice.instead_of {
+        placed_elsewhere(runtime, request, limited);
+    }
     log::info!(id:% = request.trace, route:% = request.route.name, service:% = request.service,
         workspace:% = request.workspace.clone().unwrap_or_default(),
         print:% = fingerprint(request), engine:% = choice.engine,
@@ -48,6 +59,16 @@
         fresh = choice.uncached, running = choice.running; "sent");
 }
 
+/// Logs and counts a request that another engine would have got if its rate limit had left room;
+/// frequent lines are sampled by engine.
+fn placed_elsewhere(runtime: &runtime::Runtime, request: &request::Request, limited: &name::Name) {
+    runtime.metrics.count_limited("placed-elsewhere");
+    if let Some(stands_for) = runtime.limit_sampler.admit(clock::now(), limited) {
+        log::info!(id:% = request.trace, engine:% = limited, stands_for = stands_for;
+            "engine at its rate limit passed over");
+    }
+}
+
 /// Returns the fingerprint of a request as text, which is the same at all instances.
 fn fingerprint(request: &request::Request) -> String {
     format!("{:016x}", request.fingerprint)
--- a/crates/relay/src/runtime.rs
+++ b/crates/relay/src/runtime.rs
@@ -36,6 +36,8 @@
     pub positions: cell::RefCell<Vec<digest::Position>>,
     /// Sampling of the log lines of refusals.
     pub(crate) log_sampler: log_sampling::LogSampler,
+    /// Sampling of the log lines of requests placed elsewhere because of a rate limit.
+    pub(crate) limit_sampler: log_sampling::LogSampler,
     /// Notifies the tasks that the process is stopping.
     pub stopping: sync::watch::Sender<bool>,
     /// Bytes of request bodies held at the moment.
@@ -60,6 +62,7 @@
             metrics: metrics::Metrics::default(),
             positions: cell::RefCell::new(positions),
             log_sampler: log_sampling::LogSampler::default(),
+            limit_sampler: log_sampling::LogSampler::default(),
             stopping: sync::watch::Sender::new(false),
             held_bytes: cell::Cell::new(0),
             queues: cell::RefCell::new(collections::HashMap::new()),
--- a/crates/relay/tests/log_lines.rs
+++ b/crates/relay/tests/log_lines.rs
@@ -27,12 +27,13 @@
     "version",
     "workspace",
 ];
-const REFUSED: [&str; 15] = [
+const REFUSED: [&str; 16] = [
     "after_ms",
     "cap_part",
     "engines",
     "expected_ms",
     "id",
+    "limited",
     "print",
     "reason",
     "return_ms",
@@ -339,3 +340,32 @@
         assert_eq!(lines::all("engine no longer limits its requests"), []);
     });
 }
+
+/// A request that a rate limit has moved or refused says so, within bounds, and is counted.
+#[test]
+fn rate_limit_effects_are_logged_and_counted() {
+    support::run(async {
+        let (first, relay) = ask_each(vec![limited("0.2")]).await;
+        let refused = relay.ask(&request("POST", "/pay/", "late", "kit")).await;
+        assert_eq!(refused.unwrap().status, 503);
+        let line = lines::only("refused");
+        assert_eq!((line.text("id"), line.number("limited")), ("late", 1.0));
+        let whole = || Reply::Keep(complete_response(200, "x"));
+        let second = Engine::start((0..30).map(|_| whole()).collect()).await;
+        relay.inform(support::parts(2), &[&first, &second]);
+        for index in 0..30 {
+            let asked = request("POST", "/pay/", &format!("m{index}"), "kit");
+            assert_eq!(relay.ask(&asked).await.unwrap().status, 200);
+        }
+        let moved = lines::all("engine at its rate limit passed over");
+        assert!((1..=20).contains(&moved.len()), "{}", moved.len());
+        assert_eq!(moved[0].text("engine"), "engine-0");
+        assert_eq!(moved[0].text("id"), "m0");
+        let metrics = &relay.runtime.metrics;
+        let text = metrics.text(clock::now(), &relay.runtime.state.borrow());
+        let counter = "guavausher_relay_rate_limited_requests_total";
+        assert!(text.contains(&format!("{counter}{{outcome=\"refused\"}} 1")));
+        assert!(text.contains(&format!("{counter}{{outcome=\"placed-elsewhere\"}}")));
+        assert!(text.contains("standing=\"limited\""), "{text}");
+    });
+}
