Keep the rate of cold engines by all instances together

The manifest's rate of a cold engine was not read at all, and an engine that has just started looks idle to all instances at the same moment.

Change: a cold engine is limited to that rate until it is warm, by the senders that keep stated limits. The lower limit applies if there are both.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -240,25 +240,29 @@
         self.notices.limits(now)
     }
 
-    /// Updates the pace of each engine; `part` returns this instance's part of an engine's limit.
-    /// If `is_settled` is `false`, this instance has not heard from all others yet.
+    /// Updates the pace of each engine; `cold_rate` returns the rate that an engine takes while it
+    /// is cold, and `part` this instance's part of a limit. If `is_settled` is `false`, this
+    /// instance has not heard from all others yet.
     pub fn update_paces(
         &mut self,
         now: time::Time,
         is_settled: bool,
+        cold_rate: impl Fn(&engine::Engine) -> Option<rate_limit::Rate>,
         part: impl Fn(&engine::Engine, LimitInForce) -> pace::Part,
     ) {
         for state in self.engines.values_mut() {
             let engine = &state.engine;
             let (name, incarnation) = (&engine.name, engine.incarnation);
-            let rate = self.notices.rate_limit(now, name, incarnation);
-            let Some(rate) = rate else {
+            let stated = self.notices.rate_limit(now, name, incarnation);
+            let cold = cold_rate(engine).filter(|_| now < engine.warm_at);
+            let Some(rate) = stated.into_iter().chain(cold).min() else {
                 state.pace = None;
                 continue;
             };
             let limit = LimitInForce {
                 rate,
-                confirmed_at: self.notices.limit_confirmed_at(name, incarnation),
+                confirmed_at: stated
+                    .and_then(|_| self.notices.limit_confirmed_at(name, incarnation)),
             };
             let part = part(engine, limit);
             match &mut state.pace {
--- a/crates/core/src/relay/reduce/limits.rs
+++ b/crates/core/src/relay/reduce/limits.rs
@@ -84,6 +84,8 @@
             is_stated: limit.confirmed_at.is_some(),
         }
     };
+    let services = state.manifest.as_ref().map(|manifest| manifest.services());
+    let cold_rate = |engine: &engine::Engine| services?.get(&engine.service)?.cold_rate;
     let is_settled = peers.unreported() == 0;
-    state.fleet.update_paces(now, is_settled, part);
+    state.fleet.update_paces(now, is_settled, cold_rate, part);
 }
--- a/crates/core/src/relay/service.rs
+++ b/crates/core/src/relay/service.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::rate_limit;
 use crate::name;
 
 /// Price factor of one failure domain.
@@ -40,6 +41,8 @@
     pub is_model: bool,
     /// Slots of one engine, if the manifest states them.
     pub slots: Option<u32>,
+    /// Requests that a cold engine takes from all instances together; `None` if there is no limit.
+    pub cold_rate: Option<rate_limit::Rate>,
     /// Scaling bounds; `None` if engines cannot be ordered.
     pub scaling: Option<Scaling>,
 }
--- a/crates/core/tests/relay_limits.rs
+++ b/crates/core/tests/relay_limits.rs
@@ -10,7 +10,7 @@
 use guavausher_core::{refusal, verdict};
 use relay_support::fleet::{Fleet, Network};
 use relay_support::limits::Simulation;
-use relay_support::{Instance, at, name, new_request, refused};
+use relay_support::{Instance, at, manifest_with_cold_rate, name, new_request, refused};
 use rstest::rstest;
 
 /// Time after which all instances must keep to a limit (`contactMs` of the large deployment).
@@ -154,6 +154,30 @@
     assert_limits_kept(&simulation, &[f64::INFINITY, LIMITS[1]], since);
 }
 
+/// An idle engine that has just started got 30 requests in a second from 22 instances, although it
+/// takes 13 while it is cold, and crashed.
+#[rstest]
+#[case::small(Size(9, 3, 4, 60.0))]
+#[case::grown(Size(75, 3, 12, 220.0))]
+fn cold_engine_kept_to_its_rate_by_all_instances(#[case] size: Size) {
+    const COLD_RATE: f64 = 13.0;
+    /// Requests beyond the rate that are tolerated in a second (`coldSlack`).
+    const SLACK: f64 = 5.0;
+    const COLD_TIME: Duration = Duration::from_secs(4);
+    let Size(instances, domains, engines, load) = size;
+    let mut simulation = Simulation::new(instances, domains, engines, load);
+    let rate = rate_limit::Rate::from_per_second(COLD_RATE);
+    simulation.fleet.apply_all(&manifest_with_cold_rate(rate));
+    simulation.run_for(Duration::from_secs(2));
+    let since = simulation.elapsed();
+    simulation.restart_engine(0);
+    simulation.cool(0, COLD_TIME);
+    simulation.run_for(COLD_TIME);
+    let most = simulation.most_arrivals(0, since, Duration::from_secs(1)) as f64;
+    assert!(most <= COLD_RATE + SLACK, "{most} requests in a second");
+    assert!(simulation.arrivals(0, since) > 0);
+}
+
 /// The senders of an engine may have no callers for a while; others send in their place, and in the
 /// end the limit is forgotten.
 #[test]
--- a/crates/core/tests/relay_support/mod.rs
+++ b/crates/core/tests/relay_support/mod.rs
@@ -10,8 +10,8 @@
 
 use guavausher_core::name;
 use guavausher_core::relay::{
-    clock, digest, effect, engine, event, manifest, member, peers, reduce, request, route, service,
-    settings, state, workspace,
+    clock, digest, effect, engine, event, manifest, member, peers, rate_limit, reduce, request,
+    route, service, settings, state, workspace,
 };
 use guavausher_core::time;
 
@@ -33,6 +33,7 @@
         max_connections: 100,
         is_model: true,
         slots: Some(8),
+        cold_rate: None,
         scaling,
     }
 }
@@ -57,10 +58,23 @@
 }
 
 pub fn manifest(version: u64, rate: f64, scaling: Option<service::Scaling>) -> event::Event {
+    manifest_of(version, rate, service(scaling))
+}
+
+/// A second manifest, without caps, whose engines take this rate while they are cold.
+pub fn manifest_with_cold_rate(rate: Option<rate_limit::Rate>) -> event::Event {
+    let service = service::Service {
+        cold_rate: rate,
+        ..service(None)
+    };
+    manifest_of(2, 0.0, service)
+}
+
+fn manifest_of(version: u64, rate: f64, service: service::Service) -> event::Event {
     let parts = manifest::Parts {
         version,
         routes: vec![route(route::RetryPolicy::Idempotent, 2)],
-        services: vec![service(scaling)],
+        services: vec![service],
         workspaces: Some(vec![workspace::Workspace {
             name: name("ward"),
             keys: vec![name("secret")],
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -102,6 +102,7 @@
             name: name::Name::from("service"),
             max_connections: 100,
             is_model: false,
+            cold_rate: None,
             slots: None,
             scaling: None,
         }],
