Divide the retry budget among instances that are not heard yet

What can be seen: after all instances have restarted at once, each of them retries as if it were alone. The slack of the retry budget, and an engine's idle connections, were divided by the instances that had been heard, which is one in a process that has just started.

Change: both are divided by the instances that may be using a part, those known by address only included, as the caps are.

Evidence: retry_budget_divided_among_instances_not_heard_yet failed before: 49 retries where a ninth of the slack and the ratio allow 25; passes now.

--- a/crates/core/src/relay/peers/shares.rs
+++ b/crates/core/src/relay/peers/shares.rs
@@ -54,7 +54,7 @@
 
     /// Returns the number of instances that may be using a share of a limit, reachable or not,
     /// this one included.
-    pub(super) fn limit_holders(&self) -> usize {
+    pub fn limit_holders(&self) -> usize {
         self.limit_sharers() + self.groups.known_instances() + self.unreported() + 1
     }
 
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -117,7 +117,7 @@
     let is_repeatable =
         flight.request.route.retry_policy.is_idempotent() && dispatch::has_attempts_left(flight);
     let service = flight.request.service.clone();
-    let instances = state.peers.instances();
+    let instances = state.peers.limit_holders();
     let retries = is_server_error
         && is_repeatable
         && state
@@ -182,7 +182,7 @@
         return;
     };
     let service = flight.request.service.clone();
-    let instances = state.peers.instances();
+    let instances = state.peers.limit_holders();
     let is_allowed = can_retry(state, id)
         && state
             .budget
--- a/crates/core/src/relay/reduce/dispatch.rs
+++ b/crates/core/src/relay/reduce/dispatch.rs
@@ -116,7 +116,7 @@
     /// Divisor of an engine's connections; the quotient may be idle.
     const IDLE_DIVISOR: u32 = 2;
     let all = max_connections(state, service).map(|connections| connections / IDLE_DIVISOR);
-    all.map_or(usize::MAX, |all| all as usize / state.peers.instances())
+    all.map_or(usize::MAX, |all| all as usize / state.peers.limit_holders())
 }
 
 /// Returns when to retry if a first event after `expected` is too late to be worth sending the
--- a/crates/core/tests/relay_reduce.rs
+++ b/crates/core/tests/relay_reduce.rs
@@ -2,6 +2,7 @@
 
 mod relay_support;
 
+use std::net;
 use std::time::Duration;
 
 use guavausher_core::refusal;
@@ -105,6 +106,27 @@
     );
 }
 
+/// A process that has just started knew of no other instance, and used the slack of all of them.
+#[test]
+fn retry_budget_divided_among_instances_not_heard_yet() {
+    const OTHERS: u16 = 8;
+    let mut instance = Instance::serving(0, 3);
+    let others = (1..=OTHERS).map(|index| net::SocketAddr::from(([127, 0, 0, 1], 8_000 + index)));
+    instance.state.peers.add_unverified(START, others);
+    let requests = 100;
+    let mut retries = 0;
+    for id in 0..requests {
+        instance.send(START, new_request(id, START, RetryPolicy::Idempotent, 2));
+        retries += usize::from(sent(&instance.signal(START, id, NOT_RUN)).is_some());
+        instance.signal(START, id, Signal::Whole { status: 200 });
+    }
+    let settings = instance.state.settings;
+    let part = settings.retry_slack / f64::from(OTHERS + 1);
+    let allowed = settings.retry_ratio * requests as f64 + part;
+    assert!(retries as f64 <= allowed, "{retries} of {allowed}");
+    assert!(retries > 0);
+}
+
 #[test]
 fn retry_budget_bounds_retries() {
     let mut instance = Instance::serving(1, 2);
