--- a/crates/core/src/relay/fleet/choose.rs
+++ b/crates/core/src/relay/fleet/choose.rs
@@ -96,21 +96,8 @@
         request: &request::Request,
         limits: Limits<'_>,
     ) -> Result<Choice, Unavailability> {
-        let available: Vec<_> = self
-            .of_service(&request.service)
-            .filter(|t| t.is_available(now))
-            .collect();
-        if available.is_empty() {
-            return Err(Unavailability::NoEngine);
-        }
-        let usable: Vec<_> = available
-            .into_iter()
-            .filter(|t| !limits.excluded.contains(&t.engine.name))
-            .filter(|t| limits.version.is_none_or(|v| t.engine.version == *v))
-            .filter(|t| limits.barred.is_none_or(|v| t.engine.version != *v))
-            .filter(|t| limits.connections.is_none_or(|max| t.load().running < max))
-            .collect();
-        let (usable, blocked): (Vec<_>, Vec<_>) = usable
+        let permitted = self.permitted(now, &request.service, limits)?;
+        let (usable, blocked): (Vec<_>, Vec<_>) = permitted
             .into_iter()
             .partition(|t| t.admits(now) && self.hold_end(now, &t.engine).is_none());
         let usual_rate = usual_error_rate(&usable);
@@ -143,6 +130,29 @@
         Ok(best.choice)
     }
 
+    /// Returns the engines of a service to which a request may be sent, now or later.
+    fn permitted<'a>(
+        &'a self,
+        now: time::Time,
+        service: &'a name::Name,
+        limits: Limits<'_>,
+    ) -> Result<Vec<&'a engine_state::EngineState>, Unavailability> {
+        let available: Vec<_> = self
+            .of_service(service)
+            .filter(|t| t.is_available(now))
+            .collect();
+        if available.is_empty() {
+            return Err(Unavailability::NoEngine);
+        }
+        let permitted = available
+            .into_iter()
+            .filter(|t| !limits.excluded.contains(&t.engine.name))
+            .filter(|t| limits.version.is_none_or(|v| t.engine.version == *v))
+            .filter(|t| limits.barred.is_none_or(|v| t.engine.version != *v))
+            .filter(|t| limits.connections.is_none_or(|max| t.load().running < max));
+        Ok(permitted.collect())
+    }
+
     /// Returns when an engine that is on hold or at its rate limit may be available again.
     fn next_at(&self, now: time::Time, state: &engine_state::EngineState) -> time::Time {
         let hold_end = self.hold_end(now, &state.engine).unwrap_or(now);
