Break the circle of imports in core::relay

digest, heartbeat, engine_state, fleet, engine_notices and rollouts imported each other in a circle, duties and scaling another. Serialized forms are the same; no behaviour changes.

--- a/crates/core/src/relay/catch_up.rs
+++ b/crates/core/src/relay/catch_up.rs
@@ -9,8 +9,8 @@
 use std::net;
 use std::time::Duration;
 
-use super::digest;
 use super::peers;
+use super::position;
 use crate::name;
 use crate::time;
 
@@ -47,7 +47,7 @@
     /// Index of the kind in the positions of a digest.
     pub kind: usize,
     /// This instance's own position.
-    pub own: digest::Position,
+    pub own: position::Position,
     /// Whether the store can be queried for changes since that position.
     pub store_available: bool,
 }
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -2,10 +2,10 @@
 
 use std::net;
 
-use super::engine_state;
+use super::canary_samples;
 use super::heartbeat;
+use super::load;
 use super::rate_limit;
-use super::rollouts;
 use super::usage_counts;
 use super::window_counts;
 use crate::name;
@@ -16,21 +16,7 @@
     /// The engine.
     pub engine: name::Name,
     /// The load.
-    pub load: engine_state::Load,
-}
-
-/// Units that one process has admitted for one workspace since it started.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Usage {
-    /// The workspace.
-    pub workspace: name::Name,
-    /// Admitted units.
-    pub units: u64,
-    /// Units per second that callers request.
-    pub demand: u64,
-    /// Units admitted by all instances beyond what the rate has drained, as far as the sender
-    /// knows.
-    pub level: Option<u64>,
+    pub load: load::Load,
 }
 
 /// Prefill work that one process has sent to one service since it started.
@@ -42,19 +28,6 @@
     pub micros: u64,
 }
 
-/// Outcomes of both versions of a service in a rollout, on one route.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct CanarySamples {
-    /// The service.
-    pub service: name::Name,
-    /// The version that is rolled out.
-    pub target: name::Name,
-    /// The route.
-    pub route: name::Name,
-    /// Counts of outcomes for the two versions.
-    pub pair: rollouts::Pair,
-}
-
 /// Engine crashes under one request; each crash is a hash of the engine's name and incarnation.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Suspect {
@@ -98,17 +71,6 @@
     pub newest_ms: u64,
 }
 
-/// How far an instance has read one kind of object.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Position {
-    /// Revision of the store up to which it has all changes, 0 before the first read.
-    #[serde(rename = "changed")]
-    pub revision: u64,
-    /// Hash of the names and revisions of the objects.
-    #[serde(rename = "content")]
-    pub content_hash: u64,
-}
-
 /// Full report of one instance.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Digest {
@@ -129,7 +91,7 @@
     pub counts: Vec<window_counts::Count>,
     /// Outcomes on the versions of services in a rollout.
     #[serde(rename = "trials")]
-    pub canary_samples: Vec<CanarySamples>,
+    pub canary_samples: Vec<canary_samples::CanarySamples>,
     /// Requests under which engines crashed.
     pub suspects: Vec<Suspect>,
     /// Engines that it recently learned are shutting down.
--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -4,11 +4,11 @@
 //! departed instances. [`Duties::tick`] returns the actions that are due. The driver performs
 //! them, checks [`Duties::fencing_token`] right before each call, and passes the results back.
 
-pub mod orders;
 pub mod usage;
 
 use std::time::Duration;
 
+use super::orders;
 use super::peers;
 use super::rollouts;
 use super::scaling;
--- a/crates/core/src/relay/engine_state.rs
+++ b/crates/core/src/relay/engine_state.rs
@@ -3,8 +3,9 @@
 use std::collections;
 use std::time::Duration;
 
+use super::crashed_engine;
 use super::engine;
-use super::fleet;
+use super::load;
 use super::pace;
 use crate::name;
 use crate::time;
@@ -32,16 +33,6 @@
 /// Bounds of an engine's delay relative to that of its service.
 const RATIO_BOUNDS: (f64, f64) = (0.5, 8.0);
 
-/// Requests that were sent to an engine and have not ended.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Load {
-    /// Number of requests.
-    pub running: u32,
-    /// Prompt tokens of those without a first event that the engine has still to process.
-    #[serde(rename = "unread")]
-    pub pending_prefill: u32,
-}
-
 /// Counts of successes and failures of an engine, which decay over time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
@@ -54,8 +45,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct EngineState {
     pub engine: engine::Engine,
-    pub own_load: Load,
-    pub other_loads: collections::BTreeMap<name::Name, Load>,
+    pub own_load: load::Load,
+    pub other_loads: collections::BTreeMap<name::Name, load::Load>,
     pub health: Health,
     /// When an engine that disappeared from the list is considered gone; this is delayed if it
     /// disappeared together with the store.
@@ -103,7 +94,7 @@
     pub fn new(engine: engine::Engine) -> Self {
         Self {
             engine,
-            own_load: Load::default(),
+            own_load: load::Load::default(),
             other_loads: collections::BTreeMap::new(),
             health: Health::default(),
             gone_at: None,
@@ -116,7 +107,7 @@
     }
 
     /// Returns the load of all instances.
-    pub fn load(&self) -> Load {
+    pub fn load(&self) -> load::Load {
         let mut sum = self.own_load;
         for load in self.other_loads.values() {
             sum.running = sum.running.saturating_add(load.running);
@@ -131,8 +122,8 @@
     }
 
     /// Returns this engine as a crashed one, or `None` if it is known to be leaving.
-    pub fn as_crashed(&self) -> Option<fleet::CrashedEngine> {
-        (!self.engine.leaving).then(|| fleet::CrashedEngine {
+    pub fn as_crashed(&self) -> Option<crashed_engine::CrashedEngine> {
+        (!self.engine.leaving).then(|| crashed_engine::CrashedEngine {
             name: self.engine.name.clone(),
             incarnation: self.engine.incarnation,
         })
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -9,10 +9,12 @@
 use std::collections;
 use std::time::Duration;
 
+use super::crashed_engine;
 use super::digest;
 use super::engine;
 use super::engine_notices;
 use super::engine_state;
+use super::load;
 use super::prefix_cache;
 use super::request;
 use crate::name;
@@ -45,16 +47,7 @@
     /// Engines that get no new requests from now on.
     pub left: Vec<name::Name>,
     /// Engines that crashed, without a notice that they are leaving.
-    pub crashed: Vec<CrashedEngine>,
-}
-
-/// An engine that crashed.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct CrashedEngine {
-    /// Its name.
-    pub name: name::Name,
-    /// Its incarnation.
-    pub incarnation: u64,
+    pub crashed: Vec<crashed_engine::CrashedEngine>,
 }
 
 /// Status of an engine in the list.
@@ -220,7 +213,7 @@
         let busy = self
             .engines
             .values()
-            .filter(|t| t.own_load != engine_state::Load::default());
+            .filter(|t| t.own_load != load::Load::default());
         busy.map(|t| digest::EngineLoad {
             engine: t.engine.name.clone(),
             load: t.own_load,
--- a/crates/core/src/relay/groups.rs
+++ b/crates/core/src/relay/groups.rs
@@ -10,6 +10,7 @@
 use super::peer;
 use super::sum;
 use super::summary;
+use super::workspace_usage;
 use crate::name;
 use crate::time;
 
@@ -213,8 +214,8 @@
     /// caps.
     pub fn sum(&self, now: time::Time) -> sum::Sum {
         let mut loads = sum::Loads::default();
-        let mut usage = collections::BTreeMap::<&name::Name, digest::Usage>::new();
-        let empty = |workspace: &name::Name| digest::Usage {
+        let mut usage = collections::BTreeMap::<&name::Name, workspace_usage::Usage>::new();
+        let empty = |workspace: &name::Name| workspace_usage::Usage {
             workspace: workspace.clone(),
             units: 0,
             demand: 0,
--- a/crates/core/src/relay/heartbeat.rs
+++ b/crates/core/src/relay/heartbeat.rs
@@ -1,7 +1,8 @@
 //! Heartbeats: the part of a digest that instances send most often.
 
-use super::digest;
 use super::group;
+use super::position;
+use super::workspace_usage;
 use crate::name;
 
 /// What others need soon: that an instance is alive, how far it has read, and what it admits.
@@ -24,8 +25,8 @@
     #[serde(rename = "fed")]
     pub watching: bool,
     /// How far it has read each kind of object.
-    pub positions: Vec<digest::Position>,
+    pub positions: Vec<position::Position>,
     /// What it has admitted.
     #[serde(rename = "spent")]
-    pub usage: Vec<digest::Usage>,
+    pub usage: Vec<workspace_usage::Usage>,
 }
--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -7,6 +7,7 @@
 use super::event;
 use super::gossip;
 use super::heartbeat;
+use super::position;
 use super::process_report;
 use super::state;
 use super::summary;
@@ -58,7 +59,7 @@
     state: &state::State,
     now: time::Time,
     number: usize,
-    positions: &[digest::Position],
+    positions: &[position::Position],
 ) -> Vec<Outgoing> {
     let recipients = state.recipients(now, number);
     let as_delegate = state.delegate_recipients(now, number);
--- a/crates/core/src/relay/peer.rs
+++ b/crates/core/src/relay/peer.rs
@@ -5,6 +5,8 @@
 
 use super::digest;
 use super::heartbeat;
+use super::position;
+use super::workspace_usage;
 use crate::name;
 use crate::time;
 
@@ -99,7 +101,7 @@
     }
 
     /// Returns the position up to which it has read a kind of object.
-    pub fn position(&self, kind: usize) -> digest::Position {
+    pub fn position(&self, kind: usize) -> position::Position {
         self.digest
             .heartbeat
             .positions
@@ -112,7 +114,7 @@
 /// Returns an instance's share of the usage that has not drained yet, after a partition in which
 /// its side stayed within its share of the cap. The rest is reported by the other instances of
 /// that side.
-fn unreported_share(usage: &digest::Usage, reachable: u32) -> u64 {
+fn unreported_share(usage: &workspace_usage::Usage, reachable: u32) -> u64 {
     usage
         .level
         .unwrap_or(0)
--- a/crates/core/src/relay/peers/readers.rs
+++ b/crates/core/src/relay/peers/readers.rs
@@ -4,7 +4,7 @@
 
 use super::Peers;
 use crate::name;
-use crate::relay::digest;
+use crate::relay::position;
 use crate::time;
 
 /// An instance that can serve the changes it has read.
@@ -15,7 +15,7 @@
     /// Where it serves changes.
     pub address: net::SocketAddr,
     /// How far it has read.
-    pub position: digest::Position,
+    pub position: position::Position,
 }
 
 impl Peers {
@@ -24,7 +24,7 @@
         &self,
         now: time::Time,
         kind: usize,
-        own: digest::Position,
+        own: position::Position,
     ) -> impl Iterator<Item = Reader<'_>> {
         let readers = self.readers(now, kind);
         readers.filter(move |reader| {
@@ -35,7 +35,7 @@
 
     /// Returns the highest revision at which any instance has the same objects of a kind as this
     /// one.
-    pub fn confirmed_revision(&self, now: time::Time, kind: usize, own: digest::Position) -> u64 {
+    pub fn confirmed_revision(&self, now: time::Time, kind: usize, own: position::Position) -> u64 {
         let same = self.readers(now, kind).map(|reader| reader.position);
         let same = same.filter(|position| position.content_hash == own.content_hash);
         same.fold(own.revision, |most, position| most.max(position.revision))
--- a/crates/core/src/relay/process_report.rs
+++ b/crates/core/src/relay/process_report.rs
@@ -1,5 +1,6 @@
 //! Process reports, which delegates send to lease candidates for each member of their group.
 
+use super::canary_samples;
 use super::digest;
 use super::usage_counts;
 use super::window_counts;
@@ -16,7 +17,7 @@
     pub prefill_work: Vec<digest::PrefillWork>,
     /// Outcomes on the versions of services in a rollout.
     #[serde(rename = "trials")]
-    pub canary_samples: Vec<digest::CanarySamples>,
+    pub canary_samples: Vec<canary_samples::CanarySamples>,
 }
 
 impl ProcessReport {
--- a/crates/core/src/relay/reduce/peer_messages.rs
+++ b/crates/core/src/relay/reduce/peer_messages.rs
@@ -8,6 +8,7 @@
 use crate::relay::process_report;
 use crate::relay::state;
 use crate::relay::summary;
+use crate::relay::workspace_usage;
 use crate::time;
 
 /// Applies another instance's digest.
@@ -80,7 +81,7 @@
     }
 }
 
-fn apply_levels(state: &mut state::State, now: time::Time, spent: &[digest::Usage]) {
+fn apply_levels(state: &mut state::State, now: time::Time, spent: &[workspace_usage::Usage]) {
     for spent in spent {
         if let Some(level) = spent.level {
             state.caps.adopt_level(now, &spent.workspace, level);
--- a/crates/core/src/relay/rollouts.rs
+++ b/crates/core/src/relay/rollouts.rs
@@ -10,9 +10,10 @@
 use std::collections;
 use std::time::Duration;
 
-use super::digest;
+use super::canary_samples;
 use super::settings;
 use super::usage_counts;
+use super::version_stats;
 use crate::name;
 
 /// Share of the allowed canary share that is used.
@@ -25,30 +26,6 @@
 const MIN_SEEN_SHARE: f64 = 0.3;
 /// Processes whose stats are kept for one rollout.
 const MAX_PROCESSES: usize = 4_096;
-/// Responses of a new version before its errors are judged.
-const MIN_RESPONSES: u32 = 8;
-/// Errors below which a version is not bad.
-const MIN_ERRORS: u32 = 4;
-/// Standard deviations by which the errors must exceed those of the old version.
-const MIN_DEVIATIONS: f64 = 2.5;
-/// Amount by which the error rate must exceed that of the old version.
-const MIN_EXCESS: f64 = 0.1;
-/// First events before the speed of a version is judged.
-const MIN_TIMED: u32 = 12;
-/// Ratio of mean delays, new to old, above which a version is bad whatever the variance.
-const MAX_DELAY_RATIO: f64 = 1.9;
-/// First events of a new version from which its delay is compared by the variance.
-const MIN_COMPARED: u32 = 6;
-/// Ratio of delays, new to old, that a good version may reach: its engines have just started.
-const TOLERATED_DELAY_RATIO: f64 = 1.3;
-/// Standard errors by which a delay must exceed the tolerated ratio.
-const MIN_STANDARD_ERRORS: f64 = 2.8;
-/// Lower bound for the variance of the logarithm of a delay, so that a few delays that happen to
-/// be alike prove nothing.
-const MIN_VARIANCE: f64 = 0.1;
-/// Scale of the sums of logarithms.
-const THOUSAND: f64 = 1_000.0;
-
 /// Stage of a rollout.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
@@ -78,37 +55,6 @@
     pub deadline_micros: Option<u64>,
 }
 
-/// Responses and delays of one version.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct VersionStats {
-    /// Responses.
-    #[serde(rename = "answers")]
-    pub responses: u32,
-    /// Errors among the responses.
-    #[serde(rename = "bad")]
-    pub errors: u32,
-    /// First events with a known delay.
-    pub timed: u32,
-    /// Sum of the ratios of actual to expected delay, in hundredths.
-    #[serde(rename = "delay")]
-    pub ratio_sum: u64,
-    /// Sum of the natural logarithms of the ratios, in thousandths.
-    #[serde(rename = "logs")]
-    pub log_sum: i64,
-    /// Sum of the squares of the logarithms, in thousandths.
-    #[serde(rename = "squares")]
-    pub square_sum: u64,
-}
-
-/// Stats of the new and the old version on one route.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Pair {
-    /// Stats of the new version.
-    pub new: VersionStats,
-    /// Stats of all other versions together.
-    pub old: VersionStats,
-}
-
 /// Restricts the versions of the engines that a request may be sent to.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct VersionFilter {
@@ -142,9 +88,9 @@
     order: Order,
     requests: u64,
     canary_requests: u64,
-    own: collections::BTreeMap<name::Name, Pair>,
+    own: collections::BTreeMap<name::Name, version_stats::Pair>,
     /// Stats that each process reports; those of ended processes are kept.
-    others: collections::BTreeMap<usage_counts::Process, Vec<digest::CanarySamples>>,
+    others: collections::BTreeMap<usage_counts::Process, Vec<canary_samples::CanarySamples>>,
 }
 
 /// Rollouts of all services.
@@ -242,16 +188,8 @@
         took: Duration,
         expected: Duration,
     ) {
-        /// Upper bound for the ratio of actual to expected delay; its inverse is the lower bound.
-        const MAX_RATIO: f64 = 20.0;
-        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
         if let Some(stats) = self.stats_mut(service, route, version) {
-            stats.timed += 1;
-            let ratio = ratio.clamp(1.0 / MAX_RATIO, MAX_RATIO);
-            let log = ratio.ln();
-            stats.ratio_sum += (ratio * 100.0) as u64;
-            stats.log_sum += (log * THOUSAND) as i64;
-            stats.square_sum += (log * log * THOUSAND) as u64;
+            stats.record_first_event(took, expected);
         }
     }
 
@@ -260,7 +198,7 @@
         service: &name::Name,
         route: &name::Name,
         version: &name::Name,
-    ) -> Option<&mut VersionStats> {
+    ) -> Option<&mut version_stats::VersionStats> {
         let rollout = self.rollouts.get_mut(service)?;
         let pair = rollout.own.entry(route.clone()).or_default();
         Some(match *version == rollout.order.target {
@@ -270,7 +208,11 @@
     }
 
     /// Merges the stats that a process of another instance reports.
-    pub fn merge(&mut self, from: &usage_counts::Process, reported: &[digest::CanarySamples]) {
+    pub fn merge(
+        &mut self,
+        from: &usage_counts::Process,
+        reported: &[canary_samples::CanarySamples],
+    ) {
         for rollout in self.rollouts.values_mut() {
             let matching = reported
                 .iter()
@@ -288,7 +230,7 @@
     }
 
     /// Returns this process's own stats, which it sends to the other instances.
-    pub fn local_stats(&self) -> Vec<digest::CanarySamples> {
+    pub fn local_stats(&self) -> Vec<canary_samples::CanarySamples> {
         /// Routes in one digest.
         const MAX_ROUTES: usize = 24;
         let open = self.rollouts.values().filter(|r| r.is_open());
@@ -296,7 +238,7 @@
             rollout
                 .own
                 .iter()
-                .map(|(route, pair)| digest::CanarySamples {
+                .map(|(route, pair)| canary_samples::CanarySamples {
                     service: rollout.order.service.clone(),
                     target: rollout.order.target.clone(),
                     route: route.clone(),
@@ -347,7 +289,7 @@
 
     fn is_bad(&self) -> bool {
         let pairs = self.pairs();
-        is_bad(&sum(&pairs)) || pairs.values().any(is_bad)
+        version_stats::is_bad(&sum(&pairs)) || pairs.values().any(version_stats::is_bad)
     }
 
     /// Returns `true` if the new version has enough responses to pass: enough to be judged or, for
@@ -355,12 +297,12 @@
     fn has_enough_responses(&self, share: f64) -> bool {
         let all = sum(&self.pairs());
         let max_responses = f64::from(all.new.responses + all.old.responses) * share;
-        let enough = f64::from(MIN_TIMED).min(max_responses * MIN_SEEN_SHARE);
+        let enough = f64::from(version_stats::MIN_TIMED).min(max_responses * MIN_SEEN_SHARE);
         f64::from(all.new.responses) >= enough
     }
 
     /// Returns the stats of all instances by route.
-    fn pairs(&self) -> collections::BTreeMap<name::Name, Pair> {
+    fn pairs(&self) -> collections::BTreeMap<name::Name, version_stats::Pair> {
         let mut pairs = self.own.clone();
         for reported in self.others.values().flatten() {
             let pair = pairs.entry(reported.route.clone()).or_default();
@@ -370,57 +312,9 @@
     }
 }
 
-impl std::ops::Add for VersionStats {
-    type Output = Self;
-
-    fn add(self, other: Self) -> Self {
-        Self {
-            responses: self.responses.saturating_add(other.responses),
-            errors: self.errors.saturating_add(other.errors),
-            timed: self.timed.saturating_add(other.timed),
-            ratio_sum: self.ratio_sum.saturating_add(other.ratio_sum),
-            log_sum: self.log_sum.saturating_add(other.log_sum),
-            square_sum: self.square_sum.saturating_add(other.square_sum),
-        }
-    }
-}
-
-impl std::ops::Add for Pair {
-    type Output = Self;
-
-    fn add(self, other: Self) -> Self {
-        Self {
-            new: self.new + other.new,
-            old: self.old + other.old,
-        }
-    }
-}
-
-impl VersionStats {
-    /// Returns the share of errors, counting one additional success.
-    fn error_rate(&self) -> f64 {
-        f64::from(self.errors) / (f64::from(self.responses) + 1.0)
-    }
-
-    fn mean_ratio(&self) -> f64 {
-        self.ratio_sum as f64 / f64::from(self.timed.max(1))
-    }
-
-    /// Returns the mean logarithm of the delay ratios.
-    fn mean_log(&self) -> f64 {
-        self.log_sum as f64 / THOUSAND / f64::from(self.timed.max(1))
-    }
-
-    /// Returns the variance of the logarithms of the delay ratios.
-    fn variance(&self) -> f64 {
-        let squares = self.square_sum as f64 / THOUSAND / f64::from(self.timed.max(1));
-        (squares - self.mean_log() * self.mean_log()).max(MIN_VARIANCE)
-    }
-}
-
 /// Returns the responses and timed first events of both versions on all routes; for one process
 /// the number never decreases.
-fn sample_count(reported: &[digest::CanarySamples]) -> u64 {
+fn sample_count(reported: &[canary_samples::CanarySamples]) -> u64 {
     let stats = reported
         .iter()
         .flat_map(|trial| [trial.pair.new, trial.pair.old]);
@@ -429,36 +323,7 @@
         .sum()
 }
 
-fn sum(pairs: &collections::BTreeMap<name::Name, Pair>) -> Pair {
+fn sum(pairs: &collections::BTreeMap<name::Name, version_stats::Pair>) -> version_stats::Pair {
     let all = pairs.values();
-    all.fold(Pair::default(), |sum, pair| sum + *pair)
-}
-
-/// Returns `true` if the responses of the new version are worse than chance explains.
-fn is_bad(pair: &Pair) -> bool {
-    let (new, old) = (pair.new, pair.old);
-    let old_rate = old.error_rate();
-    let responses = f64::from(new.responses);
-    let expected = old_rate * responses;
-    let deviation = (expected * (1.0 - old_rate) + 1.0).sqrt();
-    let is_failing = new.responses >= MIN_RESPONSES
-        && new.errors >= MIN_ERRORS
-        && f64::from(new.errors) > expected + MIN_DEVIATIONS * deviation
-        && f64::from(new.errors) / responses > old_rate + MIN_EXCESS;
-    is_failing || is_slow(&new, &old)
-}
-
-/// Returns `true` if first events come later than chance explains. A few that are much later on one
-/// route show it as well as many that are a little later.
-fn is_slow(new: &VersionStats, old: &VersionStats) -> bool {
-    if new.timed < MIN_COMPARED || old.timed < MIN_TIMED {
-        return false;
-    }
-    let is_much_slower =
-        new.timed >= MIN_TIMED && new.mean_ratio() > MAX_DELAY_RATIO * old.mean_ratio();
-    let variance = new.variance().max(old.variance());
-    let error = (variance / f64::from(new.timed) + variance / f64::from(old.timed)).sqrt();
-    is_much_slower
-        || new.mean_log() - old.mean_log() - TOLERATED_DELAY_RATIO.ln()
-            > MIN_STANDARD_ERRORS * error
+    all.fold(version_stats::Pair::default(), |sum, pair| sum + *pair)
 }
--- a/crates/core/src/relay/scaling.rs
+++ b/crates/core/src/relay/scaling.rs
@@ -8,7 +8,7 @@
 use std::collections;
 use std::time::Duration;
 
-use super::duties::orders;
+use super::orders;
 use super::rollouts;
 use super::service;
 use super::state;
--- a/crates/core/src/relay/state/reports.rs
+++ b/crates/core/src/relay/state/reports.rs
@@ -7,9 +7,11 @@
 use crate::relay::digest;
 use crate::relay::gossip;
 use crate::relay::heartbeat;
+use crate::relay::position;
 use crate::relay::process_report;
 use crate::relay::sum;
 use crate::relay::summary;
+use crate::relay::workspace_usage;
 use crate::time;
 
 /// Usage windows in a digest.
@@ -22,14 +24,17 @@
     pub fn heartbeat(
         &self,
         now: time::Time,
-        positions: Vec<digest::Position>,
+        positions: Vec<position::Position>,
     ) -> heartbeat::Heartbeat {
-        let usage = self.caps.spent().map(|(workspace, units)| digest::Usage {
-            workspace: workspace.clone(),
-            units,
-            demand: self.caps.demand(now, workspace),
-            level: self.caps.level(now, workspace),
-        });
+        let usage = self
+            .caps
+            .spent()
+            .map(|(workspace, units)| workspace_usage::Usage {
+                workspace: workspace.clone(),
+                units,
+                demand: self.caps.demand(now, workspace),
+                level: self.caps.level(now, workspace),
+            });
         heartbeat::Heartbeat {
             sender: self.own.name.clone(),
             domain: self.own.domain.clone(),
@@ -44,7 +49,7 @@
     }
 
     /// Returns the digest of this instance.
-    pub fn digest(&self, now: time::Time, positions: Vec<digest::Position>) -> digest::Digest {
+    pub fn digest(&self, now: time::Time, positions: Vec<position::Position>) -> digest::Digest {
         let work = self
             .fleet
             .prefill_work()
@@ -116,12 +121,12 @@
     }
 
     /// Returns the summary of the own group for other groups.
-    pub fn summary(&self, now: time::Time, positions: Vec<digest::Position>) -> summary::Summary {
+    pub fn summary(&self, now: time::Time, positions: Vec<position::Position>) -> summary::Summary {
         let demands = self.peers.group_demands(now);
         let usage = self
             .caps
             .group_spent()
-            .map(|(workspace, units)| digest::Usage {
+            .map(|(workspace, units)| workspace_usage::Usage {
                 workspace: workspace.clone(),
                 units,
                 demand: self.caps.demand(now, workspace)
--- a/crates/core/src/relay/sum.rs
+++ b/crates/core/src/relay/sum.rs
@@ -3,7 +3,8 @@
 use std::collections;
 
 use super::digest;
-use super::engine_state;
+use super::load;
+use super::workspace_usage;
 use crate::name;
 
 /// Load of several instances.
@@ -14,14 +15,14 @@
     pub reachable: u32,
     /// What they have admitted, and the demand on them, by workspace.
     #[serde(rename = "spent")]
-    pub usage: Vec<digest::Usage>,
+    pub usage: Vec<workspace_usage::Usage>,
     /// Their load on engines.
     pub loads: Vec<digest::EngineLoad>,
 }
 
 /// Load on engines from several instances.
 #[derive(Clone, Debug, Default)]
-pub struct Loads(collections::BTreeMap<name::Name, engine_state::Load>);
+pub struct Loads(collections::BTreeMap<name::Name, load::Load>);
 
 impl Loads {
     /// Adds the load of one or several instances.
--- a/crates/core/src/relay/summary.rs
+++ b/crates/core/src/relay/summary.rs
@@ -6,6 +6,7 @@
 use super::digest;
 use super::group;
 use super::member;
+use super::position;
 use super::sum;
 use crate::name;
 
@@ -46,7 +47,7 @@
     /// The instances that the rest covers.
     pub scope: Scope,
     /// How far the sender has read each kind of object.
-    pub positions: Vec<digest::Position>,
+    pub positions: Vec<position::Position>,
     /// Their load.
     pub sum: sum::Sum,
     /// Some of those that watch the store.
--- a/crates/core/tests/relay_catch_up.rs
+++ b/crates/core/tests/relay_catch_up.rs
@@ -5,7 +5,7 @@
 use std::collections;
 use std::time::Duration;
 
-use guavausher_core::relay::{catch_up, digest, peers};
+use guavausher_core::relay::{catch_up, peers, position};
 use guavausher_core::time;
 use relay_support::{Instance, START, at, name};
 use rstest::rstest;
@@ -13,8 +13,8 @@
 const KIND: usize = 0;
 const STORE_DELAY: Duration = Duration::from_millis(250);
 
-fn position(revision: u64) -> digest::Position {
-    digest::Position {
+fn position(revision: u64) -> position::Position {
+    position::Position {
         revision,
         content_hash: revision,
     }
@@ -155,7 +155,7 @@
 fn next_source_skips_peers_with_the_same_content() {
     let mut peers = relay_support::no_peers();
     let newcomer = Instance::new(1);
-    let same = digest::Position {
+    let same = position::Position {
         revision: 9,
         content_hash: 5,
     };
--- a/crates/core/tests/relay_duties.rs
+++ b/crates/core/tests/relay_duties.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use guavausher_core::lease;
-use guavausher_core::relay::duties::{self, Action, orders, usage};
+use guavausher_core::relay::duties::{self, Action, usage};
 use guavausher_core::relay::event::{self, Signal};
-use guavausher_core::relay::{clock, engine, rate_limit, rollouts, route, service, usage_counts};
+use guavausher_core::relay::{
+    clock, engine, orders, rate_limit, rollouts, route, service, usage_counts,
+};
 use guavausher_core::store;
 use guavausher_core::time;
 use guavausher_core::verdict;
--- a/crates/core/tests/relay_support/fleet.rs
+++ b/crates/core/tests/relay_support/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use guavausher_core::name;
-use guavausher_core::relay::{digest, event, member, message, state};
+use guavausher_core::relay::{event, member, message, position, state};
 use guavausher_core::time;
 
 use super::{Instance, at, engine, engines, manifest};
@@ -41,9 +41,9 @@
 
 struct Node {
     instance: Instance,
-    positions: Vec<digest::Position>,
+    positions: Vec<position::Position>,
     /// Step at which a fetch ends, and the position that it reaches.
-    fetch: Option<(u64, digest::Position)>,
+    fetch: Option<(u64, position::Position)>,
     is_up: bool,
     sent: Sent,
 }
@@ -78,7 +78,7 @@
         for index in 0..size {
             let instance = fleet.build(index);
             let node = Node {
-                positions: vec![digest::Position::default()],
+                positions: vec![position::Position::default()],
                 fetch: None,
                 is_up: true,
                 sent: Sent::default(),
@@ -167,7 +167,7 @@
             let node = &mut self.nodes[index];
             node.instance = instance;
             node.is_up = true;
-            node.positions = vec![digest::Position::default()];
+            node.positions = vec![position::Position::default()];
         }
     }
 
@@ -179,7 +179,7 @@
         instance.state.peers.add_listed(self.now(), members);
         let node = &mut self.nodes[index];
         node.instance = instance;
-        node.positions = vec![digest::Position::default()];
+        node.positions = vec![position::Position::default()];
     }
 
     /// Partitions one failure domain from the others, or none.
@@ -324,8 +324,8 @@
     }
 }
 
-pub fn position(changed: u64) -> digest::Position {
-    digest::Position {
+pub fn position(changed: u64) -> position::Position {
+    position::Position {
         revision: changed,
         content_hash: changed,
     }
--- a/crates/relay/src/runtime.rs
+++ b/crates/relay/src/runtime.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use guavausher_core::name;
-use guavausher_core::relay::{digest, effect, event, fleet, manifest, rate_limit, reduce, state};
+use guavausher_core::relay::{effect, event, fleet, manifest, position, rate_limit, reduce, state};
 use guavausher_core::time;
 use tokio::sync;
 
@@ -33,7 +33,7 @@
     /// Metrics of the process.
     pub metrics: metrics::Metrics,
     /// Revision up to which each kind of object has been read.
-    pub positions: cell::RefCell<Vec<digest::Position>>,
+    pub positions: cell::RefCell<Vec<position::Position>>,
     /// Sampling of the log lines of refusals.
     pub(crate) log_sampler: log_sampling::LogSampler,
     /// Sampling of the log lines of requests placed elsewhere because of a rate limit.
@@ -54,7 +54,7 @@
 impl Runtime {
     /// Creates the runtime around a state; `kinds` is the number of kinds of objects that are read.
     pub fn new(state: state::State, protocol: protocol::Protocol, kinds: usize) -> rc::Rc<Self> {
-        let positions = vec![digest::Position::default(); kinds];
+        let positions = vec![position::Position::default(); kinds];
         rc::Rc::new(Self {
             state: cell::RefCell::new(state),
             pool: pool::Pool::default(),
--- a/crates/relay/src/snapshot.rs
+++ b/crates/relay/src/snapshot.rs
@@ -3,7 +3,7 @@
 use std::hash::Hasher;
 
 use guavausher_core::name;
-use guavausher_core::relay::digest;
+use guavausher_core::relay::position;
 
 /// A stored object.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -63,12 +63,12 @@
     }
 
     /// Returns the position that is advertised to other instances.
-    pub fn position(&self) -> digest::Position {
+    pub fn position(&self) -> position::Position {
         let content = match self.changed {
             0 => 0,
             _ => content_hash(&self.items),
         };
-        digest::Position {
+        position::Position {
             revision: self.changed,
             content_hash: content,
         }
