Reword the stand-in of the users' platform

Words, say, told, steer, held and Place are now notices, set_notice, notify_watches, control, remaining_hold and Slot; comments say what the code does. Names under /standin/ and on the wire are the same.

--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -1,8 +1,8 @@
 //! The stand-in for the users' platform: store of objects, engines, and the API of duties.
 //!
-//! It speaks the users' protocol through the types and names of `guavausher_platform`. Its store
-//! and its API listen on one address, each engine on one of its own. What it was asked for can be
-//! read back, and faults set, under `/standin/`.
+//! It uses the types and names of `guavausher_platform`. Its store and its API listen on one
+//! address, each engine on an address of its own. Requests can be inspected and faults injected
+//! under `/standin/`.
 
 mod engine;
 mod objects;
@@ -29,9 +29,9 @@
 
 /// Longest time that a watch waits.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(30);
-/// Time until another engine takes the place of one that ended by itself.
-const REPLACEMENT: time::Duration = time::Duration::from_millis(500);
-/// Engines that may be there at once.
+/// Time until an engine that crashed by itself is replaced.
+const REPLACEMENT_DELAY: time::Duration = time::Duration::from_millis(500);
+/// Maximum number of engines.
 const MAX_ENGINES: u32 = 64;
 
 /// Settings of a site.
@@ -52,17 +52,17 @@
     pub name: String,
     /// Engines in each failure domain.
     pub count: u32,
-    /// Requests that one of them works on at once.
+    /// Number of requests that one of them runs concurrently.
     pub slots: u32,
 }
 
-/// Faults that hold until they are changed.
+/// Faults that apply until they are changed.
 #[derive(Clone, Copy, Debug, Default, serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 struct Faults {
-    /// The store answers 503.
+    /// The store responds with 503.
     down: bool,
-    /// The store does what it is asked to write and gives no answer.
+    /// The store performs writes but loses the responses.
     lose: bool,
 }
 
@@ -81,7 +81,7 @@
 struct Running {
     handle: handle::Handle,
     entry: servers::Entry,
-    words: sync::Arc<engine::Words>,
+    notices: sync::Arc<engine::Notices>,
 }
 
 /// Starts a site with its engines.
@@ -115,7 +115,7 @@
     server.run(move |request| respond(site.clone(), request))
 }
 
-/// Replaces engines that end by themselves for as long as the site is there.
+/// Replaces engines that crash by themselves until the site is shut down.
 fn replace(site: &sync::Weak<Site>, crashed: sync::mpsc::Receiver<String>) {
     for name in crashed {
         let Some(site) = site.upgrade() else {
@@ -127,8 +127,8 @@
         let Some(entry) = entry.filter(|_| site.crash(&name)) else {
             continue;
         };
-        std::thread::sleep(REPLACEMENT);
-        // Without a free port there is no other engine.
+        std::thread::sleep(REPLACEMENT_DELAY);
+        // Without a free port the engine is not replaced.
         let _ = site.add(&entry.service, &entry.zone, entry.slots, entry.spot);
     }
 }
@@ -144,7 +144,7 @@
     };
     let path = request.uri().path().to_owned();
     if let Some(what) = path.strip_prefix("/standin/") {
-        return Ok(site.steer(what, &request));
+        return Ok(site.control(what, &request));
     }
     if path == names::USAGE_REPORTS || path == names::SCALING_ORDERS {
         return Ok(site.duty(&path, &request));
@@ -161,7 +161,7 @@
 }
 
 impl Site {
-    /// Answers a call to the store.
+    /// Handles a call to the store.
     async fn object(&self, path: &str, request: &request::Request) -> reply::Response {
         let rest = path.strip_prefix(names::OBJECTS).unwrap_or("");
         let mut parts = rest.trim_start_matches('/').splitn(3, '/');
@@ -176,16 +176,16 @@
                 Err(_) => reply::json(http::StatusCode::OK, &lock(&self.objects).list(kind)),
             };
         }
-        let answer = {
+        let outcome = {
             let mut objects = lock(&self.objects);
             objects.call(request.method(), kind, name, part, request.body())
         };
-        self.told();
-        match answer {
-            objects::Answer::Object(object) => reply::json(http::StatusCode::OK, &object),
-            objects::Answer::Conflict(object) => reply::json(http::StatusCode::CONFLICT, &object),
-            objects::Answer::Missing => reply::missing(),
-            objects::Answer::Bad(fault) => reply::bad(fault),
+        self.notify_watches();
+        match outcome {
+            objects::Outcome::Object(object) => reply::json(http::StatusCode::OK, &object),
+            objects::Outcome::Conflict(object) => reply::json(http::StatusCode::CONFLICT, &object),
+            objects::Outcome::Missing => reply::missing(),
+            objects::Outcome::Bad(fault) => reply::bad(fault),
         }
     }
 
@@ -206,17 +206,17 @@
         reply::json(http::StatusCode::OK, &seen)
     }
 
-    fn told(&self) {
+    fn notify_watches(&self) {
         let revision = lock(&self.objects).revision();
         self.changes.send_replace(revision);
     }
 
-    /// Takes a duty's call; one with a lower fencing number than before is refused.
+    /// Handles a call of a duty; one with a lower fencing token than before is refused.
     fn duty(&self, path: &str, request: &request::Request) -> reply::Response {
         let fence = request::header(request, names::FENCING_TOKEN)
             .parse()
             .unwrap_or(0);
-        if !lock(&self.objects).passes(fence) {
+        if !lock(&self.objects).accept_fence(fence) {
             return reply::error(http::StatusCode::CONFLICT, "a higher fence was seen");
         }
         match path {
@@ -238,7 +238,7 @@
         }
     }
 
-    /// Starts or ends engines until there are as many as ordered.
+    /// Starts or drains engines until their number is the ordered one.
     fn scale(&self, order: &wire::ScalingOrder) {
         let is_ordered = |running: &Running| {
             let entry = &running.entry;
@@ -274,12 +274,12 @@
     fn add(&self, service: &str, domain: &str, slots: u32, spot: bool) -> io::Result<()> {
         let born = self.born.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let name = format!("{service}-{born}");
-        let words = sync::Arc::<engine::Words>::default();
+        let notices = sync::Arc::<engine::Notices>::default();
         let handle = engine::start(
             name.clone(),
             slots,
             self.log.clone(),
-            words.clone(),
+            notices.clone(),
             self.crashes.clone(),
         )?;
         let entry = servers::Entry {
@@ -299,14 +299,14 @@
             Running {
                 handle,
                 entry,
-                words,
+                notices,
             },
         );
-        self.told();
+        self.notify_watches();
         Ok(())
     }
 
-    /// Lets an engine leave: its entry says so, and it goes on with what it has.
+    /// Drains an engine: its entry says so, and it completes what it is running.
     fn drain(&self, name: &str) -> bool {
         let mut engines = lock(&self.engines);
         let Some(running) = engines.get_mut(name) else {
@@ -315,31 +315,31 @@
         running.entry.state = servers::State::Draining;
         lock(&self.objects).set(names::SERVERS, name, &raw(&running.entry));
         drop(engines);
-        self.told();
+        self.notify_watches();
         true
     }
 
-    /// Lets an engine say something of itself in its answers; its entry says nothing of it.
-    fn say(&self, name: &str, say: impl Fn(&engine::Words)) -> bool {
+    /// Changes the notices in an engine's responses; its entry does not contain them.
+    fn set_notice(&self, name: &str, set: impl Fn(&engine::Notices)) -> bool {
         let engines = lock(&self.engines);
         let engine = engines.get(name);
-        engine.map(|running| say(&running.words)).is_some()
+        engine.map(|running| set(&running.notices)).is_some()
     }
 
-    /// Ends an engine at once; its entry goes with it.
+    /// Stops an engine at once and removes its entry.
     fn crash(&self, name: &str) -> bool {
         let Some(running) = lock(&self.engines).remove(name) else {
             return false;
         };
         lock(&self.objects).remove(names::SERVERS, name);
-        self.told();
-        // The end of the engine's thread is not waited for here.
+        self.notify_watches();
+        // Shutting down waits for the engine's thread.
         std::thread::spawn(move || running.handle.shutdown());
         true
     }
 
-    /// Answers a question about the site, or changes it.
-    fn steer(&self, what: &str, request: &request::Request) -> reply::Response {
+    /// Handles a call that inspects or controls the site.
+    fn control(&self, what: &str, request: &request::Request) -> reply::Response {
         let name = request::query(request, "name");
         let span = request::query(request, "seconds").parse().unwrap_or(0.0);
         let span = time::Duration::try_from_secs_f64(span).unwrap_or_default();
@@ -359,9 +359,9 @@
             },
             "drain" if self.drain(&name) => reply::done(),
             "crash" if self.crash(&name) => reply::done(),
-            "leave" if self.say(&name, engine::Words::leave) => reply::done(),
-            "hold" if self.say(&name, |words| words.hold(span)) => reply::done(),
-            "limit" if self.say(&name, |words| words.limit(limit)) => reply::done(),
+            "leave" if self.set_notice(&name, engine::Notices::leave) => reply::done(),
+            "hold" if self.set_notice(&name, |notices| notices.hold(span)) => reply::done(),
+            "limit" if self.set_notice(&name, |notices| notices.limit(limit)) => reply::done(),
             _ => reply::missing(),
         }
     }
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -17,14 +17,14 @@
 use crate::server;
 
 /// Tokens in one event of a stream.
-const STRIDE: u32 = 4;
+const EVENT_TOKENS: u32 = 4;
 /// Time between two events.
-const PACE: time::Duration = time::Duration::from_millis(15);
-/// Prompt tokens that are read in a millisecond.
-const READING: u32 = 80;
-/// The word in a body under which an engine ends once it has made an event.
-const POISON: &[u8] = b"CRASH";
-/// Requests that are remembered.
+const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(15);
+/// Prompt tokens that are prefilled in a millisecond.
+const PREFILL_RATE: u32 = 80;
+/// Text in a request body that crashes the engine after its first event.
+const CRASH_TEXT: &[u8] = b"CRASH";
+/// Maximum number of requests that are recorded.
 const MAX_RUNS: usize = 100_000;
 
 /// Requests that reached engines.
@@ -57,7 +57,7 @@
         super::lock(&self.arrivals).clone()
     }
 
-    fn arrived(&self, engine: &str) {
+    fn record_arrival(&self, engine: &str) {
         let at = self.start.elapsed().as_millis() as u64;
         let mut arrivals = super::lock(&self.arrivals);
         let arrivals = arrivals.entry(engine.to_owned()).or_default();
@@ -66,7 +66,7 @@
         }
     }
 
-    fn ran(&self, id: &str, engine: &str) {
+    fn record_run(&self, id: &str, engine: &str) {
         let mut runs = super::lock(&self.runs);
         if runs.len() < MAX_RUNS {
             runs.entry(id.to_owned())
@@ -76,28 +76,28 @@
     }
 }
 
-/// What an engine says of itself in its answers.
+/// Notices that an engine adds to its responses.
 #[derive(Default)]
-pub struct Words {
+pub struct Notices {
     leaving: sync::atomic::AtomicBool,
-    /// Until when it turns requests away.
+    /// Until when it rejects requests.
     hold: sync::Mutex<Option<time::Instant>>,
-    /// Requests per second that it states to take.
+    /// Rate limit that it states, in requests per second.
     limit: sync::Mutex<Option<f64>>,
 }
 
-impl Words {
-    /// Lets it say from now on that it leaves.
+impl Notices {
+    /// Makes the engine state that it is leaving.
     pub fn leave(&self) {
         self.leaving.store(true, sync::atomic::Ordering::Relaxed);
     }
 
-    /// Lets it turn requests away for a while.
+    /// Makes the engine reject requests for a while.
     pub fn hold(&self, span: time::Duration) {
         *super::lock(&self.hold) = time::Instant::now().checked_add(span);
     }
 
-    /// Lets it state from now on how many requests per second it takes, or nothing of it.
+    /// Makes the engine state a rate limit in requests per second, or none.
     pub fn limit(&self, rate: Option<f64>) {
         *super::lock(&self.limit) = rate;
     }
@@ -110,8 +110,8 @@
         self.leaving.load(sync::atomic::Ordering::Relaxed)
     }
 
-    /// Returns for how long it still turns requests away.
-    fn held(&self) -> Option<time::Duration> {
+    /// Returns the remaining time for which it rejects requests.
+    fn remaining_hold(&self) -> Option<time::Duration> {
         let hold = (*super::lock(&self.hold))?;
         hold.checked_duration_since(time::Instant::now())
     }
@@ -122,8 +122,8 @@
     slots: u32,
     log: sync::Arc<Log>,
     running: sync::atomic::AtomicU32,
-    words: sync::Arc<Words>,
-    /// Takes the name of an engine that ends by itself.
+    notices: sync::Arc<Notices>,
+    /// Receives the name of an engine that crashes by itself.
     crashes: sync::mpsc::Sender<String>,
 }
 
@@ -132,7 +132,7 @@
     name: String,
     slots: u32,
     log: sync::Arc<Log>,
-    words: sync::Arc<Words>,
+    notices: sync::Arc<Notices>,
     crashes: sync::mpsc::Sender<String>,
 ) -> io::Result<handle::Handle> {
     let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
@@ -142,7 +142,7 @@
         slots,
         log,
         running: sync::atomic::AtomicU32::new(0),
-        words,
+        notices,
         crashes,
     });
     server.run(move |request| respond(engine.clone(), request))
@@ -152,23 +152,23 @@
     engine: sync::Arc<Engine>,
     request: http::Request<body::Incoming>,
 ) -> reply::Outcome {
-    engine.log.arrived(&engine.name);
-    let is_leaving = engine.words.is_leaving();
-    let limit = engine.words.stated_limit();
-    let mut outcome = answer(engine, request).await;
+    engine.log.record_arrival(&engine.name);
+    let is_leaving = engine.notices.is_leaving();
+    let limit = engine.notices.stated_limit();
+    let mut outcome = process(engine, request).await;
     let Ok(response) = outcome.as_mut() else {
         return outcome;
     };
     if is_leaving {
-        put(response, names::dialect().leaving, "1");
+        insert(response, names::dialect().leaving, "1");
     }
     if let Some(limit) = limit {
-        put(response, names::dialect().rate_limit, &limit.to_string());
+        insert(response, names::dialect().rate_limit, &limit.to_string());
     }
     outcome
 }
 
-async fn answer(
+async fn process(
     engine: sync::Arc<Engine>,
     request: http::Request<body::Incoming>,
 ) -> reply::Outcome {
@@ -178,83 +178,84 @@
     };
     let names = names::dialect();
     let id = request::header(&request, names.id).to_owned();
-    let meant = request::header(&request, names.instance);
-    if !meant.is_empty() && meant != engine.name {
+    let intended = request::header(&request, names.instance);
+    if !intended.is_empty() && intended != engine.name {
         return Ok(refuse(http::StatusCode::MISDIRECTED_REQUEST, &id));
     }
     if id.is_empty() {
         return Ok(refuse(http::StatusCode::BAD_REQUEST, &id));
     }
-    if let Some(held) = engine.words.held() {
+    if let Some(hold) = engine.notices.remaining_hold() {
         let mut response = refuse(http::StatusCode::SERVICE_UNAVAILABLE, &id);
-        put(
+        insert(
             &mut response,
             "retry-after",
-            &format!("{:.3}", held.as_secs_f64()),
+            &format!("{:.3}", hold.as_secs_f64()),
         );
         return Ok(response);
     }
-    let Some(place) = Place::take(&engine) else {
+    let Some(slot) = Slot::acquire(&engine) else {
         return Ok(refuse(http::StatusCode::SERVICE_UNAVAILABLE, &id));
     };
-    engine.log.ran(&id, &engine.name);
+    engine.log.record_run(&id, &engine.name);
     let counts = request::header(&request, names::TOKEN_COUNTS);
     let response = match counts.split_once(',') {
         Some((prompt, output)) => {
             let prompt = prompt.parse().unwrap_or(0);
-            let events = output.parse().unwrap_or(STRIDE).div_ceil(STRIDE);
+            let events = output
+                .parse()
+                .unwrap_or(EVENT_TOKENS)
+                .div_ceil(EVENT_TOKENS);
             let after = request::header(&request, names.last_event)
                 .parse()
                 .unwrap_or(0);
-            let is_poison = request.body().windows(POISON.len()).any(|w| w == POISON);
-            stream(place, prompt, after..events, is_poison)
+            let crashes = request
+                .body()
+                .windows(CRASH_TEXT.len())
+                .any(|w| w == CRASH_TEXT);
+            stream(slot, prompt, after..events, crashes)
         }
         None => reply::json(http::StatusCode::OK, &serde_json::json!({ "done": id })),
     };
     Ok(stamp(response, &id, &engine.name))
 }
 
-/// A slot of an engine, free again when it is dropped.
-struct Place {
+/// A slot of an engine, which is released when this is dropped.
+struct Slot {
     engine: sync::Arc<Engine>,
 }
 
-impl Place {
-    fn take(engine: &sync::Arc<Engine>) -> Option<Self> {
+impl Slot {
+    fn acquire(engine: &sync::Arc<Engine>) -> Option<Self> {
         let before = engine.running.fetch_add(1, sync::atomic::Ordering::Relaxed);
-        let place = Self {
+        let slot = Self {
             engine: engine.clone(),
         };
-        (before < engine.slots).then_some(place)
+        (before < engine.slots).then_some(slot)
     }
 }
 
-impl Drop for Place {
+impl Drop for Slot {
     fn drop(&mut self) {
         let running = &self.engine.running;
         running.fetch_sub(1, sync::atomic::Ordering::Relaxed);
     }
 }
 
-fn stream(
-    place: Place,
-    prompt: u32,
-    events: std::ops::Range<u32>,
-    is_poison: bool,
-) -> reply::Response {
+fn stream(slot: Slot, prompt: u32, events: std::ops::Range<u32>, crashes: bool) -> reply::Response {
     let (pieces, body) = mpsc::channel(8);
     tokio::spawn(async move {
-        let reading = time::Duration::from_millis(u64::from(prompt / READING));
-        tokio::time::sleep(reading).await;
+        let prefill = time::Duration::from_millis(u64::from(prompt / PREFILL_RATE));
+        tokio::time::sleep(prefill).await;
         for event in events {
             let text = format!("id: {}\ndata: t{event}\n\n", event + 1);
             if pieces.send(Ok(text.into())).await.is_err() {
                 return;
             }
-            tokio::time::sleep(PACE).await;
-            if is_poison {
-                // The site may be ending as well.
-                let _ = place.engine.crashes.send(place.engine.name.clone());
+            tokio::time::sleep(EVENT_INTERVAL).await;
+            if crashes {
+                // The site may be shutting down.
+                let _ = slot.engine.crashes.send(slot.engine.name.clone());
             }
         }
     });
@@ -265,20 +266,20 @@
 
 fn stamp(mut response: reply::Response, id: &str, engine: &str) -> reply::Response {
     let names = names::dialect();
-    put(&mut response, names.id, id);
-    put(&mut response, names.stamp, engine);
+    insert(&mut response, names.id, id);
+    insert(&mut response, names.stamp, engine);
     response
 }
 
 fn refuse(status: http::StatusCode, id: &str) -> reply::Response {
     let names = names::dialect();
     let mut response = reply::error(status, "not run");
-    put(&mut response, names.id, id);
-    put(&mut response, names.refusal, "1");
+    insert(&mut response, names.id, id);
+    insert(&mut response, names.refusal, "1");
     response
 }
 
-fn put(response: &mut reply::Response, name: &str, value: &str) {
+fn insert(response: &mut reply::Response, name: &str, value: &str) {
     let name = http::header::HeaderName::from_bytes(name.as_bytes());
     let value = http::header::HeaderValue::from_str(value);
     if let (Ok(name), Ok(value)) = (name, value) {
--- a/crates/standins/src/site/objects.rs
+++ b/crates/standins/src/site/objects.rs
@@ -6,10 +6,10 @@
 use guavausher_platform::wire;
 use serde_json::value;
 
-/// Changes that are remembered for watches.
+/// Maximum number of changes that are kept for watches.
 const MAX_HISTORY: usize = 10_000;
 
-/// Objects by kind and name, with the changes of late.
+/// Objects by kind and name, with their recent changes.
 #[derive(Default)]
 pub(super) struct Objects {
     revision: u64,
@@ -30,15 +30,15 @@
     event: wire::Event,
 }
 
-/// The answer to a call for one object.
-pub(super) enum Answer {
-    /// It was done, or read.
+/// Outcome of a call for one object.
+pub(super) enum Outcome {
+    /// The object after the call.
     Object(wire::Object),
-    /// Its revision is another one, or it exists already.
+    /// The object has another revision, or exists already.
     Conflict(wire::Object),
-    /// There is no such object.
+    /// The object does not exist.
     Missing,
-    /// The call cannot be read.
+    /// The call cannot be parsed.
     Bad(String),
 }
 
@@ -48,11 +48,11 @@
         self.revision
     }
 
-    /// Takes a fencing number; returns whether none above it was seen.
-    pub fn passes(&mut self, fence: u64) -> bool {
-        let passes = fence >= self.fence;
+    /// Records a fencing token; returns `true` if no higher one was seen.
+    pub fn accept_fence(&mut self, fence: u64) -> bool {
+        let is_accepted = fence >= self.fence;
         self.fence = self.fence.max(fence);
-        passes
+        is_accepted
     }
 
     /// Lists the objects of a kind.
@@ -89,11 +89,11 @@
         let key = key(kind, name);
         let object = self.objects.remove(&key)?;
         self.revision += 1;
-        self.note(key.kind, true, &object);
+        self.record_change(key.kind, true, &object);
         Some(object)
     }
 
-    /// Makes a call for one object.
+    /// Performs a call for one object.
     pub fn call(
         &mut self,
         method: &http::Method,
@@ -101,34 +101,34 @@
         name: Option<&str>,
         part: Option<&str>,
         body: &[u8],
-    ) -> Answer {
+    ) -> Outcome {
         let Some(name) = name else {
             return self.create(kind, body);
         };
         let known = self.objects.get(&key(kind, name)).cloned();
         let Some(known) = known else {
-            return Answer::Missing;
+            return Outcome::Missing;
         };
         match *method {
-            http::Method::GET => Answer::Object(known),
+            http::Method::GET => Outcome::Object(known),
             http::Method::DELETE => match self.remove(kind, name) {
-                Some(object) => Answer::Object(object),
-                None => Answer::Missing,
+                Some(object) => Outcome::Object(object),
+                None => Outcome::Missing,
             },
             _ => self.replace(key(kind, name), known, part, body),
         }
     }
 
-    fn create(&mut self, kind: &str, body: &[u8]) -> Answer {
+    fn create(&mut self, kind: &str, body: &[u8]) -> Outcome {
         let object: wire::Object = match serde_json::from_slice(body) {
             Ok(object) => object,
-            Err(fault) => return Answer::Bad(fault.to_string()),
+            Err(fault) => return Outcome::Bad(fault.to_string()),
         };
         let key = key(kind, &object.metadata.name);
         if let Some(known) = self.objects.get(&key) {
-            return Answer::Conflict(known.clone());
+            return Outcome::Conflict(known.clone());
         }
-        Answer::Object(self.write(key, object.spec, None))
+        Outcome::Object(self.write(key, object.spec, None))
     }
 
     fn replace(
@@ -137,20 +137,20 @@
         known: wire::Object,
         part: Option<&str>,
         body: &[u8],
-    ) -> Answer {
+    ) -> Outcome {
         let object: wire::Object = match serde_json::from_slice(body) {
             Ok(object) => object,
-            Err(fault) => return Answer::Bad(fault.to_string()),
+            Err(fault) => return Outcome::Bad(fault.to_string()),
         };
         let stated = object.metadata.revision;
         if stated != 0 && stated != known.metadata.revision {
-            return Answer::Conflict(known);
+            return Outcome::Conflict(known);
         }
         let (spec, status) = match part {
             Some(_) => (known.spec, object.status),
             None => (object.spec, known.status),
         };
-        Answer::Object(self.write(key, spec, status))
+        Outcome::Object(self.write(key, spec, status))
     }
 
     fn write(
@@ -168,12 +168,12 @@
             spec,
             status,
         };
-        self.note(key.kind.clone(), false, &object);
+        self.record_change(key.kind.clone(), false, &object);
         self.objects.insert(key, object.clone());
         object
     }
 
-    fn note(&mut self, kind: String, deleted: bool, object: &wire::Object) {
+    fn record_change(&mut self, kind: String, deleted: bool, object: &wire::Object) {
         self.history.push_back(Change {
             revision: self.revision,
             kind,
