Test limits of engines in random orders of events

Statements, ends, lists, incarnations, requests and retries in any order: the only instance spaces its requests by the limit that applies.

--- a/crates/core/tests/relay_limits.rs
+++ b/crates/core/tests/relay_limits.rs
@@ -2,12 +2,15 @@
 
 mod relay_support;
 
+use std::collections;
 use std::net;
 use std::time::Duration;
 
 use guavausher_core::relay::route::RetryPolicy;
-use guavausher_core::relay::{event, rate_limit, request, state};
-use guavausher_core::{refusal, verdict};
+use guavausher_core::relay::{effect, engine, event, rate_limit, request, state};
+use guavausher_core::{refusal, time, verdict};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use relay_support::fleet::{Fleet, Network};
 use relay_support::limits::Simulation;
 use relay_support::{Instance, at, manifest_with_cold_rate, name, new_request, refused};
@@ -298,13 +301,119 @@
 }
 
 fn limit_notice(engine: &str, limit: Option<f64>) -> event::Event {
+    limit_notice_at(engine, 1, limit, at(0))
+}
+
+fn limit_notice_at(
+    engine: &str,
+    incarnation: u64,
+    limit: Option<f64>,
+    now: time::Time,
+) -> event::Event {
     event::Event::EngineNotice {
         engine: name(engine),
-        incarnation: 1,
+        incarnation,
         notice: event::Notice::Limit(rate_limit::Statement {
             rate: limit.and_then(rate_limit::Rate::from_per_second),
-            earliest: at(0),
-            latest: at(0),
+            earliest: now,
+            latest: now,
         }),
     }
 }
+
+#[derive(Clone, Debug)]
+enum Step {
+    Request,
+    Break(u64),
+    Limit(usize, u32),
+    End(usize),
+    Restart(usize),
+    Disappear(usize),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let engine = 0_usize..3;
+    prop_oneof![
+        8 => Just(Step::Request),
+        2 => (0_u64..80).prop_map(Step::Break),
+        3 => (engine.clone(), 1_u32..20).prop_map(|(engine, rate)| Step::Limit(engine, rate)),
+        1 => engine.clone().prop_map(Step::End),
+        1 => engine.clone().prop_map(Step::Restart),
+        1 => engine.prop_map(Step::Disappear),
+        4 => (1_u64..400).prop_map(Step::Wait),
+    ]
+}
+
+/// What an engine last stated, and when it was last sent a request since it has a limit.
+#[derive(Clone, Copy, Debug, Default)]
+struct Limited {
+    rate: Option<u32>,
+    sent_at: Option<u64>,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 120, failure_persistence: None, rng_seed: RngSeed::Fixed(32), ..ProptestConfig::default() })]
+
+    /// Whatever the order of statements, lists, incarnations and retries: the only instance spaces
+    /// its requests to an incarnation by the limit that this stated last.
+    #[test]
+    fn limits_kept_in_any_order(steps in prop::collection::vec(step(), 1..150)) {
+        let mut instance = Instance::serving(0, 3);
+        let mut incarnations = [1_u64; 3];
+        let mut limits = collections::BTreeMap::<(usize, u64), Limited>::new();
+        let (mut now, mut id) = (0, 0);
+        for step in steps {
+            let mut effects = Vec::new();
+            match step {
+                Step::Request => {
+                    id += 1;
+                    let request = new_request(id, at(now), RetryPolicy::ResumableStream, 3);
+                    effects = instance.apply(at(now), event::Event::Arrived(request));
+                }
+                Step::Break(request) => {
+                    let signal = event::Signal::Broken { unanswered: true };
+                    effects = instance.signal(at(now), request, signal);
+                }
+                Step::Limit(index, rate) => {
+                    limits.entry((index, incarnations[index])).or_default().rate = Some(rate);
+                    let limit = Some(f64::from(rate));
+                    let notice = limit_notice_at(&format!("e{index}"), incarnations[index], limit, at(now));
+                    instance.apply(at(now), notice);
+                }
+                Step::End(index) => {
+                    limits.remove(&(index, incarnations[index]));
+                    let notice = limit_notice_at(&format!("e{index}"), incarnations[index], None, at(now));
+                    instance.apply(at(now), notice);
+                }
+                Step::Restart(index) => incarnations[index] += 1,
+                Step::Disappear(index) => {
+                    let others = (0..3).filter(|other| *other != index);
+                    let list = others.map(|other| engine::Engine {
+                        incarnation: incarnations[other],
+                        ..relay_support::engine(other)
+                    });
+                    instance.apply(at(now), relay_support::engines(list.collect()));
+                }
+                Step::Wait(span) => now += span,
+            }
+            if matches!(step, Step::Restart(_) | Step::Wait(_)) {
+                let list = (0..3).map(|index| engine::Engine {
+                    incarnation: incarnations[index],
+                    ..relay_support::engine(index)
+                });
+                instance.apply(at(now), relay_support::engines(list.collect()));
+            }
+            for effect in &effects {
+                let effect::Effect::Send { dispatch, .. } = effect else { continue };
+                let index: usize = dispatch.choice.engine[1..].parse().unwrap();
+                let Some(limited) = limits.get_mut(&(index, dispatch.choice.incarnation)) else { continue };
+                let Some(rate) = limited.rate else { continue };
+                if let Some(sent_at) = limited.sent_at.replace(now) {
+                    let gap = (now - sent_at) as f64 / 1_000.0;
+                    prop_assert!(gap * f64::from(rate) >= 0.999, "{gap} s at {rate} a second");
+                }
+            }
+        }
+    }
+}
