Spread the first requests of senders, and bound rates from messages

Read as a newcomer: the delay of a sender's first request came from the rank by which senders are drawn, so all of them sent at nearly the same moments; it is drawn separately now. A rate of zero in a damaged message made the time between two requests infinite, which ends the process: per_second_of_a_received_zero_is_positive fails without the bound. The report of a limit stands with the limit, and modules about rate limits no longer share a name with the limits of a selection.

--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -5,7 +5,6 @@
 use super::canary_samples;
 use super::heartbeat;
 use super::load;
-use super::rate_limit;
 use super::usage_counts;
 use super::window_counts;
 use crate::name;
@@ -56,21 +55,6 @@
     pub remaining_ms: u64,
 }
 
-/// What an engine stated of its rate limit.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct RateLimit {
-    /// The engine.
-    pub engine: name::Name,
-    /// The incarnation of the engine.
-    pub incarnation: u64,
-    /// The limit, or `None` if it has ended.
-    pub rate: Option<rate_limit::Rate>,
-    /// Age of the statement at most, in milliseconds.
-    pub oldest_ms: u64,
-    /// Age of the statement at least, in milliseconds.
-    pub newest_ms: u64,
-}
-
 /// Full report of one instance.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Digest {
--- a/crates/core/src/relay/engine_notices.rs
+++ b/crates/core/src/relay/engine_notices.rs
@@ -167,7 +167,7 @@
     }
 
     /// Merges another instance's report of a rate limit; returns `true` if that changes the limit.
-    pub fn merge_limit(&mut self, now: time::Time, reported: &digest::RateLimit) -> bool {
+    pub fn merge_limit(&mut self, now: time::Time, reported: &rate_limit::Report) -> bool {
         let ages = [reported.oldest_ms, reported.newest_ms].map(Duration::from_millis);
         if ages[1] >= LIMIT_RETENTION {
             return false;
@@ -203,7 +203,7 @@
     }
 
     /// Returns the rate limits and ends of limits to report, in rotation if there are many.
-    pub fn limits(&self, now: time::Time) -> Vec<digest::RateLimit> {
+    pub fn limits(&self, now: time::Time) -> Vec<rate_limit::Report> {
         let is_reported = |statement: &rate_limit::Statement| {
             let period = match statement.rate {
                 Some(_) => LIMIT_RETENTION,
@@ -213,7 +213,7 @@
         };
         let limits = self.engines.iter().filter_map(|(engine, notice)| {
             let statement = notice.limit.filter(is_reported)?;
-            Some(digest::RateLimit {
+            Some(rate_limit::Report {
                 engine: engine.clone(),
                 incarnation: notice.incarnation,
                 rate: statement.rate,
--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -53,7 +53,7 @@
     /// Another instance's digest has arrived.
     Digest(digest::Digest),
     /// Another instance's report of rate limits has arrived.
-    RateLimits(Vec<digest::RateLimit>),
+    RateLimits(Vec<rate_limit::Report>),
     /// Time has passed.
     Tick,
 }
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -1,10 +1,10 @@
 //! All engines as known to this instance.
 
 mod choose;
-mod limits;
+mod rates;
 
 pub use choose::{Choice, Limits, Unavailability};
-pub use limits::LimitInForce;
+pub use rates::LimitInForce;
 
 use std::collections;
 use std::time::Duration;
--- a/crates/core/src/relay/fleet/limits.rs
+++ b/crates/core/src/relay/fleet/rates.rs
@@ -2,7 +2,6 @@
 
 use super::Fleet;
 use crate::name;
-use crate::relay::digest;
 use crate::relay::engine;
 use crate::relay::engine_notices;
 use crate::relay::pace;
@@ -44,7 +43,7 @@
     }
 
     /// Merges another instance's report of a rate limit; returns `true` if that changes the limit.
-    pub fn merge_limit(&mut self, now: time::Time, reported: &digest::RateLimit) -> bool {
+    pub fn merge_limit(&mut self, now: time::Time, reported: &rate_limit::Report) -> bool {
         self.notices.merge_limit(now, reported)
     }
 
@@ -54,7 +53,7 @@
     }
 
     /// Returns the rate limits to report to other instances.
-    pub fn limits(&self, now: time::Time) -> Vec<digest::RateLimit> {
+    pub fn limits(&self, now: time::Time) -> Vec<rate_limit::Report> {
         self.notices.limits(now)
     }
 
--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -9,6 +9,7 @@
 use super::heartbeat;
 use super::position;
 use super::process_report;
+use super::rate_limit;
 use super::state;
 use super::summary;
 use crate::time;
@@ -30,7 +31,7 @@
     #[serde(rename = "Accounts")]
     ProcessReports(Vec<process_report::ProcessReport>),
     /// Rate limits that engines have stated.
-    RateLimits(Vec<digest::RateLimit>),
+    RateLimits(Vec<rate_limit::Report>),
 }
 
 /// A message and its recipients.
--- a/crates/core/src/relay/peers/senders.rs
+++ b/crates/core/src/relay/peers/senders.rs
@@ -53,9 +53,11 @@
     }
 }
 
-/// Returns a number between 0 and 1 that differs between instances and engines.
+/// Returns a number between 0 and 1 that differs between instances and engines, and does not depend
+/// on their rank: senders have the highest ranks.
 pub fn phase(engine: &name::Name, instance: &name::Name) -> f64 {
-    rank(engine, instance) as f64 / u64::MAX as f64
+    let draw = group::rendezvous_rank(group::selection_key(instance), engine);
+    draw as f64 / u64::MAX as f64
 }
 
 /// Returns the rank of an instance among the senders of an engine.
--- a/crates/core/src/relay/rate_limit.rs
+++ b/crates/core/src/relay/rate_limit.rs
@@ -3,6 +3,7 @@
 //! A limit applies to all instances together, for as long as the engine's responses contain it.
 //! Responses arrive in any order, so a statement carries the time span in which it was made.
 
+use crate::name;
 use crate::time;
 
 /// Thousandths of a request per second in one request per second.
@@ -29,9 +30,9 @@
         Some(Self((rate * THOUSANDTHS).round() as u32))
     }
 
-    /// Returns the rate in requests per second.
+    /// Returns the rate in requests per second, which is never zero.
     pub fn per_second(self) -> f64 {
-        f64::from(self.0) / THOUSANDTHS
+        (f64::from(self.0) / THOUSANDTHS).max(MIN_RATE)
     }
 }
 
@@ -46,6 +47,21 @@
     pub latest: time::Time,
 }
 
+/// One instance's report of a statement to others.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Report {
+    /// The engine.
+    pub engine: name::Name,
+    /// The incarnation of the engine.
+    pub incarnation: u64,
+    /// The limit, or `None` if it has ended.
+    pub rate: Option<Rate>,
+    /// Age of the statement at most, in milliseconds.
+    pub oldest_ms: u64,
+    /// Age of the statement at least, in milliseconds.
+    pub newest_ms: u64,
+}
+
 impl Statement {
     /// Merges another statement of the same engine and returns the one that applies: the later one,
     /// or the lower limit if they may have been made in either order.
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -4,8 +4,8 @@
 mod crashes;
 mod dispatch;
 mod engines;
-mod limits;
 mod peer_messages;
+mod rate_limits;
 mod refuse;
 
 use super::effect;
@@ -45,7 +45,7 @@
         event::Event::Summary(summary) => peer_messages::apply_summary(state, now, summary),
         event::Event::Heartbeat(pulse) => peer_messages::apply_heartbeat(state, now, pulse),
         event::Event::Digest(digest) => peer_messages::apply_digest(state, now, digest),
-        event::Event::RateLimits(reported) => limits::merge(state, now, &reported),
+        event::Event::RateLimits(reported) => rate_limits::merge(state, now, &reported),
         event::Event::Tick => tick(state, now),
     }
     std::mem::take(&mut state.out)
@@ -131,8 +131,8 @@
             .fleet
             .replace_peer_loads(&name::Name::from(OUTSIDE), &loads);
     }
-    limits::expire(state, now);
-    limits::update(state, now);
+    rate_limits::expire(state, now);
+    rate_limits::update(state, now);
     update_outage(state, now);
     let is_short = state.lacks_store_watchers(now);
     state.watcher_promotion.update(now, is_short);
--- a/crates/core/src/relay/reduce/engines.rs
+++ b/crates/core/src/relay/reduce/engines.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::crashes;
-use super::limits;
+use super::rate_limits;
 use crate::name;
 use crate::relay::effect;
 use crate::relay::engine;
@@ -31,7 +31,7 @@
             age: Duration::ZERO,
         });
     state.out.extend(started.chain(left));
-    limits::update(state, now);
+    rate_limits::update(state, now);
 }
 
 /// Applies a notice of an engine.
@@ -53,7 +53,7 @@
             state.fleet.record_hold(now, &engine, incarnation, until)
         }
         event::Notice::Limit(statement) => {
-            limits::record(state, now, &engine, incarnation, statement);
+            rate_limits::record(state, now, &engine, incarnation, statement);
             false
         }
     };
--- a/crates/core/src/relay/reduce/limits.rs
+++ b/crates/core/src/relay/reduce/rate_limits.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use crate::name;
-use crate::relay::digest;
 use crate::relay::effect;
 use crate::relay::engine;
 use crate::relay::fleet;
@@ -36,7 +35,7 @@
 }
 
 /// Merges another instance's report of rate limits.
-pub(super) fn merge(state: &mut state::State, now: time::Time, reported: &[digest::RateLimit]) {
+pub(super) fn merge(state: &mut state::State, now: time::Time, reported: &[rate_limit::Report]) {
     let mut is_changed = false;
     for limit in reported {
         if !state.fleet.merge_limit(now, limit) {
--- a/crates/core/tests/relay_rate_limit.rs
+++ b/crates/core/tests/relay_rate_limit.rs
@@ -60,3 +60,11 @@
 fn from_per_second_accepts_rates_only(#[case] rate: f64, #[case] expected: Option<f64>) {
     assert_eq!(Rate::from_per_second(rate).map(Rate::per_second), expected);
 }
+
+/// A rate from a damaged message must not make the time between two requests infinite.
+#[test]
+fn per_second_of_a_received_zero_is_positive() {
+    let config = bincode::config::standard();
+    let (rate, _) = bincode::serde::decode_from_slice::<Rate, _>(&[0], config).unwrap();
+    assert!(rate.per_second() > 0.0);
+}
