Log what ended a truncated response and why nothing continued it

What callers saw: a stream that was reset in the middle.

Change: the line has `ended_by`, `no_retry` (policy, attempts, budget, engines, time, suspect), `sent`, `body_bytes`, `last_event`, `after_ms` and `left_ms`; `refused` has `no_retry`; the metric `truncated_responses_total` has the labels `ended_by` and `no_retry`. The selection of an engine is split from sending, so that the reason is known. No decision changes.

--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -114,6 +114,39 @@
     pub cap_share: f64,
     /// Number of attempts sent.
     pub sent: u32,
+    /// Why no further attempt was sent, if one was considered.
+    pub no_retry: Option<NoRetry>,
+}
+
+/// Why an attempt that failed or is silent is not followed by another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoRetry {
+    /// The request may have run and must not run again, or its response cannot be continued.
+    Policy,
+    /// It was sent to as many engines as its route allows.
+    Attempts,
+    /// The retry budget is used up.
+    Budget,
+    /// No other engine may get it.
+    Engines,
+    /// Too little time is left.
+    Time,
+    /// It crashed the engines that ran it.
+    Suspect,
+}
+
+impl NoRetry {
+    /// Returns the reason as text for logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Policy => "policy",
+            Self::Attempts => "attempts",
+            Self::Budget => "budget",
+            Self::Engines => "engines",
+            Self::Time => "time",
+            Self::Suspect => "suspect",
+        }
+    }
 }
 
 /// One attempt.
--- a/crates/core/src/relay/flight.rs
+++ b/crates/core/src/relay/flight.rs
@@ -1,5 +1,6 @@
 //! One request between its arrival and its final response.
 
+use super::effect;
 use super::fleet;
 use super::request;
 use crate::name;
@@ -25,6 +26,8 @@
     pub holds_failure: bool,
     /// Whether the caller has received a part of the response.
     pub responding: bool,
+    /// Why the last attempt that failed was not followed by another one.
+    pub no_retry: Option<effect::NoRetry>,
 }
 
 /// An attempt in progress.
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -73,6 +73,7 @@
         counted: false,
         holds_failure: false,
         responding: false,
+        no_retry: None,
     };
     state.flights.insert(id, flight);
     dispatch::dispatch(state, now, id);
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -5,11 +5,13 @@
 use super::crashes;
 use super::dispatch;
 use super::refuse;
+use crate::name;
 use crate::refusal;
 use crate::relay::effect;
 use crate::relay::event;
 use crate::relay::failed_attempts;
 use crate::relay::fleet;
+use crate::relay::flight;
 use crate::relay::route;
 use crate::relay::state;
 use crate::time;
@@ -169,7 +171,11 @@
         fleet::Outcome::Full
     };
     end_attempt(state, now, id, outcome);
-    if let Some(wait) = wait.filter(|_| !can_retry(state, id)) {
+    let can_retry = state
+        .flights
+        .get(&id)
+        .is_some_and(|f| check_retry(f).is_ok());
+    if let Some(wait) = wait.filter(|_| !can_retry) {
         let at = now.after(wait);
         return refuse::give_up(state, now, id, refusal::Code::Overloaded, Some(at));
     }
@@ -182,25 +188,38 @@
         return;
     };
     let service = flight.request.service.clone();
-    let instances = state.peers.limit_holders();
-    let is_allowed = can_retry(state, id)
-        && state
-            .budget
-            .spend(now, &state.settings, &service, instances);
-    if is_allowed {
+    let allowed = check_retry(flight).and_then(|()| spend_retry(state, now, &service));
+    let Err(reason) = allowed else {
         return dispatch::dispatch(state, now, id);
+    };
+    if let Some(flight) = state.flights.get_mut(&id) {
+        flight.no_retry = Some(reason);
     }
     let at = now.after(dispatch::RETRY_DELAY);
     refuse::give_up(state, now, id, code, Some(at));
 }
 
-fn can_retry(state: &state::State, id: u64) -> bool {
-    state.flights.get(&id).is_some_and(|flight| {
-        let repeat = flight.request.route.retry_policy;
-        let is_open = !flight.responding || repeat == route::RetryPolicy::ResumableStream;
-        let is_safe = !flight.may_have_run || repeat.is_idempotent();
-        is_open && is_safe && dispatch::has_attempts_left(flight)
-    })
+/// Spends one retry of the budget that all instances share.
+fn spend_retry(
+    state: &mut state::State,
+    now: time::Time,
+    service: &name::Name,
+) -> Result<(), effect::NoRetry> {
+    let instances = state.peers.limit_holders();
+    let is_allowed = state.budget.spend(now, &state.settings, service, instances);
+    is_allowed.then_some(()).ok_or(effect::NoRetry::Budget)
+}
+
+/// Checks whether the route and the progress of a request allow another attempt.
+fn check_retry(flight: &flight::Flight) -> Result<(), effect::NoRetry> {
+    let policy = flight.request.route.retry_policy;
+    let is_open = !flight.responding || policy == route::RetryPolicy::ResumableStream;
+    let is_safe = !flight.may_have_run || policy.is_idempotent();
+    if !(is_open && is_safe) {
+        return Err(effect::NoRetry::Policy);
+    }
+    let has_attempts = dispatch::has_attempts_left(flight);
+    has_attempts.then_some(()).ok_or(effect::NoRetry::Attempts)
 }
 
 fn apply_expired(state: &mut state::State, now: time::Time, id: u64) {
--- a/crates/core/src/relay/reduce/dispatch.rs
+++ b/crates/core/src/relay/reduce/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::relay::fleet;
 use crate::relay::flight;
 use crate::relay::request;
+use crate::relay::rollouts;
 use crate::relay::route;
 use crate::relay::state;
 use crate::time;
@@ -29,25 +30,118 @@
 /// that is on time.
 const MAX_GAP_FACTOR: u32 = 2;
 
+/// Why a request cannot be sent to an engine now.
+pub(super) struct Rejection {
+    code: refusal::Code,
+    /// When a retry by the caller may succeed.
+    retry_at: Option<time::Time>,
+    /// Expected time to the first event, if that was the reason.
+    expected: Option<Duration>,
+    pub reason: effect::NoRetry,
+}
+
+impl Rejection {
+    fn new(code: refusal::Code, retry_at: Option<time::Time>, reason: effect::NoRetry) -> Self {
+        Self {
+            code,
+            retry_at,
+            expected: None,
+            reason,
+        }
+    }
+}
+
 /// Sends a request to an engine, or refuses it.
 pub(super) fn dispatch(state: &mut state::State, now: time::Time, id: u64) {
-    let Some(flight) = state.flights.get(&id) else {
+    let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
+    flight.no_retry = None;
+    match choose(state, now, id) {
+        Ok(choice) => send(state, now, id, choice),
+        Err(rejection) => {
+            if let Some(flight) = state.flights.get_mut(&id).filter(|f| f.attempts > 0) {
+                flight.no_retry = Some(rejection.reason);
+            }
+            let Rejection { code, retry_at, .. } = rejection;
+            refuse::give_up_with_delay(state, now, id, code, retry_at, rejection.expected);
+        }
+    }
+}
+
+/// Selects an engine for the next attempt of a request in progress.
+pub(super) fn choose(
+    state: &mut state::State,
+    now: time::Time,
+    id: u64,
+) -> Result<fleet::Choice, Rejection> {
+    let no_engine = |at| {
+        let code = refusal::Code::NoUpstream;
+        Rejection::new(code, Some(at), effect::NoRetry::Engines)
+    };
+    let Some(flight) = state.flights.get(&id) else {
+        return Err(no_engine(now));
+    };
     let request = &flight.request;
     if state.suspects.is_blocked(now, request.fingerprint) {
-        return refuse::give_up(state, now, id, refusal::Code::Suspect, None);
+        let code = refusal::Code::Suspect;
+        return Err(Rejection::new(code, None, effect::NoRetry::Suspect));
     }
     if now.after(MIN_TIME_LEFT) >= request.deadline {
-        return refuse::give_up(state, now, id, refusal::Code::Deadline, None);
+        let code = refusal::Code::Deadline;
+        return Err(Rejection::new(code, None, effect::NoRetry::Time));
     }
-    let is_repeat = !flight.tried.is_empty();
-    let mut pick = state
+    let wanted = version_filter(
+        state,
+        now,
+        &request.service.clone(),
+        !flight.tried.is_empty(),
+    );
+    let Some(flight) = state.flights.get(&id) else {
+        return Err(no_engine(now));
+    };
+    let request = &flight.request;
+    let choice = choose_engine(state, now, flight, &wanted).map_err(|reason| match reason {
+        fleet::Unavailability::NotBefore(until) => {
+            let at = until.after(retry_jitter(request));
+            let code = refusal::Code::Overloaded;
+            Rejection::new(code, Some(at), effect::NoRetry::Engines)
+        }
+        _ => no_engine(now.after(RETRY_DELAY)),
+    })?;
+    let too_late = retry_if_too_late(now, request, choice.expected);
+    match too_late.filter(|_| !flight.responding) {
+        Some(at) => Err(Rejection {
+            expected: Some(choice.expected),
+            ..Rejection::new(refusal::Code::Overloaded, Some(at), effect::NoRetry::Time)
+        }),
+        None => Ok(choice),
+    }
+}
+
+/// Returns the versions that a rollout wants, as far as they have engines.
+fn version_filter(
+    state: &mut state::State,
+    now: time::Time,
+    service: &name::Name,
+    is_repeat: bool,
+) -> rollouts::VersionFilter {
+    let mut filter = state
         .rollouts
-        .version_filter(&state.settings, &request.service, is_repeat);
-    let is_available =
-        |version: &name::Name| state.fleet.has_version(now, &request.service, version);
-    pick.only = pick.only.filter(is_available);
+        .version_filter(&state.settings, service, is_repeat);
+    let is_available = |version: &name::Name| state.fleet.has_version(now, service, version);
+    filter.only = filter.only.filter(is_available);
+    filter
+}
+
+/// Selects an engine of the version that a rollout wants, or of another one if that is allowed.
+fn choose_engine(
+    state: &state::State,
+    now: time::Time,
+    flight: &flight::Flight,
+    pick: &rollouts::VersionFilter,
+) -> Result<fleet::Choice, fleet::Unavailability> {
+    let request = &flight.request;
     let limits = fleet::Limits {
         excluded: &flight.tried,
         version: pick.only.as_ref(),
@@ -55,7 +149,7 @@
         connections: max_connections(state, &request.service),
     };
     let chosen = state.fleet.choose(now, request, limits);
-    let chosen = chosen.or_else(|reason| {
+    chosen.or_else(|reason| {
         let others = match reason {
             fleet::Unavailability::NotBefore(_) if pick.allows_others => fleet::Limits {
                 version: None,
@@ -74,24 +168,7 @@
         };
         let other = state.fleet.choose(now, request, others);
         other.map_err(|_| reason)
-    });
-    let choice = match chosen {
-        Ok(choice) => choice,
-        Err(fleet::Unavailability::NotBefore(until)) => {
-            let at = until.after(retry_jitter(request));
-            return refuse::give_up(state, now, id, refusal::Code::Overloaded, Some(at));
-        }
-        Err(_) => {
-            let at = now.after(RETRY_DELAY);
-            return refuse::give_up(state, now, id, refusal::Code::NoUpstream, Some(at));
-        }
-    };
-    let too_late = retry_if_too_late(now, request, choice.expected);
-    if let Some(at) = too_late.filter(|_| !flight.responding) {
-        let code = refusal::Code::Overloaded;
-        return refuse::give_up_with_delay(state, now, id, code, Some(at), Some(choice.expected));
-    }
-    send(state, now, id, choice);
+    })
 }
 
 /// Returns an additional delay for the retry of a caller, so that callers do not retry at the same
--- a/crates/core/src/relay/reduce/refuse.rs
+++ b/crates/core/src/relay/reduce/refuse.rs
@@ -69,6 +69,7 @@
     };
     let context = effect::RefusalContext {
         expected,
+        no_retry: flight.no_retry,
         ..context(state, now, &flight.request, flight.attempts)
     };
     refuse(state, id, refusal, context);
@@ -117,5 +118,6 @@
         expected: None,
         cap_share: state.peers.reachable_share(now),
         sent,
+        no_retry: None,
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -343,6 +343,7 @@
                 if !std::mem::replace(&mut is_first_recorded, true) {
                     self.record_first_event(output);
                 }
+                output.body_bytes += piece.len() as u64;
                 wire::push_body(&mut pending, &piece, output.is_chunked);
             }
             if decoder.is_done() && output.is_chunked {
--- a/crates/relay/src/caller_response.rs
+++ b/crates/relay/src/caller_response.rs
@@ -31,6 +31,8 @@
     pub is_chunked: bool,
     /// Whether the caller's connection stays open after the response.
     pub keeps_alive: bool,
+    /// Bytes of the body that were sent to the caller.
+    pub body_bytes: u64,
     /// Splitter that tracks the events passed on.
     pub events: events::EventSplitter,
     /// Time of the first event of the response.
@@ -46,6 +48,7 @@
             is_begun: false,
             is_chunked: false,
             keeps_alive,
+            body_bytes: 0,
             events: events::EventSplitter::default(),
             first_event: None,
             last_write: time::Time::default(),
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -146,12 +146,16 @@
 ) -> Disposition {
     let mut kept = None;
     let mut last = None;
+    let mut last_signal = None;
     loop {
         let connection::Connection { stream, buffer, .. } = caller;
         let step = queue.pop().await;
         let signal = match &step {
             step_queue::Step::Refuse(refusal, context) => {
                 record::refused(runtime, request, *refusal, *context);
+                if output.is_begun {
+                    record::truncated(runtime, request, *refusal, *context, last_signal, output);
+                }
                 return finish(runtime, caller, incoming, request, *refusal, output).await;
             }
             step_queue::Step::Send(dispatch) => {
@@ -189,6 +193,7 @@
             }
         };
         record::attempt_ended(runtime, request, signal, output);
+        last_signal = Some(signal);
         runtime.apply(event::Event::Attempt {
             request: request.id,
             signal,
@@ -241,7 +246,6 @@
 ) -> Disposition {
     let took = request.arrived.until(clock::now());
     if output.is_begun {
-        log::warn!(id:% = request.trace, reason = refusal.code.as_str(); "response truncated");
         runtime
             .metrics
             .count_request("cut", refusal.code.as_str(), took);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -67,6 +67,15 @@
     pub status: u16,
 }
 
+/// Labels of a response that ended although it was begun.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
+pub struct Truncated {
+    /// What ended its last attempt.
+    pub ended_by: &'static str,
+    /// Why no other attempt continued it.
+    pub no_retry: &'static str,
+}
+
 /// Metrics of a process; clones share their values.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -80,6 +89,8 @@
     pub notices: family::Family<Notice, counter::Counter>,
     /// Requests on which the rate limit of an engine had an effect.
     pub limited: family::Family<Limited, counter::Counter>,
+    /// Responses that ended although they were begun.
+    pub truncated: family::Family<Truncated, counter::Counter>,
     /// Requests in progress.
     pub in_progress: gauge::Gauge,
     /// Version of the manifest in force.
@@ -102,6 +113,7 @@
             calls: family::Family::default(),
             notices: family::Family::default(),
             limited: family::Family::default(),
+            truncated: family::Family::default(),
             in_progress: gauge::Gauge::default(),
             manifest: gauge::Gauge::default(),
             lease: gauge::Gauge::default(),
@@ -146,6 +158,12 @@
         self.limited.get_or_create(&Limited { outcome }).inc();
     }
 
+    /// Counts a response that ended although it was begun.
+    pub fn count_truncated(&self, ended_by: &'static str, no_retry: &'static str) {
+        let labels = Truncated { ended_by, no_retry };
+        self.truncated.get_or_create(&labels).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format, with gauges of the current state.
     pub fn text(&self, now: time::Time, state: &state::State) -> String {
         let mut registry = registry::Registry::with_prefix("guavausher_relay");
@@ -166,6 +184,11 @@
             "Requests placed elsewhere or refused because of an engine's rate limit",
             self.limited.clone(),
         );
+        registry.register(
+            "truncated_responses",
+            "Responses that ended although they were begun, by the end of the last attempt",
+            self.truncated.clone(),
+        );
         registry.register(
             "requests_in_progress",
             "Requests in progress",
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -34,7 +34,7 @@
         service:% = request.service, print:% = fingerprint(request), engines = context.engines,
         limited = context.limited, sent = context.sent,
         expected_ms = context.expected.map_or(0, |e| e.as_millis() as u64),
-        cap_part = context.cap_share, units = request.units,
+        no_retry = no_retry(context), cap_part = context.cap_share, units = request.units,
         return_ms = refusal.retry_at.map_or(0, |at| now.until(at).as_millis() as u64),
         after_ms = request.arrived.until(now).as_millis() as u64, stands_for = stands_for;
         "refused");
@@ -81,7 +81,42 @@
     signal: event::Signal,
     output: &caller_response::CallerResponse,
 ) {
-    let ending = match signal {
+    let ending = ending(signal);
+    runtime.metrics.count_attempt(ending);
+    let first = output
+        .first_event
+        .map_or(0, |at| request.arrived.until(at).as_millis() as u64);
+    log::info!(id:% = request.trace, ending = ending, signal:? = signal, first_ms = first,
+        after_ms = request.arrived.until(clock::now()).as_millis() as u64; "attempt ended");
+}
+
+/// Logs and counts a response that ends although it was begun: what ended its last attempt, what
+/// the caller has received, and why no other attempt continues it.
+pub(crate) fn truncated(
+    runtime: &runtime::Runtime,
+    request: &request::Request,
+    refusal: refusal::Refusal,
+    context: effect::RefusalContext,
+    last: Option<event::Signal>,
+    output: &caller_response::CallerResponse,
+) {
+    let ended_by = last.map_or("", ending);
+    let no_retry = no_retry(context);
+    runtime.metrics.count_truncated(ended_by, no_retry);
+    log::warn!(id:% = request.trace, reason = refusal.code.as_str(), ended_by = ended_by,
+        no_retry = no_retry, sent = context.sent, body_bytes = output.body_bytes,
+        last_event = output.events.last_id().unwrap_or(0),
+        after_ms = request.arrived.until(clock::now()).as_millis() as u64,
+        left_ms = clock::now().until(request.deadline).as_millis() as u64; "response truncated");
+}
+
+fn no_retry(context: effect::RefusalContext) -> &'static str {
+    context.no_retry.map_or("", effect::NoRetry::as_str)
+}
+
+/// Returns the end or progress of an attempt as text.
+const fn ending(signal: event::Signal) -> &'static str {
+    match signal {
         event::Signal::First => "first",
         event::Signal::Failing { .. } => "failing",
         event::Signal::Whole { .. } => "whole",
@@ -91,11 +126,5 @@
         event::Signal::Stalled => "stalled",
         event::Signal::Expired => "expired",
         event::Signal::Abandoned => "abandoned",
-    };
-    runtime.metrics.count_attempt(ending);
-    let first = output
-        .first_event
-        .map_or(0, |at| request.arrived.until(at).as_millis() as u64);
-    log::info!(id:% = request.trace, ending = ending, signal:? = signal, first_ms = first,
-        after_ms = request.arrived.until(clock::now()).as_millis() as u64; "attempt ended");
+    }
 }
--- a/crates/relay/tests/log_lines.rs
+++ b/crates/relay/tests/log_lines.rs
@@ -27,13 +27,14 @@
     "version",
     "workspace",
 ];
-const REFUSED: [&str; 16] = [
+const REFUSED: [&str; 17] = [
     "after_ms",
     "cap_part",
     "engines",
     "expected_ms",
     "id",
     "limited",
+    "no_retry",
     "print",
     "reason",
     "return_ms",
@@ -208,6 +209,36 @@
         assert_eq!(line.level, log::Level::Warn);
         assert_eq!(line.text("id"), "r1");
         assert_eq!(line.text("reason"), "upstream-failed");
+        assert_eq!(line.text("ended_by"), "broken");
+        assert_eq!(line.text("no_retry"), "policy");
+        assert_eq!((line.number("sent"), line.number("last_event")), (1.0, 0.0));
+        assert!(line.number("body_bytes") > 0.0);
+    });
+}
+
+/// The log did not tell which limit ended a stream and why nothing continued it.
+#[rstest]
+#[case::no_attempt(vec![Reply::Close(events(1..=2, false))], 1, "broken", "attempts")]
+#[case::no_engine(vec![Reply::Close(events(1..=2, false))], 2, "broken", "engines")]
+fn truncated_stream_is_logged_with_its_cause(
+    #[case] script: Vec<Reply>,
+    #[case] attempts: u32,
+    #[case] ended_by: &str,
+    #[case] no_retry: &str,
+) {
+    support::run(async {
+        lines::keep();
+        let engine = Engine::start(script).await;
+        let mut parts = support::parts(1);
+        for route in &mut parts.routes {
+            route.attempts = attempts;
+        }
+        let relay = Relay::with(parts, &[&engine]);
+        relay.ask(&request("GET", "/resume/", "r1", "")).await;
+        let line = lines::only("response truncated");
+        assert_eq!(line.text("ended_by"), ended_by);
+        assert_eq!(line.text("no_retry"), no_retry);
+        assert_eq!(line.number("last_event"), 2.0);
     });
 }
 
