Test repeated refusals, broken streams and cut heads

Operators reported three failures: callers told "not run" for requests that an engine had run or was running, or such a request run twice (an earlier refusal written once more on a kept connection); an error's text or head within a stream that broke off, or a stream that looked complete; and a success with an empty or short body after an engine stopped within the head of its response.

The tests cover them on the four kinds of route. Nothing in src/ changes. Support gains Answer, which reads all bytes of a connection and rejects a second head or bytes after a response, two replies (bytes on an idle kept connection just before the next request, and a response in parts) and a relay that prefers its first engine.

--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A relay in this process, with scripted engines and raw callers on loopback.
 #![allow(dead_code)]
 
+pub mod answer;
 pub mod lines;
 pub mod script;
 
@@ -53,10 +54,13 @@
         reserved: &["X-Reserved"],
         forwarded: &["X-Id", "X-Model"],
         ready_path: "/ready",
-        request_size: |head: &head::Head| protocol::RequestSize {
-            prompt: head.get("X-Prompt").and_then(|v| v.parse().ok()),
-            output: None,
-            parts: vec![request::Part { id: 1, tokens: 1 }],
+        request_size: |head: &head::Head| {
+            script::send_late();
+            protocol::RequestSize {
+                prompt: head.get("X-Prompt").and_then(|v| v.parse().ok()),
+                output: None,
+                parts: vec![request::Part { id: 1, tokens: 1 }],
+            }
         },
     }
 }
@@ -161,6 +165,18 @@
         self.runtime.apply(event::Event::Engines(list));
     }
 
+    /// Starts a relay that selects the first engine unless it is excluded.
+    pub fn preferring(first: &Engine, second: &Engine) -> Self {
+        let relay = Self::start(&[first]);
+        let second = engine::Engine {
+            domain: name::Name::from("there"),
+            ..engine_entry(1, second.address)
+        };
+        let list = vec![engine_entry(0, first.address), second];
+        relay.runtime.apply(event::Event::Engines(list));
+        relay
+    }
+
     /// Starts a relay without a manifest and engines.
     pub fn empty() -> Self {
         let own = state::Identity {
--- a/crates/relay/tests/support/script.rs
+++ b/crates/relay/tests/support/script.rs
@@ -2,7 +2,9 @@
 
 use std::cell;
 use std::collections;
+use std::io::Write as _;
 use std::net;
+use std::os::fd::AsFd as _;
 use std::rc;
 use std::time::Duration;
 
@@ -11,6 +13,23 @@
 
 use super::LIMIT;
 
+thread_local! {
+    static LATE: cell::RefCell<Vec<Late>> = const { cell::RefCell::new(Vec::new()) };
+}
+
+/// Bytes to be sent on a kept connection.
+struct Late {
+    socket: net::TcpStream,
+    bytes: Vec<u8>,
+}
+
+/// Sends the bytes of each [`Reply::Late`] so far on its connection.
+pub fn send_late() {
+    for mut late in LATE.take() {
+        late.socket.write_all(&late.bytes).unwrap();
+    }
+}
+
 /// What a scripted engine does with a request.
 #[derive(Clone, Debug)]
 pub enum Reply {
@@ -26,6 +45,11 @@
     Early(String),
     /// Sends bytes, and then others again and again until the connection is closed.
     Endless(String, String),
+    /// Sends bytes and keeps the connection; sends the others on it once the relay has read its
+    /// next request, before it selects a connection for it.
+    Late(String, String),
+    /// Sends bytes in several parts with pauses and keeps the connection.
+    Parts(Vec<String>),
 }
 
 /// A request as an engine received it.
@@ -162,6 +186,19 @@
                 served.left.set(served.left.get() + 1);
                 return;
             }
+            Some(Reply::Late(t, late)) => {
+                stream.write_all(&text(&t)).await.unwrap();
+                let socket = stream.as_fd().try_clone_to_owned().unwrap().into();
+                let bytes = text(&late);
+                LATE.with_borrow_mut(|all| all.push(Late { socket, bytes }));
+            }
+            Some(Reply::Parts(parts)) => {
+                for part in parts {
+                    // The relay may close the connection after a part.
+                    let _ = stream.write_all(&text(&part)).await;
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
             None => return,
         }
     }
