Test streams and orders around planned work

Callers saw streams of a resumable route reset in the middle around a SIGTERM and a new manifest, with sound engines (users' rule LOST).

Cause shown here: each attempt with attempts left ends after twice the pause that is on time (1.2 s of 600 ms), or after four times the expected time without a head (300 ms), although no retry budget is left, the other engine refuses or breaks, or there is none. The log then states "attempt ended ending=stalled", "refused reason=upstream-failed" and "response truncated". Planned work makes no difference: the same cases fail with nothing planned.

Change: words in a request's body make the stand-in's engine pause before an event or the head, send a long last event, and refuse or break a further run. `CRASH` is now a word, not any part of the body. Tests only; no change to the program.

--- a/crates/standins/src/bin/standin-site.rs
+++ b/crates/standins/src/bin/standin-site.rs
@@ -18,7 +18,8 @@
   --help, --version
 
 Under /standin/ it answers requests, arrivals, orders and reports, and takes faults, drain, crash, leave,
-hold and limit.
+hold and limit. Words in a request's body rule how its engine serves it: CRASH, head=MS, pause=ID:MS,
+last=BYTES, again=refuse, again=break.
 ";
 
 fn main() -> process::ExitCode {
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -2,10 +2,11 @@
 //!
 //! It uses the types and names of `guavausher_platform`. Its store and its API listen on one
 //! address, each engine on an address of its own. Requests can be inspected and faults injected
-//! under `/standin/`.
+//! under `/standin/`. Words in a request's body make its engine pause, break or refuse.
 
 mod engine;
 mod objects;
+mod script;
 
 use std::collections;
 use std::io;
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -16,14 +16,14 @@
 use crate::request;
 use crate::server;
 
+use super::script;
+
 /// Tokens in one event of a stream.
 const EVENT_TOKENS: u32 = 4;
 /// Time between two events.
 const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(15);
 /// Prompt tokens that are prefilled in a millisecond.
 const PREFILL_RATE: u32 = 80;
-/// Text in a request body that crashes the engine after its first event.
-const CRASH_TEXT: &[u8] = b"CRASH";
 /// Maximum number of requests that are recorded.
 const MAX_RUNS: usize = 100_000;
 
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns `true` if an engine has run a request.
+    fn has_run(&self, id: &str) -> bool {
+        super::lock(&self.runs).contains_key(id)
+    }
+
     fn record_run(&self, id: &str, engine: &str) {
         let mut runs = super::lock(&self.runs);
         if runs.len() < MAX_RUNS {
@@ -197,9 +202,19 @@
     let Some(slot) = Slot::acquire(&engine) else {
         return Ok(refuse(http::StatusCode::SERVICE_UNAVAILABLE, &id));
     };
+    let mut script = script::Script::read(request.body());
+    let is_repeat = engine.log.has_run(&id);
+    if is_repeat && script.repeat == script::Repeat::Refuse {
+        return Ok(refuse(http::StatusCode::SERVICE_UNAVAILABLE, &id));
+    }
+    if is_repeat {
+        script = script.of_repeat();
+    }
     engine.log.record_run(&id, &engine.name);
+    tokio::time::sleep(script.head).await;
     let counts = request::header(&request, names::TOKEN_COUNTS);
     let response = match counts.split_once(',') {
+        _ if is_repeat && script.repeat == script::Repeat::Break => broken(),
         Some((prompt, output)) => {
             let prompt = prompt.parse().unwrap_or(0);
             let events = output
@@ -209,11 +224,7 @@
             let after = request::header(&request, names.last_event)
                 .parse()
                 .unwrap_or(0);
-            let crashes = request
-                .body()
-                .windows(CRASH_TEXT.len())
-                .any(|w| w == CRASH_TEXT);
-            stream(slot, prompt, after..events, crashes)
+            stream(slot, prompt, after..events, script)
         }
         None => reply::json(http::StatusCode::OK, &serde_json::json!({ "done": id })),
     };
@@ -242,24 +253,52 @@
     }
 }
 
-fn stream(slot: Slot, prompt: u32, events: std::ops::Range<u32>, crashes: bool) -> reply::Response {
+fn stream(
+    slot: Slot,
+    prompt: u32,
+    events: std::ops::Range<u32>,
+    script: script::Script,
+) -> reply::Response {
     let (pieces, body) = mpsc::channel(8);
     tokio::spawn(async move {
         let prefill = time::Duration::from_millis(u64::from(prompt / PREFILL_RATE));
         tokio::time::sleep(prefill).await;
-        for event in events {
-            let text = format!("id: {}\ndata: t{event}\n\n", event + 1);
-            if pieces.send(Ok(text.into())).await.is_err() {
+        let last = events.end;
+        for id in events.map(|event| event + 1) {
+            if let Some(pause) = script.pause.filter(|pause| pause.before == id) {
+                tokio::time::sleep(pause.length).await;
+            }
+            let length = if id == last { script.last } else { 0 };
+            if pieces.send(Ok(event(id, length).into())).await.is_err() {
                 return;
             }
             tokio::time::sleep(EVENT_INTERVAL).await;
-            if crashes {
+            if script.crashes {
                 // The site may be shutting down.
                 let _ = slot.engine.crashes.send(slot.engine.name.clone());
             }
         }
     });
-    let mut response = http::Response::new(out::Body::Pieces(body));
+    events_from(body)
+}
+
+/// Returns an event with at least `length` bytes of data.
+fn event(id: u32, length: usize) -> String {
+    let data = format!("t{}", id - 1);
+    let filler = ".".repeat(length.saturating_sub(data.len()));
+    format!("id: {id}\ndata: {data}{filler}\n\n")
+}
+
+/// Returns a stream that ends in the middle, without an event.
+fn broken() -> reply::Response {
+    let (pieces, body) = mpsc::channel(1);
+    // The channel has room for one piece.
+    let _ = pieces.try_send(Err(reply::cut()));
+    events_from(body)
+}
+
+fn events_from(pieces: mpsc::Receiver<io::Result<bytes::Bytes>>) -> reply::Response {
+    let mut response = http::Response::new(out::Body::Pieces(pieces));
     reply::set(&mut response, "content-type", "text/event-stream");
     response
 }
