Take no refusal of another attempt for a request's own at the entry

What other operators' callers saw, on the product's own path: an order that had been answered with the refusal of another attempt ran twice; the text that an engine wrote after it had broken off within an event reached callers of token streams.

Cause: a refusal was read before it was asked whether the response names this attempt; an event with lines that are no fields of an event was passed over, and one with a field twice was read as a token.

Change: a refusal counts only if it does not name another attempt; an event with an unknown or repeated field ends the attempt, and the stream goes on at another engine from its offset.

--- a/crates/node/src/entry/exchange.rs
+++ b/crates/node/src/entry/exchange.rs
@@ -134,10 +134,13 @@
     id.is_none_or(|id| id.as_bytes() == own.as_bytes())
 }
 
-/// Tells whether the upstream states that it did not run the request.
-pub fn is_refusal(response: &hyper::Response<body::Incoming>) -> bool {
+/// Returns `true` if the upstream states that it did not run this attempt.
+///
+/// A refusal that names another attempt says nothing about this one.
+pub fn is_refusal(response: &hyper::Response<body::Incoming>, writer: u64, attempt: u64) -> bool {
     let verdict = response.headers().get(answer::VERDICT);
     response.status().is_server_error()
+        && is_own(response.headers(), writer, attempt)
         && verdict.is_some_and(|v| v.as_bytes() == verdict::Verdict::NotRun.as_str().as_bytes())
 }
 
--- a/crates/node/src/entry/reader.rs
+++ b/crates/node/src/entry/reader.rs
@@ -64,6 +64,7 @@
             }
             sse::Event::Done(done) => self.judge_done(done),
             sse::Event::Other => stream::Outcome::Foreign,
+            sse::Event::Broken => stream::Outcome::Gap,
         }
     }
 
--- a/crates/node/src/entry/sse.rs
+++ b/crates/node/src/entry/sse.rs
@@ -10,6 +10,9 @@
 
 const END: &[u8] = b"\n\n";
 
+/// The fields of an event.
+const FIELDS: [&str; 4] = ["data", "event", "id", "retry"];
+
 /// Collects bytes and gives out whole events.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -32,8 +35,11 @@
     },
     /// The answer is whole.
     Done(Done<'a>),
-    /// Anything else, such as a comment.
+    /// Something else, such as a comment.
     Other,
+    /// It holds a line that is no field of an event, or a field twice: the upstream broke off
+    /// within it and wrote something else.
+    Broken,
 }
 
 /// The closing event of a token stream.
@@ -74,14 +80,34 @@
 
 /// Reads an event; what cannot be read is [`Event::Other`].
 pub fn parse(event: &[u8]) -> Event<'_> {
-    parse_known(event).unwrap_or(Event::Other)
+    let Ok(text) = std::str::from_utf8(event) else {
+        return Event::Broken;
+    };
+    if !is_sound(text) {
+        return Event::Broken;
+    }
+    parse_known(text).unwrap_or(Event::Other)
+}
+
+/// Returns `true` if each line is a comment or one of the [`FIELDS`], and none of these comes twice.
+fn is_sound(text: &str) -> bool {
+    let lines = text.lines().filter(|line| !line.is_empty());
+    let names: Vec<_> = lines
+        .map(|line| line.split_once(':').map_or(line, |(name, _)| name))
+        .filter(|name| !name.is_empty())
+        .collect();
+    let is_single = |name: &str| names.iter().filter(|other| **other == name).count() == 1;
+    names
+        .iter()
+        .all(|name| FIELDS.contains(name) && is_single(name))
 }
 
-fn parse_known(event: &[u8]) -> Option<Event<'_>> {
-    let text = std::str::from_utf8(event).ok()?;
+fn parse_known(text: &str) -> Option<Event<'_>> {
     let data = field(text, "data")?;
-    if field(text, "event") == Some("done") {
-        return serde_json::from_str(data).ok().map(Event::Done);
+    match field(text, "event") {
+        Some("done") => return serde_json::from_str(data).ok().map(Event::Done),
+        Some(_) => return None,
+        None => {}
     }
     let offset = field(text, "id")?.parse().ok()?;
     let token: Token<'_> = serde_json::from_str(data).ok()?;
--- a/crates/node/src/entry/tokens.rs
+++ b/crates/node/src/entry/tokens.rs
@@ -27,7 +27,7 @@
         Err(broken) => return Some(signal::failed(broken.verdict, broken.died, dispatch.offset)),
     };
     worker.report_load(dispatch, &open).await;
-    if exchange::is_refusal(&open.response) {
+    if exchange::is_refusal(&open.response, front.writer, dispatch.attempt) {
         return Some(signal::refused(open));
     }
     let headers = open.response.headers();
--- a/crates/node/src/entry/whole.rs
+++ b/crates/node/src/entry/whole.rs
@@ -51,7 +51,7 @@
         Err(broken) => return End::failed(broken.verdict, broken.died),
     };
     worker.report_load(dispatch, &open).await;
-    if exchange::is_refusal(&open.response) {
+    if exchange::is_refusal(&open.response, front.writer, dispatch.attempt) {
         return End {
             signal: signal::refused(open),
             answer: None,
