Move a silent stream only to a healthy engine in time, and take no silence for success

What callers would have seen: a stream of a paused engine moved to another one that was paused as well, or that could not answer before the deadline; new requests at once to an engine that had hung in a stream until its deadline.

Cause: the selection takes unhealthy engines if there are no others, which is right for a first attempt and wrong for one that would give up another; an attempt that expired after its first event counted as a success although it was silent.

Change: a replacement must be healthy and be expected before the deadline; a silent attempt that expires is silence.

Evidence: silent_attempt_that_expires_is_no_success and silent_attempt_is_not_moved_to_silent_engine, written with the change and not seen failing.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -242,6 +242,12 @@
         }
     }
 
+    /// Returns `true` if the engine of an attempt is neither paused nor unresponsive.
+    pub fn is_healthy(&self, now: time::Time, choice: &Choice) -> bool {
+        let state = self.engines.get(&choice.engine);
+        state.is_some_and(|state| state.is_healthy(now))
+    }
+
     /// Returns `true` if a service has an engine of a version that may get new requests.
     pub fn has_version(&self, now: time::Time, service: &name::Name, version: &name::Name) -> bool {
         let mut available = self.available(now);
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -67,8 +67,14 @@
 ) -> Result<fleet::Choice, effect::NoRetry> {
     let flight = state.flights.get(&id).ok_or(effect::NoRetry::Policy)?;
     check_retry(flight)?;
-    let service = flight.request.service.clone();
+    let (service, deadline) = (flight.request.service.clone(), flight.request.deadline);
     let choice = dispatch::choose(state, now, id).map_err(|rejection| rejection.reason)?;
+    if !state.fleet.is_healthy(now, &choice) {
+        return Err(effect::NoRetry::Engines);
+    }
+    if now.after(choice.expected) >= deadline {
+        return Err(effect::NoRetry::Time);
+    }
     spend_retry(state, now, &service)?;
     Ok(choice)
 }
@@ -270,12 +276,12 @@
 fn apply_expired(state: &mut state::State, now: time::Time, id: u64) {
     mark_may_have_run(state, now, id);
     crashes::record_failed_attempt(state, now, id, failed_attempts::Symptom::Silent);
-    let has_first_event = state
+    let is_responding = state
         .flights
         .get(&id)
         .and_then(|f| f.attempt.as_ref())
-        .is_some_and(|a| a.has_first_event);
-    let outcome = if has_first_event {
+        .is_some_and(|a| a.has_first_event && !a.is_silent);
+    let outcome = if is_responding {
         fleet::Outcome::Good
     } else {
         fleet::Outcome::Silent
--- a/crates/core/tests/relay_reduce.rs
+++ b/crates/core/tests/relay_reduce.rs
@@ -373,6 +373,42 @@
     assert!(instance.state.fleet.loads().is_empty());
 }
 
+/// An engine that hung in a stream until its deadline got new requests at once.
+#[test]
+fn silent_attempt_that_expires_is_no_success() {
+    let mut instance = Instance::serving(1, 1);
+    let hung = instance.send(
+        START,
+        new_request(1, START, RetryPolicy::ResumableStream, 2),
+    );
+    instance.signal(at(5), 1, Signal::First);
+    instance.signal(at(9_000), 1, Signal::Stalled);
+    instance.signal(at(10_000), 1, Signal::Expired);
+    instance.apply(at(10_000), engines(vec![engine(0), engine(1)]));
+    for id in 2..6 {
+        let request = new_request(id, at(10_010), RetryPolicy::Stream, 1);
+        assert_ne!(instance.send(at(10_010), request), hung);
+    }
+}
+
+/// Streams of two engines that both paused were moved from each to the other.
+#[test]
+fn silent_attempt_is_not_moved_to_silent_engine() {
+    let mut instance = Instance::serving(1, 2);
+    let first = instance.send(
+        START,
+        new_request(1, START, RetryPolicy::ResumableStream, 1),
+    );
+    let second = instance.send(
+        START,
+        new_request(2, START, RetryPolicy::ResumableStream, 2),
+    );
+    assert_ne!(first, second);
+    instance.signal(at(1_000), 1, Signal::Stalled);
+    let effects = instance.signal(at(1_001), 2, Signal::Stalled);
+    assert_eq!((sent(&effects), refused(&effects)), (None, None));
+}
+
 /// A pause of the engines moved streams until the retry budget was used up; from then on each pause
 /// ended one.
 #[test]
