--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -18,6 +18,13 @@
         /// The engine and the limits of the attempt.
         dispatch: Dispatch,
     },
+    /// End an attempt, since another one of the request has responded.
+    Cancel {
+        /// Number of the request.
+        request: u64,
+        /// Number of the attempt.
+        attempt: usize,
+    },
     /// Forward an engine's failure response to the caller.
     ForwardFailure {
         /// Number of the request.
--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -24,6 +24,8 @@
     Attempt {
         /// Number of the request.
         request: u64,
+        /// Number of the attempt, from 1.
+        attempt: usize,
         /// What happened.
         signal: Signal,
     },
@@ -72,7 +74,8 @@
 /// Progress or end of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Signal {
-    /// The first event of a stream, or the head of a plain response, has arrived.
+    /// The first event of a stream, or the head of a plain response, has arrived; or the first event
+    /// after a silence.
     First,
     /// A response that states a failure has arrived and nothing of it was forwarded.
     Failing {
@@ -98,11 +101,17 @@
         /// Whether the engine closed or reset it before any byte of the response.
         unanswered: bool,
     },
-    /// Nothing has arrived for too long. The attempt goes on unless the request is sent to another
-    /// engine.
+    /// Nothing has arrived for too long. The attempt goes on until another one has responded.
     Stalled,
-    /// The request's deadline has passed.
+    /// The request's deadline has passed, which ends all its attempts.
     Expired,
-    /// The caller has disconnected.
+    /// The caller has disconnected, which ends all attempts of its request.
     Abandoned,
 }
+
+impl Signal {
+    /// Returns `true` if it ends the request with all its attempts.
+    pub const fn ends_request(self) -> bool {
+        matches!(self, Self::Whole { .. } | Self::Expired | Self::Abandoned)
+    }
+}
--- a/crates/core/src/relay/flight.rs
+++ b/crates/core/src/relay/flight.rs
@@ -16,8 +16,8 @@
     pub tried: Vec<name::Name>,
     /// Number of attempts sent.
     pub attempts: u32,
-    /// The attempt in progress.
-    pub attempt: Option<Attempt>,
+    /// Attempts in progress, in the order of their numbers; all but the last are silent.
+    pub running: Vec<Attempt>,
     /// Whether an engine may have run it.
     pub may_have_run: bool,
     /// Whether it was counted for the usage report.
@@ -30,9 +30,39 @@
     pub no_retry: Option<effect::NoRetry>,
 }
 
+impl Flight {
+    /// Returns the attempt in progress with this number.
+    pub fn attempt(&self, number: usize) -> Option<&Attempt> {
+        self.running.iter().find(|a| a.number == number)
+    }
+
+    /// Returns the attempt in progress with this number.
+    pub fn attempt_mut(&mut self, number: usize) -> Option<&mut Attempt> {
+        self.running.iter_mut().find(|a| a.number == number)
+    }
+
+    /// Removes and returns the attempt in progress with this number.
+    pub fn take_attempt(&mut self, number: usize) -> Option<Attempt> {
+        let index = self.running.iter().position(|a| a.number == number)?;
+        Some(self.running.remove(index))
+    }
+
+    /// Returns the number of the attempt that was sent last, from 1.
+    pub fn last_attempt(&self) -> usize {
+        self.tried.len()
+    }
+
+    /// Returns `true` if nothing had arrived from any attempt in progress for too long.
+    pub fn is_silent(&self) -> bool {
+        self.running.iter().all(|a| a.is_silent)
+    }
+}
+
 /// An attempt in progress.
 #[derive(Clone, Debug)]
 pub struct Attempt {
+    /// Its number, from 1.
+    pub number: usize,
     /// The engine.
     pub choice: fleet::Choice,
     /// When it was sent.
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -29,7 +29,11 @@
 ) -> Vec<effect::Effect> {
     match event {
         event::Event::Arrived(request) => arrive(state, now, request),
-        event::Event::Attempt { request, signal } => attempt::apply(state, now, request, signal),
+        event::Event::Attempt {
+            request,
+            attempt,
+            signal,
+        } => attempt::apply(state, now, request, attempt, signal),
         event::Event::EngineNotice {
             engine,
             incarnation,
@@ -68,7 +72,7 @@
         request,
         tried: Vec::new(),
         attempts: 0,
-        attempt: None,
+        running: Vec::new(),
         may_have_run: false,
         counted: false,
         holds_failure: false,
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -19,39 +19,72 @@
 /// Number of selected engines after which a request is refused if the last one accepted no
 /// connection.
 const MAX_UNSENT: usize = 4;
+/// Attempts of one request that run at the same time, at most.
+const MAX_RUNNING: usize = 3;
 
 /// Applies the progress or end of an attempt.
-pub(super) fn apply(state: &mut state::State, now: time::Time, id: u64, signal: event::Signal) {
+pub(super) fn apply(
+    state: &mut state::State,
+    now: time::Time,
+    id: u64,
+    number: usize,
+    signal: event::Signal,
+) {
+    let flight = state.flights.get(&id);
+    let is_running = flight.is_some_and(|f| f.attempt(number).is_some());
+    if !is_running && !signal.ends_request() {
+        return;
+    }
     match signal {
-        event::Signal::First => apply_first_event(state, now, id),
-        event::Signal::Failing { status } => apply_failure(state, now, id, status),
-        event::Signal::Whole { status } => apply_complete(state, now, id, status),
-        event::Signal::NotRun { status, wait } => apply_not_run(state, now, id, status, wait),
-        event::Signal::Unsent => apply_unsent(state, now, id),
+        event::Signal::First => apply_first_event(state, now, id, number),
+        event::Signal::Failing { status } => apply_failure(state, now, id, number, status),
+        event::Signal::Whole { status } => apply_complete(state, now, id, number, status),
+        event::Signal::NotRun { status, wait } => {
+            apply_not_run(state, now, id, number, status, wait)
+        }
+        event::Signal::Unsent => apply_unsent(state, now, id, number),
         event::Signal::Broken { .. } => {
             mark_may_have_run(state, now, id);
-            crashes::record_failed_attempt(state, now, id, failed_attempts::Symptom::Broken);
-            end_attempt(state, now, id, fleet::Outcome::Broke);
+            let symptom = failed_attempts::Symptom::Broken;
+            crashes::record_failed_attempt(state, now, id, number, symptom);
+            end_attempt(state, now, id, number, fleet::Outcome::Broke);
             retry(state, now, id, refusal::Code::UpstreamFailed);
         }
-        event::Signal::Stalled => apply_stalled(state, now, id),
+        event::Signal::Stalled => apply_stalled(state, now, id, number),
         event::Signal::Expired => apply_expired(state, now, id),
         event::Signal::Abandoned => apply_abandoned(state, now, id),
     }
 }
 
-/// Moves a request whose attempt is silent to another engine if there is one; otherwise the attempt
-/// goes on, since it may still finish.
-fn apply_stalled(state: &mut state::State, now: time::Time, id: u64) {
+/// Records that an attempt is silent, and looks for another engine. The attempt goes on until another
+/// one has responded, since it may still finish.
+fn apply_stalled(state: &mut state::State, now: time::Time, id: u64, number: usize) {
     mark_may_have_run(state, now, id);
-    match find_replacement(state, now, id) {
-        Ok(choice) => {
-            crashes::record_failed_attempt(state, now, id, failed_attempts::Symptom::Silent);
-            end_attempt(state, now, id, fleet::Outcome::Silent);
-            dispatch::send(state, now, id, choice);
-        }
+    record_silence(state, now, id, number);
+    replace_silent(state, now, id);
+}
+
+/// Sends a request to another engine as well if all its attempts are silent.
+fn replace_silent(state: &mut state::State, now: time::Time, id: u64) {
+    let Some(flight) = state.flights.get(&id).filter(|f| f.is_silent()) else {
+        return;
+    };
+    let service = flight.request.service.clone();
+    let replacement = find_replacement(state, now, id)
+        .and_then(|choice| spend_retry(state, now, &service).map(|()| choice));
+    send_replacement(state, now, id, replacement);
+}
+
+/// Sends a request to the engine selected, or keeps the reason why there is none.
+fn send_replacement(
+    state: &mut state::State,
+    now: time::Time,
+    id: u64,
+    replacement: Result<fleet::Choice, effect::NoRetry>,
+) {
+    match replacement {
+        Ok(choice) => dispatch::send(state, now, id, choice),
         Err(reason) => {
-            record_silence(state, now, id);
             if let Some(flight) = state.flights.get_mut(&id) {
                 flight.no_retry = Some(reason);
             }
@@ -59,7 +92,7 @@
     }
 }
 
-/// Selects an engine for a request whose attempt is silent, and spends a retry on it.
+/// Selects an engine for a request whose attempts are silent.
 fn find_replacement(
     state: &mut state::State,
     now: time::Time,
@@ -67,7 +100,10 @@
 ) -> Result<fleet::Choice, effect::NoRetry> {
     let flight = state.flights.get(&id).ok_or(effect::NoRetry::Policy)?;
     check_retry(flight)?;
-    let (service, deadline) = (flight.request.service.clone(), flight.request.deadline);
+    if flight.running.len() >= MAX_RUNNING {
+        return Err(effect::NoRetry::Attempts);
+    }
+    let deadline = flight.request.deadline;
     let choice = dispatch::choose(state, now, id).map_err(|rejection| rejection.reason)?;
     if !state.fleet.is_healthy(now, &choice) {
         return Err(effect::NoRetry::Engines);
@@ -75,14 +111,13 @@
     if now.after(choice.expected) >= deadline {
         return Err(effect::NoRetry::Time);
     }
-    spend_retry(state, now, &service)?;
     Ok(choice)
 }
 
-/// Records once that the attempt in progress is silent and goes on.
-fn record_silence(state: &mut state::State, now: time::Time, id: u64) {
+/// Records once that an attempt is silent and goes on.
+fn record_silence(state: &mut state::State, now: time::Time, id: u64, number: usize) {
     let flight = state.flights.get_mut(&id);
-    let attempt = flight.and_then(|f| f.attempt.as_mut());
+    let attempt = flight.and_then(|f| f.attempt_mut(number));
     let Some(attempt) = attempt.filter(|a| !a.is_silent) else {
         return;
     };
@@ -93,30 +128,42 @@
         engine: attempt.choice.engine.clone(),
         outcome,
     });
-    crashes::record_failed_attempt(state, now, id, failed_attempts::Symptom::Silent);
+    let symptom = failed_attempts::Symptom::Silent;
+    crashes::record_failed_attempt(state, now, id, number, symptom);
 }
 
 /// Selects another engine after one that accepted no connection; this does not count as a retry.
-fn apply_unsent(state: &mut state::State, now: time::Time, id: u64) {
-    end_attempt(state, now, id, fleet::Outcome::Unreachable);
+fn apply_unsent(state: &mut state::State, now: time::Time, id: u64, number: usize) {
+    end_attempt(state, now, id, number, fleet::Outcome::Unreachable);
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
     flight.attempts = flight.attempts.saturating_sub(1);
-    if flight.tried.len() < MAX_UNSENT {
+    let can_retry = flight.tried.len() < MAX_UNSENT;
+    if !flight.running.is_empty() {
+        let replacement = match can_retry {
+            true => find_replacement(state, now, id),
+            false => Err(effect::NoRetry::Engines),
+        };
+        return send_replacement(state, now, id, replacement);
+    }
+    if can_retry {
         return dispatch::dispatch(state, now, id);
     }
     let at = now.after(dispatch::RETRY_DELAY);
     refuse::give_up(state, now, id, refusal::Code::NoUpstream, Some(at));
 }
 
-fn apply_first_event(state: &mut state::State, now: time::Time, id: u64) {
+/// Records the first event of an attempt, and ends the other attempts of the request.
+fn apply_first_event(state: &mut state::State, now: time::Time, id: u64, number: usize) {
     count_run(state, now, id);
+    cancel_others(state, now, id, number);
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
     flight.responding = true;
-    let Some(attempt) = flight.attempt.as_mut().filter(|a| !a.has_first_event) else {
+    let attempt = flight.running.iter_mut().find(|a| a.number == number);
+    let Some(attempt) = attempt.filter(|a| !a.has_first_event) else {
         return;
     };
     attempt.has_first_event = true;
@@ -160,12 +207,47 @@
     }
 }
 
-fn apply_failure(state: &mut state::State, now: time::Time, id: u64, status: u16) {
+/// Ends the attempts of a request other than the one that has responded.
+fn cancel_others(state: &mut state::State, now: time::Time, id: u64, number: usize) {
+    let Some(flight) = state.flights.get(&id) else {
+        return;
+    };
+    let others = flight.running.iter().filter(|a| a.number != number);
+    let others: Vec<_> = others.map(|a| (a.number, a.is_silent)).collect();
+    for (other, is_silent) in others {
+        let symptom = failed_attempts::Symptom::Silent;
+        crashes::record_failed_attempt(state, now, id, other, symptom);
+        match is_silent {
+            true => end_attempt(state, now, id, other, fleet::Outcome::Silent),
+            false => abandon_attempt(state, id, other),
+        }
+        state.out.push(effect::Effect::Cancel {
+            request: id,
+            attempt: other,
+        });
+    }
+}
+
+/// Ends an attempt whose engine had its time left, without an outcome.
+fn abandon_attempt(state: &mut state::State, id: u64, number: usize) {
+    let flight = state.flights.get_mut(&id);
+    if let Some(attempt) = flight.and_then(|f| f.take_attempt(number)) {
+        state
+            .fleet
+            .end_attempt(&attempt.choice, attempt.has_first_event);
+    }
+}
+
+fn apply_failure(state: &mut state::State, now: time::Time, id: u64, number: usize, status: u16) {
     count_run(state, now, id);
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
     flight.holds_failure = true;
+    if flight.running.iter().any(|a| a.number != number) {
+        end_attempt(state, now, id, number, fleet::Outcome::Bad);
+        return retry(state, now, id, refusal::Code::UpstreamFailed);
+    }
     let is_server_error = status >= 500;
     let is_repeatable =
         flight.request.route.retry_policy.is_idempotent() && dispatch::has_attempts_left(flight);
@@ -177,7 +259,7 @@
             .budget
             .spend(now, &state.settings, &service, instances);
     if retries {
-        end_attempt(state, now, id, fleet::Outcome::Bad);
+        end_attempt(state, now, id, number, fleet::Outcome::Bad);
         return dispatch::dispatch(state, now, id);
     }
     state
@@ -185,8 +267,9 @@
         .push(effect::Effect::ForwardFailure { request: id });
 }
 
-fn apply_complete(state: &mut state::State, now: time::Time, id: u64, status: u16) {
+fn apply_complete(state: &mut state::State, now: time::Time, id: u64, number: usize, status: u16) {
     count_run(state, now, id);
+    cancel_others(state, now, id, number);
     let is_success = status < 500;
     let outcome = if is_success {
         fleet::Outcome::Good
@@ -194,7 +277,7 @@
         fleet::Outcome::Bad
     };
     if let Some(flight) = state.flights.get(&id) {
-        let slot_time = flight.attempt.as_ref().map(|a| a.began.until(now));
+        let slot_time = flight.attempt(number).map(|a| a.began.until(now));
         let (service, fingerprint) = (flight.request.service.clone(), flight.request.fingerprint);
         if let Some(slot_time) = slot_time.filter(|_| is_success) {
             state.fleet.record_slot_time(&service, slot_time);
@@ -203,7 +286,7 @@
             state.suspects.record_success(fingerprint);
         }
     }
-    end_attempt(state, now, id, outcome);
+    end_attempt(state, now, id, number, outcome);
     state.flights.remove(&id);
 }
 
@@ -211,6 +294,7 @@
     state: &mut state::State,
     now: time::Time,
     id: u64,
+    number: usize,
     status: u16,
     wait: Option<Duration>,
 ) {
@@ -221,11 +305,11 @@
     } else {
         fleet::Outcome::Full
     };
-    end_attempt(state, now, id, outcome);
+    end_attempt(state, now, id, number, outcome);
     let can_retry = state
         .flights
         .get(&id)
-        .is_some_and(|f| check_retry(f).is_ok());
+        .is_some_and(|f| check_retry(f).is_ok() || !f.running.is_empty());
     if let Some(wait) = wait.filter(|_| !can_retry) {
         let at = now.after(wait);
         return refuse::give_up(state, now, id, refusal::Code::Overloaded, Some(at));
@@ -233,11 +317,15 @@
     retry(state, now, id, refusal::Code::Overloaded);
 }
 
-/// Retries a request at another engine if that is allowed, or refuses it.
+/// Retries a request at another engine if that is allowed. Otherwise its other attempts go on, or it
+/// is refused if there are none.
 fn retry(state: &mut state::State, now: time::Time, id: u64, code: refusal::Code) {
     let Some(flight) = state.flights.get(&id) else {
         return;
     };
+    if !flight.running.is_empty() {
+        return replace_silent(state, now, id);
+    }
     let service = flight.request.service.clone();
     let allowed = check_retry(flight).and_then(|()| spend_retry(state, now, &service));
     let Err(reason) = allowed else {
@@ -275,38 +363,47 @@
 
 fn apply_expired(state: &mut state::State, now: time::Time, id: u64) {
     mark_may_have_run(state, now, id);
-    crashes::record_failed_attempt(state, now, id, failed_attempts::Symptom::Silent);
-    let is_responding = state
-        .flights
-        .get(&id)
-        .and_then(|f| f.attempt.as_ref())
-        .is_some_and(|a| a.has_first_event && !a.is_silent);
-    let outcome = if is_responding {
-        fleet::Outcome::Good
-    } else {
-        fleet::Outcome::Silent
-    };
-    end_attempt(state, now, id, outcome);
+    for attempt in running(state, id) {
+        let symptom = failed_attempts::Symptom::Silent;
+        crashes::record_failed_attempt(state, now, id, attempt.number, symptom);
+        let is_responding = attempt.has_first_event && !attempt.is_silent;
+        let outcome = if is_responding {
+            fleet::Outcome::Good
+        } else {
+            fleet::Outcome::Silent
+        };
+        end_attempt(state, now, id, attempt.number, outcome);
+    }
     refuse::give_up(state, now, id, refusal::Code::Deadline, None);
 }
 
 fn apply_abandoned(state: &mut state::State, now: time::Time, id: u64) {
-    crashes::record_failed_attempt(state, now, id, failed_attempts::Symptom::Silent);
-    if let Some(flight) = state.flights.remove(&id)
-        && let Some(attempt) = flight.attempt
-    {
-        state
-            .fleet
-            .end_attempt(&attempt.choice, attempt.has_first_event);
+    for attempt in running(state, id) {
+        let symptom = failed_attempts::Symptom::Silent;
+        crashes::record_failed_attempt(state, now, id, attempt.number, symptom);
+        abandon_attempt(state, id, attempt.number);
     }
+    state.flights.remove(&id);
 }
 
-/// Ends the attempt in progress with its outcome.
-fn end_attempt(state: &mut state::State, now: time::Time, id: u64, outcome: fleet::Outcome) {
+/// Returns copies of the attempts in progress.
+fn running(state: &state::State, id: u64) -> Vec<flight::Attempt> {
+    let flight = state.flights.get(&id);
+    flight.map(|f| f.running.clone()).unwrap_or_default()
+}
+
+/// Ends an attempt in progress with its outcome.
+fn end_attempt(
+    state: &mut state::State,
+    now: time::Time,
+    id: u64,
+    number: usize,
+    outcome: fleet::Outcome,
+) {
     let Some(flight) = state.flights.get_mut(&id) else {
         return;
     };
-    if let Some(attempt) = flight.attempt.take() {
+    if let Some(attempt) = flight.take_attempt(number) {
         let outcome = state.fleet.classify(now, &attempt.choice, outcome);
         let is_success = matches!(outcome, fleet::Outcome::Good);
         if is_success
--- a/crates/core/src/relay/reduce/crashes.rs
+++ b/crates/core/src/relay/reduce/crashes.rs
@@ -7,17 +7,18 @@
 use crate::relay::state;
 use crate::time;
 
-/// Records that the attempt in progress ends without a complete response.
+/// Records that an attempt in progress is silent or ends without a complete response.
 pub(super) fn record_failed_attempt(
     state: &mut state::State,
     now: time::Time,
     id: u64,
+    number: usize,
     symptom: failed_attempts::Symptom,
 ) {
     let Some(flight) = state.flights.get(&id) else {
         return;
     };
-    let Some(attempt) = &flight.attempt else {
+    let Some(attempt) = flight.attempt(number) else {
         return;
     };
     let choice = &attempt.choice;
@@ -55,7 +56,7 @@
     }
     let flights = &state.flights;
     let is_busy = |failed: &failed_attempts::FailedAttempt| {
-        let mut attempts = flights.values().filter_map(|f| f.attempt.as_ref());
+        let mut attempts = flights.values().flat_map(|f| &f.running);
         attempts.any(|a| {
             let is_same =
                 a.choice.engine == failed.engine && a.choice.incarnation == failed.incarnation;
--- a/crates/core/src/relay/reduce/dispatch.rs
+++ b/crates/core/src/relay/reduce/dispatch.rs
@@ -220,14 +220,15 @@
     state.fleet.begin_attempt(now, &choice, &flight.request);
     flight.tried.push(choice.engine.clone());
     flight.attempts += 1;
-    flight.attempt = Some(flight::Attempt {
+    flight.running.push(flight::Attempt {
+        number: flight.tried.len(),
         choice: choice.clone(),
         began: now,
         has_first_event: false,
         is_silent: false,
     });
     let dispatch = effect::Dispatch {
-        number: flight.tried.len(),
+        number: flight.last_attempt(),
         decided_at: now,
         response_deadline: response_deadline(now, flight, &choice),
         max_gap: max_gap(flight),
--- a/crates/core/tests/relay_support/engines.rs
+++ b/crates/core/tests/relay_support/engines.rs
@@ -3,7 +3,6 @@
 use std::collections;
 use std::time::Duration;
 
-use guavausher_core::name;
 use guavausher_core::refusal;
 use guavausher_core::relay::{effect, engine, event, request, route};
 use guavausher_core::time;
@@ -70,6 +69,7 @@
 struct Attempt {
     instance: usize,
     request: u64,
+    number: usize,
     fingerprint: u64,
     due: u64,
 }
@@ -303,12 +303,12 @@
 
     fn signal(&mut self, attempt: &Attempt, signal: event::Signal) {
         let now = self.fleet.now();
-        let request = attempt.request;
-        let effects = self.apply(
-            attempt.instance,
-            now,
-            event::Event::Attempt { request, signal },
-        );
+        let event = event::Event::Attempt {
+            request: attempt.request,
+            attempt: attempt.number,
+            signal,
+        };
+        let effects = self.apply(attempt.instance, now, event);
         self.perform(attempt.instance, effects);
     }
 
@@ -320,7 +320,7 @@
         for effect in effects {
             match effect {
                 effect::Effect::Send { request, dispatch } => {
-                    self.send(instance, request, &dispatch.choice.engine);
+                    self.send(instance, request, &dispatch);
                 }
                 effect::Effect::Refuse {
                     request, refusal, ..
@@ -335,13 +335,15 @@
         }
     }
 
-    fn send(&mut self, instance: usize, request: u64, name: &name::Name) {
+    fn send(&mut self, instance: usize, request: u64, dispatch: &effect::Dispatch) {
+        let name = &dispatch.choice.engine;
         let fingerprint = self.fingerprints[&(instance, request)];
         let index = self.engines.iter().position(|e| e.entry.name == *name);
         let index = index.expect("a known engine");
         let mut attempt = Attempt {
             instance,
             request,
+            number: dispatch.number,
             fingerprint,
             due: self.step + RUN_STEPS,
         };
--- a/crates/core/tests/relay_support/mod.rs
+++ b/crates/core/tests/relay_support/mod.rs
@@ -182,13 +182,32 @@
         reduce::reduce(&mut self.state, now, event)
     }
 
+    /// Applies a signal of the attempt that was sent last.
     pub fn signal(
         &mut self,
         now: time::Time,
         request: u64,
         signal: event::Signal,
     ) -> Vec<effect::Effect> {
-        self.apply(now, event::Event::Attempt { request, signal })
+        let flight = self.state.flights.get(&request);
+        let attempt = flight.map_or(1, |f| f.last_attempt());
+        self.signal_of(now, request, attempt, signal)
+    }
+
+    /// Applies a signal of the attempt with this number.
+    pub fn signal_of(
+        &mut self,
+        now: time::Time,
+        request: u64,
+        attempt: usize,
+        signal: event::Signal,
+    ) -> Vec<effect::Effect> {
+        let event = event::Event::Attempt {
+            request,
+            attempt,
+            signal,
+        };
+        self.apply(now, event)
     }
 
     /// Applies the arrival of a request and returns the engine that it is sent to.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: sends a request to one engine and passes the response on to the caller.
 
+use std::cell;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -7,10 +8,10 @@
 use guavausher_core::time;
 use tokio::net::TcpStream;
 
+use crate::body_stream;
 use crate::caller_response;
 use crate::clock;
 use crate::connection;
-use crate::events;
 use crate::framing;
 use crate::head;
 use crate::record;
@@ -39,8 +40,6 @@
 const MAX_BUFFERED: usize = 128 * 1024;
 /// Longest body of a response that reports a failure, in bytes.
 const MAX_FAILURE_BODY: usize = 1 << 20;
-/// Longest response body that is not a stream, in bytes.
-const MAX_RESPONSE: usize = 16 << 20;
 
 /// How an attempt ended.
 #[derive(Debug)]
@@ -51,30 +50,62 @@
     Failure(caller_response::BufferedResponse),
 }
 
-/// Inputs of one attempt.
-pub(crate) struct Attempt<'a> {
+/// What all attempts of a request work on.
+#[derive(Clone, Copy)]
+pub(crate) struct Exchange<'a> {
     pub runtime: &'a runtime::Runtime,
     pub request: &'a request::Request,
     pub incoming: &'a request_reader::Request,
     pub caller: &'a TcpStream,
     pub queue: &'a step_queue::StepQueue,
-    pub dispatch: &'a effect::Dispatch,
+    /// The response to the caller. Once an attempt has reported its first event, the others are
+    /// dropped, so that only one writes.
+    pub output: &'a cell::RefCell<caller_response::CallerResponse>,
+}
+
+/// One attempt.
+pub(crate) struct Attempt<'a> {
+    pub runtime: &'a runtime::Runtime,
+    pub request: &'a request::Request,
+    pub incoming: &'a request_reader::Request,
+    pub dispatch: effect::Dispatch,
+    caller: &'a TcpStream,
+    queue: &'a step_queue::StepQueue,
+    output: &'a cell::RefCell<caller_response::CallerResponse>,
+    /// Whether its first event, or the first after a silence, was reported.
+    is_reported: cell::Cell<bool>,
+    has_first_event: cell::Cell<bool>,
+}
+
+impl<'a> Attempt<'a> {
+    /// Creates an attempt that was not sent yet.
+    pub const fn new(exchange: Exchange<'a>, dispatch: effect::Dispatch) -> Self {
+        Self {
+            runtime: exchange.runtime,
+            request: exchange.request,
+            incoming: exchange.incoming,
+            dispatch,
+            caller: exchange.caller,
+            queue: exchange.queue,
+            output: exchange.output,
+            is_reported: cell::Cell::new(false),
+            has_first_event: cell::Cell::new(false),
+        }
+    }
 }
 
 impl Attempt<'_> {
     /// Sends the request and passes the response on.
-    pub async fn run(&self, output: &mut caller_response::CallerResponse) -> Outcome {
+    pub async fn run(self) -> Outcome {
         let Some(mut engine) = self.connect().await else {
             return Outcome::Signal(event::Signal::Unsent);
         };
-        let head = self.compose(output.events.last_id());
+        let head = self.compose(self.output.borrow().last_event);
         let mut is_sent = false;
-        let ending = self
-            .exchange(&mut engine, &head, &mut is_sent, output)
-            .await;
+        let ending = self.exchange(&mut engine, &head, &mut is_sent).await;
         let kept = engine.keep_alive.take();
         if let Some(wait) = kept.filter(|_| self.runtime.is_listed(&self.dispatch.choice)) {
-            self.runtime.pool.put(self.dispatch, engine, wait);
+            self.runtime.pool.put(&self.dispatch, engine, wait);
         }
         ending.unwrap_or_else(Outcome::Signal)
     }
@@ -108,7 +139,6 @@
         engine: &mut connection::Connection,
         head: &[u8],
         is_sent: &mut bool,
-        output: &mut caller_response::CallerResponse,
     ) -> Result<Outcome, event::Signal> {
         let connection::Connection { stream, buffer, .. } = engine;
         let response = {
@@ -118,7 +148,7 @@
             };
             let mut sending = std::pin::pin!(sending);
             let mut reading = std::pin::pin!(self.read_response(stream, buffer));
-            let dispatch = self.dispatch;
+            let dispatch = &self.dispatch;
             let mut check_at = dispatch.response_deadline.unwrap_or(time::Time::MAX);
             let patience = dispatch.decided_at.until(check_at);
             loop {
@@ -134,16 +164,13 @@
                         }
                     }
                     () = clock::sleep_until(check_at) => {
-                        if self.is_replaced() {
-                            return Err(event::Signal::Stalled);
-                        }
+                        self.report_silence();
                         check_at = clock::now().after(patience);
                     }
                 }
             }
         };
-        self.handle_response(engine, response, *is_sent, output)
-            .await
+        self.handle_response(engine, response, *is_sent).await
     }
 
     /// Reads the head of the response to this request; skips responses to earlier ones.
@@ -249,7 +276,6 @@
         engine: &mut connection::Connection,
         response: Response,
         is_sent: bool,
-        output: &mut caller_response::CallerResponse,
     ) -> Result<Outcome, event::Signal> {
         let names = &self.runtime.protocol;
         let head = &response.head;
@@ -267,7 +293,8 @@
         let is_success = (200..300).contains(&status);
         let is_proper = !is_success
             || head.get(names.stamp).is_some() && head.get("content-encoding").is_none();
-        if !is_proper || self.is_doubtful_promise(status) || (output.is_begun && status != 200) {
+        let is_second_head = self.output.borrow().is_begun && status != 200;
+        if !is_proper || self.is_doubtful_promise(status) || is_second_head {
             log::warn!(id:% = self.request.trace, engine:% = self.dispatch.choice.engine,
                 status = status;
                 "response lacks the headers of a complete response of the engine");
@@ -280,8 +307,8 @@
                 head: response.head,
                 body,
             };
-            self.record_first_event(output);
-            return Ok(Outcome::Signal(self.forward_buffered(&kept, output).await));
+            self.report_progress();
+            return Ok(Outcome::Signal(self.forward_buffered(&kept).await));
         }
         if status >= MIN_FAILURE_STATUS {
             let body = self.body(engine, framing, MAX_FAILURE_BODY).await?;
@@ -292,8 +319,7 @@
                 body,
             }));
         }
-        self.stream_response(engine, &response, framing, output)
-            .await?;
+        self.stream_response(engine, &response, framing).await?;
         self.mark_reusable(engine, &response, framing, is_sent);
         Ok(Outcome::Signal(event::Signal::Whole { status }))
     }
@@ -338,99 +364,88 @@
         engine: &mut connection::Connection,
         response: &Response,
         framing: framing::Framing,
-        output: &mut caller_response::CallerResponse,
     ) -> Result<(), event::Signal> {
         let policy = self.request.route.retry_policy;
-        let is_stream = policy.is_stream() && response.head.status() == 200;
-        let by_event = is_stream && policy.is_idempotent();
-        let mut decoder = framing::Decoder::new(framing);
-        let mut pending = BytesMut::new();
-        output.events.restart();
-        let mut limit = match is_stream {
-            true => events::SizeLimit::per_event(),
-            false => events::SizeLimit::total(MAX_RESPONSE),
+        let mut body = body_stream::BodyStream::new(policy, response.head.status(), framing);
+        let length = match framing {
+            framing::Framing::Length(length) if !body.is_by_event() => Some(length),
+            _ => None,
         };
-        let mut is_empty = true;
-        let mut is_ended = false;
-        while !is_ended {
-            let is_valid = loop {
-                let piece = match decoder.take(&mut engine.buffer) {
-                    Ok(Some(piece)) => piece,
-                    taken => break taken.is_ok(),
-                };
-                if limit.add(&piece).is_err() {
-                    break false;
-                }
-                let piece = match by_event {
-                    true => output.events.push(&piece),
-                    false => Ok(piece),
-                };
-                let Ok(piece) = piece else {
-                    break false;
-                };
-                if piece.is_empty() {
-                    continue;
-                }
-                is_empty = false;
-                self.begin(&response.head, framing, by_event, &mut pending, output);
-                output.body_bytes += piece.len() as u64;
-                wire::push_body(&mut pending, &piece, output.is_chunked);
-            };
+        let mut pending = BytesMut::new();
+        loop {
+            let is_valid = self.take_pieces(engine, response, &mut body, length, &mut pending);
+            if body.is_done() {
+                break;
+            }
+            // Another engine continues after the events before invalid bytes, so the caller must
+            // have them.
+            self.write(&mut pending).await?;
             if !is_valid {
-                // Another engine continues after these events, so the caller must have them.
-                self.write(&mut pending, output).await?;
                 return Err(response_reader::BROKEN_RESPONSE);
             }
-            is_ended = decoder.is_done();
-            if !is_ended {
-                self.write(&mut pending, output).await?;
-                is_ended = self.read_more(engine).await? == 0;
+            if self.read_more(engine).await? == 0 {
+                break;
             }
         }
-        // A close ends a response only where nothing suggests that the engine broke off.
-        let is_whole = match decoder.is_done() {
-            true => true,
-            false => {
-                let is_at_boundary = !is_stream || limit.is_between_events();
-                decoder.is_complete_at_close() && !is_empty && is_at_boundary
-            }
-        };
-        if !is_whole {
+        if !body.is_whole_at_close() {
             return Err(response_reader::BROKEN_RESPONSE);
         }
-        self.begin(&response.head, framing, by_event, &mut pending, output);
-        let rest = output.events.take_rest();
-        output.body_bytes += rest.len() as u64;
-        wire::push_body(&mut pending, &rest, output.is_chunked);
-        if output.is_chunked {
+        let rest = body.take_rest(self.output.borrow().last_event);
+        self.push_piece(&response.head, length, &rest, &mut pending);
+        if self.output.borrow().is_chunked {
             pending.extend_from_slice(b"0\r\n\r\n");
         }
-        self.write(&mut pending, output).await
+        self.write(&mut pending).await
+    }
+
+    /// Adds what has been read of the body to the bytes to be sent; returns `false` if that is not
+    /// valid.
+    fn take_pieces(
+        &self,
+        engine: &mut connection::Connection,
+        response: &Response,
+        body: &mut body_stream::BodyStream,
+        length: Option<u64>,
+        pending: &mut BytesMut,
+    ) -> bool {
+        loop {
+            let taken = body.take(&mut engine.buffer, &mut self.output.borrow_mut().last_event);
+            match taken {
+                Ok(Some(piece)) => self.push_piece(&response.head, length, &piece, pending),
+                Ok(None) => return true,
+                Err(fault) => {
+                    log::debug!(id:% = self.request.trace, fault:% = fault;
+                        "body of the response is not valid");
+                    return false;
+                }
+            }
+        }
     }
 
-    /// Adds the head to the bytes to be sent unless the response has begun, and records the first
-    /// event.
-    fn begin(
+    /// Adds a piece of the body to the bytes to be sent, after the head if that was not sent yet.
+    fn push_piece(
         &self,
         head: &head::Head,
-        framing: framing::Framing,
-        by_event: bool,
+        length: Option<u64>,
+        piece: &[u8],
         pending: &mut BytesMut,
-        output: &mut caller_response::CallerResponse,
     ) {
-        if self.dispatch.number > output.begun_by {
-            output.begun_by = self.dispatch.number;
-            self.record_first_event(output);
+        self.report_progress();
+        if let Some(head) = self.begin(head, length) {
+            *pending = head;
         }
-        if output.is_begun {
-            return;
+        let mut output = self.output.borrow_mut();
+        output.body_bytes += piece.len() as u64;
+        wire::push_body(pending, piece, output.is_chunked);
+    }
+
+    /// Begins the response to the caller and returns its head; `None` if it has begun before.
+    fn begin(&self, head: &head::Head, length: Option<u64>) -> Option<BytesMut> {
+        let mut output = self.output.borrow_mut();
+        if std::mem::replace(&mut output.is_begun, true) {
+            return None;
         }
-        output.is_begun = true;
-        let length = match framing {
-            framing::Framing::Length(length) if !by_event => Some(length),
-            _ => None,
-        };
-        *pending = self.caller_head(head, length, output);
+        Some(self.caller_head(head, length, &mut output))
     }
 
     async fn read_more(&self, engine: &mut connection::Connection) -> Result<usize, event::Signal> {
@@ -443,50 +458,62 @@
         loop {
             match tokio::time::timeout(pause, engine.fill()).await {
                 Ok(read) => return read.map_err(|_| response_reader::BROKEN_RESPONSE),
-                Err(_) if self.is_replaced() => return Err(event::Signal::Stalled),
-                Err(_) => {}
+                Err(_) => self.report_silence(),
             }
         }
     }
 
-    /// Reports that the engine is silent; returns `true` if the request is sent to another one.
-    fn is_replaced(&self) -> bool {
-        let signal = event::Signal::Stalled;
-        let request = self.request.id;
-        self.runtime
-            .apply(event::Event::Attempt { request, signal });
+    /// Reports that nothing has arrived from the engine for too long.
+    fn report_silence(&self) {
+        self.is_reported.set(false);
+        self.report(event::Signal::Stalled);
         let is_replaced = self.queue.has_next();
-        record::stalled(self.runtime, self.request, self.dispatch, is_replaced);
-        is_replaced
+        record::stalled(self.runtime, self.request, &self.dispatch, is_replaced);
     }
 
-    async fn write(
-        &self,
-        pending: &mut BytesMut,
-        output: &mut caller_response::CallerResponse,
-    ) -> Result<(), event::Signal> {
-        if pending.is_empty() {
-            return Ok(());
+    /// Reports the first event, or the first one after a silence, which ends the other attempts.
+    fn report_progress(&self) {
+        if self.is_reported.replace(true) {
+            return;
+        }
+        self.report(event::Signal::First);
+        if self.has_first_event.replace(true) {
+            return;
         }
         let now = clock::now();
-        if output.last_write > time::Time::default() {
-            let gap = output.last_write.until(now);
-            self.runtime.metrics.write_gaps.observe(gap.as_secs_f64());
+        let mut output = self.output.borrow_mut();
+        output.first_event = output.first_event.or(Some(now));
+        let took = self.request.arrived.until(now);
+        self.runtime.metrics.first_event.observe(took.as_secs_f64());
+    }
+
+    fn report(&self, signal: event::Signal) {
+        self.runtime.apply(event::Event::Attempt {
+            request: self.request.id,
+            attempt: self.dispatch.number,
+            signal,
+        });
+    }
+
+    async fn write(&self, pending: &mut BytesMut) -> Result<(), event::Signal> {
+        if pending.is_empty() {
+            return Ok(());
         }
-        output.last_write = now;
+        self.record_write();
         let written = connection::write_all(self.caller, pending).await;
         pending.clear();
         written.map_err(|_| event::Signal::Abandoned)
     }
 
-    fn record_first_event(&self, output: &mut caller_response::CallerResponse) {
-        output.first_event = output.first_event.or(Some(clock::now()));
-        let signal = event::Signal::First;
-        let request = self.request.id;
-        self.runtime
-            .apply(event::Event::Attempt { request, signal });
-        let took = self.request.arrived.until(clock::now());
-        self.runtime.metrics.first_event.observe(took.as_secs_f64());
+    /// Records the gap since the previous write to the caller.
+    fn record_write(&self) {
+        let now = clock::now();
+        let mut output = self.output.borrow_mut();
+        let previous = std::mem::replace(&mut output.last_write, now);
+        if previous > time::Time::default() {
+            let gap = previous.until(now);
+            self.runtime.metrics.write_gaps.observe(gap.as_secs_f64());
+        }
     }
 
     /// Skips a small body so that the connection can be reused.
@@ -532,17 +559,14 @@
     pub async fn forward_buffered(
         &self,
         kept: &caller_response::BufferedResponse,
-        output: &mut caller_response::CallerResponse,
     ) -> event::Signal {
         let status = kept.head.status();
-        if output.is_begun {
-            return response_reader::BROKEN_RESPONSE;
-        }
-        output.is_begun = true;
         let length = Some(kept.body.len() as u64);
-        let mut pending = self.caller_head(&kept.head, length, output);
+        let Some(mut pending) = self.begin(&kept.head, length) else {
+            return response_reader::BROKEN_RESPONSE;
+        };
         pending.extend_from_slice(&kept.body);
-        match self.write(&mut pending, output).await {
+        match self.write(&mut pending).await {
             Ok(()) => event::Signal::Whole { status },
             Err(signal) => signal,
         }
--- /dev/null
+++ b/crates/relay/src/body_stream.rs
@@ -0,0 +1,98 @@
+//! A response body on its way from an engine to the caller.
+
+use bytes::{Bytes, BytesMut};
+use guavausher_core::relay::route;
+
+use crate::events;
+use crate::framing;
+
+/// Longest response body that is not a stream, in bytes.
+const MAX_RESPONSE: usize = 16 << 20;
+
+/// Errors of a body that is no valid response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, displaydoc::Display)]
+pub(crate) enum Fault {
+    /// {0}
+    Framing(framing::Fault),
+    /// {0}
+    Events(events::Fault),
+}
+
+/// The body of one attempt's response, as far as it has been read.
+#[derive(Debug)]
+pub(crate) struct BodyStream {
+    decoder: framing::Decoder,
+    events: events::EventSplitter,
+    limit: events::SizeLimit,
+    /// Whether it is a stream of events.
+    is_stream: bool,
+    /// Whether it is passed on in complete events, since another engine may continue it.
+    by_event: bool,
+    is_empty: bool,
+}
+
+impl BodyStream {
+    /// Creates the body of a response with this status on a route.
+    pub fn new(policy: route::RetryPolicy, status: u16, framing: framing::Framing) -> Self {
+        let is_stream = policy.is_stream() && status == 200;
+        Self {
+            decoder: framing::Decoder::new(framing),
+            events: events::EventSplitter::default(),
+            limit: match is_stream {
+                true => events::SizeLimit::per_event(),
+                false => events::SizeLimit::total(MAX_RESPONSE),
+            },
+            is_stream,
+            by_event: is_stream && policy.is_idempotent(),
+            is_empty: true,
+        }
+    }
+
+    /// Returns `true` if the body is passed on in complete events.
+    pub const fn is_by_event(&self) -> bool {
+        self.by_event
+    }
+
+    /// Removes and returns the next bytes for the caller from those read; `None` if more must be
+    /// read first. `last` is the id of the last event that was passed on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are no valid body.
+    pub fn take(
+        &mut self,
+        bytes: &mut BytesMut,
+        last: &mut Option<u64>,
+    ) -> Result<Option<Bytes>, Fault> {
+        while let Some(piece) = self.decoder.take(bytes).map_err(Fault::Framing)? {
+            self.limit.add(&piece).map_err(Fault::Events)?;
+            let piece = match self.by_event {
+                true => self.events.push(&piece, last).map_err(Fault::Events)?,
+                false => piece,
+            };
+            if !piece.is_empty() {
+                self.is_empty = false;
+                return Ok(Some(piece));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Returns `true` if the body is complete.
+    pub fn is_done(&self) -> bool {
+        self.decoder.is_done()
+    }
+
+    /// Returns `true` if the body is whole when the connection closes now.
+    ///
+    /// A close ends a response only where nothing suggests that the engine broke off.
+    pub fn is_whole_at_close(&self) -> bool {
+        let is_at_boundary = !self.is_stream || self.limit.is_between_events();
+        self.is_done() || self.decoder.is_complete_at_close() && !self.is_empty && is_at_boundary
+    }
+
+    /// Removes and returns the last event of a complete body, if that lacks its blank line.
+    pub fn take_rest(&mut self, last: Option<u64>) -> Bytes {
+        self.events.take_rest(last)
+    }
+}
--- a/crates/relay/src/caller_response.rs
+++ b/crates/relay/src/caller_response.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use guavausher_core::time;
 
-use crate::events;
 use crate::head;
 
 /// A complete response that is buffered.
@@ -23,20 +22,18 @@
 }
 
 /// Progress of the response to the caller, over all attempts.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct CallerResponse {
     /// Whether the head was sent to the caller; no other one can follow.
     pub is_begun: bool,
-    /// Number of the attempt whose body is passed on, 0 before the first.
-    pub begun_by: usize,
     /// Whether the body is sent with chunked transfer coding.
     pub is_chunked: bool,
     /// Whether the caller's connection stays open after the response.
     pub keeps_alive: bool,
     /// Bytes of the body that were sent to the caller.
     pub body_bytes: u64,
-    /// Splitter that tracks the events passed on.
-    pub events: events::EventSplitter,
+    /// Id of the last event that was passed on.
+    pub last_event: Option<u64>,
     /// Time of the first event of the response.
     pub first_event: Option<time::Time>,
     /// Time at which the last bytes were written to the caller.
@@ -48,11 +45,10 @@
     pub fn new(keeps_alive: bool) -> Self {
         Self {
             is_begun: false,
-            begun_by: 0,
             is_chunked: false,
             keeps_alive,
             body_bytes: 0,
-            events: events::EventSplitter::default(),
+            last_event: None,
             first_event: None,
             last_write: time::Time::default(),
         }
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -5,11 +5,10 @@
 /// Longest event that is buffered until it is complete, in bytes.
 const MAX_EVENT: usize = 256 * 1024;
 
-/// Splits a stream into complete events and drops those that were passed on before.
+/// Splits the stream of one attempt into complete events and drops those that were passed on before.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
-    last: Option<u64>,
 }
 
 /// Errors of streams and responses that exceed a limit.
@@ -86,42 +85,34 @@
 }
 
 impl EventSplitter {
-    /// Returns the id of the last event that was passed on.
-    pub const fn last_id(&self) -> Option<u64> {
-        self.last
-    }
-
-    /// Discards a partial event of an earlier attempt.
-    pub fn restart(&mut self) {
-        self.partial.clear();
-    }
-
-    /// Removes and returns the last event of a complete response, if that lacks its blank line.
-    pub fn take_rest(&mut self) -> Bytes {
+    /// Removes and returns the last event of a complete response, if that lacks its blank line;
+    /// `last` is the id of the last event that was passed on.
+    pub fn take_rest(&mut self, last: Option<u64>) -> Bytes {
         let rest = self.partial.split().freeze();
-        let is_repeated = matches!((id_of(&rest), self.last), (Some(id), Some(last)) if id <= last);
+        let is_repeated = matches!((id_of(&rest), last), (Some(id), Some(last)) if id <= last);
         match is_repeated {
             true => Bytes::new(),
             false => rest,
         }
     }
 
-    /// Adds bytes and returns the events that are now complete and were not passed on before.
+    /// Adds bytes and returns the events that are now complete and were not passed on before; `last`
+    /// is the id of the last event that was passed on.
     ///
     /// # Errors
     ///
     /// Fails if an event is too long.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Fault> {
+    pub fn push(&mut self, bytes: &[u8], last: &mut Option<u64>) -> Result<Bytes, Fault> {
         self.partial.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
         while let Some(end) = end_of_event(&self.partial) {
             let event = self.partial.split_to(end);
             let id = id_of(&event);
-            let is_repeated = matches!((id, self.last), (Some(id), Some(last)) if id <= last);
+            let is_repeated = matches!((id, *last), (Some(id), Some(last)) if id <= last);
             if is_repeated {
                 continue;
             }
-            self.last = id.or(self.last);
+            *last = id.or(*last);
             complete.extend_from_slice(&event);
         }
         if self.partial.len() > MAX_EVENT {
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -1,5 +1,6 @@
 //! Forwarding of one request, from its arrival to its final response.
 
+use std::cell;
 use std::fmt::Write;
 use std::hash::Hasher;
 use std::rc;
@@ -8,7 +9,7 @@
 use bytes::BytesMut;
 use guavausher_core::name;
 use guavausher_core::refusal;
-use guavausher_core::relay::{event, manifest, request};
+use guavausher_core::relay::{effect, event, manifest, request};
 use guavausher_core::time;
 use guavausher_core::verdict;
 use tokio::net::TcpStream;
@@ -19,6 +20,7 @@
 use crate::connection;
 use crate::record;
 use crate::request_reader;
+use crate::running_attempts;
 use crate::runtime;
 use crate::step_queue;
 use crate::wire;
@@ -54,7 +56,7 @@
             refusal::Code::Overloaded,
             Some(incoming.arrived.after(DEFAULT_RETRY_DELAY)),
         );
-        return refuse(runtime, caller, &incoming, refusal, keeps).await;
+        return refuse(runtime, &caller.stream, &incoming, refusal, keeps).await;
     }
     runtime.held_bytes.set(runtime.held_bytes.get() + size);
     runtime.wait_loaded().await;
@@ -64,7 +66,7 @@
             log::info!(id = incoming.head.get(runtime.protocol.id).unwrap_or(""),
                 reason = refusal.code.as_str(), verdict = refusal.verdict.as_str(),
                 target = incoming.target; "refused on admission");
-            refuse(runtime, caller, &incoming, refusal, keeps).await
+            refuse(runtime, &caller.stream, &incoming, refusal, keeps).await
         }
     };
     runtime.held_bytes.set(runtime.held_bytes.get() - size);
@@ -128,92 +130,90 @@
         left_ms = request.arrived.until(request.deadline).as_millis() as u64;
         "request");
     runtime.apply(event::Event::Arrived(request.clone()));
-    let mut output = caller_response::CallerResponse::new(keeps);
-    let disposition = run_steps(runtime, caller, incoming, &request, &queue, &mut output).await;
+    let output = cell::RefCell::new(caller_response::CallerResponse::new(keeps));
+    let connection::Connection { stream, buffer, .. } = caller;
+    let exchange = attempt::Exchange {
+        runtime,
+        request: &request,
+        incoming,
+        caller: stream,
+        queue: &queue,
+        output: &output,
+    };
+    let disposition = run_steps(exchange, buffer).await;
     runtime.deregister(id);
     runtime.metrics.in_progress.dec();
     disposition
 }
 
 /// Executes the steps of a request until the final response.
-async fn run_steps(
-    runtime: &rc::Rc<runtime::Runtime>,
-    caller: &mut connection::Connection,
-    incoming: &request_reader::Request,
-    request: &request::Request,
-    queue: &step_queue::StepQueue,
-    output: &mut caller_response::CallerResponse,
-) -> Disposition {
-    let mut kept = None;
-    let mut last = None;
+async fn run_steps(exchange: attempt::Exchange<'_>, buffer: &mut BytesMut) -> Disposition {
+    let attempt::Exchange {
+        runtime,
+        request,
+        output,
+        ..
+    } = exchange;
+    let mut running = running_attempts::RunningAttempts::new();
+    let mut kept: Option<(effect::Dispatch, caller_response::BufferedResponse)> = None;
     let mut last_signal = None;
     loop {
-        let connection::Connection { stream, buffer, .. } = caller;
-        let step = queue.pop().await;
-        let signal = match &step {
-            step_queue::Step::Refuse(refusal, context) => {
-                record::refused(runtime, request, *refusal, *context);
-                if output.is_begun {
-                    record::truncated(runtime, request, *refusal, *context, last_signal, output);
-                }
-                return finish(runtime, caller, incoming, request, *refusal, output).await;
+        let (number, signal) = match next(&exchange, &mut running, buffer).await {
+            Next::Step(step_queue::Step::Send(dispatch)) => {
+                record::sent(runtime, request, &dispatch);
+                let attempt = attempt::Attempt::new(exchange, dispatch.clone());
+                running.push(dispatch, attempt.run());
+                continue;
             }
-            step_queue::Step::Send(dispatch) => {
-                let attempt = attempt::Attempt {
-                    runtime,
-                    request,
-                    incoming,
-                    caller: stream,
-                    queue,
-                    dispatch,
-                };
-                record::sent(runtime, request, dispatch);
-                let ending = supervise(&attempt, buffer, output).await;
-                last = Some(dispatch.clone());
-                match ending {
-                    attempt::Outcome::Signal(signal) => signal,
-                    attempt::Outcome::Failure(response) => {
-                        let status = response.status();
-                        kept = Some(response);
-                        event::Signal::Failing { status }
-                    }
+            Next::Step(step_queue::Step::Cancel(number)) => {
+                running.cancel(number);
+                record::superseded(runtime, request, number);
+                continue;
+            }
+            Next::Step(step_queue::Step::Refuse(refusal, context)) => {
+                record::refused(runtime, request, refusal, context);
+                let output = output.borrow().clone();
+                if output.is_begun {
+                    record::truncated(runtime, request, refusal, context, last_signal, &output);
                 }
+                return finish(&exchange, refusal, &output).await;
             }
-            step_queue::Step::ForwardFailure => {
-                let (Some(response), Some(dispatch)) = (kept.take(), &last) else {
+            Next::Step(step_queue::Step::ForwardFailure) => {
+                let Some((dispatch, response)) = kept.take() else {
                     return Disposition::Reset;
                 };
-                let attempt = attempt::Attempt {
-                    runtime,
-                    request,
-                    incoming,
-                    caller: stream,
-                    queue,
-                    dispatch,
-                };
-                attempt.forward_buffered(&response, output).await
+                let number = dispatch.number;
+                let attempt = attempt::Attempt::new(exchange, dispatch);
+                (number, attempt.forward_buffered(&response).await)
+            }
+            Next::Ended(dispatch, attempt::Outcome::Signal(signal)) => (dispatch.number, signal),
+            Next::Ended(dispatch, attempt::Outcome::Failure(response)) => {
+                let (number, status) = (dispatch.number, response.status());
+                kept = Some((dispatch, response));
+                (number, event::Signal::Failing { status })
+            }
+            Next::End(signal) => {
+                running.clear();
+                (0, signal)
             }
         };
-        record::attempt_ended(runtime, request, signal, output);
+        record::attempt_ended(runtime, request, number, signal, &output.borrow());
         last_signal = Some(signal);
-        // The attempt itself has reported that it is silent, to learn whether it is replaced.
-        if signal != event::Signal::Stalled {
-            runtime.apply(event::Event::Attempt {
-                request: request.id,
-                signal,
-            });
-        }
+        runtime.apply(event::Event::Attempt {
+            request: request.id,
+            attempt: number,
+            signal,
+        });
+        let took = request.arrived.until(clock::now());
         match signal {
             event::Signal::Whole { .. } => {
-                let took = request.arrived.until(clock::now());
                 runtime.metrics.count_request("answered", "", took);
-                return match output.keeps_alive {
+                return match output.borrow().keeps_alive {
                     true => Disposition::Keep,
                     false => Disposition::Close,
                 };
             }
             event::Signal::Abandoned => {
-                let took = request.arrived.until(clock::now());
                 runtime.metrics.count_request("abandoned", "", took);
                 return Disposition::Reset;
             }
@@ -222,46 +222,61 @@
     }
 }
 
-/// Runs an attempt until it ends, the caller disconnects or the deadline of the request passes.
-async fn supervise(
-    attempt: &attempt::Attempt<'_>,
+/// What happens next to a request.
+enum Next {
+    /// The reducer has decided.
+    Step(step_queue::Step),
+    /// An attempt has ended.
+    Ended(effect::Dispatch, attempt::Outcome),
+    /// The request ends with all its attempts.
+    End(event::Signal),
+}
+
+/// Runs the attempts until one ends, the reducer has decided, the caller disconnects or the deadline
+/// of the request passes.
+async fn next<F: Future<Output = attempt::Outcome>>(
+    exchange: &attempt::Exchange<'_>,
+    running: &mut running_attempts::RunningAttempts<F>,
     buffer: &mut BytesMut,
-    output: &mut caller_response::CallerResponse,
-) -> attempt::Outcome {
-    let stream: &TcpStream = attempt.caller;
-    let deadline = attempt.request.deadline;
+) -> Next {
     tokio::select! {
         biased;
-        ending = attempt.run(output) => ending,
-        () = connection::wait_closed(stream, buffer, MAX_READ_AHEAD) => {
-            attempt::Outcome::Signal(event::Signal::Abandoned)
+        next = running.next(exchange.queue) => match next {
+            running_attempts::Next::Step(step) => Next::Step(step),
+            running_attempts::Next::Ended(dispatch, outcome) => Next::Ended(dispatch, outcome),
+        },
+        () = connection::wait_closed(exchange.caller, buffer, MAX_READ_AHEAD) => {
+            Next::End(event::Signal::Abandoned)
         }
-        () = clock::sleep_until(deadline) => attempt::Outcome::Signal(event::Signal::Expired),
+        () = clock::sleep_until(exchange.request.deadline) => Next::End(event::Signal::Expired),
     }
 }
 
 /// Writes our own final response, or cuts off the response that has begun.
 async fn finish(
-    runtime: &rc::Rc<runtime::Runtime>,
-    caller: &connection::Connection,
-    incoming: &request_reader::Request,
-    request: &request::Request,
+    exchange: &attempt::Exchange<'_>,
     refusal: refusal::Refusal,
     output: &caller_response::CallerResponse,
 ) -> Disposition {
-    let took = request.arrived.until(clock::now());
+    let attempt::Exchange {
+        runtime,
+        request,
+        incoming,
+        caller,
+        ..
+    } = *exchange;
     if output.is_begun {
-        runtime
-            .metrics
-            .count_request("cut", refusal.code.as_str(), took);
+        let took = request.arrived.until(clock::now());
+        let reason = refusal.code.as_str();
+        runtime.metrics.count_request("cut", reason, took);
         return Disposition::Reset;
     }
     refuse(runtime, caller, incoming, refusal, output.keeps_alive).await
 }
 
 async fn refuse(
-    runtime: &rc::Rc<runtime::Runtime>,
-    caller: &connection::Connection,
+    runtime: &runtime::Runtime,
+    caller: &TcpStream,
     incoming: &request_reader::Request,
     refusal: refusal::Refusal,
     keeps: bool,
@@ -272,7 +287,7 @@
         .metrics
         .count_request("refused", refusal.code.as_str(), took);
     let response = refusal_response(id, runtime.protocol.id, refusal, keeps);
-    match connection::write_all(&caller.stream, &response).await {
+    match connection::write_all(caller, &response).await {
         Ok(()) if keeps => Disposition::Keep,
         Ok(()) => Disposition::Close,
         Err(_) => Disposition::Reset,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod attempt;
+mod body_stream;
 mod caller_response;
 pub mod client;
 pub mod clock;
@@ -33,6 +34,7 @@
 mod record;
 pub mod request_reader;
 mod response_reader;
+mod running_attempts;
 pub mod runtime;
 pub mod snapshot;
 mod step_queue;
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -78,6 +78,7 @@
 pub(crate) fn attempt_ended(
     runtime: &runtime::Runtime,
     request: &request::Request,
+    attempt: usize,
     signal: event::Signal,
     output: &caller_response::CallerResponse,
 ) {
@@ -86,7 +87,16 @@
     let first = output
         .first_event
         .map_or(0, |at| request.arrived.until(at).as_millis() as u64);
-    log::info!(id:% = request.trace, ending = ending, signal:? = signal, first_ms = first,
+    log::info!(id:% = request.trace, attempt = attempt, ending = ending, signal:? = signal, first_ms = first,
+        after_ms = request.arrived.until(clock::now()).as_millis() as u64; "attempt ended");
+}
+
+/// Logs and counts an attempt that was ended since another one has responded.
+pub(crate) fn superseded(runtime: &runtime::Runtime, request: &request::Request, attempt: usize) {
+    /// The ending in logs and metrics.
+    const ENDING: &str = "superseded";
+    runtime.metrics.count_attempt(ENDING);
+    log::info!(id:% = request.trace, attempt = attempt, ending = ENDING,
         after_ms = request.arrived.until(clock::now()).as_millis() as u64; "attempt ended");
 }
 
@@ -122,7 +132,7 @@
     runtime.metrics.count_truncated(ended_by, no_retry);
     log::warn!(id:% = request.trace, reason = refusal.code.as_str(), ended_by = ended_by,
         no_retry = no_retry, sent = context.sent, body_bytes = output.body_bytes,
-        last_event = output.events.last_id().unwrap_or(0),
+        last_event = output.last_event.unwrap_or(0),
         after_ms = request.arrived.until(clock::now()).as_millis() as u64,
         left_ms = clock::now().until(request.deadline).as_millis() as u64; "response truncated");
 }
--- a/crates/relay/src/runtime.rs
+++ b/crates/relay/src/runtime.rs
@@ -173,6 +173,9 @@
             effect::Effect::Send { request, dispatch } => {
                 self.push_step(request, step_queue::Step::Send(dispatch));
             }
+            effect::Effect::Cancel { request, attempt } => {
+                self.push_step(request, step_queue::Step::Cancel(attempt));
+            }
             effect::Effect::ForwardFailure { request } => {
                 self.push_step(request, step_queue::Step::ForwardFailure)
             }
--- a/crates/relay/src/step_queue.rs
+++ b/crates/relay/src/step_queue.rs
@@ -12,6 +12,8 @@
 pub(crate) enum Step {
     /// Send the request to an engine.
     Send(effect::Dispatch),
+    /// End the attempt with this number, since another one has responded.
+    Cancel(usize),
     /// Pass on the buffered failure response of an engine.
     ForwardFailure,
     /// Write the final response of our own.
