Send a copy only to an engine that is expected to respond faster

Cause: a replacement used to take the place of the silent attempt, so its own delay did not matter; now both take capacity.

Change: an attempt has the time since which it is silent; another engine is chosen only if it is expected to respond in less time than the silence has lasted. While an attempt is in progress and not silent, none is added, and the reason 'running' says so in the logs. An attempt that goes on after a silence is no longer counted as silent at the deadline.

--- a/crates/core/src/relay/effect.rs
+++ b/crates/core/src/relay/effect.rs
@@ -140,6 +140,8 @@
     Time,
     /// It crashed the engines that ran it.
     Suspect,
+    /// Another attempt is in progress and is not silent.
+    Running,
 }
 
 impl NoRetry {
@@ -152,6 +154,7 @@
             Self::Engines => "engines",
             Self::Time => "time",
             Self::Suspect => "suspect",
+            Self::Running => "running",
         }
     }
 }
--- a/crates/core/src/relay/flight.rs
+++ b/crates/core/src/relay/flight.rs
@@ -52,9 +52,11 @@
         self.tried.len()
     }
 
-    /// Returns `true` if nothing had arrived from any attempt in progress for too long.
-    pub fn is_silent(&self) -> bool {
-        self.running.iter().all(|a| a.is_silent)
+    /// Returns since when nothing has arrived from any attempt in progress; `None` if one is not
+    /// silent.
+    pub fn silent_since(&self) -> Option<time::Time> {
+        let since = self.running.iter().map(|a| a.silent_since);
+        since.collect::<Option<Vec<_>>>()?.into_iter().max()
     }
 }
 
@@ -69,15 +71,17 @@
     pub began: time::Time,
     /// Whether its first event has arrived.
     pub has_first_event: bool,
+    /// Since when nothing has arrived from it, if that is too long.
+    pub silent_since: Option<time::Time>,
     /// Whether nothing had arrived from it for too long at some time.
-    pub is_silent: bool,
+    pub was_silent: bool,
 }
 
 impl Attempt {
     /// Returns the time up to which a response that arrives now shows that failures at its engine
     /// were no crash.
     pub const fn alive_since(&self, now: time::Time) -> time::Time {
-        match self.is_silent {
+        match self.was_silent {
             true => now,
             false => self.began,
         }
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -66,7 +66,7 @@
 
 /// Sends a request to another engine as well if all its attempts are silent.
 fn replace_silent(state: &mut state::State, now: time::Time, id: u64) {
-    let Some(flight) = state.flights.get(&id).filter(|f| f.is_silent()) else {
+    let Some(flight) = state.flights.get(&id) else {
         return;
     };
     let service = flight.request.service.clone();
@@ -99,6 +99,7 @@
     id: u64,
 ) -> Result<fleet::Choice, effect::NoRetry> {
     let flight = state.flights.get(&id).ok_or(effect::NoRetry::Policy)?;
+    let silent_since = flight.silent_since().ok_or(effect::NoRetry::Running)?;
     check_retry(flight)?;
     if flight.running.len() >= MAX_RUNNING {
         return Err(effect::NoRetry::Attempts);
@@ -108,7 +109,10 @@
     if !state.fleet.is_healthy(now, &choice) {
         return Err(effect::NoRetry::Engines);
     }
-    if now.after(choice.expected) >= deadline {
+    // Both attempts take capacity, so the other engine must be expected to respond faster.
+    let waited = silent_since.until(now).max(dispatch::MIN_RESPONSE_TIMEOUT);
+    let is_slower = choice.expected > waited;
+    if is_slower || now.after(choice.expected) >= deadline {
         return Err(effect::NoRetry::Time);
     }
     Ok(choice)
@@ -116,12 +120,19 @@
 
 /// Records once that an attempt is silent and goes on.
 fn record_silence(state: &mut state::State, now: time::Time, id: u64, number: usize) {
-    let flight = state.flights.get_mut(&id);
-    let attempt = flight.and_then(|f| f.attempt_mut(number));
-    let Some(attempt) = attempt.filter(|a| !a.is_silent) else {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    let gap = dispatch::max_gap(flight).unwrap_or_default();
+    let attempt = flight.attempt_mut(number);
+    let Some(attempt) = attempt.filter(|a| a.silent_since.is_none()) else {
         return;
     };
-    attempt.is_silent = true;
+    attempt.silent_since = match attempt.has_first_event {
+        true => Some(now.before(gap)),
+        false => Some(attempt.began),
+    };
+    attempt.was_silent = true;
     let outcome = fleet::Outcome::Silent;
     state.fleet.record_outcome(now, &attempt.choice, outcome);
     state.out.push(effect::Effect::EngineAvoided {
@@ -163,9 +174,13 @@
     };
     flight.responding = true;
     let attempt = flight.running.iter_mut().find(|a| a.number == number);
-    let Some(attempt) = attempt.filter(|a| !a.has_first_event) else {
+    let Some(attempt) = attempt else {
         return;
     };
+    attempt.silent_since = None;
+    if attempt.has_first_event {
+        return;
+    }
     attempt.has_first_event = true;
     state
         .failed_attempts
@@ -213,7 +228,9 @@
         return;
     };
     let others = flight.running.iter().filter(|a| a.number != number);
-    let others: Vec<_> = others.map(|a| (a.number, a.is_silent)).collect();
+    let others: Vec<_> = others
+        .map(|a| (a.number, a.silent_since.is_some()))
+        .collect();
     for (other, is_silent) in others {
         let symptom = failed_attempts::Symptom::Silent;
         crashes::record_failed_attempt(state, now, id, other, symptom);
@@ -366,7 +383,7 @@
     for attempt in running(state, id) {
         let symptom = failed_attempts::Symptom::Silent;
         crashes::record_failed_attempt(state, now, id, attempt.number, symptom);
-        let is_responding = attempt.has_first_event && !attempt.is_silent;
+        let is_responding = attempt.has_first_event && attempt.silent_since.is_none();
         let outcome = if is_responding {
             fleet::Outcome::Good
         } else {
--- a/crates/core/src/relay/reduce/dispatch.rs
+++ b/crates/core/src/relay/reduce/dispatch.rs
@@ -23,7 +23,7 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Shortest time that an idempotent request waits for its response before another engine is
 /// considered.
-const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(150);
 /// The same as a multiple of the expected time.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 4;
 /// Gap after which it is considered to continue a stream at another engine, as a multiple of the
@@ -225,7 +225,8 @@
         choice: choice.clone(),
         began: now,
         has_first_event: false,
-        is_silent: false,
+        silent_since: None,
+        was_silent: false,
     });
     let dispatch = effect::Dispatch {
         number: flight.last_attempt(),
@@ -260,7 +261,7 @@
 }
 
 /// Returns the gap after which it is considered to continue a stream at another engine.
-fn max_gap(flight: &flight::Flight) -> Option<Duration> {
+pub(super) fn max_gap(flight: &flight::Flight) -> Option<Duration> {
     let route = &flight.request.route;
     let may_resume =
         route.retry_policy == route::RetryPolicy::ResumableStream && has_attempts_left(flight);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -156,10 +156,15 @@
         relay
     }
 
-    /// Applies a manifest and a list of engines.
-    pub fn inform(&self, parts: manifest::Parts, engines: &[&Engine]) {
+    /// Applies a manifest.
+    pub fn manifest(&self, parts: manifest::Parts) {
         let manifest = sync::Arc::new(manifest::Manifest::new(parts));
         self.runtime.apply(event::Event::Manifest(manifest));
+    }
+
+    /// Applies a manifest and a list of engines.
+    pub fn inform(&self, parts: manifest::Parts, engines: &[&Engine]) {
+        self.manifest(parts);
         let listed = engines.iter().enumerate();
         let list = listed.map(|(i, e)| engine_entry(i, e.address)).collect();
         self.runtime.apply(event::Event::Engines(list));
@@ -290,6 +295,12 @@
     }
 }
 
+/// Returns an address at which nothing listens.
+pub fn closed_address() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
 /// Composes a request.
 pub fn request(method: &str, path: &str, id: &str, body: &str) -> String {
     let length = match body.is_empty() {
--- a/crates/relay/tests/support/script.rs
+++ b/crates/relay/tests/support/script.rs
@@ -48,6 +48,8 @@
     /// Sends bytes and keeps the connection; sends the others on it once the relay has read its
     /// next request, before it selects a connection for it.
     Late(String, String),
+    /// Sends bytes, nothing for a while, and then the others; keeps the connection.
+    Paused(String, Duration, String),
     /// Sends bytes in several parts with pauses and keeps the connection.
     Parts(Vec<String>),
 }
@@ -192,6 +194,12 @@
                 let bytes = text(&late);
                 LATE.with_borrow_mut(|all| all.push(Late { socket, bytes }));
             }
+            Some(Reply::Paused(t, pause, rest)) => {
+                stream.write_all(&text(&t)).await.unwrap();
+                tokio::time::sleep(pause).await;
+                // The relay may have closed the connection.
+                let _ = stream.write_all(&text(&rest)).await;
+            }
             Some(Reply::Parts(parts)) => {
                 for part in parts {
                     // The relay may close the connection after a part.
