Log and count which limit a silent engine has exceeded

What was missing: an attempt that is silent no longer ends, so that the metric of attempts that ended 'stalled' said nothing, the line 'engine is silent' came once for each limit passed, and did not say which one.

Change: the line names the limit (first byte or gap) and comes again only when what followed has changed; engine_silences_total counts the same.

Evidence: silence_is_logged_with_its_limit_and_what_followed.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -75,6 +75,8 @@
     /// Whether its first event, or the first after a silence, was reported.
     is_reported: cell::Cell<bool>,
     has_first_event: cell::Cell<bool>,
+    /// What followed from its silence, as it was logged last.
+    silence: cell::Cell<Option<record::Silence>>,
 }
 
 impl<'a> Attempt<'a> {
@@ -90,6 +92,7 @@
             output: exchange.output,
             is_reported: cell::Cell::new(false),
             has_first_event: cell::Cell::new(false),
+            silence: cell::Cell::new(None),
         }
     }
 }
@@ -463,12 +466,26 @@
         }
     }
 
-    /// Reports that nothing has arrived from the engine for too long.
+    /// Reports that nothing has arrived from the engine for too long, and logs what followed from it
+    /// unless that is the same as before.
     fn report_silence(&self) {
         self.is_reported.set(false);
         self.report(event::Signal::Stalled);
         let is_replaced = self.queue.has_next();
-        record::stalled(self.runtime, self.request, &self.dispatch, is_replaced);
+        let silence = record::Silence {
+            limit: match self.has_first_event.get() {
+                true => "gap",
+                false => "first-byte",
+            },
+            is_replaced,
+            no_retry: match is_replaced {
+                true => None,
+                false => self.runtime.no_retry(self.request.id),
+            },
+        };
+        if self.silence.replace(Some(silence)) != Some(silence) {
+            record::silent(self.runtime, self.request, &self.dispatch, silence);
+        }
     }
 
     /// Reports the first event, or the first one after a silence, which ends the other attempts.
@@ -477,6 +494,7 @@
             return;
         }
         self.report(event::Signal::First);
+        self.silence.set(None);
         if self.has_first_event.replace(true) {
             return;
         }
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -172,7 +172,7 @@
             }
             Next::Step(step_queue::Step::Refuse(refusal, context)) => {
                 record::refused(runtime, request, refusal, context);
-                let output = output.borrow().clone();
+                let output = *output.borrow();
                 if output.is_begun {
                     record::truncated(runtime, request, refusal, context, last_signal, &output);
                 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -76,6 +76,15 @@
     pub no_retry: &'static str,
 }
 
+/// Labels of an attempt's silence.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
+pub struct Silence {
+    /// The limit that was exceeded: `first-byte` or `gap`.
+    pub limit: &'static str,
+    /// Why no other engine gets the request as well; empty if one does.
+    pub no_retry: &'static str,
+}
+
 /// Metrics of a process; clones share their values.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -91,6 +100,8 @@
     pub limited: family::Family<Limited, counter::Counter>,
     /// Responses that ended although they were begun.
     pub truncated: family::Family<Truncated, counter::Counter>,
+    /// Silences of attempts.
+    pub silences: family::Family<Silence, counter::Counter>,
     /// Requests in progress.
     pub in_progress: gauge::Gauge,
     /// Version of the manifest in force.
@@ -114,6 +125,7 @@
             notices: family::Family::default(),
             limited: family::Family::default(),
             truncated: family::Family::default(),
+            silences: family::Family::default(),
             in_progress: gauge::Gauge::default(),
             manifest: gauge::Gauge::default(),
             lease: gauge::Gauge::default(),
@@ -164,6 +176,12 @@
         self.truncated.get_or_create(&labels).inc();
     }
 
+    /// Counts a silence of an attempt.
+    pub fn count_silence(&self, limit: &'static str, no_retry: &'static str) {
+        let labels = Silence { limit, no_retry };
+        self.silences.get_or_create(&labels).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format, with gauges of the current state.
     pub fn text(&self, now: time::Time, state: &state::State) -> String {
         let mut registry = registry::Registry::with_prefix("guavausher_relay");
@@ -189,6 +207,11 @@
             "Responses that ended although they were begun, by the end of the last attempt",
             self.truncated.clone(),
         );
+        registry.register(
+            "engine_silences",
+            "Attempts from which nothing had arrived for too long, by what followed",
+            self.silences.clone(),
+        );
         registry.register(
             "requests_in_progress",
             "Requests in progress",
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -100,20 +100,28 @@
         after_ms = request.arrived.until(clock::now()).as_millis() as u64; "attempt ended");
 }
 
-/// Logs that nothing has arrived from an engine for too long, and whether another one gets the
-/// request.
-pub(crate) fn stalled(
+/// What follows from the silence of an attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Silence {
+    /// The limit that was exceeded: `first-byte` or `gap`.
+    pub limit: &'static str,
+    /// Whether another engine gets the request as well.
+    pub is_replaced: bool,
+    /// Why no other engine gets it.
+    pub no_retry: Option<effect::NoRetry>,
+}
+
+/// Logs and counts that nothing has arrived from an engine for too long, and what follows from it.
+pub(crate) fn silent(
     runtime: &runtime::Runtime,
     request: &request::Request,
     dispatch: &effect::Dispatch,
-    is_replaced: bool,
+    silence: Silence,
 ) {
-    let no_retry = match is_replaced {
-        true => None,
-        false => runtime.no_retry(request.id),
-    };
+    let no_retry = silence.no_retry.map_or("", effect::NoRetry::as_str);
+    runtime.metrics.count_silence(silence.limit, no_retry);
     log::info!(id:% = request.trace, engine:% = dispatch.choice.engine, attempt = dispatch.number,
-        replaced = is_replaced, no_retry = no_retry.map_or("", effect::NoRetry::as_str),
+        limit = silence.limit, replaced = silence.is_replaced, no_retry = no_retry,
         after_ms = request.arrived.until(clock::now()).as_millis() as u64; "engine is silent");
 }
 
--- a/crates/relay/tests/silent_engines.rs
+++ b/crates/relay/tests/silent_engines.rs
@@ -4,10 +4,11 @@
 
 use std::time::Duration;
 
+use guavausher_relay::clock;
 use rstest::rstest;
 use support::answer::Answer;
 use support::script::Reply;
-use support::{Engine, Relay, complete_response, events, request};
+use support::{Engine, Relay, complete_response, events, lines, request};
 
 /// Time after which another engine gets a request as well, at most.
 const PATIENCE: Duration = Duration::from_millis(200);
@@ -180,6 +181,35 @@
     });
 }
 
+/// From the id alone: which limit was exceeded, whether another engine got the request as well, and
+/// why not; a long silence has one line for each answer.
+#[test]
+fn silence_is_logged_with_its_limit_and_what_followed() {
+    support::run(async {
+        lines::keep();
+        let first = Engine::start(vec![paused(&events(1..=3, true), true)]).await;
+        let second = Engine::start(vec![Other::Refuses.reply()]).await;
+        let relay = relay(&first, &second);
+        assert_eq!(ask(&relay, "/resume/").await.summary(), "200 [1][2][3]");
+        let silences = lines::all("engine is silent");
+        let summary = silences.iter().map(|line| {
+            let is_replaced = line.text("replaced");
+            (line.text("limit"), is_replaced, line.text("no_retry"))
+        });
+        let expected = [("gap", "true", ""), ("gap", "false", "attempts")];
+        assert!(summary.eq(expected), "{silences:?}");
+        let metrics = &relay.runtime.metrics;
+        let text = metrics.text(clock::now(), &relay.runtime.state.borrow());
+        for labels in [
+            "limit=\"gap\",no_retry=\"\"",
+            "limit=\"gap\",no_retry=\"attempts\"",
+        ] {
+            let counter = format!("guavausher_relay_engine_silences_total{{{labels}}} 1");
+            assert!(text.contains(&counter), "{text}");
+        }
+    });
+}
+
 /// The caller's close ends all attempts of its request.
 #[test]
 fn caller_that_leaves_ends_all_attempts() {
