Send a copy only to an engine that is expected to respond much sooner

Change: another engine must be expected to respond in half the time that the attempts have been silent, or within the shortest response timeout.

--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -22,6 +22,10 @@
 /// Attempts of one request that run at the same time, at most.
 const MAX_RUNNING: usize = 3;
 
+/// How much sooner than its attempts so far another engine must be expected to respond to a request
+/// for it to get that as well.
+const MIN_SPEEDUP: u32 = 2;
+
 /// Applies the progress or end of an attempt.
 pub(super) fn apply(
     state: &mut state::State,
@@ -109,10 +113,9 @@
     if !state.fleet.is_healthy(now, &choice) {
         return Err(effect::NoRetry::Engines);
     }
-    // Both attempts take capacity, so the other engine must be expected to respond faster.
-    let waited = silent_since.until(now).max(dispatch::MIN_RESPONSE_TIMEOUT);
-    let is_slower = choice.expected > waited;
-    if is_slower || now.after(choice.expected) >= deadline {
+    // Both attempts take capacity, so the other engine must be expected to respond much sooner.
+    let fast = (silent_since.until(now) / MIN_SPEEDUP).max(dispatch::MIN_RESPONSE_TIMEOUT);
+    if choice.expected > fast || now.after(choice.expected) >= deadline {
         return Err(effect::NoRetry::Time);
     }
     Ok(choice)
