Split the files of attempts in the reducer and in the relay

No change of behaviour. core::relay::reduce::attempt was 457 lines and crates/relay/src/attempt.rs 604: silences, the retry check with its budget, the counting of runs and the ends of attempts have files of their own, as have engines' notices and the passing on of a response.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -395,6 +395,16 @@
         matches!(self, Self::Good | Self::Bad | Self::Full)
     }
 
+    /// Returns whether the attempt counts as a success of the engine's version; `None` if it does not
+    /// count.
+    pub const fn is_success(self) -> Option<bool> {
+        match self {
+            Self::Good => Some(true),
+            Self::Bad | Self::Broke | Self::Silent => Some(false),
+            Self::Unreachable | Self::Full | Self::Moved => None,
+        }
+    }
+
     /// Returns `true` if the engine is avoided for a while.
     pub const fn causes_avoidance(self) -> bool {
         matches!(self, Self::Silent | Self::Unreachable | Self::Moved)
--- a/crates/core/src/relay/flight.rs
+++ b/crates/core/src/relay/flight.rs
@@ -16,7 +16,8 @@
     pub tried: Vec<name::Name>,
     /// Number of attempts sent.
     pub attempts: u32,
-    /// Attempts in progress, in the order of their numbers; all but the last are silent.
+    /// Attempts in progress, in the order of their numbers; each was sent when those before it were
+    /// silent.
     pub running: Vec<Attempt>,
     /// Whether an engine may have run it.
     pub may_have_run: bool,
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -3,10 +3,14 @@
 mod attempt;
 mod crashes;
 mod dispatch;
+mod ending;
 mod engines;
 mod peer_messages;
 mod rate_limits;
 mod refuse;
+mod retry;
+mod runs;
+mod silence;
 
 use super::effect;
 use super::event;
--- /dev/null
+++ b/crates/core/src/relay/reduce/ending.rs
@@ -0,0 +1,80 @@
+//! Ends of attempts.
+
+use super::crashes;
+use crate::relay::effect;
+use crate::relay::failed_attempts;
+use crate::relay::fleet;
+use crate::relay::state;
+use crate::time;
+
+/// Ends an attempt in progress with its outcome.
+pub(super) fn end_attempt(
+    state: &mut state::State,
+    now: time::Time,
+    id: u64,
+    number: usize,
+    outcome: fleet::Outcome,
+) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    let Some(attempt) = flight.take_attempt(number) else {
+        return;
+    };
+    let outcome = state.fleet.classify(now, &attempt.choice, outcome);
+    if let Some(is_success) = outcome.is_success() {
+        let (service, route) = (&flight.request.service, &flight.request.route.name);
+        let version = &attempt.choice.version;
+        state
+            .rollouts
+            .record_response(service, route, version, is_success);
+    }
+    state
+        .fleet
+        .end_attempt(&attempt.choice, attempt.has_first_event);
+    state.fleet.record_outcome(now, &attempt.choice, outcome);
+    if outcome.is_response() {
+        state
+            .failed_attempts
+            .record_response(&attempt.choice, attempt.alive_since(now));
+    }
+    if outcome.causes_avoidance() {
+        state.out.push(effect::Effect::EngineAvoided {
+            engine: attempt.choice.engine,
+            outcome,
+        });
+    }
+}
+
+/// Ends the attempts of a request other than the one that has responded.
+pub(super) fn cancel_others(state: &mut state::State, now: time::Time, id: u64, number: usize) {
+    let Some(flight) = state.flights.get(&id) else {
+        return;
+    };
+    let others = flight.running.iter().filter(|a| a.number != number);
+    let others: Vec<_> = others
+        .map(|a| (a.number, a.silent_since.is_some()))
+        .collect();
+    for (other, is_silent) in others {
+        let symptom = failed_attempts::Symptom::Silent;
+        crashes::record_failed_attempt(state, now, id, other, symptom);
+        match is_silent {
+            true => end_attempt(state, now, id, other, fleet::Outcome::Silent),
+            false => abandon_attempt(state, id, other),
+        }
+        state.out.push(effect::Effect::Cancel {
+            request: id,
+            attempt: other,
+        });
+    }
+}
+
+/// Ends an attempt whose engine had its time left, without an outcome.
+pub(super) fn abandon_attempt(state: &mut state::State, id: u64, number: usize) {
+    let flight = state.flights.get_mut(&id);
+    if let Some(attempt) = flight.and_then(|f| f.take_attempt(number)) {
+        state
+            .fleet
+            .end_attempt(&attempt.choice, attempt.has_first_event);
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use guavausher_core::relay::{effect, event, rate_limit, request, route};
+use guavausher_core::relay::{effect, event, request, route};
 use guavausher_core::time;
 use tokio::net::TcpStream;
 
-use crate::body_stream;
 use crate::caller_response;
 use crate::clock;
 use crate::connection;
@@ -25,14 +24,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Responses to earlier requests that are skipped on one connection.
 const MAX_STALE_RESPONSES: usize = 4;
-/// Status of a response that rejects a request for lack of capacity.
-const UNAVAILABLE: u16 = 503;
-/// Lowest status of a final response.
-const MIN_FINAL_STATUS: u16 = 200;
 /// Status of a response from an engine other than the intended one.
-const MISDIRECTED: u16 = 421;
+pub const MISDIRECTED: u16 = 421;
 /// Statuses that promise that a request has not run and will not.
-const PROMISES: [u16; 3] = [408, 429, UNAVAILABLE];
+const PROMISES: [u16; 3] = [408, 429, 503];
 /// Lowest status of a response that reports a failure of the engine.
 const MIN_FAILURE_STATUS: u16 = 500;
 
@@ -69,9 +64,9 @@
     pub request: &'a request::Request,
     pub incoming: &'a request_reader::Request,
     pub dispatch: effect::Dispatch,
-    caller: &'a TcpStream,
+    pub caller: &'a TcpStream,
     queue: &'a step_queue::StepQueue,
-    output: &'a cell::RefCell<caller_response::CallerResponse>,
+    pub output: &'a cell::RefCell<caller_response::CallerResponse>,
     /// Whether its first event, or the first after a silence, was reported.
     is_reported: cell::Cell<bool>,
     has_first_event: cell::Cell<bool>,
@@ -216,63 +211,6 @@
         id.unwrap_or_default() == self.request.trace.as_str()
     }
 
-    /// Applies the engine notices (leaving, on hold, rate limit) in a response head, whatever its
-    /// status.
-    fn apply_notices(&self, head: &head::Head) {
-        if head.get(self.runtime.protocol.leaving) == Some("1") {
-            self.apply_notice(event::Notice::Leaving);
-        }
-        let wait = wire::retry_after(head).filter(|wait| !wait.is_zero());
-        if let Some(wait) = wait.filter(|_| head.status() == UNAVAILABLE) {
-            self.apply_notice(event::Notice::Hold(clock::now().after(wait)));
-        }
-        self.apply_rate_limit(head);
-    }
-
-    /// Applies the rate limit in a response head, or its absence if the engine has stated one
-    /// before.
-    fn apply_rate_limit(&self, head: &head::Head) {
-        // A misdirected request was answered by another engine, which speaks for itself.
-        if head.status() == MISDIRECTED {
-            return;
-        }
-        let names = &self.runtime.protocol;
-        let is_own = head.get(names.id) == Some(self.request.trace.as_str());
-        let rate = head.get(names.rate_limit).map(parse_rate);
-        let rate = match rate {
-            Some(None) => return,
-            None if !(is_own && self.shows_end_of_limit(head)) => return,
-            rate => rate.flatten(),
-        };
-        let earliest = match is_own {
-            true => self.dispatch.decided_at,
-            false => time::Time::default(),
-        };
-        self.apply_notice(event::Notice::Limit(rate_limit::Statement {
-            rate,
-            earliest,
-            latest: clock::now(),
-        }));
-    }
-
-    /// Returns `true` if a response without a rate limit is the engine's own final one, and the
-    /// engine has stated a limit before.
-    fn shows_end_of_limit(&self, head: &head::Head) -> bool {
-        let names = &self.runtime.protocol;
-        let is_final = head.status() >= MIN_FINAL_STATUS;
-        let is_from_engine = head.get(names.stamp).is_some() || head.get(names.refusal).is_some();
-        is_final && is_from_engine && self.runtime.has_stated_limit(&self.dispatch.choice)
-    }
-
-    fn apply_notice(&self, notice: event::Notice) {
-        let choice = &self.dispatch.choice;
-        self.runtime.apply(event::Event::EngineNotice {
-            engine: choice.engine.clone(),
-            incarnation: choice.incarnation,
-            notice,
-        });
-    }
-
     /// Handles a response by its head: skips, buffers or streams its body.
     async fn handle_response(
         &self,
@@ -358,117 +296,9 @@
         body.ok_or(response_reader::BROKEN_RESPONSE)
     }
 
-    /// Streams the head and the body to the caller as they arrive.
-    ///
-    /// The head is sent with the first bytes of the body, so that until then another engine can
-    /// respond instead.
-    async fn stream_response(
-        &self,
-        engine: &mut connection::Connection,
-        response: &Response,
-        framing: framing::Framing,
-    ) -> Result<(), event::Signal> {
-        let policy = self.request.route.retry_policy;
-        let mut body = body_stream::BodyStream::new(policy, response.head.status(), framing);
-        let length = match framing {
-            framing::Framing::Length(length) if !body.is_by_event() => Some(length),
-            _ => None,
-        };
-        let mut pending = BytesMut::new();
-        loop {
-            let is_valid = self.take_pieces(engine, response, &mut body, length, &mut pending);
-            if body.is_done() {
-                break;
-            }
-            // Another engine continues after the events before invalid bytes, so the caller must
-            // have them.
-            self.write(&mut pending).await?;
-            if !is_valid {
-                return Err(response_reader::BROKEN_RESPONSE);
-            }
-            if self.read_more(engine).await? == 0 {
-                break;
-            }
-        }
-        if !body.is_whole_at_close() {
-            return Err(response_reader::BROKEN_RESPONSE);
-        }
-        let rest = body.take_rest(self.output.borrow().last_event);
-        self.push_piece(&response.head, length, &rest, &mut pending);
-        if self.output.borrow().is_chunked {
-            pending.extend_from_slice(b"0\r\n\r\n");
-        }
-        self.write(&mut pending).await
-    }
-
-    /// Adds what has been read of the body to the bytes to be sent; returns `false` if that is not
-    /// valid.
-    fn take_pieces(
-        &self,
-        engine: &mut connection::Connection,
-        response: &Response,
-        body: &mut body_stream::BodyStream,
-        length: Option<u64>,
-        pending: &mut BytesMut,
-    ) -> bool {
-        loop {
-            let taken = body.take(&mut engine.buffer, &mut self.output.borrow_mut().last_event);
-            match taken {
-                Ok(Some(piece)) => self.push_piece(&response.head, length, &piece, pending),
-                Ok(None) => return true,
-                Err(fault) => {
-                    log::debug!(id:% = self.request.trace, fault:% = fault;
-                        "body of the response is not valid");
-                    return false;
-                }
-            }
-        }
-    }
-
-    /// Adds a piece of the body to the bytes to be sent, after the head if that was not sent yet.
-    fn push_piece(
-        &self,
-        head: &head::Head,
-        length: Option<u64>,
-        piece: &[u8],
-        pending: &mut BytesMut,
-    ) {
-        self.report_progress();
-        if let Some(head) = self.begin(head, length) {
-            *pending = head;
-        }
-        let mut output = self.output.borrow_mut();
-        output.body_bytes += piece.len() as u64;
-        wire::push_body(pending, piece, output.is_chunked);
-    }
-
-    /// Begins the response to the caller and returns its head; `None` if it has begun before.
-    fn begin(&self, head: &head::Head, length: Option<u64>) -> Option<BytesMut> {
-        let mut output = self.output.borrow_mut();
-        if std::mem::replace(&mut output.is_begun, true) {
-            return None;
-        }
-        Some(self.caller_head(head, length, &mut output))
-    }
-
-    async fn read_more(&self, engine: &mut connection::Connection) -> Result<usize, event::Signal> {
-        let Some(pause) = self.dispatch.max_gap else {
-            return engine
-                .fill()
-                .await
-                .map_err(|_| response_reader::BROKEN_RESPONSE);
-        };
-        loop {
-            match tokio::time::timeout(pause, engine.fill()).await {
-                Ok(read) => return read.map_err(|_| response_reader::BROKEN_RESPONSE),
-                Err(_) => self.report_silence(),
-            }
-        }
-    }
-
     /// Reports that nothing has arrived from the engine for too long, and logs what followed from it
     /// unless that is the same as before.
-    fn report_silence(&self) {
+    pub fn report_silence(&self) {
         self.is_reported.set(false);
         self.report(event::Signal::Stalled);
         let is_replaced = self.queue.has_next();
@@ -489,7 +319,7 @@
     }
 
     /// Reports the first event, or the first one after a silence, which ends the other attempts.
-    fn report_progress(&self) {
+    pub fn report_progress(&self) {
         if self.is_reported.replace(true) {
             return;
         }
@@ -513,27 +343,6 @@
         });
     }
 
-    async fn write(&self, pending: &mut BytesMut) -> Result<(), event::Signal> {
-        if pending.is_empty() {
-            return Ok(());
-        }
-        self.record_write();
-        let written = connection::write_all(self.caller, pending).await;
-        pending.clear();
-        written.map_err(|_| event::Signal::Abandoned)
-    }
-
-    /// Records the gap since the previous write to the caller.
-    fn record_write(&self) {
-        let now = clock::now();
-        let mut output = self.output.borrow_mut();
-        let previous = std::mem::replace(&mut output.last_write, now);
-        if previous > time::Time::default() {
-            let gap = previous.until(now);
-            self.runtime.metrics.write_gaps.observe(gap.as_secs_f64());
-        }
-    }
-
     /// Skips a small body so that the connection can be reused.
     async fn skip_response(
         &self,
@@ -572,33 +381,12 @@
         }
         engine.keep_alive = Some(wire::keep_alive(&response.head));
     }
-
-    /// Passes on a response that was buffered.
-    pub async fn forward_buffered(
-        &self,
-        kept: &caller_response::BufferedResponse,
-    ) -> event::Signal {
-        let status = kept.head.status();
-        let length = Some(kept.body.len() as u64);
-        let Some(mut pending) = self.begin(&kept.head, length) else {
-            return response_reader::BROKEN_RESPONSE;
-        };
-        pending.extend_from_slice(&kept.body);
-        match self.write(&mut pending).await {
-            Ok(()) => event::Signal::Whole { status },
-            Err(signal) => signal,
-        }
-    }
-}
-
-fn parse_rate(text: &str) -> Option<rate_limit::Rate> {
-    rate_limit::Rate::from_per_second(text.parse().ok()?)
 }
 
 /// The head of a response to this request.
 #[derive(Debug)]
-struct Response {
-    head: head::Head,
+pub(crate) struct Response {
+    pub head: head::Head,
     /// Whether no stale response came before it.
     is_clean: bool,
 }
--- /dev/null
+++ b/crates/relay/src/forward_body.rs
@@ -0,0 +1,163 @@
+//! Passing the response of an attempt on to the caller.
+
+use bytes::BytesMut;
+use guavausher_core::relay::event;
+use guavausher_core::time;
+
+use crate::attempt;
+use crate::body_stream;
+use crate::caller_response;
+use crate::clock;
+use crate::connection;
+use crate::framing;
+use crate::head;
+use crate::response_reader;
+use crate::wire;
+
+impl attempt::Attempt<'_> {
+    /// Passes on a response that was buffered.
+    pub async fn forward_buffered(
+        &self,
+        kept: &caller_response::BufferedResponse,
+    ) -> event::Signal {
+        let status = kept.head.status();
+        let length = Some(kept.body.len() as u64);
+        let Some(mut pending) = self.begin(&kept.head, length) else {
+            return response_reader::BROKEN_RESPONSE;
+        };
+        pending.extend_from_slice(&kept.body);
+        match self.write(&mut pending).await {
+            Ok(()) => event::Signal::Whole { status },
+            Err(signal) => signal,
+        }
+    }
+
+    /// Streams the head and the body to the caller as they arrive.
+    ///
+    /// The head is sent with the first bytes of the body, so that until then another engine can
+    /// respond instead.
+    pub async fn stream_response(
+        &self,
+        engine: &mut connection::Connection,
+        response: &attempt::Response,
+        framing: framing::Framing,
+    ) -> Result<(), event::Signal> {
+        let policy = self.request.route.retry_policy;
+        let mut body = body_stream::BodyStream::new(policy, response.head.status(), framing);
+        let length = match framing {
+            framing::Framing::Length(length) if !body.is_by_event() => Some(length),
+            _ => None,
+        };
+        let mut pending = BytesMut::new();
+        loop {
+            let is_valid = self.take_pieces(engine, response, &mut body, length, &mut pending);
+            if body.is_done() {
+                break;
+            }
+            // Another engine continues after the events before invalid bytes, so the caller must
+            // have them.
+            self.write(&mut pending).await?;
+            if !is_valid {
+                return Err(response_reader::BROKEN_RESPONSE);
+            }
+            if self.read_more(engine).await? == 0 {
+                break;
+            }
+        }
+        if !body.is_whole_at_close() {
+            return Err(response_reader::BROKEN_RESPONSE);
+        }
+        let rest = body.take_rest(self.output.borrow().last_event);
+        self.push_piece(&response.head, length, &rest, &mut pending);
+        if self.output.borrow().is_chunked {
+            pending.extend_from_slice(b"0\r\n\r\n");
+        }
+        self.write(&mut pending).await
+    }
+
+    /// Adds what has been read of the body to the bytes to be sent; returns `false` if that is not
+    /// valid.
+    fn take_pieces(
+        &self,
+        engine: &mut connection::Connection,
+        response: &attempt::Response,
+        body: &mut body_stream::BodyStream,
+        length: Option<u64>,
+        pending: &mut BytesMut,
+    ) -> bool {
+        loop {
+            let taken = body.take(&mut engine.buffer, &mut self.output.borrow_mut().last_event);
+            match taken {
+                Ok(Some(piece)) => self.push_piece(&response.head, length, &piece, pending),
+                Ok(None) => return true,
+                Err(fault) => {
+                    log::debug!(id:% = self.request.trace, fault:% = fault;
+                        "body of the response is not valid");
+                    return false;
+                }
+            }
+        }
+    }
+
+    /// Adds a piece of the body to the bytes to be sent, after the head if that was not sent yet.
+    fn push_piece(
+        &self,
+        head: &head::Head,
+        length: Option<u64>,
+        piece: &[u8],
+        pending: &mut BytesMut,
+    ) {
+        self.report_progress();
+        if let Some(head) = self.begin(head, length) {
+            *pending = head;
+        }
+        let mut output = self.output.borrow_mut();
+        output.body_bytes += piece.len() as u64;
+        wire::push_body(pending, piece, output.is_chunked);
+    }
+
+    /// Begins the response to the caller and returns its head; `None` if it has begun before.
+    fn begin(&self, head: &head::Head, length: Option<u64>) -> Option<BytesMut> {
+        let mut output = self.output.borrow_mut();
+        if std::mem::replace(&mut output.is_begun, true) {
+            return None;
+        }
+        Some(self.caller_head(head, length, &mut output))
+    }
+
+    async fn read_more(&self, engine: &mut connection::Connection) -> Result<usize, event::Signal> {
+        let Some(pause) = self.dispatch.max_gap else {
+            return engine
+                .fill()
+                .await
+                .map_err(|_| response_reader::BROKEN_RESPONSE);
+        };
+        loop {
+            match tokio::time::timeout(pause, engine.fill()).await {
+                Ok(read) => return read.map_err(|_| response_reader::BROKEN_RESPONSE),
+                Err(_) => self.report_silence(),
+            }
+        }
+    }
+
+    async fn write(&self, pending: &mut BytesMut) -> Result<(), event::Signal> {
+        if pending.is_empty() {
+            return Ok(());
+        }
+        self.record_write();
+        let written = connection::write_all(self.caller, pending).await;
+        pending.clear();
+        written.map_err(|_| event::Signal::Abandoned)
+    }
+
+    /// Records the gap since the previous write to the caller.
+    fn record_write(&self) {
+        let now = clock::now();
+        let mut output = self.output.borrow_mut();
+        let previous = std::mem::replace(&mut output.last_write, now);
+        if previous > time::Time::default() {
+            let gap = previous.until(now);
+            self.runtime.metrics.write_gaps.observe(gap.as_secs_f64());
+        }
+    }
+}
