Cut a stream that broke off instead of ending its chunks

What callers saw: a stream that the entry could not finish got `event: error` and then the last chunk, so an HTTP client that does not look for `event: done` took it for whole. A stalled caller whose queue of chunks was full did not even get the event, and neither did one whose task had ended early.

Cause: the end of a stream's body meant two things. The body ended when the way to the caller was dropped, whether the answer was whole or not.

Change: a body ends only if the stream was said to be whole before its way was dropped; anything else cuts the connection. A body that returns an error to the server loses what the server has not written yet, the `event: error` among it. Therefore the caller's socket fails instead, at the first flush after the cut, which the server makes once its buffer is empty.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod caller;
+mod caller_socket;
 mod command;
 mod conduct;
 mod driver;
--- a/crates/node/src/entry/caller.rs
+++ b/crates/node/src/entry/caller.rs
@@ -1,5 +1,7 @@
 //! The caller's side of one request.
 
+use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use bytes::Bytes;
@@ -30,16 +32,25 @@
     pub version: String,
     /// The body.
     pub chunks: mpsc::Receiver<Bytes>,
+    /// Whether the body is whole once its last chunk has come.
+    pub whole: sync::Arc<atomic::AtomicBool>,
 }
 
 /// Where the answer stands.
 #[derive(Debug)]
 enum Stage {
     Waiting(oneshot::Sender<Head>),
-    Streaming(mpsc::Sender<Bytes>),
+    Streaming(Sender),
     Ended,
 }
 
+/// The way of a stream to the caller; the stream is cut if this is dropped before the stream is whole.
+#[derive(Debug)]
+struct Sender {
+    chunks: mpsc::Sender<Bytes>,
+    whole: sync::Arc<atomic::AtomicBool>,
+}
+
 /// The caller of one request.
 #[derive(Debug)]
 pub struct Caller {
@@ -67,7 +78,7 @@
     pub async fn closed(&mut self) {
         match &mut self.stage {
             Stage::Waiting(head) => head.closed().await,
-            Stage::Streaming(chunks) => chunks.closed().await,
+            Stage::Streaming(sender) => sender.chunks.closed().await,
             Stage::Ended => std::future::pending().await,
         }
     }
@@ -81,16 +92,19 @@
         if let Stage::Waiting(_) = self.stage {
             self.begin(version)?;
         }
-        let Stage::Streaming(chunks) = &self.stage else {
+        let Stage::Streaming(sender) = &self.stage else {
             return Err(Gone);
         };
-        let sent = tokio::time::timeout(STALL, chunks.send(events)).await;
+        let sent = tokio::time::timeout(STALL, sender.chunks.send(events)).await;
         sent.map_err(|_| Gone)?.map_err(|_| Gone)
     }
 
     /// Ends a whole stream.
     pub fn finish(&mut self) {
-        self.stage = Stage::Ended;
+        let stage = std::mem::replace(&mut self.stage, Stage::Ended);
+        if let Stage::Streaming(sender) = stage {
+            sender.whole.store(true, atomic::Ordering::Release);
+        }
     }
 
     /// Gives a whole answer.
@@ -101,18 +115,18 @@
         }
     }
 
-    /// Gives a refusal; a stream under way gets it as its last event.
+    /// Gives a refusal; a stream under way gets it as its last event and is cut.
     pub fn refuse(&mut self, refusal: refusal::Refusal, now: point::Time) {
         match std::mem::replace(&mut self.stage, Stage::Ended) {
             Stage::Waiting(head) => {
                 let _ = head.send(Head::Whole(answer::Whole::refusal(refusal, now)));
             }
-            Stage::Streaming(chunks) => {
+            Stage::Streaming(sender) => {
                 let mut event = b"event: error\ndata: ".to_vec();
                 event.extend(answer::refusal_json(refusal, now));
                 event.extend(b"\n\n");
-                // A full channel means a stalled caller, who sees the missing end.
-                let _ = chunks.try_send(Bytes::from(event));
+                // A full channel means a stalled caller, who sees the cut.
+                let _ = sender.chunks.try_send(Bytes::from(event));
             }
             Stage::Ended => {}
         }
@@ -120,6 +134,11 @@
 
     fn begin(&mut self, version: &str) -> Result<(), Gone> {
         let (sender, chunks) = mpsc::channel(MAX_CHUNKS);
+        let whole = sync::Arc::<atomic::AtomicBool>::default();
+        let sender = Sender {
+            chunks: sender,
+            whole: whole.clone(),
+        };
         let old = std::mem::replace(&mut self.stage, Stage::Streaming(sender));
         let Stage::Waiting(head) = old else {
             return Err(Gone);
@@ -127,6 +146,7 @@
         let stream = Stream {
             version: version.to_owned(),
             chunks,
+            whole,
         };
         head.send(Head::Stream(stream)).map_err(|_| Gone)
     }
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
 use crate::clock;
-use crate::entry::{answer, caller, command, conduct, exchange, intake, metrics};
+use crate::entry::{answer, caller, caller_socket, command, conduct, exchange, intake, metrics};
 
 /// Connections of callers at once.
 const MAX_CONNECTIONS: usize = 16_384;
@@ -70,10 +70,12 @@
     async fn connection(self, socket: net::TcpStream) {
         // Tokens are small and must not wait for each other.
         let _ = socket.set_nodelay(true);
+        let cut = caller_socket::Cut::default();
         let serve = service::service_fn(|http| {
-            let front = self.clone();
-            async move { Ok::<_, convert::Infallible>(front.request(http).await) }
+            let (front, cut) = (self.clone(), cut.clone());
+            async move { Ok::<_, convert::Infallible>(front.request(http, cut).await) }
         });
+        let socket = caller_socket::CallerSocket::new(socket, cut.clone());
         let connection = http1::Builder::new()
             .timer(rt::TokioTimer::new())
             .header_read_timeout(HEADER_WAIT)
@@ -84,7 +86,11 @@
         }
     }
 
-    async fn request(self, http: hyper::Request<body::Incoming>) -> hyper::Response<answer::Body> {
+    async fn request(
+        self,
+        http: hyper::Request<body::Incoming>,
+        cut: caller_socket::Cut,
+    ) -> hyper::Response<answer::Body> {
         let now = self.clock.now();
         let id = self.next.fetch_add(1, atomic::Ordering::Relaxed) + 1;
         self.metrics.requests.inc();
@@ -116,7 +122,7 @@
         tokio::spawn(work.run());
         match first.await {
             Ok(caller::Head::Whole(whole)) => whole.response(&shown),
-            Ok(caller::Head::Stream(stream)) => respond(&shown, stream),
+            Ok(caller::Head::Stream(stream)) => respond(&shown, stream, cut),
             Err(_) => lost().response(&shown),
         }
     }
@@ -136,18 +142,26 @@
     answer::Whole::error(502, "entry-ended", message, verdict::Verdict::MayHaveRun)
 }
 
-fn respond(id: &str, stream: caller::Stream) -> hyper::Response<answer::Body> {
+fn respond(
+    id: &str,
+    stream: caller::Stream,
+    cut: caller_socket::Cut,
+) -> hyper::Response<answer::Body> {
+    let version = stream.version.clone();
     hyper::Response::builder()
         .header(header::CONTENT_TYPE, answer::EVENT_STREAM)
         .header(header::CACHE_CONTROL, "no-store")
         .header(answer::REQUEST_ID, id)
-        .header(answer::VERSION, stream.version)
-        .body(Chunks(stream.chunks).boxed())
+        .header(answer::VERSION, version)
+        .body(Chunks { stream, cut }.boxed())
         .unwrap_or_else(|_| lost().response(id))
 }
 
-/// The body of a token stream.
-struct Chunks(mpsc::Receiver<Bytes>);
+/// The body of a token stream; it cuts the connection instead of ending if it is not whole.
+struct Chunks {
+    stream: caller::Stream,
+    cut: caller_socket::Cut,
+}
 
 impl body::Body for Chunks {
     type Data = Bytes;
@@ -157,7 +171,12 @@
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<body::Frame<Bytes>, convert::Infallible>>> {
-        let chunk = task::ready!(self.0.poll_recv(context));
+        let chunk = task::ready!(self.stream.chunks.poll_recv(context));
+        if chunk.is_none() && !self.stream.whole.load(atomic::Ordering::Acquire) {
+            self.cut.set();
+            // The server flushes what it has now, which ends the connection.
+            return task::Poll::Pending;
+        }
         task::Poll::Ready(chunk.map(|chunk| Ok(body::Frame::data(chunk))))
     }
 }
