Take a JSON answer without a length for whole only if it parses

What callers saw: a service answered an order without a length and its connection closed after the head or within the body. The caller got an empty or cut body as 200 and `x-verdict: ran`, and the same for each repetition of the key.

Cause: an answer that states no length ends with its connection, so a close of the connection was taken for its end, whatever had come by then.

Change: an answer that is neither chunked nor has a length counts as whole only if its media type does not contradict it: JSON, which is also what an answer without a media type is passed on as, must parse. If it does not, the service has closed the connection within its answer, like one that stops short of its length. Other media types cannot show their end and are passed on as before.

--- a/crates/node/src/entry/whole.rs
+++ b/crates/node/src/entry/whole.rs
@@ -2,12 +2,18 @@
 
 use guavausher_core::{effect, event, ledger, verdict};
 use http_body_util::{BodyExt, Limited};
+use hyper::body::Body as _;
+use hyper::{body, header};
+use serde::de;
 
 use crate::entry::{answer, exchange, signal, worker};
 
 /// The largest whole answer in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
+/// Content type of the answers of the product's own services.
+const JSON: &str = "application/json";
+
 /// The end of an attempt with a whole answer.
 #[derive(Debug)]
 pub struct End {
@@ -67,21 +73,40 @@
     if head.status.is_server_error() || !own {
         return End::failed(sent.fail(), false);
     }
+    let is_delimited = is_delimited(&head.headers, &body);
+    let media = media(&head.headers);
     let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     drop(connection);
     let Ok(collected) = collected else {
         return End::failed(sent.fail(), true);
     };
-    let media = head.headers.get(hyper::header::CONTENT_TYPE);
+    let body = collected.to_bytes();
+    if !is_delimited && is_cut(media, &body) {
+        return End::failed(sent.fail(), true);
+    }
     let whole = answer::Whole {
         status: head.status.as_u16(),
-        media: media
-            .and_then(|m| m.to_str().ok())
-            .unwrap_or("application/json")
-            .to_owned(),
-        body: collected.to_bytes(),
+        media: media.to_owned(),
+        body,
         verdict: sent.finish(),
         retry_after: None,
     };
     End::finished(whole)
 }
+
+/// Returns `true` if the answer states where its body ends; any other one ends with the connection.
+fn is_delimited(headers: &header::HeaderMap, body: &body::Incoming) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING) || body.size_hint().exact().is_some()
+}
+
+fn media(headers: &header::HeaderMap) -> &str {
+    let media = headers.get(header::CONTENT_TYPE);
+    media.and_then(|m| m.to_str().ok()).unwrap_or(JSON)
+}
+
+/// Returns `true` if a body is JSON and stops short of its end.
+fn is_cut(media: &str, body: &[u8]) -> bool {
+    let kind = media.split(';').next().unwrap_or_default().trim();
+    let is_json = kind.eq_ignore_ascii_case(JSON);
+    is_json && serde_json::from_slice::<de::IgnoredAny>(body).is_err()
+}
--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -272,6 +272,15 @@
     false
 )]
 #[case::reset_without_a_length("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nabc", true)]
+#[case::without_a_length_or_a_media_type("HTTP/1.1 200 OK\r\n\r\n{\"a\":", false)]
+#[case::without_a_length_with_a_charset(
+    "HTTP/1.1 200 OK\r\ncontent-type: application/json; charset=utf-8\r\n\r\n{\"a\":",
+    false
+)]
+#[case::without_a_length_as_a_client_error(
+    "HTTP/1.1 409 Conflict\r\ncontent-type: application/json\r\n\r\n{\"a\":",
+    false
+)]
 fn order_whose_answer_stops_short_may_have_run(#[case] bytes: &'static str, #[case] reset: bool) {
     let faulty = Faulty::start(move |_| Reply {
         bytes: bytes.to_owned(),
