Keep a silent attempt of the entry until another one has responded

What callers saw: an engine that paused lost its request. The entry dropped the attempt at half of the time left before the first token, after 10 s between two tokens and 10 s after a resumption, and then looked for another engine. Where there was none, or where it refused, erred or broke off, the work in hand was gone: the stream began anew at the same engine, or was cut.

Cause: a limit in the task of the request ended the attempt, and the reducer, which knows whether anything better is at hand, learnt of it afterwards. A request had one attempt at a time.

Change: a limit only reports a silence, with the exact offset, and the task reads that attempt no more until it is told to. The reducer selects another engine and spends the retry, sends the request there and pauses the silent attempt; the first token or the whole answer of one ends the other. If the other one refuses or fails, the paused attempt goes on. With nothing better in hand the silent attempt goes on at once, and two silent ones take turns. Only one attempt is read at a time, so no token comes twice. A silence counts once against its engine when it is reported, so that a paused engine gets fewer new requests. A request that may crash engines is not sent to a second one meanwhile. A started stream that is silent for 120 s with nothing in its place is retried or refused as before, since each wait needs a limit; other requests end at their deadline.

Plain services whose calls may be retried had the same limit and take the same path.

Evidence: stream_waits_for_the_only_engine failed before in both cases (2 attempts, not 1), and so did all three cases of the new stream_that_pauses_goes_on_if_the_other_engine_fails on the source before this commit (refuses: 21 attempts, not 13; of the two others only the failure was noted). All pass now.

--- a/crates/core/src/active_request.rs
+++ b/crates/core/src/active_request.rs
@@ -25,6 +25,8 @@
     pub service: sync::Arc<declaration::Service>,
     /// Current stage.
     pub stage: Stage,
+    /// A silent attempt, kept while another one runs until that one has responded.
+    pub paused: Option<Running>,
     /// Deadline for the first token or the complete response.
     pub deadline: time::Time,
     /// Time of its entry in [`crate::state::State::timers`].
@@ -77,6 +79,8 @@
     pub sent_at: time::Time,
     /// When the first token arrived.
     pub first_token: Option<time::Time>,
+    /// Since when it makes no progress.
+    pub silent_since: Option<time::Time>,
 }
 
 /// Whether a claim only looks up an earlier run.
@@ -115,6 +119,50 @@
         self.route.idempotent || (self.service.deduplicates && self.request.key.is_some())
     }
 
+    /// Returns when the request needs attention if the running attempt does not end before.
+    pub fn response_timer(&self) -> time::Time {
+        match self.started {
+            true => time::Time::MAX,
+            false => self.deadline,
+        }
+    }
+
+    /// Records the offset of the next token that the caller needs; returns `true` if it is higher
+    /// than the one before.
+    pub fn record_progress(&mut self, offset: u32) -> bool {
+        let has_progressed = offset > self.offset;
+        if has_progressed {
+            self.offset = offset;
+            self.tries = 0;
+        }
+        has_progressed
+    }
+
+    /// Excludes the upstreams of the attempts in progress from selection.
+    pub fn exclude_running(&mut self) {
+        let running = match &self.stage {
+            Stage::Running(running) => Some(running),
+            _ => None,
+        };
+        let attempts = running.into_iter().chain(&self.paused);
+        let upstreams = attempts.map(|a| a.choice.upstream.clone());
+        self.excluded.extend(upstreams);
+        self.excluded.sort_unstable();
+        self.excluded.dedup();
+    }
+
+    /// Returns `true` if this is the paused attempt.
+    pub fn is_paused(&self, attempt: u64) -> bool {
+        self.paused.as_ref().is_some_and(|p| p.attempt == attempt)
+    }
+
+    /// Exchanges the running attempt and the paused one, if there are both.
+    pub fn swap_paused(&mut self) {
+        if let (Stage::Running(running), Some(paused)) = (&mut self.stage, &mut self.paused) {
+            std::mem::swap(running, paused);
+        }
+    }
+
     /// Joins workspace, service and idempotency key.
     pub fn ledger_key(&self) -> Option<name::Name> {
         let key = self.request.key.as_ref()?;
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -22,6 +22,13 @@
         /// The attempt.
         attempt: u64,
     },
+    /// Go on with an attempt that has been reported as silent.
+    Resume {
+        /// The request.
+        request: u64,
+        /// The attempt.
+        attempt: u64,
+    },
     /// The request has ended; no further effect concerns it.
     Ended {
         /// The request.
@@ -80,7 +87,7 @@
     Stopped,
 }
 
-/// One attempt to run a request at an upstream.
+/// One attempt to run a request at an upstream; a silent one of the same request is kept meanwhile.
 #[derive(Clone, Debug)]
 pub struct Dispatch {
     /// The request.
@@ -101,7 +108,7 @@
     pub offset: u32,
     /// Deadline for the first token or the complete response; nothing is sent after it.
     pub deadline: time::Time,
-    /// Deadline for the start of the response; earlier than `deadline` if the request may be
-    /// retried.
-    pub response_deadline: time::Time,
+    /// When the attempt counts as silent if the response has not begun; earlier than `deadline` if
+    /// the request may be retried.
+    pub silent_at: time::Time,
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -56,8 +56,13 @@
 /// Progress or end of an attempt.
 #[derive(Clone, Debug)]
 pub enum Signal {
-    /// The first token arrived.
+    /// The first token arrived, or the first one after a silence.
     FirstToken,
+    /// The attempt makes no progress; it is not read until it is resumed.
+    Silent {
+        /// Offset of the next token that the caller needs.
+        offset: u32,
+    },
     /// The response is complete.
     Finished(Finish),
     /// The upstream stated that it did not run the request.
--- a/crates/core/src/poison/quarantine.rs
+++ b/crates/core/src/poison/quarantine.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns `true` if a request is not known to crash upstreams.
+    pub fn is_clear(&self, fingerprint: u64) -> bool {
+        matches!(self.suspects.status(fingerprint), suspects::Status::Clear)
+    }
+
     /// Decides whether a request may be dispatched; called before each dispatch.
     pub fn admit(&mut self, now: time::Time, fingerprint: u64, request: u64) -> effect::Admission {
         self.suspects.expire(now);
--- a/crates/core/src/reduce.rs
+++ b/crates/core/src/reduce.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod quarantine;
 pub(crate) mod rollouts;
+mod silence;
 mod status;
 mod timer;
 mod wait;
--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -96,6 +96,7 @@
         route: route.clone(),
         service: service.clone(),
         stage: active_request::Stage::Queued,
+        paused: None,
         deadline,
         timer: deadline,
         tries: 0,
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -7,7 +7,7 @@
 use crate::effect;
 use crate::event;
 use crate::ledger;
-use crate::reduce::{claims, close, dispatch, quarantine, rollouts, wait};
+use crate::reduce::{claims, close, dispatch, quarantine, rollouts, silence, wait};
 use crate::refusal;
 use crate::retry;
 use crate::routing;
@@ -31,8 +31,13 @@
     let Some(&id) = state.attempts.get(&attempt) else {
         return;
     };
+    let active = state.active_requests.get_mut(&id);
+    if let Some(active) = active.filter(|a| a.is_paused(attempt)) {
+        active.swap_paused();
+    }
     match signal {
         event::Signal::FirstToken => handle_first_token(state, now, attempt, id),
+        event::Signal::Silent { offset } => silence::handle(state, now, id, offset),
         event::Signal::Finished(finish) => handle_finish(state, now, id, finish),
         event::Signal::Refused => handle_refusal(state, now, id),
         event::Signal::Failed(failure) => handle_failure(state, now, id, failure),
@@ -81,9 +86,10 @@
     }
 }
 
-/// Cancels the running attempt.
+/// Cancels the attempts in progress.
 pub fn cancel(state: &mut state::State, now: time::Time, id: u64) {
-    if let Some(running) = take_running(state, id) {
+    let attempts = [take_running(state, id), take_paused(state, id)];
+    for running in attempts.into_iter().flatten() {
         state
             .fleet
             .end(now, running.attempt, routing::Outcome::Cancelled);
@@ -95,13 +101,15 @@
 }
 
 fn handle_first_token(state: &mut state::State, now: time::Time, attempt: u64, id: u64) {
+    silence::end_paused(state, now, id);
     state.fleet.first_token(now, attempt);
     let Some(active) = state.active_requests.get_mut(&id) else {
         return;
     };
     active.started = true;
     if let active_request::Stage::Running(running) = &mut active.stage {
-        running.first_token = Some(now);
+        running.first_token.get_or_insert(now);
+        running.silent_since = None;
     }
     state.set_timer(id, time::Time::MAX);
     let effects = state.quarantine.first_token(now, id);
@@ -109,6 +117,7 @@
 }
 
 fn handle_finish(state: &mut state::State, now: time::Time, id: u64, finish: event::Finish) {
+    silence::end_paused(state, now, id);
     let Some(running) = take_running(state, id) else {
         return;
     };
@@ -158,16 +167,15 @@
     retry_or_refuse(state, now, id, running, failure);
 }
 
-fn handle_failure(state: &mut state::State, now: time::Time, id: u64, failure: event::Failure) {
+/// Handles the failure of the running attempt.
+pub fn handle_failure(state: &mut state::State, now: time::Time, id: u64, failure: event::Failure) {
     let Some(running) = take_running(state, id) else {
         return;
     };
     state
         .fleet
         .end(now, running.attempt, routing::Outcome::Failed);
-    if !is_leaving(state, &running) {
-        record_failure(state, now, id, &running, failure);
-    }
+    record_failure(state, now, id, &running, failure);
     retry_or_refuse(state, now, id, running, failure);
 }
 
@@ -176,14 +184,18 @@
     highest.is_some_and(|incarnation| *incarnation >= running.choice.incarnation)
 }
 
-/// Records a failure of the version and, after a crash of the upstream, suspects the request.
-fn record_failure(
+/// Records a failure of the version and, after a crash of the upstream, suspects the request; that an
+/// upstream which is leaving fails says nothing.
+pub fn record_failure(
     state: &mut state::State,
     now: time::Time,
     id: u64,
     running: &active_request::Running,
     failure: event::Failure,
 ) {
+    if is_leaving(state, running) {
+        return;
+    }
     let tokens = failure.offset.saturating_sub(offset(state, id));
     rollouts::record_attempt(
         state,
@@ -206,7 +218,8 @@
     quarantine::apply(state, now, effects);
 }
 
-/// Retries a request or lets it back off where that is allowed, and otherwise refuses it.
+/// Goes on with the paused attempt of a request. Without one, retries the request or lets it back off
+/// where that is allowed, and otherwise refuses it.
 fn retry_or_refuse(
     state: &mut state::State,
     now: time::Time,
@@ -221,19 +234,15 @@
     let Some(active) = state.active_requests.get_mut(&id) else {
         return;
     };
-    if failure.offset > active.offset {
-        active.offset = failure.offset;
-        active.tries = 0;
-    }
+    active.record_progress(failure.offset);
     active.may_have_run |= failure.verdict != verdict::Verdict::NotRun;
     active.excluded.push(running.choice.upstream);
     active.stage = active_request::Stage::Queued;
-    let timer = if active.started {
-        time::Time::MAX
-    } else {
-        active.deadline
-    };
+    let timer = active.response_timer();
     state.set_timer(id, timer);
+    if silence::resume_paused(state, id) {
+        return;
+    }
     if may_retry(state, now, id, failure) {
         return dispatch::advance(state, now, id);
     }
@@ -267,7 +276,12 @@
 ///
 /// Retries spend the retry budget. Exempt are those of a started stream and those after a crash,
 /// which the quarantine limits; while most of the service's upstreams fail, none is exempt.
-fn may_retry(state: &mut state::State, now: time::Time, id: u64, failure: event::Failure) -> bool {
+pub fn may_retry(
+    state: &mut state::State,
+    now: time::Time,
+    id: u64,
+    failure: event::Failure,
+) -> bool {
     let Some(active) = state.active_requests.get(&id) else {
         return false;
     };
@@ -282,6 +296,13 @@
     exempt || state.budget.spend(now, &service)
 }
 
+/// Takes the paused attempt out of the tables.
+pub fn take_paused(state: &mut state::State, id: u64) -> Option<active_request::Running> {
+    let paused = state.active_requests.get_mut(&id)?.paused.take()?;
+    state.attempts.remove(&paused.attempt);
+    Some(paused)
+}
+
 fn offset(state: &state::State, id: u64) -> u32 {
     state.active_requests.get(&id).map_or(0, |a| a.offset)
 }
--- a/crates/core/src/reduce/close.rs
+++ b/crates/core/src/reduce/close.rs
@@ -70,6 +70,9 @@
     if let active_request::Stage::Running(running) = &active.stage {
         state.attempts.remove(&running.attempt);
     }
+    if let Some(paused) = &active.paused {
+        state.attempts.remove(&paused.attempt);
+    }
     state.emit(effect::Effect::Ended { request: id });
     Some(active)
 }
--- a/crates/core/src/reduce/dispatch.rs
+++ b/crates/core/src/reduce/dispatch.rs
@@ -11,6 +11,15 @@
 use crate::state;
 use crate::time;
 
+/// An upstream selected for a request.
+#[derive(Debug)]
+pub struct Selection {
+    /// The query that it answers.
+    pub query: routing::Query,
+    /// The upstream.
+    pub choice: routing::Choice,
+}
+
 /// Moves an admitted request to its next stage: claim, quarantine or dispatch.
 pub fn advance(state: &mut state::State, now: time::Time, id: u64) {
     let Some(active) = state.active_requests.get(&id) else {
@@ -65,19 +74,31 @@
             refusal::Refusal::not_run(refusal::Code::Deadline, Some(now)),
         );
     }
-    let version = version(state, now, id);
-    let Some(active) = state.active_requests.get(&id) else {
+    let Some(query) = query(state, now, id) else {
         return;
     };
+    match state.fleet.choose(now, &query) {
+        Ok(choice) => send(state, now, id, Selection { query, choice }),
+        Err(exhausted) => wait::wait_or_refuse(state, now, id, exhausted),
+    }
+}
+
+/// Selects an upstream for a request, if there is one.
+pub fn select(state: &mut state::State, now: time::Time, id: u64) -> Option<Selection> {
+    let query = query(state, now, id)?;
+    let choice = state.fleet.choose(now, &query).ok()?;
+    Some(Selection { query, choice })
+}
+
+fn query(state: &mut state::State, now: time::Time, id: u64) -> Option<routing::Query> {
+    let version = version(state, now, id);
+    let active = state.active_requests.get(&id)?;
     let mut query = active.query(version);
     query.packed = query
         .version
         .as_ref()
         .is_some_and(|version| state.split.is_rolling_out(&query.service, version));
-    match state.fleet.choose(now, &query) {
-        Ok(choice) => send(state, now, id, &query, choice),
-        Err(exhausted) => wait::wait_or_refuse(state, now, id, exhausted),
-    }
+    Some(query)
 }
 
 /// Returns the version of a request and replaces one that has been halted since.
@@ -104,15 +125,11 @@
     active.version.clone()
 }
 
-fn send(
-    state: &mut state::State,
-    now: time::Time,
-    id: u64,
-    query: &routing::Query,
-    choice: routing::Choice,
-) {
+/// Sends a request to the upstream selected.
+pub fn send(state: &mut state::State, now: time::Time, id: u64, selection: Selection) {
+    let Selection { query, choice } = selection;
     let attempt = state.new_attempt(id);
-    state.fleet.start(now, attempt, &choice, query);
+    state.fleet.start(now, attempt, &choice, &query);
     let Some(active) = state.active_requests.get_mut(&id) else {
         return;
     };
@@ -132,24 +149,26 @@
         priority: active.route.priority,
         offset: active.offset,
         deadline,
-        response_deadline: response_deadline(active, now, deadline),
+        silent_at: silent_at(active, now, deadline),
     };
     let running = active_request::Running {
         attempt,
         choice,
         sent_at: now,
         first_token: None,
+        silent_since: None,
     };
     active.stage = active_request::Stage::Running(running);
-    state.set_timer(id, deadline);
+    let timer = active.response_timer();
+    state.set_timer(id, timer);
     state.emit(effect::Effect::Dispatch(dispatch));
 }
 
-/// Returns the deadline for the start of the response.
+/// Returns when an attempt without a response counts as silent.
 ///
 /// A request that may be retried leaves half of its time for another upstream. Any other one waits
 /// as long as the end of its run can still be recorded.
-fn response_deadline(
+fn silent_at(
     active: &active_request::ActiveRequest,
     now: time::Time,
     deadline: time::Time,
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -172,6 +172,17 @@
         upstream.health.record_success();
     }
 
+    /// Records the silence of an attempt that goes on as a failure of its upstream.
+    pub fn record_silence(&mut self, now: time::Time, attempt: u64) {
+        let Some(state) = self.attempts.get(&attempt) else {
+            return;
+        };
+        let upstream = &mut self.roster.upstreams[state.index];
+        if state.incarnation == upstream.incarnation {
+            upstream.health.record_failure(now);
+        }
+    }
+
     /// Ends an attempt.
     pub fn end(&mut self, now: time::Time, attempt: u64, outcome: outcome::Outcome) {
         let Some(state) = self.attempts.remove(&attempt) else {
@@ -252,6 +263,12 @@
             .map(|upstream| upstream.incarnation)
     }
 
+    /// Returns `true` if an upstream is ejected after failures.
+    pub fn is_ejected(&self, now: time::Time, upstream: &name::Name) -> bool {
+        let upstream = self.roster.get(upstream);
+        upstream.is_some_and(|upstream| upstream.health.is_ejected(now))
+    }
+
     /// Returns `true` if at least three quarters of the slots of an upstream are in use.
     pub fn is_loaded(&self, now: time::Time, upstream: &name::Name) -> bool {
         self.roster.get(upstream).is_some_and(|upstream| {
--- a/crates/core/tests/invariants/observe.rs
+++ b/crates/core/tests/invariants/observe.rs
@@ -79,7 +79,9 @@
                 }
             }
             effect::Effect::Stopped => self.nodes[entry].stopped = true,
-            effect::Effect::ConfigApplied { .. } | effect::Effect::DocumentRejected { .. } => {}
+            effect::Effect::ConfigApplied { .. }
+            | effect::Effect::DocumentRejected { .. }
+            | effect::Effect::Resume { .. } => {}
         }
     }
 
--- a/crates/core/tests/invariants/step.rs
+++ b/crates/core/tests/invariants/step.rs
@@ -90,6 +90,7 @@
     NotRun,
     MayHaveRun { tokens: u8 },
     Crashed { tokens: u8 },
+    Silent,
 }
 
 pub fn step() -> impl Strategy<Value = Step> {
@@ -157,5 +158,6 @@
         2 => Just(Signal::NotRun),
         2 => (0..3u8).prop_map(|tokens| Signal::MayHaveRun { tokens }),
         2 => (0..3u8).prop_map(|tokens| Signal::Crashed { tokens }),
+        3 => Just(Signal::Silent),
     ]
 }
--- a/crates/core/tests/invariants/traffic.rs
+++ b/crates/core/tests/invariants/traffic.rs
@@ -85,6 +85,10 @@
             }
             return;
         }
+        if matches!(signal, step::Signal::Silent) {
+            let attempt = self.running[at].clone();
+            return self.send_signal(&attempt, silence(&attempt));
+        }
         let attempt = self.running.remove(at);
         self.ended.push(attempt.clone());
         let (event, end) = ending(&attempt, signal);
@@ -107,6 +111,7 @@
         let attempt = self.ended[pick % self.ended.len()].clone();
         let event = match signal {
             step::Signal::First => event::Signal::FirstToken,
+            step::Signal::Silent => silence(&attempt),
             other => ending(&attempt, other).0,
         };
         self.send_signal(&attempt, event);
@@ -154,9 +159,15 @@
         step::Signal::ErrorStatus => finish(true, false),
         step::Signal::Finished { kept } => finish(false, kept),
         step::Signal::First => (event::Signal::FirstToken, unclear),
+        step::Signal::Silent => (silence(attempt), unclear),
     }
 }
 
+fn silence(attempt: &Attempt) -> event::Signal {
+    let offset = attempt.sent.offset + u32::from(attempt.started);
+    event::Signal::Silent { offset }
+}
+
 fn finish(failed: bool, kept: bool) -> (event::Signal, verdict::Verdict) {
     let kept = kept.then(|| ledger::StoredResponse {
         status: 200,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -5,6 +5,7 @@
 //! without passing through the reducer.
 
 mod answer;
+mod attempts;
 mod caller;
 mod caller_socket;
 mod command;
@@ -14,6 +15,7 @@
 mod front;
 mod intake;
 mod metrics;
+mod patience;
 mod reader;
 mod signal;
 mod sse;
--- a/crates/node/src/entry/command.rs
+++ b/crates/node/src/entry/command.rs
@@ -27,10 +27,12 @@
 /// What a request's task is to do.
 #[derive(Debug)]
 pub enum Command {
-    /// Send the request to an upstream.
+    /// Send the request to an upstream; an attempt under way is kept, but not read.
     Dispatch(effect::Dispatch),
-    /// Stop the attempt under way.
-    Cancel,
+    /// Stop this attempt.
+    Cancel(u64),
+    /// Go on with this silent attempt.
+    Resume(u64),
     /// Give this final answer.
     Refuse(refusal::Refusal),
     /// Give the kept answer of an earlier run.
--- a/crates/node/src/entry/conduct.rs
+++ b/crates/node/src/entry/conduct.rs
@@ -1,9 +1,13 @@
 //! The task of one request: does what the reducer says and reports what came of it.
 
+use std::sync;
+
 use guavausher_core::{declaration, effect, event, time as point};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
-use crate::entry::{answer, caller, command, front, intake, tokens, whole, worker};
+use crate::entry::{
+    answer, attempts, caller, command, front, intake, patience, tokens, whole, worker,
+};
 
 /// One request at this entry.
 pub struct Task {
@@ -29,7 +33,6 @@
 /// What ended the wait of a task.
 enum Turn {
     Command(command::Command),
-    Signal(event::Signal),
     Over,
 }
 
@@ -57,7 +60,6 @@
         loop {
             turn = match turn {
                 Turn::Over => return,
-                Turn::Signal(_) => wait(&worker, &mut seat, &mut caller).await,
                 Turn::Command(command::Command::Dispatch(dispatch)) => {
                     attempt(&worker, &mut seat, &mut caller, dispatch).await
                 }
@@ -81,87 +83,141 @@
     }
 }
 
-/// Runs an attempt; a command that comes meanwhile is obeyed.
+/// Runs attempts until a command is left to obey.
 async fn attempt(
     worker: &worker::Worker,
     seat: &mut Seat,
     caller: &mut caller::Caller,
     dispatch: effect::Dispatch,
 ) -> Turn {
-    worker.front.metrics.attempts.inc();
-    let attempt = dispatch.attempt;
     let turn = match dispatch.kind {
-        declaration::Kind::Model => stream(worker, seat, caller, &dispatch).await,
-        declaration::Kind::Plain => collect(worker, seat, caller, &dispatch).await,
+        declaration::Kind::Model => stream(worker, seat, caller, dispatch).await,
+        declaration::Kind::Plain => collect(worker, seat, caller, dispatch).await,
     };
-    if let Turn::Signal(signal) = &turn {
-        let signal = signal.clone();
-        worker
-            .report(event::Event::Attempt { attempt, signal })
-            .await;
+    match turn {
+        Some(turn) => turn,
+        None => wait(worker, seat, caller).await,
     }
-    turn
 }
 
+/// Runs attempts whose tokens are passed on as they come; returns nothing if all have ended or the
+/// caller has gone.
 async fn stream(
     worker: &worker::Worker,
     seat: &mut Seat,
     caller: &mut caller::Caller,
-    dispatch: &effect::Dispatch,
-) -> Turn {
-    let turn = tokio::select! {
-        signal = tokens::run(worker, caller, dispatch) => signal.map(Turn::Signal),
-        command = seat.commands.recv() => match command {
-            None => Some(Turn::Over),
-            Some(command::Command::Cancel) => None,
-            Some(command) => Some(Turn::Command(command)),
-        },
+    dispatch: effect::Dispatch,
+) -> Option<Turn> {
+    let (sender, mut chunks) = mpsc::channel(1);
+    let begin = |dispatch: effect::Dispatch| {
+        begin(worker, dispatch, |patience, dispatch| {
+            tokens::run(worker, patience, sender.clone(), dispatch)
+        })
     };
-    match turn {
-        Some(turn) => turn,
-        None => wait(worker, seat, caller).await,
+    let mut attempts = attempts::Attempts::new();
+    attempts.run(begin(dispatch));
+    let mut waiting = None;
+    while !attempts.is_empty() || waiting.is_some() {
+        // What has come from an attempt goes to the caller before its end is reported.
+        tokio::select! {
+            biased;
+            command = seat.commands.recv() => match obey(command, &mut attempts, begin) {
+                None => {}
+                turn => return turn,
+            },
+            passed = pass_on(caller, waiting.as_ref()) => match passed {
+                Ok(()) => waiting = None,
+                Err(caller::Gone) => return None,
+            },
+            Some(chunk) = chunks.recv(), if waiting.is_none() => waiting = Some(chunk),
+            end = attempts.end(), if waiting.is_none() => report(worker, end.id, end.output).await,
+        }
     }
+    None
 }
 
-async fn collect(
-    worker: &worker::Worker,
-    seat: &mut Seat,
+/// Passes a chunk on to the caller; without one, waits until the caller has gone.
+async fn pass_on(
     caller: &mut caller::Caller,
-    dispatch: &effect::Dispatch,
-) -> Turn {
-    match collect_uncancelled(worker, seat, caller, dispatch).await {
-        Some(turn) => turn,
-        None => wait(worker, seat, caller).await,
-    }
+    chunk: Option<&tokens::Chunk>,
+) -> Result<(), caller::Gone> {
+    let Some(chunk) = chunk else {
+        caller.closed().await;
+        return Err(caller::Gone);
+    };
+    caller.forward(&chunk.version, chunk.events.clone()).await
 }
 
-/// Runs an attempt whose answer is relayed as a whole, also after the caller has gone; returns
-/// nothing if it is cancelled.
-async fn collect_uncancelled(
+/// Runs attempts whose answer is relayed as a whole, also after the caller has gone; returns nothing
+/// if all have ended.
+async fn collect(
     worker: &worker::Worker,
     seat: &mut Seat,
     caller: &mut caller::Caller,
-    dispatch: &effect::Dispatch,
+    dispatch: effect::Dispatch,
 ) -> Option<Turn> {
-    let mut run = std::pin::pin!(whole::run(worker, dispatch));
-    loop {
+    let begin = |dispatch: effect::Dispatch| {
+        begin(worker, dispatch, |patience, dispatch| {
+            whole::run(worker, patience, dispatch)
+        })
+    };
+    let mut attempts = attempts::Attempts::new();
+    attempts.run(begin(dispatch));
+    while !attempts.is_empty() {
         let watch = !seat.abandoned && !caller.is_answered();
         tokio::select! {
-            end = &mut run => {
-                seat.held = end.answer;
-                return Some(Turn::Signal(end.signal));
+            end = attempts.end() => {
+                seat.held = end.output.answer;
+                report(worker, end.id, end.output.signal).await;
             }
-            command = seat.commands.recv() => match command {
-                None => return Some(Turn::Over),
-                Some(command::Command::Cancel) => return None,
-                Some(command::Command::Dispatch(next)) => {
-                    return Some(Turn::Command(command::Command::Dispatch(next)));
-                }
-                Some(command) => give(worker, seat, caller, command),
+            command = seat.commands.recv() => match obey(command, &mut attempts, begin) {
+                None => {}
+                Some(Turn::Over) => return Some(Turn::Over),
+                Some(Turn::Command(command)) => give(worker, seat, caller, command),
             },
             () = caller.closed(), if watch => abandon(worker, seat),
         }
     }
+    None
+}
+
+/// Begins an attempt that a silence does not end.
+fn begin<'a, F>(
+    worker: &'a worker::Worker,
+    dispatch: effect::Dispatch,
+    run: impl FnOnce(patience::Patience<'a>, effect::Dispatch) -> F,
+) -> attempts::Attempt<F> {
+    worker.front.metrics.attempts.inc();
+    let id = dispatch.attempt;
+    let resume = sync::Arc::new(Notify::new());
+    let patience = patience::Patience::new(worker, id, resume.clone());
+    attempts::Attempt {
+        id,
+        resume,
+        future: Box::pin(run(patience, dispatch)),
+    }
+}
+
+/// Obeys a command about attempts, and returns any other one.
+fn obey<F: Future>(
+    command: Option<command::Command>,
+    attempts: &mut attempts::Attempts<F>,
+    begin: impl Fn(effect::Dispatch) -> attempts::Attempt<F>,
+) -> Option<Turn> {
+    match command {
+        None => return Some(Turn::Over),
+        Some(command::Command::Dispatch(dispatch)) => attempts.run(begin(dispatch)),
+        Some(command::Command::Cancel(id)) => attempts.cancel(id),
+        Some(command::Command::Resume(id)) => attempts.resume(id),
+        Some(command) => return Some(Turn::Command(command)),
+    }
+    None
+}
+
+async fn report(worker: &worker::Worker, attempt: u64, signal: event::Signal) {
+    worker
+        .report(event::Event::Attempt { attempt, signal })
+        .await;
 }
 
 fn give(
@@ -177,7 +233,9 @@
             Some(whole) => caller.answer(whole),
             None => caller.finish(),
         },
-        command::Command::Cancel | command::Command::Dispatch(_) => {}
+        command::Command::Cancel(_)
+        | command::Command::Dispatch(_)
+        | command::Command::Resume(_) => {}
     }
 }
 
--- a/crates/node/src/entry/driver.rs
+++ b/crates/node/src/entry/driver.rs
@@ -116,7 +116,12 @@
                 self.log_dispatch(&dispatch);
                 tasks.send(dispatch.request, command::Command::Dispatch(dispatch));
             }
-            effect::Effect::Cancel { request, .. } => tasks.send(request, command::Command::Cancel),
+            effect::Effect::Cancel { request, attempt } => {
+                tasks.send(request, command::Command::Cancel(attempt));
+            }
+            effect::Effect::Resume { request, attempt } => {
+                tasks.send(request, command::Command::Resume(attempt));
+            }
             effect::Effect::Ended { request } => tasks.end(request),
             effect::Effect::Refuse { request, refusal } => {
                 self.metrics.refused(refusal);
--- a/crates/node/src/entry/exchange.rs
+++ b/crates/node/src/entry/exchange.rs
@@ -13,11 +13,25 @@
 use hyper_util::rt;
 
 use crate::clock;
-use crate::entry::{answer, intake};
+use crate::entry::{answer, intake, patience};
 
 /// How long the opening of a connection may take.
 const CONNECT_WAIT: time::Duration = time::Duration::from_secs(1);
 
+/// The head and body of an answer.
+type Answer = hyper::Response<body::Incoming>;
+
+/// A request that is being sent.
+#[derive(Debug)]
+pub struct Sending<F> {
+    /// The exchange, which may be past its first byte.
+    pub sent: exchange::Sent,
+    /// Waits for the head of the answer.
+    pub head: F,
+    /// Ends the connection when dropped.
+    pub connection: Connection,
+}
+
 /// An exchange that failed before the answer began.
 #[derive(Clone, Copy, Debug)]
 pub struct Broken {
@@ -33,7 +47,7 @@
     /// The exchange, which is past its first byte.
     pub sent: exchange::Sent,
     /// The head and body of the answer.
-    pub response: hyper::Response<body::Incoming>,
+    pub response: Answer,
     /// Ends the connection when dropped.
     pub connection: Connection,
 }
@@ -48,17 +62,17 @@
     }
 }
 
-/// Sends a request and waits for the head of the answer.
+/// Opens a connection on which a request is sent.
 ///
 /// # Errors
 ///
-/// Returns [`Broken`] with a verdict that follows from the step at which it failed.
+/// Returns [`Broken`] if the request was not sent.
 pub async fn open(
     clock: clock::Clock,
     writer: u64,
     dispatch: &effect::Dispatch,
     intake: &intake::Intake,
-) -> Result<Open, Broken> {
+) -> Result<Sending<impl Future<Output = hyper::Result<Answer>>>, Broken> {
     let unsent = exchange::Unsent::open();
     let not_run = |unsent: exchange::Unsent| Broken {
         verdict: unsent.fail(),
@@ -85,21 +99,36 @@
         let _ = driver.await;
     }));
     let sent = unsent.send();
-    let limit = now.until(dispatch.response_deadline);
-    match tokio::time::timeout(limit, sender.send_request(request)).await {
-        Ok(Ok(response)) => Ok(Open {
-            sent,
-            response,
-            connection,
-        }),
-        Ok(Err(_)) => Err(Broken {
-            verdict: sent.fail(),
-            died: true,
-        }),
-        Err(_) => Err(Broken {
-            verdict: sent.fail(),
-            died: false,
-        }),
+    Ok(Sending {
+        sent,
+        head: async move { sender.send_request(request).await },
+        connection,
+    })
+}
+
+impl<F: Future<Output = hyper::Result<Answer>>> Sending<F> {
+    /// Waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the upstream closes the exchange before.
+    pub async fn answer(
+        self,
+        patience: &mut patience::Patience<'_>,
+        limit: time::Duration,
+        offset: u32,
+    ) -> Result<Open, Broken> {
+        match patience.wait(limit, offset, self.head).await {
+            Ok(response) => Ok(Open {
+                sent: self.sent,
+                response,
+                connection: self.connection,
+            }),
+            Err(_) => Err(Broken {
+                verdict: self.sent.fail(),
+                died: true,
+            }),
+        }
     }
 }
 
@@ -137,7 +166,7 @@
 /// Returns `true` if the upstream states that it did not run this attempt.
 ///
 /// A refusal that names another attempt says nothing about this one.
-pub fn is_refusal(response: &hyper::Response<body::Incoming>, writer: u64, attempt: u64) -> bool {
+pub fn is_refusal(response: &Answer, writer: u64, attempt: u64) -> bool {
     let verdict = response.headers().get(answer::VERDICT);
     response.status().is_server_error()
         && is_own(response.headers(), writer, attempt)
--- a/crates/node/src/entry/whole.rs
+++ b/crates/node/src/entry/whole.rs
@@ -6,7 +6,7 @@
 use hyper::{body, header};
 use serde::de;
 
-use crate::entry::{answer, exchange, signal, worker};
+use crate::entry::{answer, exchange, patience, signal, worker};
 
 /// The largest whole answer in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -49,14 +49,16 @@
 }
 
 /// Runs an attempt at a plain service and collects its answer.
-pub async fn run(worker: &worker::Worker, dispatch: &effect::Dispatch) -> End {
+pub async fn run(
+    worker: &worker::Worker,
+    mut patience: patience::Patience<'_>,
+    dispatch: effect::Dispatch,
+) -> End {
     let front = &worker.front;
-    let opened = exchange::open(front.clock, front.writer, dispatch, &worker.intake).await;
-    let open = match opened {
+    let open = match worker.open(&mut patience, &dispatch).await {
         Ok(open) => open,
         Err(broken) => return End::failed(broken.verdict, broken.died),
     };
-    worker.report_load(dispatch, &open).await;
     if exchange::is_refusal(&open.response, front.writer, dispatch.attempt) {
         return End {
             signal: signal::refused(open),
--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -392,3 +392,44 @@
         }
     });
 }
+
+/// How the other engine fails a stream that it is to go on with.
+#[rstest]
+#[case::refuses(
+    "HTTP/1.1 503 Service Unavailable\r\nx-verdict: not-run\r\ncontent-length: 0\r\n\r\n"
+)]
+#[case::errs("HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n")]
+#[case::breaks_off("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n")]
+fn stream_that_pauses_goes_on_if_the_other_engine_fails(#[case] bytes: &'static str) {
+    let faulty = Faulty::start(move |_| Reply::closed(bytes));
+    let plan = Plan {
+        entries: 1,
+        engines: 2,
+        token_ms: 20,
+        ..Plan::default()
+    };
+    let fleet = fleet_with(&plan, "verse-1", &faulty);
+    let passed = || fleet.entries[0].metric("tokens_total");
+    let count = 8;
+    thread::scope(|scope| {
+        let streams: Vec<_> = (0..count)
+            .map(|number| {
+                let fleet = &fleet;
+                scope.spawn(move || fleet.verse(0, &format!("verse {number}"), 200))
+            })
+            .collect();
+        wait_for("the streams are under way", || passed() >= Some(80));
+        let before = faulty.asked("");
+        fault(&fleet.engines[0], r#"{"freeze":true}"#);
+        wait_for("the faulty engine is asked", || faulty.asked("") > before);
+        // The streams that are not sent there fall silent as well.
+        thread::sleep(Duration::from_secs(2));
+        fault(&fleet.engines[0], r#"{"freeze":false}"#);
+        for stream in streams {
+            let verse = stream.join().expect("a stream");
+            assert!(verse.is_whole(0, 200), "{verse:?}");
+        }
+    });
+    let attempts = fleet.entries[0].metric("attempts_total");
+    assert_eq!(attempts, Some(count + faulty.asked("")));
+}
