Write the last bytes of the callers' answers before an entry ends

What callers saw: during a planned stop a stream got all its tokens and was then cut without `done`, since the entry ended.

Cause: a stopping entry ended as soon as the reducer knew of no request. By then the last chunk had been given to the caller's connection, but that connection's task may not have run yet, and the end of the runtime drops it.

Change: a stopped entry accepts no connection any more, ends each one gracefully and waits until all have ended, for 1 s at most. Idle connections end at once.

No new test, since the order cannot be forced from outside.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -31,6 +31,7 @@
 use crossbeam::channel;
 use guavausher_core::{event, peering, time as point};
 use prometheus_client::registry;
+use tokio::sync::watch;
 
 use crate::{admin, clock, peers, store};
 
@@ -39,6 +40,9 @@
 /// Events that may wait for the reducer; callers are refused while the queue is full.
 const MAX_EVENTS: usize = 65_536;
 
+/// How long callers may take to receive the last bytes of their answers at a stop.
+const WRITE_WAIT: time::Duration = time::Duration::from_secs(1);
+
 /// What an entry is started with.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -95,7 +99,8 @@
     runtime.spawn(stop_on_signal(clock, events, config.grace));
     let listener = runtime.block_on(tokio::net::TcpListener::bind(config.listen))?;
     log::info!(address:% = listener.local_addr()?, instance:% = config.own.name; "entry listening");
-    runtime.spawn(front.serve(listener));
+    let (running, stopped) = watch::channel(());
+    let served = runtime.spawn(front.serve(listener, stopped));
     let driver = driver::Driver {
         clock,
         store,
@@ -108,6 +113,9 @@
         writer,
     };
     driver.run(config.own, config.seeds);
+    drop(running);
+    // A caller who takes nothing is cut.
+    let _ = runtime.block_on(async { tokio::time::timeout(WRITE_WAIT, served).await });
     runtime.shutdown_timeout(time::Duration::from_secs(1));
     Ok(())
 }
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -15,13 +15,13 @@
 use hyper::{body, header, service};
 use hyper_util::rt;
 use tokio::net;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
 use crate::clock;
 use crate::entry::{answer, caller, caller_socket, command, conduct, exchange, intake, metrics};
 
 /// Connections of callers at once.
-const MAX_CONNECTIONS: usize = 16_384;
+const MAX_CONNECTIONS: u32 = 16_384;
 
 /// How long a caller may take to send its headers.
 const HEADER_WAIT: time::Duration = time::Duration::from_secs(10);
@@ -48,9 +48,25 @@
 }
 
 impl Front {
-    /// Accepts connections until the runtime ends.
-    pub async fn serve(self, listener: net::TcpListener) {
-        let limit = sync::Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    /// Accepts connections until the sender of `stopped` is dropped, and then returns once all bytes of
+    /// the answers given have been written.
+    pub async fn serve(self, listener: net::TcpListener, stopped: watch::Receiver<()>) {
+        let limit = sync::Arc::new(Semaphore::new(MAX_CONNECTIONS as usize));
+        let mut stop = stopped.clone();
+        tokio::select! {
+            () = self.accept(&listener, &limit, stopped) => {}
+            _ = stop.changed() => {}
+        }
+        // The semaphore is never closed.
+        let _ = limit.acquire_many(MAX_CONNECTIONS).await;
+    }
+
+    async fn accept(
+        &self,
+        listener: &net::TcpListener,
+        limit: &sync::Arc<Semaphore>,
+        stopped: watch::Receiver<()>,
+    ) {
         loop {
             let Ok(permit) = limit.clone().acquire_owned().await else {
                 return;
@@ -59,15 +75,15 @@
                 tokio::time::sleep(ACCEPT_WAIT).await;
                 continue;
             };
-            let front = self.clone();
+            let (front, stopped) = (self.clone(), stopped.clone());
             tokio::spawn(async move {
-                front.connection(socket).await;
+                front.connection(socket, stopped).await;
                 drop(permit);
             });
         }
     }
 
-    async fn connection(self, socket: net::TcpStream) {
+    async fn connection(self, socket: net::TcpStream, mut stopped: watch::Receiver<()>) {
         // Tokens are small and must not wait for each other.
         let _ = socket.set_nodelay(true);
         let cut = caller_socket::Cut::default();
@@ -81,7 +97,15 @@
             .header_read_timeout(HEADER_WAIT)
             .max_buf_size(MAX_HEADER_BYTES)
             .serve_connection(rt::TokioIo::new(socket), serve);
-        if let Err(fault) = connection.await {
+        let mut connection = std::pin::pin!(connection);
+        let ended = tokio::select! {
+            ended = &mut connection => ended,
+            _ = stopped.changed() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(fault) = ended {
             log::debug!(fault:%; "caller's connection ended");
         }
     }
