--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -15,13 +15,13 @@
 use hyper::{body, header, service};
 use hyper_util::rt;
 use tokio::net;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
 use crate::clock;
-use crate::entry::{answer, caller, command, conduct, exchange, intake, metrics};
+use crate::entry::{answer, caller, caller_socket, command, conduct, exchange, intake, metrics};
 
 /// Connections of callers at once.
-const MAX_CONNECTIONS: usize = 16_384;
+const MAX_CONNECTIONS: u32 = 16_384;
 
 /// How long a caller may take to send its headers.
 const HEADER_WAIT: time::Duration = time::Duration::from_secs(10);
@@ -48,9 +48,25 @@
 }
 
 impl Front {
-    /// Accepts connections until the runtime ends.
-    pub async fn serve(self, listener: net::TcpListener) {
-        let limit = sync::Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    /// Accepts connections until the sender of `stopped` is dropped, and then returns once all bytes of
+    /// the answers given have been written.
+    pub async fn serve(self, listener: net::TcpListener, stopped: watch::Receiver<()>) {
+        let limit = sync::Arc::new(Semaphore::new(MAX_CONNECTIONS as usize));
+        let mut stop = stopped.clone();
+        tokio::select! {
+            () = self.accept(&listener, &limit, stopped) => {}
+            _ = stop.changed() => {}
+        }
+        // The semaphore is never closed.
+        let _ = limit.acquire_many(MAX_CONNECTIONS).await;
+    }
+
+    async fn accept(
+        &self,
+        listener: &net::TcpListener,
+        limit: &sync::Arc<Semaphore>,
+        stopped: watch::Receiver<()>,
+    ) {
         loop {
             let Ok(permit) = limit.clone().acquire_owned().await else {
                 return;
@@ -59,32 +75,46 @@
                 tokio::time::sleep(ACCEPT_WAIT).await;
                 continue;
             };
-            let front = self.clone();
+            let (front, stopped) = (self.clone(), stopped.clone());
             tokio::spawn(async move {
-                front.connection(socket).await;
+                front.connection(socket, stopped).await;
                 drop(permit);
             });
         }
     }
 
-    async fn connection(self, socket: net::TcpStream) {
+    async fn connection(self, socket: net::TcpStream, mut stopped: watch::Receiver<()>) {
         // Tokens are small and must not wait for each other.
         let _ = socket.set_nodelay(true);
+        let cut = caller_socket::Cut::default();
         let serve = service::service_fn(|http| {
-            let front = self.clone();
-            async move { Ok::<_, convert::Infallible>(front.request(http).await) }
+            let (front, cut) = (self.clone(), cut.clone());
+            async move { Ok::<_, convert::Infallible>(front.request(http, cut).await) }
         });
+        let socket = caller_socket::CallerSocket::new(socket, cut.clone());
         let connection = http1::Builder::new()
             .timer(rt::TokioTimer::new())
             .header_read_timeout(HEADER_WAIT)
             .max_buf_size(MAX_HEADER_BYTES)
             .serve_connection(rt::TokioIo::new(socket), serve);
-        if let Err(fault) = connection.await {
+        let mut connection = std::pin::pin!(connection);
+        let ended = tokio::select! {
+            ended = &mut connection => ended,
+            _ = stopped.changed() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(fault) = ended {
             log::debug!(fault:%; "caller's connection ended");
         }
     }
 
-    async fn request(self, http: hyper::Request<body::Incoming>) -> hyper::Response<answer::Body> {
+    async fn request(
+        self,
+        http: hyper::Request<body::Incoming>,
+        cut: caller_socket::Cut,
+    ) -> hyper::Response<answer::Body> {
         let now = self.clock.now();
         let id = self.next.fetch_add(1, atomic::Ordering::Relaxed) + 1;
         self.metrics.requests.inc();
@@ -116,7 +146,7 @@
         tokio::spawn(work.run());
         match first.await {
             Ok(caller::Head::Whole(whole)) => whole.response(&shown),
-            Ok(caller::Head::Stream(stream)) => respond(&shown, stream),
+            Ok(caller::Head::Stream(stream)) => respond(&shown, stream, cut),
             Err(_) => lost().response(&shown),
         }
     }
@@ -136,18 +166,26 @@
     answer::Whole::error(502, "entry-ended", message, verdict::Verdict::MayHaveRun)
 }
 
-fn respond(id: &str, stream: caller::Stream) -> hyper::Response<answer::Body> {
+fn respond(
+    id: &str,
+    stream: caller::Stream,
+    cut: caller_socket::Cut,
+) -> hyper::Response<answer::Body> {
+    let version = stream.version.clone();
     hyper::Response::builder()
         .header(header::CONTENT_TYPE, answer::EVENT_STREAM)
         .header(header::CACHE_CONTROL, "no-store")
         .header(answer::REQUEST_ID, id)
-        .header(answer::VERSION, stream.version)
-        .body(Chunks(stream.chunks).boxed())
+        .header(answer::VERSION, version)
+        .body(Chunks { stream, cut }.boxed())
         .unwrap_or_else(|_| lost().response(id))
 }
 
-/// The body of a token stream.
-struct Chunks(mpsc::Receiver<Bytes>);
+/// The body of a token stream; it cuts the connection instead of ending if it is not whole.
+struct Chunks {
+    stream: caller::Stream,
+    cut: caller_socket::Cut,
+}
 
 impl body::Body for Chunks {
     type Data = Bytes;
@@ -157,7 +195,12 @@
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<body::Frame<Bytes>, convert::Infallible>>> {
-        let chunk = task::ready!(self.0.poll_recv(context));
+        let chunk = task::ready!(self.stream.chunks.poll_recv(context));
+        if chunk.is_none() && !self.stream.whole.load(atomic::Ordering::Acquire) {
+            self.cut.set();
+            // The server flushes what it has now, which ends the connection.
+            return task::Poll::Pending;
+        }
         task::Poll::Ready(chunk.map(|chunk| Ok(body::Frame::data(chunk))))
     }
 }
