--- a/crates/standins/src/bin/standin-site.rs
+++ b/crates/standins/src/bin/standin-site.rs
@@ -17,9 +17,9 @@
   --slots N            requests that an engine works on at once (default 8)
   --help, --version
 
-Under /standin/ it answers requests, arrivals, orders and reports, and takes faults, drain, crash, leave,
-hold and limit. Words in a request's body rule how its engine serves it: CRASH, head=MS, pause=ID:MS,
-last=BYTES, again=refuse, again=break.
+Under /standin/ it answers requests, arrivals, orders and reports, and takes faults, drain, crash, remove,
+add, leave, hold and limit. Words in a request's body rule how its engine serves it: CRASH, head=MS,
+pause=ID:MS, break=ID, last=BYTES, first=refuse, again=refuse, again=break.
 ";
 
 fn main() -> process::ExitCode {
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -320,6 +320,28 @@
         true
     }
 
+    /// Removes an engine's entry; the engine itself goes on.
+    fn remove_entry(&self, name: &str) -> bool {
+        let mut engines = lock(&self.engines);
+        let Some(running) = engines.get_mut(name) else {
+            return false;
+        };
+        running.entry.state = servers::State::Draining;
+        lock(&self.objects).remove(names::SERVERS, name);
+        drop(engines);
+        self.notify_watches();
+        true
+    }
+
+    /// Adds an engine like another one.
+    fn add_like(&self, name: &str) -> bool {
+        let entry = lock(&self.engines).get(name).map(|r| r.entry.clone());
+        entry.is_some_and(|like| {
+            let added = self.add(&like.service, &like.zone, like.slots, like.spot);
+            added.is_ok()
+        })
+    }
+
     /// Changes the notices in an engine's responses; its entry does not contain them.
     fn set_notice(&self, name: &str, set: impl Fn(&engine::Notices)) -> bool {
         let engines = lock(&self.engines);
@@ -360,6 +382,8 @@
             },
             "drain" if self.drain(&name) => reply::done(),
             "crash" if self.crash(&name) => reply::done(),
+            "remove" if self.remove_entry(&name) => reply::done(),
+            "add" if self.add_like(&name) => reply::done(),
             "leave" if self.set_notice(&name, engine::Notices::leave) => reply::done(),
             "hold" if self.set_notice(&name, |notices| notices.hold(span)) => reply::done(),
             "limit" if self.set_notice(&name, |notices| notices.limit(limit)) => reply::done(),
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -32,6 +32,8 @@
     start: time::Instant,
     /// Engines that ran each request, by the caller's id.
     runs: sync::Mutex<collections::BTreeMap<String, Vec<String>>>,
+    /// Requests that were refused at first because their script says so.
+    refused: sync::Mutex<collections::BTreeSet<String>>,
     /// Milliseconds from the start to each request, by engine.
     arrivals: sync::Mutex<collections::BTreeMap<String, Vec<u64>>>,
 }
@@ -41,6 +43,7 @@
         Self {
             start: time::Instant::now(),
             runs: sync::Mutex::default(),
+            refused: sync::Mutex::default(),
             arrivals: sync::Mutex::default(),
         }
     }
@@ -71,6 +74,11 @@
         super::lock(&self.runs).contains_key(id)
     }
 
+    /// Records the first refusal of a request; returns `true` if there was none before.
+    fn record_refusal(&self, id: &str) -> bool {
+        super::lock(&self.refused).insert(id.to_owned())
+    }
+
     fn record_run(&self, id: &str, engine: &str) {
         let mut runs = super::lock(&self.runs);
         if runs.len() < MAX_RUNS {
@@ -207,11 +215,17 @@
     if is_repeat && script.repeat == script::Repeat::Refuse {
         return Ok(refuse(http::StatusCode::SERVICE_UNAVAILABLE, &id));
     }
+    if script.first_refuses && !is_repeat && engine.log.record_refusal(&id) {
+        return Ok(refuse(http::StatusCode::SERVICE_UNAVAILABLE, &id));
+    }
     if is_repeat {
         script = script.of_repeat();
     }
     engine.log.record_run(&id, &engine.name);
     tokio::time::sleep(script.head).await;
+    if script.breaks == Some(0) {
+        return Err(reply::cut());
+    }
     let counts = request::header(&request, names::TOKEN_COUNTS);
     let response = match counts.split_once(',') {
         _ if is_repeat && script.repeat == script::Repeat::Break => broken(),
@@ -268,6 +282,11 @@
             if let Some(pause) = script.pause.filter(|pause| pause.before == id) {
                 tokio::time::sleep(pause.length).await;
             }
+            if script.breaks == Some(id) {
+                // The front may have closed the connection.
+                let _ = pieces.send(Err(reply::cut())).await;
+                return;
+            }
             let length = if id == last { script.last } else { 0 };
             if pieces.send(Ok(event(id, length).into())).await.is_err() {
                 return;
--- a/crates/standins/src/site/script.rs
+++ b/crates/standins/src/site/script.rs
@@ -14,6 +14,10 @@
     pub head: Duration,
     /// `pause=ID:MS`: the first run waits before this event of its stream.
     pub pause: Option<Pause>,
+    /// `break=ID`: the first run closes the connection before this event; 0 is before the head.
+    pub breaks: Option<u32>,
+    /// `first=refuse`: the first run refuses the request as not run.
+    pub first_refuses: bool,
     /// `last=BYTES`: length of the last event's data in bytes.
     pub last: usize,
     /// `again=refuse` or `again=break`: what later runs do.
@@ -56,6 +60,7 @@
         Self {
             head: Duration::ZERO,
             pause: None,
+            breaks: None,
             ..self
         }
     }
@@ -65,6 +70,8 @@
             None if word == CRASH => self.crashes = true,
             Some(("head", length)) => self.head = millis(length),
             Some(("pause", pause)) => self.pause = read_pause(pause),
+            Some(("break", before)) => self.breaks = before.parse().ok(),
+            Some(("first", "refuse")) => self.first_refuses = true,
             Some(("last", bytes)) => self.last = bytes.parse().unwrap_or(0),
             Some(("again", "refuse")) => self.repeat = Repeat::Refuse,
             Some(("again", "break")) => self.repeat = Repeat::Break,
