Answer requests that were read behind another one when a process stops

What callers saw: a caller that had sent several requests at once on a kept connection got no response to the later ones around a SIGTERM of the machine. The process had read them while it answered the one before (it reads up to 64 KiB ahead), announced the end of the connection in that response, and dropped them. None of them had run.

Cause: whether a connection stays open was decided when the request before had been read, by the stop alone; what had been read behind it, or arrived before the head of its response, was not asked.

Change: while a process stops, a response announces the end of the connection only if nothing has arrived behind its request by the time its head is written. The requests that have are answered in turn, those after the closing time with 503, and the last one announces the end.

Evidence: orders_behind_a_stream_are_answered (three cases) failed before: "order-1: closed after 0 bytes" (case 1: order-2).

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -103,20 +103,6 @@
     Ok(())
 }
 
-/// Returns once the peer has closed or reset the connection.
-///
-/// Bytes that arrive before are appended to `buffer`; at `limit` bytes it stops reading and never
-/// returns.
-pub async fn wait_closed(stream: &TcpStream, buffer: &mut BytesMut, limit: usize) {
-    while buffer.len() < limit {
-        match fill(stream, buffer).await {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
-        }
-    }
-    std::future::pending().await
-}
-
 /// Opens a listening socket.
 ///
 /// # Errors
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -49,7 +49,9 @@
     caller: &mut connection::Connection,
     incoming: request_reader::Request,
 ) -> Disposition {
-    let keeps = incoming.head.keeps_alive() && !runtime.is_stopping();
+    // Requests that the caller has sent behind this one are answered before the connection closes.
+    let stays_open = !runtime.is_stopping() || !caller.buffer.is_empty();
+    let keeps = incoming.head.keeps_alive() && stays_open;
     let size = incoming.body.len();
     if runtime.held_bytes.get() + size > runtime::MAX_HELD_BYTES {
         let refusal = refusal::Refusal::not_run(
@@ -172,7 +174,7 @@
             }
             Next::Step(step_queue::Step::Refuse(refusal, context)) => {
                 record::refused(runtime, request, refusal, context);
-                let output = output.borrow().clone();
+                let output = *output.borrow();
                 if output.is_begun {
                     record::truncated(runtime, request, refusal, context, last_signal, &output);
                 }
@@ -245,13 +247,32 @@
             running_attempts::Next::Step(step) => Next::Step(step),
             running_attempts::Next::Ended(dispatch, outcome) => Next::Ended(dispatch, outcome),
         },
-        () = connection::wait_closed(exchange.caller, buffer, MAX_READ_AHEAD) => {
+        () = read_ahead(exchange, buffer) => {
             Next::End(event::Signal::Abandoned)
         }
         () = clock::sleep_until(exchange.request.deadline) => Next::End(event::Signal::Expired),
     }
 }
 
+/// Reads the caller's next requests ahead; returns once the caller has closed or reset the connection.
+async fn read_ahead(exchange: &attempt::Exchange<'_>, buffer: &mut BytesMut) {
+    while buffer.len() < MAX_READ_AHEAD {
+        match connection::fill(exchange.caller, buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => keep_open(exchange),
+        }
+    }
+    std::future::pending().await
+}
+
+/// Keeps the connection open for a request that has arrived before the head of this response.
+fn keep_open(exchange: &attempt::Exchange<'_>) {
+    let mut output = exchange.output.borrow_mut();
+    if !output.is_begun {
+        output.keeps_alive = exchange.incoming.head.keeps_alive();
+    }
+}
+
 /// Writes our own final response, or cuts off the response that has begun.
 async fn finish(
     exchange: &attempt::Exchange<'_>,
