Let a stopping process end its callers' connections before it exits

What callers saw: the end of a response was lost if the caller was slow to read and still sent when the process exited; and a request whose end came after the closing time was reset without an answer.

Cause: the process exited as soon as no request was registered. A connection on which a request was being read, or that was being closed after its response, did not count. The kernel resets a connection that gets bytes after its process has closed it, and drops what has not been acknowledged. An idle connection was closed at the closing time without waiting for its caller.

Change: a caller's connection is busy from the first byte of a request until its response is written or the connection is closed; the process waits for these too, up to the grace as before. A connection that closes after a response is read for up to 2 s (0.5 s before), an idle one at the closing time for 0.5 s (not before), each until the caller closes it. A request is refused as not run if it is complete after the closing time, whenever its head came (before: by its head), since one that is passed on later could be cut by the grace.

--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -92,7 +92,8 @@
 ) -> Result<manifest::Admission, refusal::Refusal> {
     let state = runtime.state.borrow();
     let at = incoming.arrived.after(DEFAULT_RETRY_DELAY);
-    if incoming.arrived >= runtime.closing_time() {
+    // The end of its body may have come long after its head.
+    if clock::now() >= runtime.closing_time() {
         return Err(refusal::Refusal::not_run(refusal::Code::Stopping, Some(at)));
     }
     let Some(manifest) = &state.manifest else {
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -19,9 +19,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// How long a stopping process accepts new requests, until new callers are routed elsewhere.
 pub const DRAIN_DELAY: Duration = Duration::from_millis(2_600);
-/// Longest time to read the rest of a rejected request, so that its response is not lost.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Bytes read of the rest of a rejected request at most.
+/// Longest time to read what a caller still sends on a connection that is being closed, so that the
+/// response before it is not lost.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// The same for a connection that was idle.
+const IDLE_LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bytes read on a connection that is being closed at most.
 const MAX_LINGER: usize = 1 << 20;
 
 /// Starts to accept callers until the process ends; returns the address that it listens on.
@@ -59,15 +62,21 @@
 }
 
 async fn serve(runtime: &rc::Rc<runtime::Runtime>, mut caller: connection::Connection) {
+    // New callers of a process that has closed do not delay its end.
+    let is_counted = clock::now() < runtime.closing_time();
     loop {
         let limits = runtime.limits();
-        if !wait_for_request(runtime, &mut caller, limits).await {
-            return;
+        let next = wait_for_request(runtime, &mut caller, limits).await;
+        let _busy = is_counted.then(|| runtime.occupy());
+        match next {
+            Next::Request => {}
+            Next::Ended => return,
+            Next::Closing => return linger(caller, IDLE_LINGER_TIMEOUT).await,
         }
         match request_reader::read(&mut caller, limits).await {
             Ok(request) => match forwarding::forward(runtime, &mut caller, request).await {
                 forwarding::Disposition::Keep => {}
-                forwarding::Disposition::Close => return linger(caller).await,
+                forwarding::Disposition::Close => return linger(caller, LINGER_TIMEOUT).await,
                 forwarding::Disposition::Reset => return reset(&caller),
             },
             Err(request_reader::Error::Closed) => return,
@@ -77,23 +86,36 @@
                     .metrics
                     .count_request("refused", code.as_str(), Duration::ZERO);
                 forwarding::reject(&caller, code).await;
-                return linger(caller).await;
+                return linger(caller, LINGER_TIMEOUT).await;
             }
         }
     }
 }
 
-/// Waits for the wait_for_request request; returns `true` if one arrives.
+/// What happens next on a caller's connection.
+enum Next {
+    /// A request arrives.
+    Request,
+    /// The caller has closed it, or it was idle for too long.
+    Ended,
+    /// The process stops, and nothing has arrived.
+    Closing,
+}
+
+/// Waits for the next request.
 async fn wait_for_request(
     runtime: &runtime::Runtime,
     caller: &mut connection::Connection,
     limits: guavausher_core::relay::manifest::Limits,
-) -> bool {
+) -> Next {
     let mut stopping = runtime.stopping.subscribe();
     tokio::select! {
         biased;
-        waited = request_reader::wait_readable(caller, limits) => waited.is_ok(),
-        () = closing(runtime, &mut stopping) => false,
+        waited = request_reader::wait_readable(caller, limits) => match waited {
+            Ok(()) => Next::Request,
+            Err(_) => Next::Ended,
+        },
+        () = closing(runtime, &mut stopping) => Next::Closing,
     }
 }
 
@@ -105,7 +127,7 @@
 }
 
 /// Closes a connection so that the caller receives the complete response first.
-async fn linger(mut caller: connection::Connection) {
+async fn linger(mut caller: connection::Connection, limit: Duration) {
     use tokio::io::AsyncWriteExt as _;
     if caller.stream.shutdown().await.is_err() {
         return;
@@ -121,7 +143,7 @@
         }
     };
     // The connection of a caller that sends for longer is closed.
-    let _ = tokio::time::timeout(LINGER_TIMEOUT, rest).await;
+    let _ = tokio::time::timeout(limit, rest).await;
 }
 
 /// Resets a connection, so that a truncated response cannot look complete.
@@ -237,15 +259,18 @@
     }
 }
 
-/// Waits until no request is in progress or `grace` has elapsed.
+/// Waits until no request is in progress and no caller's connection is busy, or `grace` has elapsed.
 pub async fn wait_drained(runtime: &runtime::Runtime, grace: Duration) {
     /// Time between two checks.
     const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+    /// Checks in a row that must agree, since idle connections begin to close at the closing time.
+    const MIN_QUIET: u32 = 2;
     let end = clock::now().after(grace);
-    while clock::now() < end {
-        if clock::now() >= runtime.closing_time() && runtime.in_progress() == 0 {
-            return;
-        }
+    let mut quiet = 0;
+    while clock::now() < end && quiet < MIN_QUIET {
         tokio::time::sleep(CHECK_INTERVAL).await;
+        let is_closed = clock::now() >= runtime.closing_time();
+        let is_drained = is_closed && runtime.in_progress() == 0 && runtime.is_quiet();
+        quiet = if is_drained { quiet + 1 } else { 0 };
     }
 }
--- a/crates/relay/src/runtime.rs
+++ b/crates/relay/src/runtime.rs
@@ -43,6 +43,8 @@
     /// Bytes of request bodies held at the moment.
     pub held_bytes: cell::Cell<usize>,
     queues: cell::RefCell<collections::HashMap<u64, rc::Rc<step_queue::StepQueue>>>,
+    /// Callers' connections on which a request is read or answered, or that are being closed.
+    busy_connections: cell::Cell<usize>,
     last_id: cell::Cell<u64>,
     engines_loaded: cell::Cell<bool>,
     /// Notifies the tasks that the manifest and the engines are known.
@@ -51,6 +53,18 @@
     closing_time: cell::Cell<time::Time>,
 }
 
+/// Keeps a caller's connection counted as busy.
+#[derive(Debug)]
+pub(crate) struct BusyGuard<'a> {
+    count: &'a cell::Cell<usize>,
+}
+
+impl Drop for BusyGuard<'_> {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+    }
+}
+
 impl Runtime {
     /// Creates the runtime around a state; `kinds` is the number of kinds of objects that are read.
     pub fn new(state: state::State, protocol: protocol::Protocol, kinds: usize) -> rc::Rc<Self> {
@@ -66,6 +80,7 @@
             stopping: sync::watch::Sender::new(false),
             held_bytes: cell::Cell::new(0),
             queues: cell::RefCell::new(collections::HashMap::new()),
+            busy_connections: cell::Cell::new(0),
             last_id: cell::Cell::new(0),
             engines_loaded: cell::Cell::new(false),
             loaded: sync::watch::Sender::new(false),
@@ -154,6 +169,18 @@
         self.queues.borrow().len()
     }
 
+    /// Returns `true` if no caller's connection has anything left to be read, written or closed.
+    pub const fn is_quiet(&self) -> bool {
+        self.busy_connections.get() == 0
+    }
+
+    /// Counts a caller's connection as busy until the guard is dropped.
+    pub(crate) fn occupy(&self) -> BusyGuard<'_> {
+        let count = &self.busy_connections;
+        count.set(count.get() + 1);
+        BusyGuard { count }
+    }
+
     /// Registers a request; returns its new id and the queue of its steps.
     pub(crate) fn register(&self) -> (u64, rc::Rc<step_queue::StepQueue>) {
         let id = self.last_id.get() + 1;
