Keep a written response for a caller that reads nothing for a while

What callers saw: the connection of a caller that read nothing for 4 s was reset, and what was in the socket of the process was lost, although the engine had responded and everything had been written.

Cause: TCP_USER_TIMEOUT of 4 s on every connection. The kernel also applies it to a receive window that stays closed, though the caller's machine acknowledges each probe.

Change: once a response is written the limit is 30 s; no engine works for the caller any more. While a request is answered it is 4 s as before, so that an engine does not work long for a caller that is gone. A response that is longer than the sockets hold, or a stream, is still cut after 4 s of closed window.

Evidence: response_waits_for_a_caller_that_pauses (6 s) failed before: "Connection reset by peer after 6326 bytes" of 200,000.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -9,8 +9,9 @@
 
 /// Buffer space that is reserved for one read, in bytes.
 const READ_BYTES: usize = 8 * 1024;
-/// How long sent bytes may remain unacknowledged (`TCP_USER_TIMEOUT`).
-const USER_TIMEOUT: Duration = Duration::from_secs(4);
+/// How long sent bytes may remain unacknowledged, and a peer's receive window closed
+/// (`TCP_USER_TIMEOUT`).
+pub const USER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Idle time before the first keepalive probe, and the time between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 /// Unanswered keepalive probes after which the connection is closed.
@@ -115,6 +116,14 @@
     socket.listen(BACKLOG)
 }
 
+/// Limits how long a peer may leave bytes unacknowledged or its receive window closed.
+pub fn limit_silence(stream: &TcpStream, limit: Duration) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(fault) = socket.set_tcp_user_timeout(Some(limit)) {
+        log::debug!(fault:% = fault; "setting a socket option failed");
+    }
+}
+
 fn tune(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
     let keepalive = socket2::TcpKeepalive::new()
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -24,6 +24,9 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 /// The same for a connection that was idle.
 const IDLE_LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a caller may leave a written response unread in the socket. No engine works for it any
+/// more, so this is longer than while it is being answered.
+const ANSWERED_USER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Bytes read on a connection that is being closed at most.
 const MAX_LINGER: usize = 1 << 20;
 
@@ -74,7 +77,7 @@
             Next::Closing => return linger(caller, IDLE_LINGER_TIMEOUT).await,
         }
         match request_reader::read(&mut caller, limits).await {
-            Ok(request) => match forwarding::forward(runtime, &mut caller, request).await {
+            Ok(request) => match forward(runtime, &mut caller, request).await {
                 forwarding::Disposition::Keep => {}
                 forwarding::Disposition::Close => return linger(caller, LINGER_TIMEOUT).await,
                 forwarding::Disposition::Reset => return reset(&caller),
@@ -92,6 +95,17 @@
     }
 }
 
+async fn forward(
+    runtime: &rc::Rc<runtime::Runtime>,
+    caller: &mut connection::Connection,
+    request: request_reader::Request,
+) -> forwarding::Disposition {
+    connection::limit_silence(&caller.stream, connection::USER_TIMEOUT);
+    let disposition = forwarding::forward(runtime, caller, request).await;
+    connection::limit_silence(&caller.stream, ANSWERED_USER_TIMEOUT);
+    disposition
+}
+
 /// What happens next on a caller's connection.
 enum Next {
     /// A request arrives.
