Blame and count a silent attempt once, and give the reason of the last one

- An attempt that was superseded was recorded as failed, a healthy replacement too: if its engine had left the list, the request was blamed for a crash at once.
And a silent attempt whose connection breaks late, as on a cut link, counted as a crash after a second without the list.
Only a silence is recorded now, when it is reported, and a break after a silence needs the list.
- A silence counted twice against its engine: when it was reported, and when another attempt had responded or the deadline passed.
- The reason why nothing replaced an attempt was missing after a refusal with a wait, stayed from before after a replacement was sent, and was 'running' where the attempts were used up.

--- a/crates/core/src/relay/failed_attempts.rs
+++ b/crates/core/src/relay/failed_attempts.rs
@@ -1,4 +1,4 @@
-//! Attempts that ended without a complete response, kept until it is known whether their engine
+//! Attempts that were silent or ended without a complete response, kept until it is known whether their engine
 //! crashed.
 //!
 //! A broken connection alone is no proof of a crash: an engine may reset one and keep running. It
@@ -25,11 +25,11 @@
 pub enum Symptom {
     /// Its connection broke.
     Broken,
-    /// It was given up while the engine did not respond.
+    /// The engine had not responded for too long, or had its time left when the request ended.
     Silent,
 }
 
-/// An attempt that ended without a complete response.
+/// An attempt that was silent or ended without a complete response.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FailedAttempt {
     /// Fingerprint of the request.
@@ -40,7 +40,7 @@
     pub incarnation: u64,
     /// How the attempt failed.
     pub symptom: Symptom,
-    /// When it ended.
+    /// When it ended or was silent.
     pub at: time::Time,
 }
 
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -42,19 +42,27 @@
             apply_not_run(state, now, id, number, status, wait)
         }
         event::Signal::Unsent => apply_unsent(state, now, id, number),
-        event::Signal::Broken { .. } => {
-            runs::mark_may_have_run(state, now, id);
-            let symptom = failed_attempts::Symptom::Broken;
-            crashes::record_failed_attempt(state, now, id, number, symptom);
-            ending::end_attempt(state, now, id, number, fleet::Outcome::Broke);
-            retry_or_refuse(state, now, id, refusal::Code::UpstreamFailed);
-        }
+        event::Signal::Broken { .. } => apply_broken(state, now, id, number),
         event::Signal::Stalled => silence::apply_stalled(state, now, id, number),
         event::Signal::Expired => apply_expired(state, now, id),
         event::Signal::Abandoned => apply_abandoned(state, now, id),
     }
 }
 
+fn apply_broken(state: &mut state::State, now: time::Time, id: u64, number: usize) {
+    runs::mark_may_have_run(state, now, id);
+    let flight = state.flights.get(&id);
+    let attempt = flight.and_then(|f| f.attempt(number));
+    // A connection that breaks after a silence may have been cut long before.
+    let symptom = match attempt.is_some_and(|a| a.silent_since.is_some()) {
+        true => failed_attempts::Symptom::Silent,
+        false => failed_attempts::Symptom::Broken,
+    };
+    crashes::record_failed_attempt(state, now, id, number, symptom);
+    ending::end_attempt(state, now, id, number, fleet::Outcome::Broke);
+    retry_or_refuse(state, now, id, refusal::Code::UpstreamFailed);
+}
+
 /// Selects another engine after one that accepted no connection; this does not count as a retry.
 fn apply_unsent(state: &mut state::State, now: time::Time, id: u64, number: usize) {
     ending::end_attempt(state, now, id, number, fleet::Outcome::Unreachable);
@@ -171,11 +179,12 @@
         fleet::Outcome::Full
     };
     ending::end_attempt(state, now, id, number, outcome);
-    let can_retry = state
-        .flights
-        .get(&id)
-        .is_some_and(|f| retry::check(f).is_ok() || !f.running.is_empty());
-    if let Some(wait) = wait.filter(|_| !can_retry) {
+    let Some(flight) = state.flights.get_mut(&id) else {
+        return;
+    };
+    if let (Some(wait), Err(reason), true) = (wait, retry::check(flight), flight.running.is_empty())
+    {
+        flight.no_retry = Some(reason);
         let at = now.after(wait);
         return refuse::give_up(state, now, id, refusal::Code::Overloaded, Some(at));
     }
--- a/crates/core/src/relay/reduce/dispatch.rs
+++ b/crates/core/src/relay/reduce/dispatch.rs
@@ -218,6 +218,7 @@
         return;
     };
     state.fleet.begin_attempt(now, &choice, &flight.request);
+    flight.no_retry = None;
     flight.tried.push(choice.engine.clone());
     flight.attempts += 1;
     flight.running.push(flight::Attempt {
--- a/crates/core/src/relay/reduce/ending.rs
+++ b/crates/core/src/relay/reduce/ending.rs
@@ -1,8 +1,6 @@
 //! Ends of attempts.
 
-use super::crashes;
 use crate::relay::effect;
-use crate::relay::failed_attempts;
 use crate::relay::fleet;
 use crate::relay::state;
 use crate::time;
@@ -32,6 +30,10 @@
     state
         .fleet
         .end_attempt(&attempt.choice, attempt.has_first_event);
+    if outcome == fleet::Outcome::Silent && attempt.silent_since.is_some() {
+        // Its engine has been avoided since the silence was reported.
+        return;
+    }
     state.fleet.record_outcome(now, &attempt.choice, outcome);
     if outcome.is_response() {
         state
@@ -56,8 +58,6 @@
         .map(|a| (a.number, a.silent_since.is_some()))
         .collect();
     for (other, is_silent) in others {
-        let symptom = failed_attempts::Symptom::Silent;
-        crashes::record_failed_attempt(state, now, id, other, symptom);
         match is_silent {
             true => end_attempt(state, now, id, other, fleet::Outcome::Silent),
             false => abandon_attempt(state, id, other),
--- a/crates/core/src/relay/reduce/silence.rs
+++ b/crates/core/src/relay/reduce/silence.rs
@@ -59,8 +59,8 @@
     id: u64,
 ) -> Result<fleet::Choice, effect::NoRetry> {
     let flight = state.flights.get(&id).ok_or(effect::NoRetry::Policy)?;
-    let silent_since = flight.silent_since().ok_or(effect::NoRetry::Running)?;
     retry::check(flight)?;
+    let silent_since = flight.silent_since().ok_or(effect::NoRetry::Running)?;
     if flight.running.len() >= MAX_RUNNING {
         return Err(effect::NoRetry::Attempts);
     }
--- a/crates/core/tests/relay_attempts.rs
+++ b/crates/core/tests/relay_attempts.rs
@@ -221,21 +221,87 @@
 }
 
 /// A request that crashes engines was not recognised if its silent attempt went on.
-#[rstest]
-#[case::silent_attempt(1)]
-#[case::replacement(2)]
-fn crash_after_another_attempt_has_responded_is_counted(#[case] crashed: usize) {
+#[test]
+fn crash_under_a_silent_attempt_is_counted() {
     let mut instance = replaced(RetryPolicy::ResumableStream, 2, 2, true);
-    let index: usize = {
-        let attempt = instance.state.flights[&1].attempt(crashed).unwrap();
-        attempt.choice.engine[1..].parse().unwrap()
-    };
-    instance.signal_of(at(1_300), 1, 3 - crashed, Signal::First);
+    let silent = engine_of(&instance, 1);
+    instance.signal_of(at(1_300), 1, 2, Signal::First);
     let mut list = vec![engine(0), engine(1)];
-    list[index].incarnation += 1;
+    list[silent].incarnation += 1;
     let effects = instance.apply(at(1_500), engines(list));
-    let mut crashes = effects.iter();
-    assert!(crashes.any(|e| matches!(e, effect::Effect::EngineCrashed { .. })));
+    assert_eq!(crashes(&effects), 1);
+}
+
+/// Requests were blamed for crashes of engines that had left the list and still served a replacement,
+/// or whose link was cut under a silent attempt.
+#[test]
+fn crash_is_not_blamed_on_an_attempt_that_was_superseded() {
+    let mut instance = replaced(RetryPolicy::ResumableStream, 2, 2, true);
+    let other = engine_of(&instance, 2);
+    instance.apply(at(1_250), engines(vec![engine(1 - other)]));
+    let effects = instance.signal_of(at(1_300), 1, 1, Signal::First);
+    assert_eq!((crashes(&effects), cancelled(&effects)), (0, vec![2]));
+}
+
+#[test]
+fn crash_is_not_blamed_on_a_silent_attempt_whose_connection_breaks_late() {
+    let mut instance = replaced(RetryPolicy::ResumableStream, 2, 3, true);
+    instance.signal_of(at(4_000), 1, 1, BROKEN);
+    for id in 2..8 {
+        instance.send(at(4_010), request(id, at(4_010)));
+        instance.signal_of(at(4_020), id, 1, Signal::First);
+        instance.signal_of(at(4_030), id, 1, WHOLE);
+    }
+    let effects = instance.apply(at(5_100), event::Event::Tick);
+    assert_eq!(crashes(&effects), 0);
+}
+
+fn engine_of(instance: &Instance, attempt: usize) -> usize {
+    let attempt = instance.state.flights[&1].attempt(attempt).unwrap();
+    attempt.choice.engine[1..].parse().unwrap()
+}
+
+fn crashes(effects: &[effect::Effect]) -> usize {
+    let is_crash = |e: &&effect::Effect| matches!(e, effect::Effect::EngineCrashed { .. });
+    effects.iter().filter(is_crash).count()
+}
+
+/// A silence counted twice against its engine: when it was reported and when another attempt had
+/// responded.
+#[rstest]
+#[case::superseded(2, Signal::First)]
+#[case::expired(1, Signal::Expired)]
+fn silence_counts_once_against_its_engine(#[case] attempt: usize, #[case] signal: Signal) {
+    let mut instance = Instance::serving(1, 2);
+    instance.send(START, request(1, START));
+    instance.signal_of(at(5), 1, 1, Signal::First);
+    let mut effects = instance.signal_of(at(SILENCE), 1, 1, Signal::Stalled);
+    effects.extend(instance.signal_of(at(1_300), 1, attempt, signal));
+    let is_avoided = |e: &&effect::Effect| {
+        let effect::Effect::EngineAvoided { engine, .. } = e else {
+            return false;
+        };
+        **engine == *"e0"
+    };
+    assert_eq!(effects.iter().filter(is_avoided).count(), 1, "{effects:?}");
+}
+
+/// The reason why nothing replaced an attempt was missing after a refusal with a wait, and an older one
+/// stayed after a replacement was sent.
+#[test]
+fn reason_without_a_retry_is_that_of_the_last_attempt() {
+    let mut instance = replaced(RetryPolicy::ResumableStream, 2, 2, true);
+    assert_eq!(instance.state.flights[&1].no_retry, None);
+    instance.signal_of(at(1_250), 1, 1, Signal::Stalled);
+    let attempts = Some(effect::NoRetry::Attempts);
+    assert_eq!(instance.state.flights[&1].no_retry, attempts);
+    instance.signal_of(at(1_300), 1, 1, BROKEN);
+    let effects = instance.signal_of(at(1_310), 1, 2, HOLD);
+    let reason = effects.iter().find_map(|e| match e {
+        effect::Effect::Refuse { context, .. } => Some(context.no_retry),
+        _ => None,
+    });
+    assert_eq!(reason, Some(attempts));
 }
 
 /// An attempt that goes on after a silence is not taken for silent any more.
