Log and count each attempt that a response or the deadline ends

What was missing, found by a review: if the response that superseded an attempt came in one piece, no line and no count told of the superseded one, and at the deadline two attempts had one line and counted as one.

Evidence: superseded_attempt_is_logged (2 cases) and expired_attempts_are_logged_each; the review's tests of the same failed before.

--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -196,8 +196,12 @@
                 (number, event::Signal::Failing { status })
             }
             Next::End(signal) => {
-                running.clear();
-                (0, signal)
+                let mut ended = running.clear();
+                let last = ended.pop().unwrap_or_default();
+                for number in ended {
+                    record::attempt_ended(runtime, request, number, signal, &output.borrow());
+                }
+                (last, signal)
             }
         };
         record::attempt_ended(runtime, request, number, signal, &output.borrow());
@@ -210,6 +214,9 @@
         let took = request.arrived.until(clock::now());
         match signal {
             event::Signal::Whole { .. } => {
+                for number in running.clear() {
+                    record::superseded(runtime, request, number);
+                }
                 runtime.metrics.count_request("answered", "", took);
                 return match output.borrow().keeps_alive {
                     true => Disposition::Keep,
--- a/crates/relay/src/running_attempts.rs
+++ b/crates/relay/src/running_attempts.rs
@@ -49,9 +49,10 @@
         self.attempts.retain(|a| a.dispatch.number != number);
     }
 
-    /// Drops all attempts.
-    pub fn clear(&mut self) {
-        self.attempts.clear();
+    /// Drops all attempts and returns their numbers.
+    pub fn clear(&mut self) -> Vec<usize> {
+        let attempts = std::mem::take(&mut self.attempts);
+        attempts.iter().map(|a| a.dispatch.number).collect()
     }
 
     /// Runs the attempts until one ends or a step is due.
--- a/crates/relay/tests/silent_engines.rs
+++ b/crates/relay/tests/silent_engines.rs
@@ -210,6 +210,59 @@
     });
 }
 
+/// A response that came in one piece left no line about the attempt that it superseded.
+#[rstest]
+fn superseded_attempt_is_logged(#[values("/resume/", "/look/")] path: &str) {
+    support::run(async {
+        lines::keep();
+        let first = Engine::start(vec![Reply::Hang(String::new())]).await;
+        let whole = match path {
+            "/look/" => complete_response(200, "id: 1\ndata: e1\n\n"),
+            _ => events(1..=1, true),
+        };
+        let second = Engine::start(vec![Reply::Keep(whole)]).await;
+        let relay = relay(&first, &second);
+        assert_eq!(ask(&relay, path).await.summary(), "200 [1]");
+        let endings = endings();
+        assert!(
+            endings.contains(&(1, String::from("superseded"))),
+            "{endings:?}"
+        );
+        assert!(endings.contains(&(2, String::from("whole"))), "{endings:?}");
+    });
+}
+
+/// Each attempt that the deadline ends has a line and counts.
+#[test]
+fn expired_attempts_are_logged_each() {
+    support::run(async {
+        lines::keep();
+        let first = Engine::start(vec![Reply::Hang(String::new())]).await;
+        let second = Engine::start(vec![Reply::Hang(String::new())]).await;
+        let relay = relay(&first, &second);
+        let asked = request("POST", "/resume/", "r1", "kit").replace("9000", "900");
+        assert_eq!(relay.ask(&asked).await.unwrap().status, 504);
+        let expired = |number| (number, String::from("expired"));
+        assert_eq!(endings(), [expired(1), expired(2)]);
+        let metrics = &relay.runtime.metrics;
+        let text = metrics.text(clock::now(), &relay.runtime.state.borrow());
+        assert!(
+            text.contains("attempts_total{ending=\"expired\"} 2"),
+            "{text}"
+        );
+    });
+}
+
+/// Returns the number and the ending of each attempt, as logged.
+fn endings() -> Vec<(u32, String)> {
+    let ended = lines::all("attempt ended");
+    let ended = ended.iter().map(|line| {
+        let number = line.number("attempt") as u32;
+        (number, String::from(line.text("ending")))
+    });
+    ended.collect()
+}
+
 /// The caller's close ends all attempts of its request.
 #[test]
 fn caller_that_leaves_ends_all_attempts() {
