Take a comment in a stream for no event

What callers saw: a stream whose engine paused was cut when the other engine sent a comment and then nothing: the comment counted as an event, which ended the silent attempt.

Change: a comment is passed on with the event behind it.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -6,6 +6,8 @@
 const MAX_EVENT: usize = 256 * 1024;
 
 /// Splits the stream of one attempt into complete events and drops those that were passed on before.
+///
+/// Comments are passed on with the event behind them: they show no progress of the response.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
@@ -122,18 +124,17 @@
     }
 }
 
+/// Returns where the first event ends, behind any comments before it.
 fn end_of_event(bytes: &[u8]) -> Option<usize> {
     let mut start = 0;
+    let mut has_field = false;
     while let Some(offset) = bytes[start..].iter().position(|b| *b == b'\n') {
-        let next = start + offset + 1;
-        let rest = &bytes[next..];
-        if rest.starts_with(b"\n") {
-            return Some(next + 1);
+        let line = bytes[start..start + offset].trim_ascii_end();
+        start += offset + 1;
+        if line.is_empty() && has_field {
+            return Some(start);
         }
-        if rest.starts_with(b"\r\n") {
-            return Some(next + 2);
-        }
-        start = next;
+        has_field |= !line.is_empty() && !line.starts_with(b":");
     }
     None
 }
--- a/crates/relay/tests/silent_engines.rs
+++ b/crates/relay/tests/silent_engines.rs
@@ -263,6 +263,34 @@
     ended.collect()
 }
 
+/// A comment of the other engine ended the silent attempt, and the stream was cut when that engine sent
+/// nothing more.
+#[rstest]
+fn comment_is_no_progress(#[values(false, true)] is_begun: bool) {
+    support::run(async {
+        let first = Engine::start(vec![paused(&events(1..=3, true), is_begun)]).await;
+        let comment = "7\r\n: ping\n\r\n1\r\n\n\r\n";
+        let second = Engine::start(vec![Reply::Hang(events(1..=0, false) + comment)]).await;
+        let relay = relay(&first, &second);
+        assert_eq!(ask(&relay, "/resume/").await.summary(), "200 [1][2][3]");
+    });
+}
+
+/// A comment reaches the caller with the event behind it.
+#[test]
+fn comment_is_passed_on() {
+    support::run(async {
+        let text = events(1..=2, true).replace("10\r\nid: 2", "18\r\n: ping\n\nid: 2");
+        let first = Engine::start(vec![Reply::Keep(text)]).await;
+        let second = Engine::start(Vec::new()).await;
+        let answer = ask(&relay(&first, &second), "/resume/").await;
+        assert_eq!(
+            answer.summary(),
+            "200 [1]: ping\n\n[2]".replace("\\n", "\n")
+        );
+    });
+}
+
 /// The caller's close ends all attempts of its request.
 #[test]
 fn caller_that_leaves_ends_all_attempts() {
