Keep a 429 or 408 of one engine while another attempt may finish

What callers saw: on routes that may repeat, a 429 or 408 that does not bear the engine's word for it ended a silent attempt, and was passed on as a promise for a request that may have run.

Change: such a response is kept like a 5xx until no attempt is left.

Evidence: two of the new cases of silent_engine_responds_after_another_has_failed failed before.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -241,7 +241,8 @@
                 "response lacks the headers of a complete response of the engine");
             return Err(response_reader::BROKEN_RESPONSE);
         }
-        if status < MIN_FAILURE_STATUS && self.is_buffered(status, framing) {
+        let is_failure = status >= MIN_FAILURE_STATUS || PROMISES.contains(&status);
+        if !is_failure && self.is_buffered(status, framing) {
             let body = self.body(engine, framing, MAX_FAILURE_BODY).await?;
             self.mark_reusable(engine, &response, framing, is_sent);
             let kept = caller_response::BufferedResponse {
@@ -251,7 +252,7 @@
             self.report_progress();
             return Ok(Outcome::Signal(self.forward_buffered(&kept).await));
         }
-        if status >= MIN_FAILURE_STATUS {
+        if is_failure {
             let body = self.body(engine, framing, MAX_FAILURE_BODY).await?;
             self.mark_reusable(engine, &response, framing, is_sent);
             let head = response.head;
--- a/crates/relay/tests/silent_engines.rs
+++ b/crates/relay/tests/silent_engines.rs
@@ -20,6 +20,8 @@
 enum Other {
     Refuses,
     Fails,
+    /// A response that promises nothing ran, without the engine's word for it.
+    AnswersTooMany,
     Closes,
     ClosesAfterHead,
     Resets,
@@ -36,6 +38,7 @@
         match self {
             Self::Refuses => Reply::Keep(String::from(refusal)),
             Self::Fails => Reply::Keep(complete_response(500, "failed")),
+            Self::AnswersTooMany => Reply::Keep(complete_response(429, "later")),
             Self::Closes => Reply::Close(String::new()),
             Self::ClosesAfterHead => Reply::Close(String::from(head)),
             Self::Resets => Reply::Reset(String::from(head)),
@@ -86,6 +89,7 @@
     #[values(
         Other::Refuses,
         Other::Fails,
+        Other::AnswersTooMany,
         Other::Closes,
         Other::ClosesAfterHead,
         Other::Resets,
@@ -105,8 +109,9 @@
         };
         let first = Engine::start(vec![paused(&text, is_begun)]).await;
         let mut second = Engine::start(vec![other.reply()]).await;
+        let closed = support::closed_socket();
         if other == Other::Unreachable {
-            second.address = support::closed_address();
+            second.address = closed.local_addr().unwrap();
         }
         let relay = relay(&first, &second);
         let answer = ask(&relay, path).await;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -295,10 +295,11 @@
     }
 }
 
-/// Returns an address at which nothing listens.
-pub fn closed_address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+/// Returns a socket at whose address nothing listens, or can listen while it is kept.
+pub fn closed_socket() -> tokio::net::TcpSocket {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    socket
 }
 
 /// Composes a request.
