Use an engine's first turn before its rate limit is tested

Cause, a fault of the test: an instance may send its first request to a limited engine after a fraction of the time between two requests that depends on the names alone. For engine-0 at front-1 that is 0.00147 of 5 s, 7.4 ms after the limit. If the test took longer than that, one of the thirty requests went to the first engine, which had no reply left and closed; the lines of a failed run show the fifth request there. That is the pace as intended (unused time is not made up for, and the engine's limit is kept: crates/core/tests/relay_limits.rs). Ruled out: kept connections and the retry budget.

Change: the test waits until the pace admits a request, sends it, and has 10 s (a limit of 0.1 a second) for the rest, half of the limit of each test. All assertions stay; a new one says that the first engine got exactly two requests.

--- a/crates/relay/tests/log_lines.rs
+++ b/crates/relay/tests/log_lines.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::sync;
+use std::time::Duration;
 
 use guavausher_core::name;
 use guavausher_core::relay::{event, manifest, workspace};
@@ -373,10 +374,14 @@
 }
 
 /// A request that a rate limit has moved or refused says so, within bounds, and is counted.
+///
+/// The first turn after a limit may come at once, the second one comes 10 s after it.
 #[test]
 fn rate_limit_effects_are_logged_and_counted() {
     support::run(async {
-        let (first, relay) = ask_each(vec![limited("0.2")]).await;
+        let (first, relay) = serving(vec![limited("0.1"), limited("0.1")]).await;
+        relay.ask(&request("POST", "/pay/", "r0", "kit")).await;
+        use_next_turn(&relay, "r1").await;
         let refused = relay.ask(&request("POST", "/pay/", "late", "kit")).await;
         assert_eq!(refused.unwrap().status, 503);
         let line = lines::only("refused");
@@ -398,5 +403,20 @@
         assert!(text.contains(&format!("{counter}{{outcome=\"refused\"}} 1")));
         assert!(text.contains(&format!("{counter}{{outcome=\"placed-elsewhere\"}}")));
         assert!(text.contains("standing=\"limited\""), "{text}");
+        assert_eq!(first.runs(), 2);
     });
 }
+
+/// Waits until the limits of all engines leave room for a request, and sends it.
+async fn use_next_turn(relay: &Relay, id: &str) {
+    let service = name::Name::from("service");
+    let limited = || {
+        let state = relay.runtime.state.borrow();
+        state.fleet.limited(clock::now(), &service)
+    };
+    while limited() > 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let used = relay.ask(&request("POST", "/pay/", id, "kit")).await;
+    assert_eq!(used.unwrap().status, 200);
+}
