Treat a failure without a length and without a body as broken

What callers saw: a failure (5xx on any route, another status than 200 on a resumable one) whose engine closed right after its head, without a length, was passed on with "Content-Length: 0", as if the engine had answered so. On routes that may repeat it also hid that the engine broke off.

Cause: read_body takes the close of a connection as the end of a body without a length, also if no byte had come. Responses that are streamed had been treated as broken in that case already.

Change: a buffered body without a length and without a byte is a broken response. The client for the platform's own interfaces is unchanged.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -344,6 +344,8 @@
     }
 
     /// Reads a complete body of at most `limit` bytes.
+    ///
+    /// One that neither has a length nor a single byte is that of an engine that broke off.
     async fn body(
         &self,
         engine: &mut connection::Connection,
@@ -352,6 +354,7 @@
     ) -> Result<Bytes, event::Signal> {
         let connection::Connection { stream, buffer, .. } = engine;
         let body = response_reader::read_body(stream, buffer, framing, limit).await;
+        let body = body.filter(|body| framing != framing::Framing::Close || !body.is_empty());
         body.ok_or(response_reader::BROKEN_RESPONSE)
     }
 
--- a/crates/relay/tests/responses.rs
+++ b/crates/relay/tests/responses.rs
@@ -388,6 +388,61 @@
     });
 }
 
+/// An engine closed after the head of a failure without a length, or reset the connection within the
+/// body. Callers got the failure, framed as complete.
+#[rstest]
+#[case::closed(Reply::Close, "")]
+#[case::reset(Reply::Reset, "")]
+#[case::reset_within(Reply::Reset, "fir")]
+fn failure_without_length_is_broken_without_its_body(
+    #[case] reply: fn(String) -> Reply,
+    #[case] body: &str,
+    #[values(500, 503, 404)] status: u16,
+    #[values("/pay/", "/look/", "/stream/", "/resume/")] path: &str,
+    #[values("HTTP/1.1", "HTTP/1.0")] version: &str,
+    #[values(true, false)] has_other: bool,
+) {
+    support::run(async {
+        let first = Engine::start(vec![reply(failure(status, body))]).await;
+        let second = Engine::start(vec![Reply::Keep(success(path, 2))]).await;
+        let relay = match has_other {
+            true => Relay::preferring(&first, &second),
+            false => Relay::start(&[&first]),
+        };
+        let asked = request("POST", path, "r1", "kit").replace("HTTP/1.1", version);
+        let answer = Answer::get(&relay, &asked).await;
+        assert_eq!(first.runs(), 1);
+        let allowed: &[&str] = match is_idempotent(path) && has_other {
+            true => &["200 [2]", &format!("{status} fir CUT")],
+            false => &["502", &format!("{status} fir CUT")],
+        };
+        assert_one_of(&answer, allowed);
+        let at_second = usize::from(answer.summary() == "200 [2]");
+        assert_eq!(second.runs(), at_second, "runs at the second engine");
+    });
+}
+
+/// That an engine closes within a failure without a length cannot be told from its end.
+#[rstest]
+fn failure_without_length_is_complete_if_closed(
+    #[values(500, 404)] status: u16,
+    #[values("/pay/", "/look/", "/stream/", "/resume/")] path: &str,
+    #[values("HTTP/1.1", "HTTP/1.0")] version: &str,
+) {
+    support::run(async {
+        let engine = Engine::start(vec![Reply::Close(failure(status, "first"))]).await;
+        let relay = Relay::start(&[&engine]);
+        let asked = request("POST", path, "r1", "kit").replace("HTTP/1.1", version);
+        let answer = Answer::get(&relay, &asked).await;
+        assert_one_of(&answer, &[&format!("{status} first")]);
+    });
+}
+
+/// Returns a failure without a length.
+fn failure(status: u16, body: &str) -> String {
+    framed(Framing::Close, body).replace("200 OK", &format!("{status} Word"))
+}
+
 /// A stream that was complete by its framing lost the bytes after its last blank line.
 #[rstest]
 fn last_event_without_blank_line_is_passed_on(
