Send the rest of a body while its response arrives

What callers saw: an engine that began its response before it had read a long body, and read on before it finished the response, got no more of the body once its head had arrived. Both sides waited, and the request ended at its deadline: 504, or a stream that was cut.

Cause: the future that writes the request was dropped with the head of the response.

Change: the request is written beside the whole reception of the response; whether it was sent completely (and the connection may be kept) is asked at the end of the response, and is no longer assumed after a failed write.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,6 +1,9 @@
 //! One attempt: sends a request to one engine and passes the response on to the caller.
 
 use std::cell;
+use std::convert;
+use std::future;
+use std::io;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -101,8 +104,7 @@
             return Outcome::Signal(event::Signal::Unsent);
         };
         let head = self.compose(self.output.borrow().last_event);
-        let mut is_sent = false;
-        let ending = self.exchange(&mut engine, &head, &mut is_sent).await;
+        let ending = self.exchange(&mut engine, &head).await;
         let kept = engine.keep_alive.take();
         if let Some(wait) = kept.filter(|_| self.runtime.is_listed(&self.dispatch.choice)) {
             self.runtime.pool.put(&self.dispatch, engine, wait);
@@ -133,21 +135,54 @@
             .ok()
     }
 
-    /// Writes the request and waits for the response at the same time, since it may come early.
+    /// Writes the request and passes on the response at the same time, since an engine may respond
+    /// before it has read a long body, and read on before the end of its response.
     async fn exchange(
         &self,
         engine: &mut connection::Connection,
         head: &[u8],
-        is_sent: &mut bool,
     ) -> Result<Outcome, event::Signal> {
-        let connection::Connection { stream, buffer, .. } = engine;
+        let is_sent = cell::Cell::new(false);
+        let stream = &engine.stream;
+        let mut receiver = Receiver {
+            stream,
+            buffer: &mut engine.buffer,
+            keep_alive: &mut engine.keep_alive,
+            is_sent: &is_sent,
+        };
+        tokio::select! {
+            biased;
+            outcome = self.receive(&mut receiver) => outcome,
+            never = self.send(stream, head, &is_sent) => match never {},
+        }
+    }
+
+    /// Writes the request.
+    async fn send(
+        &self,
+        stream: &TcpStream,
+        head: &[u8],
+        is_sent: &cell::Cell<bool>,
+    ) -> convert::Infallible {
+        let sent = async {
+            connection::write_all(stream, head).await?;
+            connection::write_all(stream, &self.incoming.body).await
+        };
+        match sent.await {
+            Ok(()) => is_sent.set(true),
+            // If the engine closed early, its response may still be readable.
+            Err(fault) => {
+                log::debug!(id:% = self.request.trace, fault:% = fault;
+                    "request was not sent completely");
+            }
+        }
+        future::pending().await
+    }
+
+    /// Waits for the response and passes it on.
+    async fn receive(&self, engine: &mut Receiver<'_>) -> Result<Outcome, event::Signal> {
         let response = {
-            let sending = async {
-                connection::write_all(stream, head).await?;
-                connection::write_all(stream, &self.incoming.body).await
-            };
-            let mut sending = std::pin::pin!(sending);
-            let mut reading = std::pin::pin!(self.read_response(stream, buffer));
+            let mut reading = std::pin::pin!(self.read_response(engine.stream, engine.buffer));
             let dispatch = &self.dispatch;
             let mut check_at = dispatch.response_deadline.unwrap_or(time::Time::MAX);
             let patience = dispatch.decided_at.until(check_at);
@@ -155,14 +190,6 @@
                 tokio::select! {
                     biased;
                     response = &mut reading => break response?,
-                    sent = &mut sending, if !*is_sent => {
-                        // If the engine closed early, its response may still be readable.
-                        *is_sent = true;
-                        if let Err(fault) = sent {
-                            log::debug!(id:% = self.request.trace, fault:% = fault;
-                                "request was not sent completely");
-                        }
-                    }
                     () = clock::sleep_until(check_at) => {
                         self.report_silence();
                         check_at = clock::now().after(patience);
@@ -170,7 +197,7 @@
                 }
             }
         };
-        self.handle_response(engine, response, *is_sent).await
+        self.handle_response(engine, response).await
     }
 
     /// Reads the head of the response to this request; skips responses to earlier ones.
@@ -273,9 +300,8 @@
     /// Handles a response by its head: skips, buffers or streams its body.
     async fn handle_response(
         &self,
-        engine: &mut connection::Connection,
+        engine: &mut Receiver<'_>,
         response: Response,
-        is_sent: bool,
     ) -> Result<Outcome, event::Signal> {
         let names = &self.runtime.protocol;
         let head = &response.head;
@@ -286,8 +312,7 @@
             head.get(names.refusal).is_some() && status != 400 || status == MISDIRECTED;
         if is_refusal {
             let wait = wire::retry_after(head);
-            self.skip_response(engine, &response, framing, is_sent)
-                .await;
+            self.skip_response(engine, &response, framing).await;
             return Ok(Outcome::Signal(event::Signal::NotRun { status, wait }));
         }
         let is_success = (200..300).contains(&status);
@@ -302,7 +327,7 @@
         }
         if status < MIN_FAILURE_STATUS && self.is_buffered(status, framing) {
             let body = self.body(engine, framing, MAX_FAILURE_BODY).await?;
-            self.mark_reusable(engine, &response, framing, is_sent);
+            self.mark_reusable(engine, &response, framing);
             let kept = caller_response::BufferedResponse {
                 head: response.head,
                 body,
@@ -312,7 +337,7 @@
         }
         if status >= MIN_FAILURE_STATUS {
             let body = self.body(engine, framing, MAX_FAILURE_BODY).await?;
-            self.mark_reusable(engine, &response, framing, is_sent);
+            self.mark_reusable(engine, &response, framing);
             let head = response.head;
             return Ok(Outcome::Failure(caller_response::BufferedResponse {
                 head,
@@ -320,7 +345,7 @@
             }));
         }
         self.stream_response(engine, &response, framing).await?;
-        self.mark_reusable(engine, &response, framing, is_sent);
+        self.mark_reusable(engine, &response, framing);
         Ok(Outcome::Signal(event::Signal::Whole { status }))
     }
 
@@ -348,12 +373,11 @@
     /// One that neither has a length nor a single byte is that of an engine that broke off.
     async fn body(
         &self,
-        engine: &mut connection::Connection,
+        engine: &mut Receiver<'_>,
         framing: framing::Framing,
         limit: usize,
     ) -> Result<Bytes, event::Signal> {
-        let connection::Connection { stream, buffer, .. } = engine;
-        let body = response_reader::read_body(stream, buffer, framing, limit).await;
+        let body = response_reader::read_body(engine.stream, engine.buffer, framing, limit).await;
         let body = body.filter(|body| framing != framing::Framing::Close || !body.is_empty());
         body.ok_or(response_reader::BROKEN_RESPONSE)
     }
@@ -364,7 +388,7 @@
     /// respond instead.
     async fn stream_response(
         &self,
-        engine: &mut connection::Connection,
+        engine: &mut Receiver<'_>,
         response: &Response,
         framing: framing::Framing,
     ) -> Result<(), event::Signal> {
@@ -405,14 +429,14 @@
     /// valid.
     fn take_pieces(
         &self,
-        engine: &mut connection::Connection,
+        engine: &mut Receiver<'_>,
         response: &Response,
         body: &mut body_stream::BodyStream,
         length: Option<u64>,
         pending: &mut BytesMut,
     ) -> bool {
         loop {
-            let taken = body.take(&mut engine.buffer, &mut self.output.borrow_mut().last_event);
+            let taken = body.take(engine.buffer, &mut self.output.borrow_mut().last_event);
             match taken {
                 Ok(Some(piece)) => self.push_piece(&response.head, length, &piece, pending),
                 Ok(None) => return true,
@@ -451,7 +475,7 @@
         Some(self.caller_head(head, length, &mut output))
     }
 
-    async fn read_more(&self, engine: &mut connection::Connection) -> Result<usize, event::Signal> {
+    async fn read_more(&self, engine: &mut Receiver<'_>) -> Result<usize, event::Signal> {
         let Some(pause) = self.dispatch.max_gap else {
             return engine
                 .fill()
@@ -522,40 +546,37 @@
     /// Skips a small body so that the connection can be reused.
     async fn skip_response(
         &self,
-        engine: &mut connection::Connection,
+        engine: &mut Receiver<'_>,
         response: &Response,
         framing: framing::Framing,
-        is_sent: bool,
     ) {
-        let connection::Connection { stream, buffer, .. } = engine;
-        let skipping = response_reader::skip_body(stream, buffer, framing);
+        let skipping = response_reader::skip_body(engine.stream, engine.buffer, framing);
         /// Timeout for skipping the body of a refusal.
         const SKIP_TIMEOUT: Duration = Duration::from_millis(50);
         if matches!(
             tokio::time::timeout(SKIP_TIMEOUT, skipping).await,
             Ok(Ok(()))
         ) {
-            self.mark_reusable(engine, response, framing, is_sent);
+            self.mark_reusable(engine, response, framing);
         }
     }
 
     /// Marks the connection as reusable if the exchange was complete and the engine keeps it open.
     fn mark_reusable(
         &self,
-        engine: &mut connection::Connection,
+        engine: &mut Receiver<'_>,
         response: &Response,
         framing: framing::Framing,
-        is_sent: bool,
     ) {
         let is_clean = response.is_clean
-            && is_sent
+            && engine.is_sent.get()
             && engine.buffer.is_empty()
             && framing != framing::Framing::Close
             && response.head.keeps_alive();
         if !is_clean {
             return;
         }
-        engine.keep_alive = Some(wire::keep_alive(&response.head));
+        *engine.keep_alive = Some(wire::keep_alive(&response.head));
     }
 
     /// Passes on a response that was buffered.
@@ -580,6 +601,23 @@
     rate_limit::Rate::from_per_second(text.parse().ok()?)
 }
 
+/// The receiving half of a connection to an engine, while the request is being sent.
+struct Receiver<'a> {
+    stream: &'a TcpStream,
+    buffer: &'a mut BytesMut,
+    /// Set after a clean exchange, as in the connection.
+    keep_alive: &'a mut Option<Option<Duration>>,
+    /// Whether the request was sent completely.
+    is_sent: &'a cell::Cell<bool>,
+}
+
+impl Receiver<'_> {
+    /// Reads more bytes; returns 0 at the end of the connection.
+    async fn fill(&mut self) -> io::Result<usize> {
+        connection::fill(self.stream, self.buffer).await
+    }
+}
+
 /// The head of a response to this request.
 #[derive(Debug)]
 struct Response {
--- a/crates/relay/tests/support/script.rs
+++ b/crates/relay/tests/support/script.rs
@@ -43,6 +43,8 @@
     Hang(String),
     /// Answers after the head, without reading the body.
     Early(String),
+    /// Sends bytes before it reads the body and others after it, and closes the connection if set.
+    EarlyPart(String, String, bool),
     /// Sends bytes, and then others again and again until the connection is closed.
     Endless(String, String),
     /// Sends bytes and keeps the connection; sends the others on it once the relay has read its
@@ -139,6 +141,11 @@
         let is_early = matches!(reply, Some(Reply::Early(_)));
         let length = request.header("content-length");
         let length: usize = length.map_or(0, |l| l.parse().unwrap());
+        let id = request.header("x-id").unwrap_or_default();
+        let text = |t: &str| t.replace("{id}", &id).into_bytes();
+        if let Some(Reply::EarlyPart(t, ..)) = &reply {
+            stream.write_all(&text(t)).await.unwrap();
+        }
         if !is_early {
             while bytes.len() < length {
                 if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
@@ -147,9 +154,7 @@
             }
             request.body = bytes.drain(..length).collect();
         }
-        let id = request.header("x-id").unwrap_or_default();
         served.seen.borrow_mut().push(request);
-        let text = |t: &str| t.replace("{id}", &id).into_bytes();
         match reply {
             Some(Reply::Keep(t)) => stream.write_all(&text(&t)).await.unwrap(),
             Some(Reply::Early(t)) => {
@@ -158,6 +163,12 @@
                 tokio::time::sleep(LIMIT).await;
                 return;
             }
+            Some(Reply::EarlyPart(_, rest, closes)) => {
+                stream.write_all(&text(&rest)).await.unwrap();
+                if closes {
+                    return;
+                }
+            }
             Some(Reply::Close(t)) => {
                 stream.write_all(&text(&t)).await.unwrap();
                 return;
