--- a/crates/relay/src/forward_body.rs
+++ b/crates/relay/src/forward_body.rs
@@ -38,7 +38,7 @@
     /// respond instead.
     pub async fn stream_response(
         &self,
-        engine: &mut connection::Connection,
+        engine: &mut attempt::Receiver<'_>,
         response: &attempt::Response,
         framing: framing::Framing,
     ) -> Result<(), event::Signal> {
@@ -79,14 +79,14 @@
     /// valid.
     fn take_pieces(
         &self,
-        engine: &mut connection::Connection,
+        engine: &mut attempt::Receiver<'_>,
         response: &attempt::Response,
         body: &mut body_stream::BodyStream,
         length: Option<u64>,
         pending: &mut BytesMut,
     ) -> bool {
         loop {
-            let taken = body.take(&mut engine.buffer, &mut self.output.borrow_mut().last_event);
+            let taken = body.take(engine.buffer, &mut self.output.borrow_mut().last_event);
             match taken {
                 Ok(Some(piece)) => self.push_piece(&response.head, length, &piece, pending),
                 Ok(None) => return true,
@@ -125,7 +125,7 @@
         Some(self.caller_head(head, length, &mut output))
     }
 
-    async fn read_more(&self, engine: &mut connection::Connection) -> Result<usize, event::Signal> {
+    async fn read_more(&self, engine: &mut attempt::Receiver<'_>) -> Result<usize, event::Signal> {
         let Some(pause) = self.dispatch.max_gap else {
             return engine
                 .fill()
