--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -3,7 +3,6 @@
 use std::cell;
 use std::convert;
 use std::future;
-use std::io;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -16,6 +15,7 @@
 use crate::connection;
 use crate::framing;
 use crate::head;
+use crate::receiver;
 use crate::record;
 use crate::request_reader;
 use crate::response_reader;
@@ -142,7 +142,7 @@
     ) -> Result<Outcome, event::Signal> {
         let is_sent = cell::Cell::new(false);
         let stream = &engine.stream;
-        let mut receiver = Receiver {
+        let mut receiver = receiver::Receiver {
             stream,
             buffer: &mut engine.buffer,
             keep_alive: &mut engine.keep_alive,
@@ -178,7 +178,7 @@
     }
 
     /// Waits for the response and passes it on.
-    async fn receive(&self, engine: &mut Receiver<'_>) -> Result<Outcome, event::Signal> {
+    async fn receive(&self, engine: &mut receiver::Receiver<'_>) -> Result<Outcome, event::Signal> {
         let response = {
             let mut reading = std::pin::pin!(self.read_response(engine.stream, engine.buffer));
             let dispatch = &self.dispatch;
@@ -241,7 +241,7 @@
     /// Handles a response by its head: skips, buffers or streams its body.
     async fn handle_response(
         &self,
-        engine: &mut Receiver<'_>,
+        engine: &mut receiver::Receiver<'_>,
         response: Response,
     ) -> Result<Outcome, event::Signal> {
         let names = &self.runtime.protocol;
@@ -315,7 +315,7 @@
     /// One that neither has a length nor a single byte is that of an engine that broke off.
     async fn body(
         &self,
-        engine: &mut Receiver<'_>,
+        engine: &mut receiver::Receiver<'_>,
         framing: framing::Framing,
         limit: usize,
     ) -> Result<Bytes, event::Signal> {
@@ -374,7 +374,7 @@
     /// Skips a small body so that the connection can be reused.
     async fn skip_response(
         &self,
-        engine: &mut Receiver<'_>,
+        engine: &mut receiver::Receiver<'_>,
         response: &Response,
         framing: framing::Framing,
     ) {
@@ -392,7 +392,7 @@
     /// Marks the connection as reusable if the exchange was complete and the engine keeps it open.
     fn mark_reusable(
         &self,
-        engine: &mut Receiver<'_>,
+        engine: &mut receiver::Receiver<'_>,
         response: &Response,
         framing: framing::Framing,
     ) {
@@ -408,23 +408,6 @@
     }
 }
 
-/// The receiving half of a connection to an engine, while the request is being sent.
-pub(crate) struct Receiver<'a> {
-    stream: &'a TcpStream,
-    pub buffer: &'a mut BytesMut,
-    /// Set after a clean exchange, as in the connection.
-    keep_alive: &'a mut Option<Option<Duration>>,
-    /// Whether the request was sent completely.
-    is_sent: &'a cell::Cell<bool>,
-}
-
-impl Receiver<'_> {
-    /// Reads more bytes; returns 0 at the end of the connection.
-    pub async fn fill(&mut self) -> io::Result<usize> {
-        connection::fill(self.stream, self.buffer).await
-    }
-}
-
 /// The head of a response to this request.
 #[derive(Debug)]
 pub(crate) struct Response {
--- a/crates/relay/src/forward_body.rs
+++ b/crates/relay/src/forward_body.rs
@@ -11,6 +11,7 @@
 use crate::connection;
 use crate::framing;
 use crate::head;
+use crate::receiver;
 use crate::response_reader;
 use crate::wire;
 
@@ -38,7 +39,7 @@
     /// respond instead.
     pub async fn stream_response(
         &self,
-        engine: &mut attempt::Receiver<'_>,
+        engine: &mut receiver::Receiver<'_>,
         response: &attempt::Response,
         framing: framing::Framing,
     ) -> Result<(), event::Signal> {
@@ -79,7 +80,7 @@
     /// valid.
     fn take_pieces(
         &self,
-        engine: &mut attempt::Receiver<'_>,
+        engine: &mut receiver::Receiver<'_>,
         response: &attempt::Response,
         body: &mut body_stream::BodyStream,
         length: Option<u64>,
@@ -125,7 +126,7 @@
         Some(self.caller_head(head, length, &mut output))
     }
 
-    async fn read_more(&self, engine: &mut attempt::Receiver<'_>) -> Result<usize, event::Signal> {
+    async fn read_more(&self, engine: &mut receiver::Receiver<'_>) -> Result<usize, event::Signal> {
         let Some(pause) = self.dispatch.max_gap else {
             return engine
                 .fill()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod peers;
 pub mod pool;
 pub mod protocol;
+mod receiver;
 mod record;
 pub mod request_reader;
 mod response_reader;
