Add silent engines, early responses and other callers to the scripts

What was missing in the seeded scripts: callers over HTTP/1.0 (with and without a kept connection), pipelined requests, engines that respond before they have read a long body (and read on before or after the end of the response), and silent engines whose replacement refuses, fails, breaks, falls silent as well, answers as the first one wakes, or answers first.

New rules: once another attempt has delivered an event, the earlier engine sees its connection close within 5 s; so does each engine that holds a connection of a request that has ended; engines get exactly the request's body; nothing runs behind a response that ended the caller's connection; a request whose engines finish, if late, is served though its replacement delivers nothing. All earlier rules stay. Three of eight scripts are silent ones and one is calm; four are drawn as before (seven were).

--- a/crates/relay/tests/engine_bytes.rs
+++ b/crates/relay/tests/engine_bytes.rs
@@ -7,8 +7,30 @@
 mod support;
 
 mod engine_bytes {
+    pub mod caller;
+    pub mod check;
     pub mod engine;
     pub mod plan;
+    pub mod reply;
+    pub mod script;
+
+    use std::time::Duration;
+
+    /// Engines that a request may be sent to, on each route of [`crate::support::parts`].
+    pub const ATTEMPTS: usize = 2;
+    /// How long a caller waits for a response that must come.
+    pub const PATIENCE: Duration = Duration::from_secs(30);
+
+    /// What the engines of a script do.
+    #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+    pub enum Mood {
+        /// All responses are proper ones.
+        Calm,
+        /// Anything.
+        Faulty,
+        /// The first engine of each request falls silent, and another one may replace it.
+        Silent,
+    }
 }
 
 use std::collections;
@@ -17,61 +39,37 @@
 use std::rc;
 use std::time::Duration;
 
-use engine_bytes::engine::{self, Asked, Run, Script};
-use engine_bytes::plan::{Plan, Route};
+use engine_bytes::check::{self, Rule};
+use engine_bytes::engine::{self, CLOSE_LIMIT};
+use engine_bytes::plan::{Early, Ending, Framing, Plan, Route};
+use engine_bytes::script::{Asked, Script, Version};
+use engine_bytes::{ATTEMPTS, Mood, PATIENCE, caller};
 use rand::prelude::*;
-use support::{Caller, Engine, Relay, Response, request};
+use support::{Engine, Relay};
 
 const SEEDS: ops::RangeInclusive<u64> = 0..=299;
 /// Scripts that run at the same time.
-const BATCH: usize = 50;
+const BATCH: usize = 150;
+/// Longest time for a batch, on a busy machine too.
+const BATCH_LIMIT: Duration = Duration::from_secs(180);
 const ENGINES: usize = 3;
-/// Engines that a request may be sent to, on each route of [`support::parts`].
-const ATTEMPTS: usize = 2;
-/// Every so many scripts, all responses are proper ones.
-const CALM: u64 = 8;
-/// Timeout of the routes, except in calm scripts.
-const TIMEOUT: Duration = Duration::from_millis(600);
-/// How long after a route's timeout a response must have ended, on a busy machine too.
-const MARGIN: Duration = Duration::from_secs(8);
-/// Statuses that promise that the request has not run and never will.
-const PROMISES: [u16; 4] = [408, 421, 429, 503];
-
-/// A broken rule.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Rule {
-    /// A success looks complete but is not the whole response of an engine.
-    Whole,
-    /// Bytes of another request or of another engine, or a status or stamp that is not the engine's.
-    Mixed,
-    /// A promise that the request has not run, though it has.
-    Promise,
-    /// A request that may run once runs twice.
-    Twice,
-    /// A request is sent to more engines than its route allows.
-    Attempts,
-    /// A request has no end.
-    Endless,
-    /// A proper response is not passed on.
-    Served,
-}
-
-/// What a caller got.
-#[derive(Clone, Debug)]
-enum Got {
-    Response(Response),
-    /// The connection was closed before a response.
-    Closed,
-    /// Nothing came in time.
-    Nothing,
-}
+/// Engines of a script in which they fall silent, so that there is always one that has not.
+const MANY_ENGINES: usize = 8;
+/// How long a caller waits for a response that need not come.
+const IMPATIENCE: Duration = Duration::from_millis(600);
+/// Pause of a stream that is on time, except in calm scripts.
+const GAP: Duration = Duration::from_millis(62);
+/// Longest body of a request, in bytes, and how often a long one repeats its text. Engines that do not
+/// read take less.
+const MAX_BODY: usize = 8 << 20;
+const LONG: usize = 400_000;
 
 #[test]
 fn engine_bytes_seeded_keep_the_rules() {
     let seeds: Vec<u64> = seeds().collect();
     let mut faults = Vec::new();
     for batch in seeds.chunks(BATCH) {
-        support::run(async {
+        support::run_within(BATCH_LIMIT, async {
             let scripts = batch
                 .iter()
                 .map(|seed| tokio::task::spawn_local(play(*seed)));
@@ -99,189 +97,130 @@
 
 /// Plays one script and returns the rules that it broke, each with what happened.
 async fn play(seed: u64) -> Vec<(Rule, String)> {
-    let is_calm = seed.is_multiple_of(CALM);
-    let script = rc::Rc::new(draw(seed, is_calm));
-    let relay = start(&script, is_calm).await;
-    let mut got = Vec::new();
-    let mut caller = relay.caller().await;
+    let mood = match seed % 8 {
+        0 => Mood::Calm,
+        1..=3 => Mood::Silent,
+        _ => Mood::Faulty,
+    };
+    let script = rc::Rc::new(draw(seed, mood));
+    let relay = start(&script, mood).await;
+
+    let reception = caller::ask_all(&relay, &script.asked).await;
+    script.wait_closed(CLOSE_LIMIT).await;
     let mut faults = Vec::new();
-    for (index, asked) in script.asked.iter().enumerate() {
-        let body = format!("body of {}", asked.id);
-        let path = format!("{}{}", asked.route.path(), asked.id);
-        caller.send(&request("POST", &path, &asked.id, &body)).await;
-        let answer = receive(&mut caller, is_calm).await;
-        if !caller.bytes.is_empty() {
-            let extra = String::from_utf8_lossy(&caller.bytes).into_owned();
-            faults.push((
-                Rule::Mixed,
-                index,
-                format!("bytes after the response: {extra}"),
-            ));
-        }
-        if !keeps(&answer) || !caller.bytes.is_empty() {
-            caller = relay.caller().await;
-        }
-        got.push(answer);
+    for extra in &reception.extra {
+        let why = format!("bytes after the response: {}", extra.bytes);
+        faults.push((Rule::Mixed, extra.index, why));
     }
     for (index, asked) in script.asked.iter().enumerate() {
-        let runs = script.runs[index].borrow();
-        let found = check(asked, &runs, &got[index], is_calm);
-        faults.extend(
-            found
-                .into_iter()
-                .map(|(rule, why)| (rule, index, String::from(why))),
-        );
+        let runs = script.records[index].runs.borrow();
+        let found = check::check(asked, &runs, &reception.got[index], mood);
+        let found = found.into_iter();
+        faults.extend(found.map(|(rule, why)| (rule, index, String::from(why))));
     }
     let describe = |(rule, index, why): (Rule, usize, String)| {
-        let runs = script.runs[index].borrow();
-        let asked = &script.asked[index];
+        let runs = script.records[index].runs.borrow();
+        let (asked, got) = (&script.asked[index], &reception.got[index]);
+        let (id, route, version) = (&asked.id, asked.route, asked.version);
         let text = format!(
-            "seed {seed}, {} on {:?}, {} parts: {why}\n  runs: {runs:#?}\n  got: {:?}",
-            asked.id, asked.route, asked.parts, got[index]
+            "seed {seed} ({mood:?}), {id} on {route:?}, {version:?}, {} parts: {why}\n  \
+             runs: {runs:#?}\n  got: {got:?}",
+            asked.parts
         );
         (rule, text)
     };
     faults.into_iter().map(describe).collect()
 }
 
-fn draw(seed: u64, is_calm: bool) -> Script {
+fn draw(seed: u64, mood: Mood) -> Script {
     let mut dice = StdRng::seed_from_u64(seed);
-    let asked = (0..dice.random_range(2..7)).map(|index| Asked {
-        id: format!("r{seed}-{index}"),
-        route: *Route::ALL.choose(&mut dice).unwrap(),
-        parts: dice.random_range(1..5),
-        plans: (0..=ATTEMPTS)
-            .map(|_| Plan::draw(&mut dice, is_calm))
-            .collect(),
-    });
-    let asked: Vec<_> = asked.collect();
-    let runs = asked.iter().map(|_| Default::default()).collect();
-    Script { asked, runs }
+    let count = dice.random_range(2..7);
+    let mut asked: Vec<_> = (0..count)
+        .map(|index| draw_asked(&mut dice, format!("r{seed}-{index}"), mood))
+        .collect();
+    for index in 1..count {
+        let before = &asked[index - 1];
+        let may_follow = before.version == Version::Http11 && before.repeats == 1;
+        asked[index].is_pipelined = may_follow && dice.random_bool(0.2);
+    }
+    Script::new(asked)
 }
 
-async fn start(script: &rc::Rc<Script>, is_calm: bool) -> Relay {
-    let mut parts = support::parts(1);
-    for route in parts.routes.iter_mut().filter(|_| !is_calm) {
-        route.timeout = TIMEOUT;
-        route.goal = TIMEOUT / 2;
-        route.gap = Some(engine::PAUSE / 4);
-    }
-    let mut engines = Vec::new();
-    for index in 0..ENGINES {
-        let address = engine::start(index, script.clone()).await;
-        engines.push(Engine {
-            address,
-            ..Engine::start(Vec::new()).await
-        });
-    }
-    Relay::with(parts, &engines.iter().collect::<Vec<_>>())
-}
-
-async fn receive(caller: &mut Caller, is_calm: bool) -> Got {
-    let timeout = if is_calm { support::LIMIT } else { TIMEOUT };
-    match tokio::time::timeout(timeout + MARGIN, caller.response()).await {
-        Ok(Some(response)) => Got::Response(response),
-        Ok(None) => Got::Closed,
-        Err(_) => Got::Nothing,
+fn draw_asked(dice: &mut StdRng, id: String, mood: Mood) -> Asked {
+    let routes: &[Route] = match mood {
+        Mood::Silent => &Route::IDEMPOTENT,
+        Mood::Calm | Mood::Faulty => &Route::ALL,
+    };
+    let route = *routes.choose(dice).unwrap();
+    let parts = dice.random_range(1..5);
+    let mut plans: Vec<_> = match mood {
+        Mood::Silent => Plan::draw_silent(dice),
+        Mood::Calm => (0..=ATTEMPTS).map(|_| Plan::draw_proper(dice)).collect(),
+        Mood::Faulty => (0..=ATTEMPTS).map(|_| Plan::draw_any(dice)).collect(),
+    };
+    let is_long = mood != Mood::Silent && dice.random_bool(0.08);
+    for plan in plans.iter_mut().filter(|_| is_long) {
+        plan.answer_early(
+            *[Early::BeforeRest, Early::AfterResponse]
+                .choose(dice)
+                .unwrap(),
+        );
     }
-}
-
-/// Returns `true` if the caller's connection can be used for the next request.
-fn keeps(got: &Got) -> bool {
-    match got {
-        Got::Response(response) => response.is_complete && response.header("connection").is_none(),
-        Got::Closed | Got::Nothing => false,
+    let version = match dice.random_range(0..20) {
+        0..=2 => Version::Http10,
+        3 => Version::Http10Keep,
+        _ => Version::Http11,
+    };
+    Asked {
+        id,
+        route,
+        version,
+        is_pipelined: false,
+        repeats: if is_long { LONG } else { 1 },
+        left: if is_patient(route, &plans, mood) {
+            PATIENCE
+        } else {
+            IMPATIENCE
+        },
+        parts,
+        plans,
     }
 }
 
-/// Returns the rules that the response to one request breaks, and how.
-fn check(asked: &Asked, runs: &[Run], got: &Got, is_calm: bool) -> Vec<(Rule, &'static str)> {
-    let mut faults = Vec::new();
-    let times_run = runs.iter().filter(|r| r.has_run()).count();
-    if !asked.route.is_idempotent() && times_run > 1 {
-        faults.push((Rule::Twice, "ran twice"));
-    }
-    let engines: collections::BTreeSet<_> = runs.iter().map(|r| r.engine).collect();
-    if engines.len() > ATTEMPTS || runs.len() > ATTEMPTS {
-        faults.push((Rule::Attempts, "sent to too many engines"));
-    }
-    if matches!(got, Got::Nothing) {
-        faults.push((Rule::Endless, "no response in time"));
-    }
-    let Got::Response(response) = got else {
-        if is_calm {
-            faults.push((Rule::Served, "no response"));
+/// Returns `true` if the response can be waited for: no engine holds it up to the deadline.
+fn is_patient(route: Route, plans: &[Plan], mood: Mood) -> bool {
+    let is_silent = |plan: &Plan| plan.ending == Ending::Silent;
+    match mood {
+        Mood::Calm => true,
+        Mood::Faulty => false,
+        // A response that is no stream is not continued, and its body is waited for. An empty one
+        // without a length is broken.
+        Mood::Silent if is_silent(&plans[0]) => {
+            let can_end = route == Route::Resume && plans[1].framing != Framing::Close;
+            can_end && check::completes(&plans[1])
         }
-        return faults;
-    };
-    if is_calm && !(response.status == 200 && response.is_complete) {
-        faults.push((Rule::Served, "no success"));
-    }
-    let is_promise = PROMISES.contains(&response.status);
-    if !asked.route.is_idempotent() && is_promise && times_run > 0 {
-        faults.push((Rule::Promise, "refused as not run"));
+        Mood::Silent => !is_silent(&plans[1]),
     }
-    faults.extend(check_bytes(asked, runs, response).err());
-    faults
 }
 
-/// Checks that each byte of a response is of the right request and engine.
-fn check_bytes(
-    asked: &Asked,
-    runs: &[Run],
-    response: &Response,
-) -> Result<(), (Rule, &'static str)> {
-    if response.header("x-id").is_some_and(|id| id != asked.id) {
-        return Err((Rule::Mixed, "id of another request"));
+async fn start(script: &rc::Rc<Script>, mood: Mood) -> Relay {
+    let mut parts = support::parts(1);
+    parts.limits.body = MAX_BODY;
+    for route in &mut parts.routes {
+        route.timeout = PATIENCE;
+        if mood != Mood::Calm {
+            route.goal = IMPATIENCE / 2;
+            route.gap = Some(GAP);
+        }
     }
-    let Some(stamp) = response.header("x-stamp") else {
-        let is_own = response.status >= 400 && response.body.starts_with(b"{\"error\"");
-        return is_own
-            .then_some(())
-            .ok_or((Rule::Mixed, "neither the relay's nor an engine's"));
+    let mut engines = Vec::new();
+    let count = match mood {
+        Mood::Silent => MANY_ENGINES,
+        Mood::Calm | Mood::Faulty => ENGINES,
     };
-    let run = runs.iter().position(|r| r.stamp == stamp);
-    let run = run.ok_or((Rule::Mixed, "stamp of no run"))?;
-    if runs[run].status != response.status {
-        return Err((Rule::Mixed, "status is not the engine's"));
-    }
-    let is_success = response.status == 200;
-    let body = response.text();
-    if asked.route == Route::Resume && is_success {
-        return check_resumed(&runs[run..], body, response.is_complete);
-    }
-    match response.is_complete {
-        true if runs[run].complete.as_deref() == Some(body) => Ok(()),
-        _ if !runs[run].body().starts_with(body) => Err((Rule::Mixed, "bytes of another response")),
-        true => Err((Rule::Whole, "looks complete")),
-        false => Ok(()),
-    }
-}
-
-/// Checks a stream that may continue at the next engines, after a whole event each.
-fn check_resumed(
-    mut runs: &[Run],
-    mut body: &str,
-    is_complete: bool,
-) -> Result<(), (Rule, &'static str)> {
-    let count = runs[0].parts.len();
-    for next in 0..count {
-        let is_next = |run: &Run| body.starts_with(&run.parts[next]);
-        let Some(run) = runs.iter().position(is_next) else {
-            let is_begun = runs.iter().any(|run| run.parts[next].starts_with(body));
-            let may_end = runs[0].complete.is_some() && next > runs[0].first;
-            return match (is_begun, is_complete) {
-                (false, _) => Err((Rule::Mixed, "events out of order or of another response")),
-                (true, true) if !(body.is_empty() && may_end) => {
-                    Err((Rule::Whole, "looks complete"))
-                }
-                _ => Ok(()),
-            };
-        };
-        body = &body[runs[run].parts[next].len()..];
-        runs = &runs[run..];
+    for index in 0..count {
+        let address = engine::start(index, script.clone()).await;
+        engines.push(Engine::at(address));
     }
-    body.is_empty()
-        .then_some(())
-        .ok_or((Rule::Mixed, "bytes after the last event"))
+    Relay::with(parts, &engines.iter().collect::<Vec<_>>())
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -28,13 +28,18 @@
 
 /// Runs a test on one thread with a generous limit.
 pub fn run<F: future::Future<Output = ()>>(test: F) {
+    run_within(LIMIT, test);
+}
+
+/// Runs a test on one thread.
+pub fn run_within<F: future::Future<Output = ()>>(limit: Duration, test: F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .unwrap();
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async {
-        tokio::time::timeout(LIMIT, test).await.expect("in time");
+        tokio::time::timeout(limit, test).await.expect("in time");
     });
 }
 
@@ -219,7 +224,7 @@
     pub status: u16,
     pub head: String,
     pub body: Vec<u8>,
-    /// Whether the body is complete by its framing.
+    /// Whether the body is complete by its framing, or by the end of the connection.
     pub is_complete: bool,
 }
 
@@ -268,6 +273,12 @@
             response.is_complete = true;
             return Some(response);
         }
+        if response.header("transfer-encoding").is_none() {
+            let read = self.stream.read_to_end(&mut self.bytes).await;
+            response.is_complete = read.is_ok();
+            response.body = std::mem::take(&mut self.bytes);
+            return Some(response);
+        }
         loop {
             let Some(line) = until(&mut self.stream, &mut self.bytes, b"\r\n").await else {
                 return Some(response);
--- a/crates/relay/tests/support/script.rs
+++ b/crates/relay/tests/support/script.rs
@@ -85,13 +85,7 @@
 impl Engine {
     pub async fn start(replies: Vec<Reply>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let engine = Self {
-            address: listener.local_addr().unwrap(),
-            seen: rc::Rc::default(),
-            connections: rc::Rc::default(),
-            left: rc::Rc::default(),
-            flooded: rc::Rc::default(),
-        };
+        let engine = Self::at(listener.local_addr().unwrap());
         let script = rc::Rc::new(cell::RefCell::new(collections::VecDeque::from(replies)));
         let connections = engine.connections.clone();
         let served = Served {
@@ -109,6 +103,17 @@
         engine
     }
 
+    /// An engine that is served elsewhere.
+    pub fn at(address: net::SocketAddr) -> Self {
+        Self {
+            address,
+            seen: rc::Rc::default(),
+            connections: rc::Rc::default(),
+            left: rc::Rc::default(),
+            flooded: rc::Rc::default(),
+        }
+    }
+
     pub fn runs(&self) -> usize {
         self.seen.borrow().len()
     }
