--- a/crates/relay/tests/engine_bytes.rs
+++ b/crates/relay/tests/engine_bytes.rs
@@ -47,7 +47,7 @@
 use rand::prelude::*;
 use support::{Engine, Relay};
 
-const SEEDS: ops::RangeInclusive<u64> = 0..=299;
+const SEEDS: ops::RangeInclusive<u64> = 0..=523;
 /// Scripts that run at the same time.
 const BATCH: usize = 150;
 /// Longest time for a batch, on a busy machine too.
