--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -1,36 +1,29 @@
 //! Forwarding of one request, from its arrival to its final response.
 
 use std::cell;
-use std::fmt::Write;
-use std::hash::Hasher;
 use std::rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
-use guavausher_core::name;
 use guavausher_core::refusal;
-use guavausher_core::relay::{effect, event, manifest, request};
-use guavausher_core::time;
-use guavausher_core::verdict;
-use tokio::net::TcpStream;
+use guavausher_core::relay::{effect, event, manifest};
 
+use crate::admission;
 use crate::attempt;
 use crate::caller_response;
 use crate::clock;
 use crate::connection;
 use crate::record;
+use crate::refusal_response;
 use crate::request_reader;
 use crate::running_attempts;
 use crate::runtime;
 use crate::step_queue;
-use crate::wire;
 
 /// Bytes of pipelined requests that are read ahead while one request is in progress.
 const MAX_READ_AHEAD: usize = 64 * 1024;
-/// Upper limit of the wait that a caller may state in the deadline header.
-const MAX_WAIT: Duration = Duration::from_secs(600);
 /// Retry delay given to callers when no better estimate is known.
-const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(500);
+pub(crate) const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// State of the caller's connection after a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,66 +51,23 @@
             refusal::Code::Overloaded,
             Some(incoming.arrived.after(DEFAULT_RETRY_DELAY)),
         );
-        return refuse(runtime, &caller.stream, &incoming, refusal, keeps).await;
+        return refusal_response::write(runtime, &caller.stream, &incoming, refusal, keeps).await;
     }
     runtime.held_bytes.set(runtime.held_bytes.get() + size);
     runtime.wait_loaded().await;
-    let disposition = match find_admission(runtime, &incoming) {
+    let disposition = match admission::find(runtime, &incoming) {
         Ok(admission) => forward_admitted(runtime, caller, &incoming, admission, keeps).await,
         Err(refusal) => {
             log::info!(id = incoming.head.get(runtime.protocol.id).unwrap_or(""),
                 reason = refusal.code.as_str(), verdict = refusal.verdict.as_str(),
                 target = incoming.target; "refused on admission");
-            refuse(runtime, &caller.stream, &incoming, refusal, keeps).await
+            refusal_response::write(runtime, &caller.stream, &incoming, refusal, keeps).await
         }
     };
     runtime.held_bytes.set(runtime.held_bytes.get() - size);
     disposition
 }
 
-/// Writes an error response to a connection whose request could not be read.
-///
-/// The caller of this function closes the connection afterwards.
-pub async fn reject(caller: &connection::Connection, code: refusal::Code) {
-    let refusal = refusal::Refusal::not_run(code, None);
-    let response = refusal_response(None, "", refusal, false);
-    if let Err(fault) = connection::write_all(&caller.stream, &response).await {
-        log::debug!(fault:% = fault; "caller closed the connection before its error response");
-    }
-}
-
-fn find_admission(
-    runtime: &runtime::Runtime,
-    incoming: &request_reader::Request,
-) -> Result<manifest::Admission, refusal::Refusal> {
-    let state = runtime.state.borrow();
-    let at = incoming.arrived.after(DEFAULT_RETRY_DELAY);
-    // The end of its body may have come long after its head.
-    if clock::now() >= runtime.closing_time() {
-        return Err(refusal::Refusal::not_run(refusal::Code::Stopping, Some(at)));
-    }
-    let Some(manifest) = &state.manifest else {
-        return Err(refusal::Refusal::not_run(refusal::Code::NotReady, Some(at)));
-    };
-    let host = host_name(incoming.head.get("host").unwrap_or(""));
-    let path = incoming.target.split(['?', '#']).next().unwrap_or("");
-    let key = incoming.head.get(runtime.protocol.key);
-    manifest.admit(&host, path, key).map_err(|denial| {
-        let code = match denial {
-            manifest::Denial::NoRoute => refusal::Code::NoRoute,
-            manifest::Denial::UnknownKey => refusal::Code::UnknownKey,
-        };
-        refusal::Refusal::not_run(code, None)
-    })
-}
-
-fn host_name(value: &str) -> String {
-    let host = value
-        .rsplit_once(':')
-        .filter(|(_, port)| !port.is_empty() && port.bytes().all(|b| b.is_ascii_digit()));
-    host.map_or(value, |(host, _)| host).to_ascii_lowercase()
-}
-
 async fn forward_admitted(
     runtime: &rc::Rc<runtime::Runtime>,
     caller: &mut connection::Connection,
@@ -126,7 +76,7 @@
     keeps: bool,
 ) -> Disposition {
     let (id, queue) = runtime.register();
-    let request = build_request(runtime, incoming, admission, id);
+    let request = admission::build_request(runtime, incoming, admission, id);
     runtime.metrics.in_progress.inc();
     log::debug!(id:% = request.trace, request = id, route:% = request.route.name,
         service:% = request.service, prompt = request.prompt,
@@ -300,116 +250,5 @@
         runtime.metrics.count_request("cut", reason, took);
         return Disposition::Reset;
     }
-    refuse(runtime, caller, incoming, refusal, output.keeps_alive).await
-}
-
-async fn refuse(
-    runtime: &runtime::Runtime,
-    caller: &TcpStream,
-    incoming: &request_reader::Request,
-    refusal: refusal::Refusal,
-    keeps: bool,
-) -> Disposition {
-    let id = incoming.head.get(runtime.protocol.id);
-    let took = incoming.arrived.until(clock::now());
-    runtime
-        .metrics
-        .count_request("refused", refusal.code.as_str(), took);
-    let response = refusal_response(id, runtime.protocol.id, refusal, keeps);
-    match connection::write_all(caller, &response).await {
-        Ok(()) if keeps => Disposition::Keep,
-        Ok(()) => Disposition::Close,
-        Err(_) => Disposition::Reset,
-    }
-}
-
-fn refusal_response(
-    id: Option<&str>,
-    name: &str,
-    refusal: refusal::Refusal,
-    keeps: bool,
-) -> Vec<u8> {
-    let mut head = wire::status_line(refusal.code.status());
-    if let Some(id) = id {
-        wire::push_header(&mut head, name, id.as_bytes());
-    }
-    let is_not_run = refusal.verdict == verdict::Verdict::NotRun;
-    if let Some(at) = refusal.retry_at.filter(|_| is_not_run) {
-        let seconds = clock::now().until(at).as_secs_f64();
-        wire::push_header(&mut head, "Retry-After", format!("{seconds:.3}").as_bytes());
-    }
-    if !keeps {
-        wire::push_header(&mut head, "Connection", b"close");
-    }
-    let body = format!("{{\"error\":\"{}\"}}\n", refusal.code.as_str());
-    let mut rest = String::new();
-    // Writing to a string cannot fail.
-    let _ = write!(
-        rest,
-        "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    head.extend_from_slice(rest.as_bytes());
-    head
-}
-
-fn build_request(
-    runtime: &runtime::Runtime,
-    incoming: &request_reader::Request,
-    admission: manifest::Admission,
-    id: u64,
-) -> request::Request {
-    let names = &runtime.protocol;
-    let shape = (names.request_size)(&incoming.head);
-    let trace = name::Name::from(incoming.head.get(names.id).unwrap_or(""));
-    let route = admission.route;
-    let hash = hash_parts(&[trace.as_bytes()]);
-    let service = route.service(hash).cloned().unwrap_or_default();
-    let tokens = shape
-        .prompt
-        .map(|p| p.saturating_add(shape.output.unwrap_or(0)));
-    let workspace = admission.workspace;
-    let caller = workspace.as_ref().map(|w| w.name.clone());
-    request::Request {
-        id,
-        trace,
-        service,
-        units: workspace.as_ref().map_or(0, |w| w.units(tokens)),
-        priority: workspace
-            .as_ref()
-            .and_then(|w| w.priority)
-            .unwrap_or(route.priority),
-        workspace: workspace.map(|w| w.name),
-        arrived: incoming.arrived,
-        goal: incoming.arrived.after(route.goal),
-        deadline: deadline(incoming, route.timeout, names.deadline),
-        prompt: shape.prompt.unwrap_or(0),
-        output: shape.output.unwrap_or(0),
-        parts: shape.parts,
-        fingerprint: hash_parts(&[
-            incoming.method.as_bytes(),
-            incoming.target.as_bytes(),
-            caller.unwrap_or_default().as_bytes(),
-            &incoming.body,
-        ]),
-        route,
-    }
-}
-
-fn deadline(incoming: &request_reader::Request, timeout: Duration, header: &str) -> time::Time {
-    let stated = incoming
-        .head
-        .get(header)
-        .and_then(|value| value.parse().ok());
-    let stated = stated.map_or(MAX_WAIT, Duration::from_millis);
-    incoming.arrived.after(stated.min(timeout))
-}
-
-fn hash_parts(parts: &[&[u8]]) -> u64 {
-    let mut hasher = twox_hash::XxHash64::with_seed(0);
-    for part in parts {
-        hasher.write_u64(part.len() as u64);
-        hasher.write(part);
-    }
-    hasher.finish()
+    refusal_response::write(runtime, caller, incoming, refusal, output.keeps_alive).await
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 //! assert!(decoder.is_done());
 //! ```
 
+mod admission;
 mod attempt;
 mod body_stream;
 mod caller_response;
@@ -35,6 +36,7 @@
 pub mod protocol;
 mod receiver;
 mod record;
+mod refusal_response;
 pub mod request_reader;
 mod response_reader;
 mod running_attempts;
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::connection;
 use crate::forwarding;
+use crate::refusal_response;
 use crate::request_reader;
 use crate::runtime;
 use crate::wire;
@@ -88,7 +89,7 @@
                 runtime
                     .metrics
                     .count_request("refused", code.as_str(), Duration::ZERO);
-                forwarding::reject(&caller, code).await;
+                refusal_response::reject(&caller, code).await;
                 return linger(caller, LINGER_TIMEOUT).await;
             }
         }
