--- a/crates/relay/src/forward_body.rs
+++ b/crates/relay/src/forward_body.rs
@@ -101,6 +101,8 @@
     }
 
     /// Adds a piece of the body to the bytes to be sent, after the head if that was not sent yet.
+    ///
+    /// The progress is reported first: it ends the other attempts, so that none of them writes.
     fn push_piece(
         &self,
         head: &head::Head,
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -154,31 +154,47 @@
                 (last, signal)
             }
         };
-        record::attempt_ended(runtime, request, number, signal, &output.borrow());
         last_signal = Some(signal);
-        runtime.apply(event::Event::Attempt {
-            request: request.id,
-            attempt: number,
-            signal,
-        });
-        let took = request.arrived.until(clock::now());
-        match signal {
-            event::Signal::Whole { .. } => {
-                for number in running.clear() {
-                    record::superseded(runtime, request, number);
-                }
-                runtime.metrics.count_request("answered", "", took);
-                return match output.borrow().keeps_alive {
-                    true => Disposition::Keep,
-                    false => Disposition::Close,
-                };
-            }
-            event::Signal::Abandoned => {
-                runtime.metrics.count_request("abandoned", "", took);
-                return Disposition::Reset;
+        if let Some(disposition) = report(&exchange, number, signal) {
+            for number in running.clear() {
+                record::superseded(runtime, request, number);
             }
-            _ => {}
+            return disposition;
+        }
+    }
+}
+
+/// Reports the progress or end of an attempt to the reducer; returns the state of the caller's
+/// connection if that ends the request.
+fn report(
+    exchange: &attempt::Exchange<'_>,
+    attempt: usize,
+    signal: event::Signal,
+) -> Option<Disposition> {
+    let attempt::Exchange {
+        runtime, request, ..
+    } = *exchange;
+    let output = exchange.output.borrow();
+    record::attempt_ended(runtime, request, attempt, signal, &output);
+    runtime.apply(event::Event::Attempt {
+        request: request.id,
+        attempt,
+        signal,
+    });
+    let took = request.arrived.until(clock::now());
+    match signal {
+        event::Signal::Whole { .. } => {
+            runtime.metrics.count_request("answered", "", took);
+            Some(match output.keeps_alive {
+                true => Disposition::Keep,
+                false => Disposition::Close,
+            })
+        }
+        event::Signal::Abandoned => {
+            runtime.metrics.count_request("abandoned", "", took);
+            Some(Disposition::Reset)
         }
+        _ => None,
     }
 }
 
