Log the parts of a prompt on the line of each request sent

No line of a log named the parts of their prompts, so the hypotheses (crashes counted by whole request, recognised too late, or excused) could not be told apart from logs.

--- a/crates/core/src/relay/prefix_cache.rs
+++ b/crates/core/src/relay/prefix_cache.rs
@@ -42,11 +42,10 @@
 ///
 /// The last part is specific to the request and belongs to none of them.
 pub fn prefixes(request: &request::Request) -> Vec<Prefix> {
-    let shared = request.parts.len().saturating_sub(1);
     let mut hasher = twox_hash::XxHash64::with_seed(0);
     hasher.write(request.service.as_bytes());
     let mut tokens = 0_u32;
-    let parts = request.parts[..shared].iter();
+    let parts = request.shared_parts().iter();
     parts
         .map(|part| {
             hasher.write_u64(part.id);
--- a/crates/core/src/relay/request.rs
+++ b/crates/core/src/relay/request.rs
@@ -47,3 +47,10 @@
     /// Hash of method, path, caller and body.
     pub fingerprint: u64,
 }
+
+impl Request {
+    /// Returns the parts of the prompt that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[Part] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+}
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -77,7 +77,7 @@
     }
     log::info!(id:% = request.trace, route:% = request.route.name, service:% = request.service,
         workspace:% = request.workspace.clone().unwrap_or_default(),
-        print:% = fingerprint(request), engine:% = choice.engine,
+        print:% = fingerprint(request), parts:% = parts(request), engine:% = choice.engine,
         version:% = choice.version, attempt = dispatch.number, prompt = request.prompt,
         left_ms = clock::now().until(request.deadline).as_millis() as u64,
         expected_ms = choice.expected.as_millis() as u64, ahead = choice.pending_prefill,
@@ -99,6 +99,15 @@
     format!("{:016x}", request.fingerprint)
 }
 
+/// Returns the first identifiers of the parts of a prompt that requests share, as text.
+fn parts(request: &request::Request) -> String {
+    /// Maximum number of parts in one line.
+    const MAX_PARTS: usize = 8;
+    let shared = request.shared_parts().iter().take(MAX_PARTS);
+    let ids: Vec<_> = shared.map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 /// Logs and counts the outcome of an attempt.
 pub(crate) fn attempt_ended(
     runtime: &runtime::Runtime,
