--- a/crates/core/src/relay/reduce/crashes.rs
+++ b/crates/core/src/relay/reduce/crashes.rs
@@ -118,10 +118,15 @@
 
 fn blame(state: &mut state::State, now: time::Time, failed: failed_attempts::FailedAttempt) {
     let incarnation = failed.incarnation;
+    // A silent engine may have crashed at any time since.
+    let at = match failed.symptom {
+        failed_attempts::Symptom::Silent => now,
+        _ => failed.at,
+    };
     let suspects = &mut state.suspects;
     let blamed = failed.subjects.into_iter().map(|subject| effect::Blame {
         subject,
-        known: suspects.record_crash(now, subject, &failed.engine, incarnation, failed.at),
+        known: suspects.record_crash(now, subject, &failed.engine, incarnation, at),
     });
     let blamed = blamed.collect();
     state.out.push(effect::Effect::EngineCrashed {
--- a/crates/core/tests/relay_crashing_part.rs
+++ b/crates/core/tests/relay_crashing_part.rs
@@ -87,6 +87,7 @@
 #[case::head_only(Plan { effect: CrashEffect::HeadOnly, ..BUSY })]
 #[case::after_event(Plan { effect: CrashEffect::AfterHead, ..BUSY })]
 #[case::clean_close(Plan { effect: CrashEffect::CleanClose, ..BUSY })]
+#[case::silent(Plan { effect: CrashEffect::Silent, ..BUSY })]
 #[case::first_part(Plan { parts: &[FIRST], ..BUSY })]
 #[case::two_at_once(Plan { parts: &[FIRST, MIDDLE], ..BUSY })]
 #[case::second_one_later(Plan { parts: &[FIRST, LATER], ..BUSY })]
