--- a/crates/relay/tests/log_lines.rs
+++ b/crates/relay/tests/log_lines.rs
@@ -12,7 +12,7 @@
 use support::script::Reply;
 use support::{Engine, Relay, complete_response, events, lines, request};
 
-const SENT: [&str; 15] = [
+const SENT: [&str; 16] = [
     "ahead",
     "attempt",
     "engine",
@@ -30,7 +30,7 @@
     "version",
     "workspace",
 ];
-const REFUSED: [&str; 18] = [
+const REFUSED: [&str; 19] = [
     "after_ms",
     "cap_part",
     "engines",
