--- a/crates/core/tests/relay_crasher.rs
+++ b/crates/core/tests/relay_crasher.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use relay_support::engines::{CrashEffect, Plan, Simulation};
+use relay_support::engines::Simulation;
+use relay_support::plan::{CrashEffect, Plan};
 use rstest::rstest;
 
 /// Time in which all instances learn of the third crash.
--- a/crates/core/tests/relay_crashing_part.rs
+++ b/crates/core/tests/relay_crashing_part.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use relay_support::engines::{CrashEffect, Failures, Outcome, Plan, Simulation};
+use relay_support::engines::Simulation;
+use relay_support::outcome::Outcome;
+use relay_support::plan::{CrashEffect, Failures, Plan};
 use relay_support::prompts::CrashingPart;
 use rstest::rstest;
 
--- a/crates/core/tests/relay_support/engines.rs
+++ b/crates/core/tests/relay_support/engines.rs
@@ -9,6 +9,8 @@
 use guavausher_core::time;
 
 use super::fleet::{Fleet, Network, STEP};
+use super::outcome::{Outcome, Run};
+use super::plan::{CrashEffect, Failures, Plan};
 use super::prompts;
 
 /// Fingerprint of the request that crashes engines.
@@ -28,73 +30,6 @@
 /// Steps until callers reach an instance that has started.
 const READY_STEPS: u64 = 10;
 
-/// How a crash of an engine shows at the instances.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CrashEffect {
-    /// Connections break before any byte of a response.
-    BeforeHead,
-    /// Connections break after the head of the response, or within its first event.
-    HeadOnly,
-    /// Connections break after the first event.
-    AfterHead,
-    /// Connections close between two events of responses that end with their connection.
-    CleanClose,
-    /// Connections stay open but nothing more arrives.
-    Silent,
-}
-
-/// Parameters of a simulation.
-#[derive(Clone, Copy, Debug)]
-pub struct Plan {
-    pub effect: CrashEffect,
-    /// Steps between two submissions of the crashing request; 0 for none.
-    pub interval: u64,
-    /// Other requests that arrive in each step.
-    pub others: u64,
-    /// Attempts per thousand of these requests that break at a healthy engine.
-    pub resets: u64,
-    /// Steps between two restarts of instances, one at a time; 0 for none.
-    pub restart_interval: u64,
-    /// Whether an engine responds to the crashing request with an error every other time.
-    pub fails: bool,
-    /// Whether all other requests have the same fingerprint.
-    pub popular: bool,
-    /// Parts of prompts that crash engines, in requests that are all different.
-    pub parts: &'static [prompts::CrashingPart],
-    /// Engines that crash for another reason.
-    pub failures: Option<Failures>,
-    /// Seed of all draws.
-    pub seed: u64,
-}
-
-/// Engines that crash for no reason in their requests.
-#[derive(Clone, Copy, Debug)]
-pub struct Failures {
-    /// Steps between two failures.
-    pub interval: u64,
-    /// One of so many engines crashes at a time; with 0, a single one.
-    pub divisor: usize,
-}
-
-impl Plan {
-    pub const CALM: Self = Self {
-        effect: CrashEffect::BeforeHead,
-        interval: 8,
-        others: 4,
-        resets: 0,
-        restart_interval: 0,
-        fails: false,
-        popular: false,
-        parts: &[],
-        failures: None,
-        seed: 1,
-    };
-
-    const fn has_prompts(&self) -> bool {
-        !self.parts.is_empty() || self.failures.is_some()
-    }
-}
-
 struct Attempt {
     instance: usize,
     request: u64,
@@ -120,61 +55,6 @@
     attempts: Vec<Attempt>,
 }
 
-/// A run of a crashing request at an engine.
-#[derive(Clone, Copy, Debug)]
-pub struct Run {
-    /// Step at which it began.
-    pub at: u64,
-    /// Step at which the instance that sent the request had started.
-    pub since: u64,
-}
-
-/// Results of a simulation.
-#[derive(Clone, Debug, Default)]
-pub struct Outcome {
-    /// Runs of the crashing request.
-    pub runs: Vec<Run>,
-    /// Steps at which an engine crashed.
-    pub crashes: Vec<u64>,
-    /// Other requests that were refused as suspect.
-    pub blocked: u64,
-    /// Other requests that got a complete response.
-    pub answered: u64,
-    /// Runs of requests with each crashing part.
-    pub part_runs: collections::BTreeMap<usize, Vec<Run>>,
-    /// Steps at which an engine crashed by each crashing part.
-    pub part_crashes: collections::BTreeMap<usize, Vec<u64>>,
-    /// Requests with each crashing part that were refused as suspect.
-    pub part_blocked: collections::BTreeMap<usize, u64>,
-}
-
-impl Outcome {
-    /// Returns the number of runs of requests with a crashing part later than `after` the fifth
-    /// crash by it, sent by instances that had run for as long.
-    pub fn late_part_runs(&self, part: usize, after: Duration) -> usize {
-        let steps = after.as_millis() as u64 / STEP;
-        let crashes = self.part_crashes.get(&part);
-        let Some(fifth) = crashes.and_then(|crashes| crashes.get(4)) else {
-            return 0;
-        };
-        let is_late = |run: &&Run| run.at > fifth + steps && run.at >= run.since + steps;
-        let runs = self.part_runs.get(&part).into_iter().flatten();
-        runs.filter(is_late).count()
-    }
-
-    /// Returns the number of runs of the crashing request later than `after` the third crash.
-    pub fn late_runs(&self, after: Duration) -> usize {
-        let steps = after.as_millis() as u64 / STEP;
-        let Some(third) = self.crashes.get(2) else {
-            return 0;
-        };
-        self.runs
-            .iter()
-            .filter(|run| run.at > third + steps)
-            .count()
-    }
-}
-
 pub struct Simulation {
     pub fleet: Fleet,
     plan: Plan,
--- a/crates/core/tests/relay_support/mod.rs
+++ b/crates/core/tests/relay_support/mod.rs
@@ -4,6 +4,8 @@
 pub mod engines;
 pub mod fleet;
 pub mod limits;
+pub mod outcome;
+pub mod plan;
 pub mod prompts;
 
 use std::sync;
--- /dev/null
+++ b/crates/core/tests/relay_support/plan.rs
@@ -0,0 +1,70 @@
+//! Parameters of a simulation of engines that crash.
+
+use super::prompts;
+
+/// How a crash of an engine shows at the instances.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashEffect {
+    /// Connections break before any byte of a response.
+    BeforeHead,
+    /// Connections break after the head of the response, or within its first event.
+    HeadOnly,
+    /// Connections break after the first event.
+    AfterHead,
+    /// Connections close between two events of responses that end with their connection.
+    CleanClose,
+    /// Connections stay open but nothing more arrives.
+    Silent,
+}
+
+/// Parameters of a simulation.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub effect: CrashEffect,
+    /// Steps between two submissions of the crashing request; 0 for none.
+    pub interval: u64,
+    /// Other requests that arrive in each step.
+    pub others: u64,
+    /// Attempts per thousand of these requests that break at a healthy engine.
+    pub resets: u64,
+    /// Steps between two restarts of instances, one at a time; 0 for none.
+    pub restart_interval: u64,
+    /// Whether an engine responds to the crashing request with an error every other time.
+    pub fails: bool,
+    /// Whether all other requests have the same fingerprint.
+    pub popular: bool,
+    /// Parts of prompts that crash engines, in requests that are all different.
+    pub parts: &'static [prompts::CrashingPart],
+    /// Engines that crash for another reason.
+    pub failures: Option<Failures>,
+    /// Seed of all draws.
+    pub seed: u64,
+}
+
+/// Engines that crash for no reason in their requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Failures {
+    /// Steps between two failures.
+    pub interval: u64,
+    /// One of so many engines crashes at a time; with 0, a single one.
+    pub divisor: usize,
+}
+
+impl Plan {
+    pub const CALM: Self = Self {
+        effect: CrashEffect::BeforeHead,
+        interval: 8,
+        others: 4,
+        resets: 0,
+        restart_interval: 0,
+        fails: false,
+        popular: false,
+        parts: &[],
+        failures: None,
+        seed: 1,
+    };
+
+    pub const fn has_prompts(&self) -> bool {
+        !self.parts.is_empty() || self.failures.is_some()
+    }
+}
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -4,6 +4,7 @@
 //! address, each engine on an address of its own. Requests can be inspected and faults injected
 //! under `/standin/`. Words in a request's body make its engine pause, break or refuse.
 
+mod crashes;
 mod engine;
 mod objects;
 mod odd;
@@ -31,8 +32,6 @@
 
 /// Longest time that a watch waits.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(30);
-/// Time until an engine that crashed by itself is replaced.
-const REPLACEMENT_DELAY: time::Duration = time::Duration::from_millis(500);
 /// Maximum number of engines.
 const MAX_ENGINES: u32 = 64;
 
@@ -108,7 +107,7 @@
         crashes,
     });
     let replaced = sync::Arc::downgrade(&site);
-    std::thread::spawn(move || replace(&replaced, crashed));
+    std::thread::spawn(move || crashes::replace(&replaced, crashed));
     for service in &config.services {
         for domain in &config.domains {
             for _ in 0..service.count {
@@ -119,30 +118,6 @@
     server.run(move |request| respond(site.clone(), request))
 }
 
-/// Replaces engines that crash by themselves until the site is shut down.
-fn replace(site: &sync::Weak<Site>, crashed: sync::mpsc::Receiver<String>) {
-    for name in crashed {
-        let Some(site) = site.upgrade() else {
-            return;
-        };
-        let entry = lock(&site.engines)
-            .get(&name)
-            .map(|engine| engine.entry.clone());
-        let Some(entry) = entry.filter(|_| site.crash(&name)) else {
-            continue;
-        };
-        let site = sync::Arc::downgrade(&site);
-        std::thread::spawn(move || {
-            std::thread::sleep(REPLACEMENT_DELAY);
-            let Some(site) = site.upgrade() else {
-                return;
-            };
-            // Without a free port the engine is not replaced.
-            let _ = site.add(&entry.service, &entry.zone, entry.slots, entry.spot);
-        });
-    }
-}
-
 fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
@@ -369,18 +344,6 @@
         engine.map(|running| set(&running.notices)).is_some()
     }
 
-    /// Stops an engine at once and removes its entry.
-    fn crash(&self, name: &str) -> bool {
-        let Some(running) = lock(&self.engines).remove(name) else {
-            return false;
-        };
-        lock(&self.objects).remove(names::SERVERS, name);
-        self.notify_watches();
-        // Shutting down waits for the engine's thread.
-        std::thread::spawn(move || running.handle.shutdown());
-        true
-    }
-
     /// Handles a call that inspects or controls the site.
     fn control(&self, what: &str, request: &request::Request) -> reply::Response {
         let name = request::query(request, "name");
