Let a response that a second engine only continued excuse nothing

What callers would see: a part that crashes engines after some events would be cleared by each stream whose rest a second engine completes, so that requests with it were sent on. Found by reading with the question what proves a part sound. A response counts as complete only if one engine made it as a whole.

Test: continued_response_does_not_excuse, whose continued case failed before.

--- a/crates/core/src/relay/flight.rs
+++ b/crates/core/src/relay/flight.rs
@@ -76,6 +76,8 @@
     pub silent_since: Option<time::Time>,
     /// Whether nothing had arrived from it for too long at some time.
     pub was_silent: bool,
+    /// Whether it continues a response that another engine began.
+    pub is_resumed: bool,
 }
 
 impl Attempt {
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -42,12 +42,7 @@
         event::Signal::Failing { status } => apply_failure(state, now, id, number, status),
         event::Signal::Whole { status } => apply_complete(state, now, id, number, status),
         event::Signal::WholeAtClose { status } => {
-            // The engine may have crashed, so the response excuses nothing yet.
-            if is_ok(status) {
-                let symptom = failed_attempts::Symptom::Closed;
-                crashes::record_failed_attempt(state, now, id, number, symptom);
-            }
-            end_complete(state, now, id, number, status);
+            apply_complete_at_close(state, now, id, number, status)
         }
         event::Signal::NotRun { status, wait } => {
             apply_not_run(state, now, id, number, status, wait)
@@ -157,7 +152,8 @@
 }
 
 fn apply_complete(state: &mut state::State, now: time::Time, id: u64, number: usize, status: u16) {
-    if let Some(flight) = state.flights.get(&id) {
+    let flight = state.flights.get(&id);
+    if let Some(flight) = flight.filter(|f| !is_resumed(f, number)) {
         let request = &flight.request;
         let own = subject::Subject::Request(request.fingerprint);
         let parts = subject::parts_of(request).filter(|_| is_ok(status));
@@ -168,6 +164,31 @@
     end_complete(state, now, id, number, status);
 }
 
+/// Ends a request whose response was complete when its engine closed the connection. The engine may
+/// have crashed, so the response excuses nothing yet.
+fn apply_complete_at_close(
+    state: &mut state::State,
+    now: time::Time,
+    id: u64,
+    number: usize,
+    status: u16,
+) {
+    if let Some(flight) = state.flights.get(&id).filter(|_| is_ok(status)) {
+        let symptom = match is_resumed(flight, number) {
+            true => failed_attempts::Symptom::Silent,
+            false => failed_attempts::Symptom::Closed,
+        };
+        crashes::record_failed_attempt(state, now, id, number, symptom);
+    }
+    end_complete(state, now, id, number, status);
+}
+
+/// Returns `true` if an attempt continues a response that another engine began: an engine that ran
+/// only the rest may crash under the beginning.
+fn is_resumed(flight: &flight::Flight, number: usize) -> bool {
+    flight.attempt(number).is_some_and(|a| a.is_resumed)
+}
+
 /// Ends a request to which an engine has responded completely.
 fn end_complete(state: &mut state::State, now: time::Time, id: u64, number: usize, status: u16) {
     runs::count_run(state, now, id);
--- a/crates/core/src/relay/reduce/dispatch.rs
+++ b/crates/core/src/relay/reduce/dispatch.rs
@@ -256,6 +256,7 @@
         has_first_event: false,
         silent_since: None,
         was_silent: false,
+        is_resumed: flight.responding,
     });
     let dispatch = effect::Dispatch {
         number: flight.last_attempt(),
--- a/crates/core/tests/relay_suspects.rs
+++ b/crates/core/tests/relay_suspects.rs
@@ -372,3 +372,30 @@
     let again = instance.apply(at(60), event::Event::CrashReport(report));
     assert_eq!(crashes(&again), 0);
 }
+
+/// A response that a second engine only continued does not show that the request is sound; one that
+/// it made as a whole does.
+#[rstest]
+#[case::continued(true, 3)]
+#[case::whole(false, 0)]
+fn continued_response_does_not_excuse(#[case] is_continued: bool, #[case] counted: usize) {
+    let mut instance = Instance::serving(0, 6);
+    instance.send(at(0), crasher(1, at(0), RetryPolicy::ResumableStream));
+    if is_continued {
+        instance.signal(at(10), 1, Signal::First);
+    }
+    let effects = instance.signal(at(20), 1, BROKEN);
+    assert!(sent(&effects).is_some());
+    let mut suspects = suspects::Suspects::default();
+    for index in 0..3 {
+        let engine = name(&format!("x{index}"));
+        let known = suspects.record_crash(at(30), CRASHER, &engine, 1, at(30));
+        assert_eq!(known, index + 1);
+    }
+    instance.state.suspects = suspects;
+    instance.signal(at(40), 1, Signal::First);
+    instance.signal(at(50), 1, Signal::Whole { status: 200 });
+    let report = instance.state.suspects.report(at(60));
+    let crashes = report[0].crashes.iter();
+    assert_eq!(crashes.filter(|crash| !crash.is_cleared).count(), counted);
+}
