Exchange crash reports in the test of a request that crashes three engines

The test handed digests around, which no longer carry crashes: they go in a message of their own since. It checks the same at the same three instances.

--- a/crates/core/tests/relay_reduce.rs
+++ b/crates/core/tests/relay_reduce.rs
@@ -491,10 +491,10 @@
             instance.apply(at(id), engines(list.clone()));
         }
     }
-    let digests: Vec<_> = all.iter().map(|i| i.digest(at(4))).collect();
+    let reports: Vec<_> = all.iter().map(|i| i.crash_report(at(4))).collect();
     for instance in &mut all {
-        for digest in digests.iter().cloned() {
-            instance.receive(at(4), digest);
+        for report in reports.iter().cloned() {
+            instance.apply(at(4), event::Event::CrashReport(report));
         }
         let mut crashing = new_request(9, at(5), RetryPolicy::Stream, 1);
         crashing.fingerprint = 77;
--- a/crates/core/tests/relay_support/mod.rs
+++ b/crates/core/tests/relay_support/mod.rs
@@ -13,8 +13,8 @@
 
 use guavausher_core::name;
 use guavausher_core::relay::{
-    clock, digest, effect, engine, event, manifest, member, peers, rate_limit, reduce, request,
-    route, service, settings, state, workspace,
+    clock, crash_report, digest, effect, engine, event, manifest, member, peers, rate_limit,
+    reduce, request, route, service, settings, state, workspace,
 };
 use guavausher_core::time;
 
@@ -223,6 +223,13 @@
         self.state.digest(now, Vec::new())
     }
 
+    pub fn crash_report(&self, now: time::Time) -> crash_report::CrashReport {
+        crash_report::CrashReport {
+            sender: self.state.own.name.clone(),
+            suspects: self.state.suspects.report(now),
+        }
+    }
+
     pub fn receive(&mut self, now: time::Time, digest: digest::Digest) {
         self.apply(now, event::Event::Digest(digest));
     }
