Show that a burst of long bodies ends a front by its memory

The bound on request bodies in memory (48 MiB) is checked only after a body has been read, so bodies that are being read count nowhere.

Tried: 81 consumers (48 without the burst) each send a body of maxBodyBytes to one front at four fifths of its link, beside 12 consumers with short orders on kept channels. A stand-in of the platform kills the front once VmRSS exceeds memoryMb = 260.

Runs on arm64.

Holds the stand-ins that all cases share: store, duties, engines, consumers.

--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,34 @@
+//! The cases of the review. The first argument is the name of the case; the exit status is 1 if the
+//! rule was broken, 0 if it held, and 2 if the case could not run.
+
+mod engine;
+mod http;
+mod json;
+mod memory;
+mod site;
+mod store;
+
+use std::process::ExitCode;
+
+/// Result of a case.
+pub enum Verdict {
+    Held,
+    Broken,
+}
+
+fn main() -> ExitCode {
+    let case = std::env::args().nth(1).unwrap_or_default();
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let result = site::Record::create().and_then(|record| match case.as_str() {
+        "memory" => memory::run(&record, has_trouble),
+        _ => Err(std::io::Error::other("no such case")),
+    });
+    match result {
+        Ok(Verdict::Held) => ExitCode::SUCCESS,
+        Ok(Verdict::Broken) => ExitCode::from(1),
+        Err(fault) => {
+            eprintln!("the case could not run: {fault}");
+            ExitCode::from(2)
+        }
+    }
+}
