Show that a longer grace in the settings is not used at a stop

SIGHUP reloads the bounds of the decisions only; the grace is the one that the process read at its start.

Runs on arm64.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 //! rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod engine;
+mod grace;
 mod http;
 mod json;
 mod memory;
@@ -21,6 +22,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = site::Record::create().and_then(|record| match case.as_str() {
         "memory" => memory::run(&record, has_trouble),
+        "grace" => grace::run(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     });
     match result {
