Show that a crash of a domain of engines blocks sound requests

A part that all prompts share is blamed for the crash of the engines that ran it, and what is blocked cannot clear itself by a complete response.

Tried: the six engines of a service, all in one domain, crash for 4.5 s while 12 long streams run there, 4 s after the first request. All prompts begin with the same part.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod memory;
+mod quarantine;
 mod site;
 mod store;
 
@@ -23,6 +24,7 @@
     let result = site::Record::create().and_then(|record| match case.as_str() {
         "memory" => memory::run(&record, has_trouble),
         "grace" => grace::run(&record, has_trouble),
+        "quarantine" => quarantine::run(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     });
     match result {
