Show that a version that fails one route is completed

A route is judged from 8 responses of the new version on, while a rollout passes by the responses on all routes together.

Tried: 20 orders a second on one route, 1.2 on another; the new version fails each request of the second one. durationS = 12. The stand-in of the platform stops the old engines at `completed`.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod memory;
 mod quarantine;
+mod rollout;
 mod site;
 mod store;
 
@@ -25,6 +26,7 @@
         "memory" => memory::run(&record, has_trouble),
         "grace" => grace::run(&record, has_trouble),
         "quarantine" => quarantine::run(&record, has_trouble),
+        "rollout" => rollout::run(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     });
     match result {
