Show that kept channels hold requests to the limits of an old manifest

The limits are read before the wait for the next request on a channel, not after it.

Tried: maxBodyBytes goes from 65,536 to 1,048,576; 6 s later 40 consumers send an order of 200,000 bytes on channels that were idle since before the change.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 mod grace;
 mod http;
 mod json;
+mod limits;
 mod memory;
 mod quarantine;
 mod rollout;
@@ -27,6 +28,7 @@
         "grace" => grace::run(&record, has_trouble),
         "quarantine" => quarantine::run(&record, has_trouble),
         "rollout" => rollout::run(&record, has_trouble),
+        "limits" => limits::run(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     });
     match result {
