Show that a crashing request is forgotten when all fronts are killed

What blocks a request that crashes engines is kept in the memory of the processes.

Tried: nine engines, three fronts, a copy of one crashing request each 5 s, all fronts killed twice.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export FRONT="$PWD/target/release/guavausher-front" RECORD="$PWD/review/5/record.txt"
 [ -x "$FRONT" ] && [ -x target/review/cases ] || exit 2
-exec timeout -k 1 115 target/review/cases limits
+exec timeout -k 1 115 target/review/cases crasher
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the review. The first argument is the name of the case; the exit status is 1 if the
 //! rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod crasher;
 mod engine;
 mod grace;
 mod http;
@@ -25,6 +26,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = site::Record::create().and_then(|record| match case.as_str() {
         "memory" => memory::run(&record, has_trouble),
+        "crasher" => crasher::run(&record, has_trouble),
         "grace" => grace::run(&record, has_trouble),
         "quarantine" => quarantine::run(&record, has_trouble),
         "rollout" => rollout::run(&record, has_trouble),
