Show how late a process is and which kind of event keeps it busy

Cause: no log line or metric said whether an instance was late because news reached it late or because it had no processor time. No decision is changed.

--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -72,6 +72,31 @@
     Tick,
 }
 
+impl Event {
+    /// Returns the kind of the event, for logs and metrics.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Arrived(_) => "arrived",
+            Self::Attempt { .. } => "attempt",
+            Self::EngineNotice { .. } => "engine-notice",
+            Self::Engines(_) => "engines",
+            Self::Evacuations(_) => "evacuations",
+            Self::Watching(_) => "watching",
+            Self::Manifest(_) => "manifest",
+            Self::Rollouts(_) => "rollouts",
+            Self::ProcessReports(_) => "process-reports",
+            Self::Summary(_) => "summary",
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Digest(_) => "digest",
+            Self::RateLimits(_) => "rate-limits",
+            Self::CrashReport(_) => "crash-report",
+            Self::Bids(_) => "bids",
+            Self::SavedBlocks(_) => "saved-blocks",
+            Self::Tick => "tick",
+        }
+    }
+}
+
 /// A notice of an engine about itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Notice {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod connection;
 pub mod datagram;
 mod engine_response;
+pub mod event_loop;
 pub mod events;
 mod forward_body;
 pub mod forwarding;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a process.
 
+use std::sync;
 use std::time::Duration;
 
 use guavausher_core::name;
@@ -91,6 +92,13 @@
     pub service: String,
 }
 
+/// Label of a kind of event.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
+pub struct Event {
+    /// Kind of the event.
+    pub event: &'static str,
+}
+
 /// Label of a kind of stored objects.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
 pub struct Kind {
@@ -140,6 +148,10 @@
     pub silences: family::Family<Silence, counter::Counter>,
     /// Requests refused although an engine of their service had a free slot.
     pub refused_beside_free: family::Family<Service, counter::Counter>,
+    /// Seconds of work on events, by kind.
+    pub event_time: family::Family<Event, counter::Counter<f64, sync::atomic::AtomicU64>>,
+    /// Seconds by which timers fire late.
+    pub timer_lag: histogram::Histogram,
     /// Stored objects that are skipped.
     pub skipped: family::Family<Kind, gauge::Gauge>,
     /// Requests in progress.
@@ -169,6 +181,8 @@
             engine_responses: family::Family::default(),
             silences: family::Family::default(),
             refused_beside_free: family::Family::default(),
+            event_time: family::Family::default(),
+            timer_lag: histogram::Histogram::new(TIME_BUCKETS),
             skipped: family::Family::default(),
             in_progress: gauge::Gauge::default(),
             manifest: gauge::Gauge::default(),
@@ -219,6 +233,13 @@
         self.limited.get_or_create(&Limited { outcome }).inc();
     }
 
+    /// Counts the work on an event.
+    pub fn count_event(&self, event: &'static str, took: Duration) {
+        let labels = Event { event };
+        let time = self.event_time.get_or_create(&labels);
+        time.inc_by(took.as_secs_f64());
+    }
+
     /// Counts a response that ended although it was begun.
     pub fn count_truncated(&self, ended_by: &'static str, no_retry: &'static str) {
         let labels = Truncated { ended_by, no_retry };
@@ -294,6 +315,16 @@
             "Requests refused as overloaded although an engine had a free slot",
             self.refused_beside_free.clone(),
         );
+        registry.register(
+            "event_seconds",
+            "Work on events by kind",
+            self.event_time.clone(),
+        );
+        registry.register(
+            "timer_lag_seconds",
+            "Time by which timers fire late",
+            self.timer_lag.clone(),
+        );
         registry.register(
             "skipped_objects",
             "Stored objects whose content cannot be used",
--- a/crates/relay/src/runtime.rs
+++ b/crates/relay/src/runtime.rs
@@ -12,6 +12,7 @@
 
 use crate::budget;
 use crate::clock;
+use crate::event_loop;
 use crate::limits;
 use crate::log_sampling;
 use crate::metrics;
@@ -35,6 +36,8 @@
     pub protocol: protocol::Protocol,
     /// Metrics of the process.
     pub metrics: metrics::Metrics,
+    /// Lag of the event loop.
+    pub event_loop: event_loop::EventLoop,
     /// Revision up to which each kind of object has been read.
     pub positions: cell::RefCell<Vec<position::Position>>,
     /// Stored objects whose content cannot be used.
@@ -82,6 +85,7 @@
             pool: pool::Pool::default(),
             protocol,
             metrics: metrics::Metrics::default(),
+            event_loop: event_loop::EventLoop::default(),
             positions: cell::RefCell::new(positions),
             skipped: skipped_objects::SkippedObjects::default(),
             entry_times: read_times::ReadTimes::default(),
@@ -104,10 +108,15 @@
         if matches!(event, event::Event::Engines(_)) {
             self.engines_loaded.set(true);
         }
-        let effects = reduce::reduce(&mut self.state.borrow_mut(), clock::now(), event);
+        let kind = event.kind();
+        let began = clock::now();
+        let effects = reduce::reduce(&mut self.state.borrow_mut(), began, event);
         for effect in effects {
             self.perform(effect);
         }
+        let took = began.until(clock::now());
+        self.metrics.count_event(kind, took);
+        self.event_loop.record_event(kind, took);
         if !*self.loaded.borrow() && self.is_loaded() {
             self.loaded.send_replace(true);
         }
@@ -143,6 +152,19 @@
             .send_if_modified(|known| std::mem::replace(known, limits) != limits);
     }
 
+    /// Records that a timer due at `due` fires now, and logs it if the process is behind.
+    pub fn record_timer(&self, due: time::Time) {
+        let report = self.event_loop.record_timer(clock::now(), due);
+        self.metrics
+            .timer_lag
+            .observe(self.event_loop.lag().as_secs_f64());
+        if let Some(report) = report {
+            log::warn!(lag_ms = report.lag.as_millis() as u64, busy_ms = report.busy.as_millis() as u64,
+                busiest = report.busiest, busiest_ms = report.busiest_time.as_millis() as u64;
+                "process is behind");
+        }
+    }
+
     /// Returns `true` if the process can serve new callers.
     pub fn is_ready(&self) -> bool {
         self.is_loaded() && !self.is_stopping()
