Decide on blocks with work that does not grow with the square of crashes

What callers saw: at 87 instances requests reached engines 3.0 to 3.6 s after these had said that they leave (DRAIN), routes and keys of a manifest were in force late (CONFIG), and requests were sent on up to 2 s after their callers had left (GONE). Cause: each message of a peer about crashes, and each complete response, decided anew what is blocked. For each crash the decision sorted the names of all engines to see whether enough run elsewhere, so that one took milliseconds of an eighth of a core, some 100 times a second. All else in the process waited: news of engines and manifests, closes and deadlines. Change: engines are counted once in a decision, by service, failure domain and version; decisions come ten times a second, with a few at once so that single crashes are still decided on in the same event. The instance that reported last is remembered for that, and a block is an instance's own if it has seen the last crash itself: before, what a tick decided was everybody's own, and all wrote it.

--- a/crates/core/src/relay/moments.rs
+++ b/crates/core/src/relay/moments.rs
@@ -60,43 +60,92 @@
     }
 
     /// Returns the crashes that belong to an earlier one with the same cause, and that one.
+    ///
+    /// The work grows with the number of crashes and of engines, not with their product: all
+    /// instances do this while many engines crash.
     pub fn duplicates(&self, all: &culprits::Crashes) -> collections::BTreeMap<u64, u64> {
         let mut ordered: Vec<_> = all.iter().map(|(id, at)| (*at, *id)).collect();
         ordered.sort_unstable();
+        let traits: [Trait; 2] = [|site| &site.domain, |site| &site.version];
+        let [by_domain, by_version] = traits.map(|of| self.groups(&ordered, of));
         let mut duplicates = collections::BTreeMap::new();
-        for (place, (at, first)) in ordered.iter().enumerate() {
-            if duplicates.contains_key(first) {
+        for place in 0..ordered.len() {
+            let first = ordered[place].1;
+            if duplicates.contains_key(&first) {
                 continue;
             }
-            let rest = &ordered[place..];
-            let end = rest.partition_point(|(other, _)| *other <= at.after(SPAN));
-            let ids: Vec<_> = rest[..end].iter().map(|(_, id)| *id).collect();
-            let traits: [Trait; 2] = [|site| &site.domain, |site| &site.version];
-            let common = traits.iter().find_map(|t| self.common(*first, &ids, *t));
-            duplicates.extend(common.into_iter().flatten().map(|id| (id, *first)));
+            let common = by_domain.common(place).or_else(|| by_version.common(place));
+            let same = common.into_iter().flatten();
+            duplicates.extend(same.map(|other| (ordered[*other].1, first)));
         }
         duplicates
     }
 
-    /// Returns the crashes of engines that have this in common with the first one, if these are
-    /// nearly all.
-    fn common(&self, first: u64, ids: &[u64], of: Trait) -> Option<Vec<u64>> {
-        let site = self.sites.get(&first)?;
-        let is_same = |id: &&u64| {
-            let other = self.sites.get(*id);
-            other.is_some_and(|o| o.service == site.service && of(o) == of(site))
+    /// Groups crashes by what their engines have in common.
+    fn groups(&self, ordered: &[(time::Time, u64)], of: Trait) -> Groups {
+        let mut engines: collections::HashMap<_, usize> = collections::HashMap::new();
+        let mut services: collections::HashMap<_, usize> = collections::HashMap::new();
+        let distinct = self.sites.values();
+        let distinct = distinct.map(|site| (&site.service, &site.engine, of(site)));
+        let distinct: collections::HashSet<_> = distinct.collect();
+        for (service, _, value) in distinct {
+            *engines.entry((service, value)).or_default() += 1;
+            *services.entry(service).or_default() += 1;
+        }
+        let has_others = |site: &Site| {
+            let all = services.get(&site.service).copied().unwrap_or(0);
+            let same = engines
+                .get(&(&site.service, of(site)))
+                .copied()
+                .unwrap_or(0);
+            (all - same) * ELSEWHERE_DIVISOR >= all
         };
-        let same: Vec<_> = ids.iter().filter(is_same).copied().collect();
-        let is_nearly_all = same.len() >= MIN_CRASHES && same.len() * 4 > ids.len() * 3;
-        (is_nearly_all && self.has_others(site, of)).then_some(same)
+        let mut numbers = collections::HashMap::new();
+        let mut groups = Groups::default();
+        for (place, (at, id)) in ordered.iter().enumerate() {
+            let end = ordered[place..].partition_point(|(other, _)| *other <= at.after(SPAN));
+            groups.ends.push(place + end);
+            let site = self.sites.get(id);
+            groups.of_crash.push(site.map(|site| {
+                let next = numbers.len();
+                let group = *numbers.entry((&site.service, of(site))).or_insert(next);
+                if group == groups.members.len() {
+                    groups.members.push(Vec::new());
+                    groups.has_others.push(has_others(site));
+                }
+                groups.members[group].push(place);
+                group
+            }));
+        }
+        groups
     }
+}
+
+/// Crashes, by their places in the order of time, grouped by what their engines have in common.
+#[derive(Debug, Default)]
+struct Groups {
+    /// The group of each crash; `None` if its engine is not known.
+    of_crash: Vec<Option<usize>>,
+    /// Places of the crashes of each group, in order.
+    members: Vec<Vec<usize>>,
+    /// Whether enough engines of the service run outside of each group.
+    has_others: Vec<bool>,
+    /// For each crash, the place behind the last one that may have the same cause.
+    ends: Vec<usize>,
+}
 
-    /// Returns `true` if enough engines of the service run elsewhere.
-    fn has_others(&self, site: &Site, of: Trait) -> bool {
-        let service = self.sites.values().filter(|s| s.service == site.service);
-        let engines: collections::BTreeSet<_> = service.map(|s| (&s.engine, of(s))).collect();
-        let elsewhere = engines.iter().filter(|(_, value)| *value != of(site));
-        elsewhere.count() * ELSEWHERE_DIVISOR >= engines.len()
+impl Groups {
+    /// Returns the crashes of the group of the crash at `place` from there on, if these are nearly
+    /// all and enough engines run outside of the group.
+    fn common(&self, place: usize) -> Option<&[usize]> {
+        let group = self.of_crash[place]?;
+        let end = self.ends[place];
+        let members = &self.members[group];
+        let from = members.partition_point(|member| *member < place);
+        let to = members.partition_point(|member| *member < end);
+        let same = &members[from..to];
+        let is_nearly_all = same.len() >= MIN_CRASHES && same.len() * 4 > (end - place) * 3;
+        (is_nearly_all && self.has_others[group]).then_some(same)
     }
 }
 
--- a/crates/core/src/relay/reduce/crashes.rs
+++ b/crates/core/src/relay/reduce/crashes.rs
@@ -36,7 +36,7 @@
         fleet::Status::Listed => state.failed_attempts.record(failed),
         fleet::Status::Gone => {
             blame(state, now, failed);
-            update_blocked(state, now, None);
+            update_blocked(state, now);
         }
         // An engine that announced that it is leaving ends its requests without a crash.
         fleet::Status::Leaving => {}
@@ -53,7 +53,7 @@
     for failed in state.failed_attempts.remove_crashed(engine, incarnation) {
         blame(state, now, failed);
     }
-    update_blocked(state, now, None);
+    update_blocked(state, now);
 }
 
 /// Records that engines have responded completely to a request, or to requests with a part.
@@ -65,7 +65,7 @@
     for subject in subjects {
         state.suspects.record_success(now, subject);
     }
-    update_blocked(state, now, None);
+    update_blocked(state, now);
 }
 
 /// Records a response of an engine to an attempt that began at `began`.
@@ -86,15 +86,15 @@
     if report.sender == state.own.name {
         return;
     }
-    let new = state.suspects.merge(now, &report.suspects);
-    update_blocked(state, now, Some(&report.sender));
+    let new = state.suspects.merge(now, report);
+    update_blocked(state, now);
     if new.is_empty() || state.failed_attempts.is_empty() {
         return;
     }
     for failed in state.failed_attempts.remove_reported(&new) {
         blame(state, now, failed);
     }
-    update_blocked(state, now, None);
+    update_blocked(state, now);
 }
 
 /// Adopts the blocks that are kept in the store.
@@ -105,13 +105,13 @@
 ) {
     let micros = state.clock.unix_micros(now);
     state.suspects.restore(now, micros, saved);
-    update_blocked(state, now, Some(&name::Name::from("store")));
+    update_blocked(state, now);
 }
 
 /// Counts the crashes of engines that have not responded since their connections broke.
 pub(super) fn confirm_crashes(state: &mut state::State, now: time::Time) {
     if state.failed_attempts.is_empty() {
-        return update_blocked(state, now, None);
+        return update_blocked(state, now);
     }
     let flights = &state.flights;
     let is_busy = |failed: &failed_attempts::FailedAttempt| {
@@ -125,7 +125,7 @@
     for failed in state.failed_attempts.remove_confirmed(now, is_busy) {
         blame(state, now, failed);
     }
-    update_blocked(state, now, None);
+    update_blocked(state, now);
 }
 
 fn blame(state: &mut state::State, now: time::Time, failed: failed_attempts::FailedAttempt) {
@@ -148,13 +148,13 @@
     });
 }
 
-/// Decides what is blocked after crashes were added or cleared, by a report of `peer` if it is given.
-fn update_blocked(state: &mut state::State, now: time::Time, peer: Option<&name::Name>) {
+/// Decides what is blocked after crashes were added or cleared.
+fn update_blocked(state: &mut state::State, now: time::Time) {
     for change in state.suspects.update_blocked(now) {
+        let peer = state.suspects.reporter().cloned();
         state.suspects.own_blocks += u64::from(change.is_blocked && peer.is_none());
-        state.out.push(effect::Effect::SuspectChanged {
-            change,
-            peer: peer.cloned(),
-        });
+        state
+            .out
+            .push(effect::Effect::SuspectChanged { change, peer });
     }
 }
--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -28,6 +28,11 @@
 /// Time that a cause which is not sure must have been found before it is blocked: two rounds of
 /// messages, in which instances learn what the others have seen of the same crashes.
 const SETTLING: Duration = Duration::from_millis(300);
+/// Mean time between two decisions on what is blocked, in a storm of crashes. Each decision looks at
+/// all of them, and each message of a peer adds some.
+const DECISION_INTERVAL: Duration = Duration::from_millis(100);
+/// Time by which decisions may be ahead of that, so that a few crashes are decided on at once.
+const MAX_AHEAD: Duration = Duration::from_millis(400);
 /// Maximum number of requests and parts remembered.
 const MAX_ENTRIES: usize = 512;
 /// Maximum number of latest crashes remembered for one request or part.
@@ -45,6 +50,9 @@
 /// Maximum number of further ones in one message, sent in rotation.
 const MAX_REPORTED_OTHERS: usize = 16;
 
+/// Used in place of an instance's name for blocks that were kept in the store.
+const STORE: &str = "store";
+
 /// Requests and parts of prompts under which engines crashed.
 ///
 /// A complete response clears a request, and the parts of its prompt, of earlier crashes, at all
@@ -64,6 +72,10 @@
     /// Whether it is to be decided anew what is blocked: crashes have been added or cleared, or a cause
     /// is not settled.
     is_changed: bool,
+    /// When the next decision is due if none is ahead.
+    next_decision: time::Time,
+    /// The instance that reported the last new crash; `None` if this instance has seen it itself.
+    reporter: Option<name::Name>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -132,6 +144,7 @@
                 remaining_ms: RETENTION.as_millis() as u64,
             },
         );
+        self.reporter = None;
         let Some(entry) = self.entries.get_mut(&subject) else {
             return 0;
         };
@@ -194,21 +207,33 @@
     pub fn merge(
         &mut self,
         now: time::Time,
-        reported: &[crash_report::Suspect],
+        report: &crash_report::CrashReport,
     ) -> collections::BTreeSet<u64> {
         /// Maximum number of requests and parts read from one message.
         const MAX_READ: usize = MAX_REPORTED_WORST + MAX_REPORTED_OWN + MAX_REPORTED_OTHERS;
-        let reported = reported.iter().take(MAX_READ);
-        reported
+        let reported = report.suspects.iter().take(MAX_READ);
+        let new: collections::BTreeSet<_> = reported
             .flat_map(|suspect| self.merge_one(now, suspect))
-            .collect()
+            .collect();
+        if !new.is_empty() {
+            self.reporter = Some(report.sender.clone());
+        }
+        new
     }
 
-    /// Decides anew what is blocked, and returns the changes.
+    /// Returns the instance that reported the last new crash, or `None` if this instance has seen it
+    /// itself.
+    pub const fn reporter(&self) -> Option<&name::Name> {
+        self.reporter.as_ref()
+    }
+
+    /// Decides anew what is blocked, unless that was done often a moment ago, and returns the changes.
     pub fn update_blocked(&mut self, now: time::Time) -> Vec<Change> {
-        if !std::mem::take(&mut self.is_changed) {
+        if !self.is_changed || self.next_decision > now.after(MAX_AHEAD) {
             return Vec::new();
         }
+        self.is_changed = false;
+        self.next_decision = self.next_decision.max(now).after(DECISION_INTERVAL);
         let found = culprits::find(&self.evidence(now));
         let mut blocked = self.settled(now, &found);
         let entries = self.entries.iter().filter(|(_, e)| e.expiry > now);
@@ -286,6 +311,9 @@
 
     /// Adopts blocks that are kept in the store; `micros` is the present time since the Unix epoch.
     pub fn restore(&mut self, now: time::Time, micros: u64, saved: &[saved_block::SavedBlock]) {
+        if !saved.is_empty() {
+            self.reporter = Some(name::Name::from(STORE));
+        }
         for block in saved.iter().take(MAX_SAVED) {
             let crashes = block.crashes.iter().take(MAX_SAVED_CRASHES);
             let crashes = crashes.map(|crash| crash_report::Crash {
@@ -364,7 +392,7 @@
             entry.expiry > now && (is_recent || self.blocked.contains(subject))
         });
         let mut all: Vec<_> = live.collect();
-        all.sort_by_key(|(subject, entry)| {
+        all.sort_by_cached_key(|(subject, entry)| {
             let counted = std::cmp::Reverse(entry.counted().count());
             (counted, std::cmp::Reverse(entry.latest()), **subject)
         });
