Do the work that a peer's message changes, not that of all engines and workspaces

Cause: each digest removed its sender's load from every engine, each report of a leaving engine was searched and looked up three times though nearly all are known, and each tick summed the demand of all instances in a map by name, with a clone and some five comparisons for each of 1,400 entries. Change: an instance remembers for which engines a peer has reported loads; a known departure is one look-up; workspaces are found by their place in the list, which is the same at all instances (NameTable).

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -39,6 +39,7 @@
 pub mod memory_limits;
 pub mod message;
 pub mod moments;
+pub mod name_table;
 pub mod orders;
 pub mod outage;
 pub mod pace;
--- a/crates/core/src/relay/caps.rs
+++ b/crates/core/src/relay/caps.rs
@@ -5,6 +5,7 @@
 
 use super::allowance;
 use super::manifest;
+use super::name_table;
 use super::settings;
 use super::workspace;
 use crate::name;
@@ -172,11 +173,7 @@
 
     /// Updates the demand at the other instances, in units per second by workspace, and the delay
     /// of their reports.
-    pub fn update_demands(
-        &mut self,
-        demands: &collections::BTreeMap<name::Name, f64>,
-        lag: Duration,
-    ) {
+    pub fn update_demands(&mut self, demands: &name_table::NameTable<f64>, lag: Duration) {
         for (workspace, bucket) in &mut self.buckets {
             let others = demands.get(workspace).copied().unwrap_or(0.0);
             bucket.allowance.update_others(others, lag);
--- a/crates/core/src/relay/engine_notices.rs
+++ b/crates/core/src/relay/engine_notices.rs
@@ -74,16 +74,40 @@
         }
     }
 
-    /// Merges another instance's report that an engine is leaving.
-    pub fn merge_departure(&mut self, now: time::Time, reported: &digest::Departure) {
+    /// Merges another instance's report that an engine is leaving; returns `true` if that was not
+    /// known.
+    pub fn merge_departure(&mut self, now: time::Time, reported: &digest::Departure) -> bool {
         let Some(expiry) = peer_data::expiry(now, reported.remaining_ms, RETENTION) else {
-            return;
+            return false;
         };
+        if self.is_reported(now, reported, expiry) {
+            return false;
+        }
         if let Some(notice) = self.entry(now, &reported.engine, reported.incarnation)
             && peer_data::replaces(expiry, notice.leaving_until)
         {
             notice.leaving_until = expiry;
         }
+        true
+    }
+
+    /// Returns `true` if a report tells nothing new, as nearly all do: each instance reports each
+    /// engine several times a second.
+    fn is_reported(
+        &self,
+        now: time::Time,
+        reported: &digest::Departure,
+        expiry: time::Time,
+    ) -> bool {
+        let notice = self.engines.get(&reported.engine);
+        let live = notice.filter(|notice| notice.expires_at() > now);
+        live.is_some_and(
+            |notice| match notice.incarnation.cmp(&reported.incarnation) {
+                cmp::Ordering::Less => false,
+                cmp::Ordering::Equal => !peer_data::replaces(expiry, notice.leaving_until),
+                cmp::Ordering::Greater => true,
+            },
+        )
     }
 
     /// Records the end of an engine's hold; an earlier time does not shorten a later one, since
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -31,6 +31,8 @@
 pub struct Fleet {
     domain: name::Name,
     engines: collections::BTreeMap<name::Name, engine_state::EngineState>,
+    /// The engines for which each other instance has reported a load.
+    loaded: collections::BTreeMap<name::Name, Vec<name::Name>>,
     speeds: collections::BTreeMap<name::Name, speed::Speed>,
     contention: collections::BTreeMap<name::Name, contention::Contention>,
     prefix_cache: prefix_cache::PrefixCache,
@@ -71,6 +73,7 @@
         Self {
             domain,
             engines: collections::BTreeMap::new(),
+            loaded: collections::BTreeMap::new(),
             speeds: collections::BTreeMap::new(),
             contention: collections::BTreeMap::new(),
             prefix_cache: prefix_cache::PrefixCache::default(),
@@ -158,8 +161,7 @@
     /// Merges another instance's report that an engine is leaving; returns `true` if it was
     /// available before.
     pub fn merge_departure(&mut self, now: time::Time, departure: &digest::Departure) -> bool {
-        self.notices.merge_departure(now, departure);
-        self.apply_departure(now, &departure.engine)
+        self.notices.merge_departure(now, departure) && self.apply_departure(now, &departure.engine)
     }
 
     /// Makes an engine unavailable if it has left; returns `true` if it was available before.
@@ -204,8 +206,15 @@
 
     /// Replaces the loads that another instance reported for the engines.
     pub fn replace_peer_loads(&mut self, from: &name::Name, loads: &[digest::EngineLoad]) {
-        for state in self.engines.values_mut() {
-            state.other_loads.remove(from);
+        let names = loads.iter().map(|load| load.engine.clone()).collect();
+        let former = match loads.is_empty() {
+            true => self.loaded.remove(from),
+            false => self.loaded.insert(from.clone(), names),
+        };
+        for engine in former.unwrap_or_default() {
+            if let Some(state) = self.engines.get_mut(&engine) {
+                state.other_loads.remove(from);
+            }
         }
         for load in loads {
             if let Some(state) = self.engines.get_mut(&load.engine) {
--- a/crates/core/src/relay/peer.rs
+++ b/crates/core/src/relay/peer.rs
@@ -1,10 +1,10 @@
 //! One other member of the own group, as its messages show it.
 
-use std::collections;
 use std::time::Duration;
 
 use super::digest;
 use super::heartbeat;
+use super::name_table;
 use super::position;
 use super::workspace_usage;
 use crate::name;
@@ -27,7 +27,7 @@
     /// Whether it has been silent for so long that it counts as lost.
     pub lost: bool,
     /// Highest admitted units of each workspace that have been charged to the caps here.
-    charged: collections::BTreeMap<name::Name, u64>,
+    charged: name_table::NameTable<u64>,
 }
 
 /// Units that other instances have admitted and that are to be charged to a workspace's cap.
@@ -82,8 +82,9 @@
         self.last_seen = now;
         self.lost = false;
         let mut charges = Vec::new();
+        let mut cursor = name_table::Cursor::default();
         for usage in &heartbeat.usage {
-            let before = self.charged.entry(usage.workspace.clone()).or_default();
+            let before = self.charged.next(&mut cursor, &usage.workspace);
             let units = usage.units.saturating_sub(*before);
             *before = usage.units.max(*before);
             let units = match was_unreachable {
--- a/crates/core/src/relay/peers/shares.rs
+++ b/crates/core/src/relay/peers/shares.rs
@@ -1,11 +1,10 @@
 //! How many instances there are, and their demand on the shared limits.
 
-use std::collections;
 use std::net;
 use std::time::Duration;
 
 use super::Peers;
-use crate::name;
+use crate::relay::name_table;
 use crate::relay::sum;
 use crate::time;
 
@@ -72,24 +71,29 @@
     }
 
     /// Returns the demand on the other members of the own group, in units per second by workspace.
-    pub fn group_demands(&self, now: time::Time) -> collections::BTreeMap<name::Name, u64> {
+    pub fn group_demands(&self, now: time::Time) -> name_table::NameTable<u64> {
         let reachable = self.peers.values().filter(|p| !p.is_unreachable(now));
-        let mut demands = collections::BTreeMap::new();
-        for usage in reachable.flat_map(|p| &p.digest.heartbeat.usage) {
-            *demands.entry(usage.workspace.clone()).or_default() += usage.demand;
+        let mut demands = name_table::NameTable::default();
+        for peer in reachable {
+            let mut cursor = name_table::Cursor::default();
+            for usage in &peer.digest.heartbeat.usage {
+                *demands.next(&mut cursor, &usage.workspace) += usage.demand;
+            }
         }
         demands
     }
 
     /// Returns the demand on all other instances, in units per second by workspace.
-    pub fn demands(&self, now: time::Time) -> collections::BTreeMap<name::Name, f64> {
+    pub fn demands(&self, now: time::Time) -> name_table::NameTable<f64> {
         let reachable = self.peers.values().filter(|p| !p.is_unreachable(now));
-        let members = reachable.flat_map(|p| &p.digest.heartbeat.usage);
-        let others = self.groups.fresh_summaries(now).flat_map(|s| &s.sum.usage);
-        let mut demands = collections::BTreeMap::new();
-        for usage in members.chain(others).filter(|usage| usage.demand > 0) {
-            let sum = demands.entry(usage.workspace.clone()).or_default();
-            *sum += usage.demand as f64;
+        let members = reachable.map(|p| &p.digest.heartbeat.usage);
+        let others = self.groups.fresh_summaries(now).map(|s| &s.sum.usage);
+        let mut demands = name_table::NameTable::default();
+        for list in members.chain(others) {
+            let mut cursor = name_table::Cursor::default();
+            for usage in list {
+                *demands.next(&mut cursor, &usage.workspace) += usage.demand as f64;
+            }
         }
         demands
     }
