Send nothing for a caller that has left or whose time is over

Cause: a process that had fallen behind read a request, chose an engine and sent it, and only then saw the close that had waited in the socket all the while; the deadline was compared with the time at which the event began, before the connection was opened. Change: right before the first byte of each attempt the deadline is compared with a clock read then, and the caller's socket is looked at. One that has closed its sending side gets the probe that it gets anyway, and 50 ms to reset the connection. What is withheld is told to the reducer: its engine is not blamed, its cap is refunded, and the final response says "not run", which is true. Line "request withheld".

--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -141,6 +141,9 @@
     },
     /// No byte was sent.
     Unsent,
+    /// No byte was sent, and none will be: the deadline has passed or the caller has left. The end of
+    /// the request follows.
+    Withheld,
     /// The connection broke or delivered bytes that are no valid response.
     Broken {
         /// Whether the engine closed or reset it before any byte of the response.
--- a/crates/core/src/relay/reduce/attempt.rs
+++ b/crates/core/src/relay/reduce/attempt.rs
@@ -56,6 +56,10 @@
             apply_unsent(state, now, id, number);
             probes::record_not_run(state, id);
         }
+        event::Signal::Withheld => {
+            ending::abandon_attempt(state, now, id, number);
+            probes::record_not_run(state, id);
+        }
         event::Signal::Broken { .. } => apply_broken(state, now, id, number),
         event::Signal::Stalled => silence::apply_stalled(state, now, id, number),
         event::Signal::Expired => apply_expired(state, now, id),
--- a/crates/core/tests/relay_attempts.rs
+++ b/crates/core/tests/relay_attempts.rs
@@ -351,3 +351,16 @@
     assert!(instance.apply(at(10), event).is_empty());
     assert_eq!(running(&instance), [1]);
 }
+
+/// A request that was not sent since its time was over is refused as not run, and its engine is not to
+/// blame.
+#[test]
+fn withheld_request_not_run() {
+    let mut instance = Instance::serving(0, 1);
+    let engine = instance.send(at(0), new_request(1, at(0), RetryPolicy::AtMostOnce, 2));
+    assert!(refused(&instance.signal(at(10_000), 1, Signal::Withheld)).is_none());
+    let refusal = refused(&instance.signal(at(10_001), 1, Signal::Expired)).unwrap();
+    assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
+    let next = new_request(2, at(10_002), RetryPolicy::AtMostOnce, 2);
+    assert_eq!(instance.send(at(10_002), next), engine);
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -12,6 +12,7 @@
 use crate::caller_response;
 use crate::clock;
 use crate::connection;
+use crate::half_close;
 use crate::receiver;
 use crate::record;
 use crate::request_reader;
@@ -102,6 +103,7 @@
         let Some(mut engine) = self.connect().await else {
             return Err(event::Signal::Unsent);
         };
+        self.wait_wanted().await;
         let head = self.compose(self.output.borrow().last_event);
         let ending = self.exchange(&mut engine, &head).await;
         let kept = engine.keep_alive.take();
@@ -112,6 +114,32 @@
         ending
     }
 
+    /// Returns right before the first byte is sent, and never if nobody waits for the response any more:
+    /// a process that was behind learns that only after it has chosen an engine.
+    async fn wait_wanted(&self) {
+        let Some(reason) = self.unwanted().await else {
+            return;
+        };
+        log::info!(id:% = self.request.trace, engine:% = self.dispatch.choice.engine,
+            attempt = self.dispatch.number, reason = reason; "request withheld");
+        self.report(event::Signal::Withheld);
+        // The request ends with the same cause.
+        future::pending().await
+    }
+
+    /// Returns why nobody waits for the response any more, or `None` if somebody may.
+    async fn unwanted(&self) -> Option<&'static str> {
+        if clock::now() >= self.request.deadline {
+            return Some("deadline");
+        }
+        let mut sight = half_close::look(self.caller);
+        if sight == half_close::Sight::HalfClosed {
+            tokio::time::sleep(half_close::PROBE_TIME).await;
+            sight = half_close::look(self.caller);
+        }
+        (sight == half_close::Sight::Left).then_some("caller-left")
+    }
+
     async fn connect(&self) -> Option<connection::Connection> {
         let is_idempotent = self.request.route.retry_policy.is_idempotent();
         let choice = &self.dispatch.choice;
--- a/crates/relay/src/half_close.rs
+++ b/crates/relay/src/half_close.rs
@@ -5,10 +5,12 @@
 //! probes: an interim response before the head, and leading zeros of the next chunk's size after it.
 
 use std::io;
+use std::mem;
 use std::time::Duration;
 
 use guavausher_core::time;
 use tokio::io::Interest;
+use tokio::net::TcpStream;
 
 use crate::attempt;
 use crate::clock;
@@ -17,9 +19,33 @@
 /// Time between two probes. Engines are told within half a second that a caller has left, also behind
 /// a proxy, which may see the caller's reset only with the second probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time in which the machine of a caller that has closed its socket resets it for a probe.
+pub(crate) const PROBE_TIME: Duration = Duration::from_millis(50);
 /// Zeros before the size of one chunk; with its digits, some clients read eight at most.
 const MAX_ZEROS: u8 = 4;
 
+/// What a look at a caller's socket shows, before anything is read from it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Sight {
+    /// It is open, as far as is known.
+    Open,
+    /// The caller has closed its sending side, and perhaps its socket.
+    HalfClosed,
+    /// The caller has left.
+    Left,
+}
+
+/// Looks at a caller's socket.
+pub(crate) fn look(caller: &TcpStream) -> Sight {
+    let mut byte = [mem::MaybeUninit::uninit()];
+    match socket2::SockRef::from(caller).peek(&mut byte) {
+        Ok(0) => Sight::HalfClosed,
+        Ok(_) => Sight::Open,
+        Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => Sight::Open,
+        Err(_) => Sight::Left,
+    }
+}
+
 /// Returns once a caller that has closed its sending side has closed its socket, or once that cannot
 /// be told from a half-close.
 pub(crate) async fn wait_left(exchange: &attempt::Exchange<'_>) {
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -249,6 +249,7 @@
         event::Signal::Whole { .. } | event::Signal::WholeAtClose { .. } => "whole",
         event::Signal::NotRun { .. } => "not-run",
         event::Signal::Unsent => "unsent",
+        event::Signal::Withheld => "withheld",
         event::Signal::Broken { .. } => "broken",
         event::Signal::Stalled => "stalled",
         event::Signal::Expired => "expired",
