Keep endless responses of many engines' connections within the memory

Cause: one response is limited (a head of 32 KiB, a failure's body of 1 MiB, an event of 256 KiB), but the sum over all requests in progress was not: what an attempt holds was charged to the budget of callers' bytes only when it was complete, or without a limit. Change: heads beyond a first read, bodies of failures and held events are charged as they arrive; one for which there is no room is broken off as the engine's fault (`end=no-room`). Up to 48 KiB of a response that is passed on needs no room.

--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -141,11 +141,11 @@
         .await
         .ok()?;
     let connection::Connection { stream, buffer, .. } = connection;
-    let head = response_reader::read_head(stream, buffer, |_| {})
+    let head = response_reader::read_head(stream, buffer, &mut None, |_| {})
         .await
         .ok()?;
     let framing = head.response_framing(call.method).ok()?;
-    let body = response_reader::read_body(stream, buffer, framing, MAX_BODY).await;
+    let body = response_reader::read_body(stream, buffer, framing, MAX_BODY, &mut None).await;
     let body = body.ok()?.bytes;
     let is_reusable = head.keeps_alive() && framing != framing::Framing::Close;
     let reply = Reply {
--- a/crates/relay/src/engine_response.rs
+++ b/crates/relay/src/engine_response.rs
@@ -71,8 +71,10 @@
         buffer: &mut BytesMut,
     ) -> Result<Response, event::Signal> {
         let mut stale = 0;
+        let mut charge = Some(budget::Charge::new(&self.runtime.budget));
         loop {
-            let head = response_reader::read_head(stream, buffer, |head| self.apply_notices(head));
+            let notice = |head: &head::Head| self.apply_notices(head);
+            let head = response_reader::read_head(stream, buffer, &mut charge, notice);
             let head = head.await.map_err(|missing| {
                 self.set_cause(missing.cause);
                 event::Signal::Broken {
@@ -204,7 +206,9 @@
         framing: framing::Framing,
         limit: usize,
     ) -> Result<Bytes, event::Signal> {
-        let body = response_reader::read_body(engine.stream, engine.buffer, framing, limit).await;
+        let mut charge = Some(budget::Charge::new(&self.runtime.budget));
+        let (stream, buffer) = (engine.stream, &mut *engine.buffer);
+        let body = response_reader::read_body(stream, buffer, framing, limit, &mut charge).await;
         let body = body.map_err(|cause| self.broken(cause))?;
         if framing == framing::Framing::Close && body.bytes.is_empty() {
             return Err(self.broken(body.cause));
--- a/crates/relay/src/forward_body.rs
+++ b/crates/relay/src/forward_body.rs
@@ -18,6 +18,10 @@
 use crate::response_reader;
 use crate::wire;
 
+/// Bytes that a response may hold although there is no room, in bytes: what is read and written at a
+/// time of any ordinary response.
+const FREE_BYTES: usize = 48 << 10;
+
 impl attempt::Attempt<'_> {
     /// Passes on a response that was buffered.
     pub async fn forward_buffered(
@@ -56,7 +60,11 @@
         let mut charge = budget::Charge::new(&self.runtime.budget);
         let end = loop {
             let is_valid = self.take_pieces(engine, response, &mut body, length, &mut pending);
-            charge.grow_always(pending.capacity() + engine.buffer.capacity() + body.held());
+            let held = pending.capacity() + engine.buffer.capacity() + body.held();
+            if held > FREE_BYTES && !charge.grow_to(held) {
+                return Err(self.broken(response_end::Cause::NoRoom));
+            }
+            charge.grow_always(held);
             if body.is_done() {
                 break response_end::Cause::Complete;
             }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -111,7 +111,7 @@
 pub struct EngineResponse {
     /// `length`, `chunks` or `close`; empty without a complete head.
     pub framing: &'static str,
-    /// `complete`, `closed`, `reset`, `within-event`, `invalid` or `too-long`; empty if it had not
+    /// `complete`, `closed`, `reset`, `within-event`, `invalid`, `too-long` or `no-room`; empty if it had not
     /// ended.
     pub end: &'static str,
 }
--- a/crates/relay/src/response_end.rs
+++ b/crates/relay/src/response_end.rs
@@ -28,6 +28,8 @@
     Invalid,
     /// It is longer than the limit of this process.
     TooLong,
+    /// There is no room for more of it.
+    NoRoom,
 }
 
 impl ResponseEnd {
@@ -51,6 +53,7 @@
             Some(Cause::WithinEvent) => "within-event",
             Some(Cause::Invalid) => "invalid",
             Some(Cause::TooLong) => "too-long",
+            Some(Cause::NoRoom) => "no-room",
         }
     }
 }
--- a/crates/relay/src/response_reader.rs
+++ b/crates/relay/src/response_reader.rs
@@ -4,6 +4,7 @@
 use guavausher_core::relay::event;
 use tokio::net::TcpStream;
 
+use crate::budget;
 use crate::connection;
 use crate::framing;
 use crate::head;
@@ -37,10 +38,11 @@
 }
 
 /// Reads the head of a final response; calls `inspect` with each head, those of interim responses
-/// included.
+/// included. What it holds beyond a first read is charged, if there is a charge.
 pub(crate) async fn read_head(
     stream: &TcpStream,
     buffer: &mut BytesMut,
+    charge: &mut Option<budget::Charge>,
     inspect: impl Fn(&head::Head),
 ) -> Result<head::Head, MissingHead> {
     let invalid = MissingHead {
@@ -67,12 +69,25 @@
             let cause = response_end::Cause::TooLong;
             return Err(MissingHead { cause, ..invalid });
         }
+        if buffer.len() >= connection::READ_BYTES && !has_room(charge, buffer.len()) {
+            let cause = response_end::Cause::NoRoom;
+            return Err(MissingHead { cause, ..invalid });
+        }
         let read = connection::fill(stream, buffer).await;
         response_end::Cause::of_read(read).map_err(|cause| MissingHead { cause, unanswered })?;
     }
 }
 
-/// Reads a complete body of at most `limit` bytes.
+/// Returns `true` if there is room for so many bytes, which grow by doubling, or no charge for them.
+fn has_room(charge: &mut Option<budget::Charge>, bytes: usize) -> bool {
+    let capacity = bytes.next_power_of_two();
+    charge
+        .as_mut()
+        .is_none_or(|charge| charge.grow_to(capacity))
+}
+
+/// Reads a complete body of at most `limit` bytes, which are charged as they arrive if there is a
+/// charge.
 ///
 /// # Errors
 ///
@@ -82,6 +97,7 @@
     buffer: &mut BytesMut,
     framing: framing::Framing,
     limit: usize,
+    charge: &mut Option<budget::Charge>,
 ) -> Result<Body, response_end::Cause> {
     let mut decoder = framing::Decoder::new(framing);
     let mut body = BytesMut::new();
@@ -90,10 +106,14 @@
             .take(buffer)
             .map_err(|_| response_end::Cause::Invalid)?
         {
-            body.extend_from_slice(&piece);
-            if body.len() > limit {
+            let length = body.len() + piece.len();
+            if length > limit {
                 return Err(response_end::Cause::TooLong);
             }
+            if !has_room(charge, length) {
+                return Err(response_end::Cause::NoRoom);
+            }
+            body.extend_from_slice(&piece);
         }
         if decoder.is_done() {
             return Ok(Body {
--- a/crates/relay/tests/support/script.rs
+++ b/crates/relay/tests/support/script.rs
@@ -47,6 +47,8 @@
     EarlyPart(String, String, bool),
     /// Sends bytes, and then others again and again until the connection is closed.
     Endless(String, String),
+    /// Sends bytes and so many more, and then nothing more.
+    Filled(String, usize),
     /// Sends bytes and keeps the connection; sends the others on it once the relay has read its
     /// next request, before it selects a connection for it.
     Late(String, String),
@@ -204,6 +206,21 @@
                 served.left.set(served.left.get() + 1);
                 return;
             }
+            Some(Reply::Filled(t, count)) => {
+                const PIECE: [u8; 4_096] = [b'a'; 4_096];
+                stream.write_all(&text(&t)).await.unwrap();
+                for _ in 0..count / PIECE.len() {
+                    if stream.write_all(&PIECE).await.is_err() {
+                        break;
+                    }
+                    served.flooded.set(served.flooded.get() + PIECE.len());
+                }
+                let mut rest = [0; 16];
+                // Until the relay closes the connection.
+                let _ = stream.read(&mut rest).await;
+                served.left.set(served.left.get() + 1);
+                return;
+            }
             Some(Reply::Late(t, late)) => {
                 stream.write_all(&text(&t)).await.unwrap();
                 let socket = stream.as_fd().try_clone_to_owned().unwrap().into();
