Order what is known of the store by its era, which rises when it returns from an older copy

At the head before, with real processes and one drill of 1.2 s after which revisions go back by 150, a manifest confirmed after the return was not in force 3 s later, and the lease was taken 0.4 s after the return with a lower fencing token. Cause: positions, lists, watches, conditions and the fencing token went by the store's revision alone, which is given out again. Change: a revision with its era is one ordered number, built where a reply is read. A later era replaces what is known; a watch or a condition of an earlier one is not sent, a reply of one is ignored, a write across the return is in doubt. A higher manifest, leaving engines and later stages of rollouts stay; entries that only the copy holds wait until they are written again, missing ones are kept for two seconds. The lease is given up and taken only after a whole term; members, blocks and statuses are written again.

--- a/crates/core/src/lease/state.rs
+++ b/crates/core/src/lease/state.rs
@@ -24,6 +24,8 @@
     /// Head start given to the candidates before this one.
     rank_delay: Duration,
     next_call_at: time::Time,
+    /// Until when no lease is taken, however long it has been unchanged.
+    blocked_until: time::Time,
     leaving: bool,
 }
 
@@ -87,6 +89,7 @@
             uncertain: None,
             rank_delay: Duration::ZERO,
             next_call_at: time::Time::default(),
+            blocked_until: time::Time::default(),
             leaving: false,
         }
     }
@@ -113,6 +116,17 @@
         self.next_call_at = time::Time::default();
     }
 
+    /// Gives up what is known of the lease, since the store has returned from an older copy. The lease
+    /// of before may still be held elsewhere, so it is taken only after a whole term from now on.
+    pub fn restart(&mut self, now: time::Time) -> Vec<output::Output> {
+        let mut outputs = Vec::new();
+        self.lose(&mut outputs);
+        self.uncertain = None;
+        self.observed = None;
+        self.blocked_until = now.after(self.timing.term);
+        outputs
+    }
+
     /// Returns what is due; `rank` is the position among the candidates, if it is one of them.
     pub fn tick(&mut self, now: time::Time, rank: Option<usize>) -> Vec<output::Output> {
         let mut outputs = Vec::new();
@@ -270,7 +284,7 @@
 
     fn await_expiry(&mut self, now: time::Time, version: Option<store::Version>, is_free: bool) {
         let expiry = match self.observed {
-            _ if is_free => now,
+            _ if is_free => now.max(self.blocked_until),
             Some(observed) if observed.version == version => observed.expiry,
             _ => now.after(self.timing.term),
         };
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -56,6 +56,7 @@
 pub mod reduce;
 pub mod request;
 pub mod retry_budget;
+pub mod revision;
 pub mod rollouts;
 pub mod route;
 pub mod saved_block;
--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -73,6 +73,8 @@
     /// Scaling orders.
     pub orders: orders::Orders,
     planner: scaling::Planner,
+    /// Windows before this one whose counts the store may have lost after they were reported.
+    lost_windows: u64,
     /// Time from which this instance competes for the lease.
     joins_at: Option<time::Time>,
     /// Time of the next check of the rollouts.
@@ -90,6 +92,7 @@
             usage: usage::Usage::default(),
             orders: orders::Orders::default(),
             planner: scaling::Planner::default(),
+            lost_windows: 0,
             joins_at: None,
             next_rollouts: time::Time::default(),
             next_sweep: None,
@@ -106,6 +109,14 @@
         self.lease.leave();
     }
 
+    /// Gives up the lease, since the store has returned from an older copy. Windows that had ended
+    /// before may have been reported by others.
+    pub fn restart(&mut self, now: time::Time, state: &state::State) -> Vec<Action> {
+        self.lost_windows = state.window(now);
+        let outputs = self.lease.restart(now);
+        self.translate(outputs)
+    }
+
     /// Returns the actions that are due.
     pub fn tick(&mut self, now: time::Time, state: &state::State) -> Vec<Action> {
         let joins_at = *self.joins_at.get_or_insert(now.after(JOIN_DELAY));
@@ -161,7 +172,7 @@
         let actions: Vec<_> = outputs.into_iter().map(translate).collect();
         let changes_holder = |a: &Action| matches!(a, Action::Acquired { .. } | Action::Lost);
         if actions.iter().any(changes_holder) {
-            self.usage = usage::Usage::default();
+            self.usage = std::mem::take(&mut self.usage).restarted(self.lost_windows);
             self.orders = orders::Orders::default();
         }
         actions
--- a/crates/core/src/relay/duties/usage.rs
+++ b/crates/core/src/relay/duties/usage.rs
@@ -58,6 +58,10 @@
 pub struct Usage {
     windows: collections::BTreeMap<u64, Stage>,
     saved: Saved,
+    /// Counts that this process has committed.
+    committed: collections::BTreeMap<u64, Counts>,
+    /// Windows before this one are reported only with counts that this process has committed.
+    lost_windows: u64,
 }
 
 /// State of the copy of the counts in the store, which restores them after all processes ended at
@@ -74,6 +78,16 @@
 }
 
 impl Usage {
+    /// Returns the state in which this process begins to hold the lease again. The store may have lost
+    /// the counts of windows before `lost_windows`.
+    pub(super) fn restarted(self, lost_windows: u64) -> Self {
+        Self {
+            committed: self.committed,
+            lost_windows,
+            ..Self::default()
+        }
+    }
+
     /// Returns the actions that are due.
     pub(super) fn tick(&mut self, now: time::Time, state: &state::State) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -89,6 +103,7 @@
             }
         }
         let oldest = current.saturating_sub(KEPT_WINDOWS);
+        self.committed.retain(|window, _| *window >= oldest);
         while let Some(entry) = self.windows.first_entry().filter(|e| *e.key() < oldest) {
             let (window, _) = entry.remove_entry();
             actions.push(Action::DeleteCounts { window });
@@ -131,10 +146,17 @@
     }
 
     fn advance(&mut self, now: time::Time, state: &state::State, window: u64) -> Option<Action> {
+        let own = self.committed.get(&window).cloned();
         let counts = || Counts {
             window,
             requests: state.usage_counts.started(window),
         };
+        if window < self.lost_windows && own.is_none() {
+            // Another instance may have reported it, with counts that nobody knows any more.
+            self.windows.insert(window, Stage::Done);
+            return None;
+        }
+        let counts = || own.clone().unwrap_or_else(counts);
         let (stage, action) = match self.windows.get(&window) {
             None => (Stage::Committing, Action::CommitCounts(counts())),
             Some(Stage::Waiting(at, None)) if now >= *at => {
@@ -157,7 +179,10 @@
     /// Handles the outcome of a commit: the committed counts, or `None` if they are unknown.
     pub fn handle_commit(&mut self, now: time::Time, window: u64, counts: Option<Counts>) {
         let stage = match counts {
-            Some(counts) => Stage::Committed(counts),
+            Some(counts) => {
+                self.committed.insert(window, counts.clone());
+                Stage::Committed(counts)
+            }
             None => Stage::Waiting(now.after(RETRY_INTERVAL), None),
         };
         self.windows.insert(window, stage);
--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -46,6 +46,11 @@
     Engines(Vec<engine::Engine>),
     /// The evacuated failure domains have changed.
     Evacuations(Vec<name::Name>),
+    /// The store has returned from an older copy.
+    StoreReturned {
+        /// Its era since then.
+        era: u64,
+    },
     /// This instance has started or stopped watching the store for changes.
     Watching(bool),
     /// A newer manifest is known.
@@ -81,6 +86,7 @@
             Self::EngineNotice { .. } => "engine-notice",
             Self::Engines(_) => "engines",
             Self::Evacuations(_) => "evacuations",
+            Self::StoreReturned { .. } => "store-returned",
             Self::Watching(_) => "watching",
             Self::Manifest(_) => "manifest",
             Self::Rollouts(_) => "rollouts",
--- a/crates/core/src/relay/outage.rs
+++ b/crates/core/src/relay/outage.rs
@@ -49,6 +49,20 @@
         };
     }
 
+    /// Records that the store has returned from an older copy, in which entries may be missing as after
+    /// an outage that has just ended.
+    pub fn record_return(&mut self, now: time::Time) {
+        *self = match *self {
+            Self::Unwatched { since, .. } => Self::Unwatched {
+                since,
+                last_end: Some(now),
+            },
+            Self::Unknown | Self::Watched { .. } => Self::Watched {
+                last_end: Some(now),
+            },
+        };
+    }
+
     /// Returns until when an engine whose entry vanishes now is kept, or `None` if it is gone.
     ///
     /// Entries that expired during an outage are back within `lapse` of its end. Requests to an
--- a/crates/core/src/relay/peers/readers.rs
+++ b/crates/core/src/relay/peers/readers.rs
@@ -5,6 +5,7 @@
 use super::Peers;
 use crate::name;
 use crate::relay::position;
+use crate::relay::revision;
 use crate::time;
 
 /// An instance that can serve the changes it has read.
@@ -35,7 +36,12 @@
 
     /// Returns the highest revision at which any instance has the same objects of a kind as this
     /// one.
-    pub fn confirmed_revision(&self, now: time::Time, kind: usize, own: position::Position) -> u64 {
+    pub fn confirmed_revision(
+        &self,
+        now: time::Time,
+        kind: usize,
+        own: position::Position,
+    ) -> revision::Revision {
         let same = self.readers(now, kind).map(|reader| reader.position);
         let same = same.filter(|position| position.content_hash == own.content_hash);
         same.fold(own.revision, |most, position| most.max(position.revision))
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -48,6 +48,7 @@
         } => engines::apply_notice(state, now, engine, incarnation, notice),
         event::Event::Engines(list) => engines::replace(state, now, list),
         event::Event::Evacuations(domains) => evacuations::replace(state, now, domains),
+        event::Event::StoreReturned { era } => apply_return(state, now, era),
         event::Event::Watching(is_watching) => set_watching(state, now, is_watching),
         event::Event::Manifest(manifest) => apply_manifest(state, now, manifest),
         event::Event::Rollouts(orders) => {
@@ -103,6 +104,15 @@
     update_outage(state, now);
 }
 
+/// Begins the time in which engines and the operator write again what the store has lost.
+fn apply_return(state: &mut state::State, now: time::Time, era: u64) {
+    if era <= state.era {
+        return;
+    }
+    state.era = era;
+    state.outage.record_return(now);
+}
+
 fn update_outage(state: &mut state::State, now: time::Time) {
     let is_any_watching = state.watching || state.peers.has_store_watcher(now);
     let min_outage = state.settings.min_outage();
--- a/crates/core/src/relay/rollouts.rs
+++ b/crates/core/src/relay/rollouts.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use super::canary_samples;
+use super::revision;
 use super::settings;
 use super::usage_counts;
 use super::version_stats;
@@ -48,6 +49,17 @@
     RolledBack,
 }
 
+impl Stage {
+    /// Returns the place in the order in which stages follow each other.
+    const fn rank(self) -> u8 {
+        match self {
+            Self::Ordered => 0,
+            Self::Running => 1,
+            Self::Completed | Self::RolledBack => 2,
+        }
+    }
+}
+
 /// A rollout as the operator ordered it and as its status says.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
@@ -116,6 +128,8 @@
 #[derive(Clone, Debug)]
 struct Rollout {
     order: Order,
+    /// Whether the store has lost the status by returning from an older copy.
+    is_lost: bool,
     /// True time at which this process first saw the order, in microseconds.
     seen_micros: u64,
     sampler: sampling::Sampler,
@@ -300,8 +314,9 @@
     /// Returns the status changes that the lease holder writes; `micros` is the true time.
     pub fn status_updates(&self, settings: &settings::Settings, micros: u64) -> Vec<StatusUpdate> {
         let share = settings.canary_share * CANARY_MARGIN;
-        let open = self.rollouts.values().filter(|r| r.is_open());
-        open.filter_map(|rollout| rollout.status_update(share, micros))
+        let due = self.rollouts.values();
+        let due = due.filter(|r| r.is_open() || r.is_lost);
+        due.filter_map(|rollout| rollout.status_update(share, micros))
             .collect()
     }
 
@@ -318,9 +333,25 @@
     fn with_order(known: Option<Self>, micros: u64, order: Order) -> Self {
         let rollout = match known {
             Some(known) if known.order.revision > order.revision => return known,
-            Some(known) if known.order.target == order.target => Self { order, ..known },
+            Some(known) if known.order.target == order.target => {
+                let is_lost = known.has_lost_status(&order);
+                let order = match is_lost {
+                    true => Order {
+                        stage: known.order.stage,
+                        deadline_micros: known.order.deadline_micros,
+                        ..order
+                    },
+                    false => order,
+                };
+                Self {
+                    order,
+                    is_lost,
+                    ..known
+                }
+            }
             _ => Self {
                 order,
+                is_lost: false,
                 seen_micros: micros,
                 sampler: sampling::Sampler::default(),
                 completed: None,
@@ -341,6 +372,14 @@
         }
     }
 
+    /// Returns `true` if the store has lost the known status by returning from an older copy, and has
+    /// not got it again with this order.
+    fn has_lost_status(&self, order: &Order) -> bool {
+        let era = |order: &Order| revision::Revision::from_packed(order.revision).era();
+        let is_returned = self.is_lost || era(order) > era(&self.order);
+        is_returned && self.order.stage.rank() > order.stage.rank()
+    }
+
     /// Returns `true` if the rollout is completed and the version fails since.
     fn is_failing(&self) -> bool {
         let completed = self.completed.as_ref();
@@ -368,7 +407,9 @@
             micros >= deadline.saturating_sub((duration as f64 * (1.0 - share)) as u64)
         };
         let pairs = self.pairs();
-        let stage = if is_bad(&pairs) {
+        let stage = if self.is_lost {
+            self.order.stage
+        } else if is_bad(&pairs) {
             Stage::RolledBack
         } else if is_after(COMPLETE_AFTER)
             && self.may_complete(&pairs, share, micros, is_after(LAST_DECISION_AFTER))
@@ -379,7 +420,7 @@
         } else {
             Stage::Running
         };
-        let is_changed = stage != self.order.stage;
+        let is_changed = self.is_lost || stage != self.order.stage;
         is_changed.then(|| StatusUpdate {
             service: self.order.service.clone(),
             target: self.order.target.clone(),
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -83,6 +83,8 @@
     pub leaving: bool,
     /// Whether this instance watches the store.
     pub watching: bool,
+    /// Era of the store in which this instance has read it last.
+    pub era: u64,
     /// Whether any instance watches the store.
     pub outage: outage::Outage,
     /// When this instance becomes a store watcher.
@@ -122,6 +124,7 @@
             slot_usage: slot_usage::SlotUsage::default(),
             leaving: false,
             watching: false,
+            era: 0,
             outage: outage::Outage::default(),
             watcher_promotion: watcher_promotion::WatcherPromotion::default(),
             out: Vec::new(),
--- a/crates/core/tests/relay_catch_up.rs
+++ b/crates/core/tests/relay_catch_up.rs
@@ -5,7 +5,7 @@
 use std::collections;
 use std::time::Duration;
 
-use guavausher_core::relay::{catch_up, peers, position};
+use guavausher_core::relay::{catch_up, peers, position, revision};
 use guavausher_core::time;
 use relay_support::{Instance, START, at, name};
 use rstest::rstest;
@@ -15,7 +15,7 @@
 
 fn position(revision: u64) -> position::Position {
     position::Position {
-        revision,
+        revision: revision::Revision::from_packed(revision),
         content_hash: revision,
     }
 }
@@ -156,13 +156,14 @@
     let mut peers = relay_support::no_peers();
     let newcomer = Instance::new(1);
     let same = position::Position {
-        revision: 9,
+        revision: revision::Revision::from_packed(9),
         content_hash: 5,
     };
     peers.apply_digest(START, newcomer.state.digest(START, vec![same]));
     let mut own = catch_up::CatchUp::new(&name("own"), STORE_DELAY);
     assert_eq!(own.next_source(START, view(&peers, 5, true), true), None);
-    assert_eq!(peers.confirmed_revision(START, KIND, position(5)), 9);
+    let confirmed = peers.confirmed_revision(START, KIND, position(5));
+    assert_eq!(confirmed, revision::Revision::from_packed(9));
 }
 
 #[test]
--- a/crates/core/tests/relay_support/fleet.rs
+++ b/crates/core/tests/relay_support/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use guavausher_core::name;
-use guavausher_core::relay::{effect, event, member, message, position, state};
+use guavausher_core::relay::{effect, event, member, message, position, revision, state};
 use guavausher_core::time;
 
 use super::{Instance, at, engine, engines, manifest};
@@ -212,7 +212,7 @@
     /// Returns the number of running instances that have not read up to this change.
     pub fn behind(&self, changed: u64) -> usize {
         let up = self.nodes.iter().filter(|node| node.is_up);
-        up.filter(|node| node.positions[0].revision < changed)
+        up.filter(|node| node.positions[0].revision < revision::Revision::from_packed(changed))
             .count()
     }
 
@@ -337,7 +337,7 @@
 
 pub fn position(changed: u64) -> position::Position {
     position::Position {
-        revision: changed,
+        revision: revision::Revision::from_packed(changed),
         content_hash: changed,
     }
 }
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::connection;
 use crate::framing;
+use crate::head;
 use crate::response_reader;
 
 /// Timeout for opening a connection.
@@ -43,6 +44,8 @@
 pub struct Reply {
     /// HTTP status.
     pub status: u16,
+    /// Head.
+    pub head: head::Head,
     /// Body.
     pub body: Bytes,
 }
@@ -150,6 +153,7 @@
     let is_reusable = head.keeps_alive() && framing != framing::Framing::Close;
     let reply = Reply {
         status: head.status(),
+        head,
         body,
     };
     Some((reply, is_reusable))
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -407,6 +407,13 @@
             "1 while this process watches the store for changes",
             watching,
         );
+        let era: gauge::Gauge = gauge::Gauge::default();
+        era.set(state.era as i64);
+        registry.register(
+            "store_era",
+            "Era of the store since which it has returned from an older copy; 0 if that has not been seen",
+            era,
+        );
         let share: gauge::Gauge<f64, std::sync::atomic::AtomicU64> = gauge::Gauge::default();
         share.set(state.peers.reachable_share(now));
         registry.register(
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -7,7 +7,7 @@
 use std::sync;
 use std::time::Duration;
 
-use guavausher_core::relay::{event, gossip, message, usage_counts};
+use guavausher_core::relay::{event, gossip, message, revision, usage_counts};
 use tokio::net::UdpSocket;
 
 use crate::budget;
@@ -123,7 +123,8 @@
         kind => {
             let snapshots = snapshots.borrow();
             let snapshot = snapshots.get(usize::from(kind))?;
-            datagram::encode(&snapshot.since(u64::from_be_bytes(since)))
+            let since = revision::Revision::from_packed(u64::from_be_bytes(since));
+            datagram::encode(&snapshot.since(since))
         }
     };
     let bytes = bytes.ok()?;
@@ -137,8 +138,12 @@
 }
 
 /// Fetches the changes of a kind since a revision from another instance; `None` if that fails.
-pub async fn fetch(address: net::SocketAddr, kind: u8, since: u64) -> Option<snapshot::Delta> {
-    query(address, kind, since).await
+pub async fn fetch(
+    address: net::SocketAddr,
+    kind: u8,
+    since: revision::Revision,
+) -> Option<snapshot::Delta> {
+    query(address, kind, since.packed()).await
 }
 
 /// Fetches all usage counts that another instance holds; `None` if that fails.
--- a/crates/relay/src/read_times.rs
+++ b/crates/relay/src/read_times.rs
@@ -4,6 +4,7 @@
 use std::collections;
 
 use guavausher_core::name;
+use guavausher_core::relay::revision;
 use guavausher_core::time;
 
 use crate::snapshot;
@@ -17,7 +18,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Read {
-    revision: u64,
+    revision: revision::Revision,
     at: time::Time,
 }
 
--- a/crates/relay/src/snapshot.rs
+++ b/crates/relay/src/snapshot.rs
@@ -3,7 +3,7 @@
 use std::hash::Hasher;
 
 use guavausher_core::name;
-use guavausher_core::relay::position;
+use guavausher_core::relay::{position, revision};
 
 /// A stored object.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -11,7 +11,7 @@
     /// Name of the object.
     pub name: name::Name,
     /// Revision of its last change.
-    pub revision: u64,
+    pub revision: revision::Revision,
     /// Content as stored.
     pub body: Vec<u8>,
 }
@@ -19,8 +19,8 @@
 /// All objects of a kind.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Snapshot {
-    /// Revision up to which all changes are included, 0 before the first read.
-    pub changed: u64,
+    /// Revision up to which all changes are included.
+    pub changed: revision::Revision,
     /// Objects by name.
     pub items: Vec<Item>,
 }
@@ -29,7 +29,7 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Delta {
     /// Revision of the newer snapshot.
-    pub changed: u64,
+    pub changed: revision::Revision,
     /// Objects that have changed since the older one, by name.
     pub items: Vec<Item>,
     /// Names of all objects of the newer one in order; objects that are not listed were deleted.
@@ -38,7 +38,7 @@
 
 impl Snapshot {
     /// Returns the changes since a revision.
-    pub fn since(&self, revision: u64) -> Delta {
+    pub fn since(&self, revision: revision::Revision) -> Delta {
         let newer = self.items.iter().filter(|item| item.revision > revision);
         Delta {
             changed: self.changed,
@@ -64,9 +64,9 @@
 
     /// Returns the position that is advertised to other instances.
     pub fn position(&self) -> position::Position {
-        let content = match self.changed {
-            0 => 0,
-            _ => content_hash(&self.items),
+        let content = match self.changed.is_none() {
+            true => 0,
+            false => content_hash(&self.items),
         };
         position::Position {
             revision: self.changed,
@@ -89,7 +89,7 @@
     let mut hasher = twox_hash::XxHash64::with_seed(0);
     for item in items {
         hasher.write(item.name.as_bytes());
-        hasher.write_u64(item.revision);
+        hasher.write_u64(item.revision.packed());
     }
     hasher.finish()
 }
--- a/crates/relay/tests/held_bytes.rs
+++ b/crates/relay/tests/held_bytes.rs
@@ -6,7 +6,7 @@
 use std::rc;
 use std::time::Duration;
 
-use guavausher_core::relay::memory_limits;
+use guavausher_core::relay::{memory_limits, revision};
 use guavausher_relay::{client, clock, peers};
 use rstest::rstest;
 use support::script::Reply;
@@ -173,7 +173,11 @@
     const MAX_SENT: usize = 24 << 20;
     support::run(async {
         let (address, sent) = endless_server(length.to_be_bytes().to_vec(), b"\xff").await;
-        assert!(peers::fetch(address, 1, 0).await.is_none());
+        assert!(
+            peers::fetch(address, 1, revision::Revision::NONE)
+                .await
+                .is_none()
+        );
         assert!(sent.get() <= MAX_SENT, "{}", sent.get());
     });
 }
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -7,7 +7,7 @@
 use std::rc;
 
 use guavausher_core::name;
-use guavausher_core::relay::{clock as true_time, settings, state};
+use guavausher_core::relay::{clock as true_time, revision, settings, state};
 use guavausher_relay::{clock, peers, runtime, snapshot};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt as _;
@@ -77,7 +77,7 @@
 fn item(name: &str, revision: u64, size: usize) -> snapshot::Item {
     snapshot::Item {
         name: name::Name::from(name),
-        revision,
+        revision: revision::Revision::from_packed(revision),
         body: vec![1; size],
     }
 }
@@ -87,18 +87,25 @@
     support::run(async {
         let (first, snapshots) = instance(6, None).await;
         snapshots.borrow_mut()[0] = snapshot::Snapshot {
-            changed: 7,
+            changed: revision::Revision::from_packed(7),
             items: vec![item("main", 7, 100_000)],
         };
         let mut odd = tokio::net::TcpStream::connect(address(&first))
             .await
             .unwrap();
         odd.write_all(&[200]).await.unwrap();
-        assert_eq!(peers::fetch(address(&first), 9, 0).await, None);
-        let fetched = peers::fetch(address(&first), 0, 0).await.unwrap();
-        assert_eq!((fetched.changed, fetched.items.len()), (7, 1));
-        let newer = peers::fetch(address(&first), 0, 7).await.unwrap();
-        assert_eq!((newer.changed, newer.items.len()), (7, 0));
+        assert_eq!(
+            peers::fetch(address(&first), 9, revision::Revision::from_packed(0)).await,
+            None
+        );
+        let fetched = peers::fetch(address(&first), 0, revision::Revision::from_packed(0))
+            .await
+            .unwrap();
+        assert_eq!((fetched.changed.packed(), fetched.items.len()), (7, 1));
+        let newer = peers::fetch(address(&first), 0, revision::Revision::from_packed(7))
+            .await
+            .unwrap();
+        assert_eq!((newer.changed.packed(), newer.items.len()), (7, 0));
     });
 }
 
@@ -109,12 +116,12 @@
     let mut items: Vec<_> = (0..180)
         .map(|n| item(&format!("e{n:03}"), n, 350))
         .collect();
-    items[40].revision = 500;
+    items[40].revision = revision::Revision::from_packed(500);
     let delta = snapshot::Snapshot {
-        changed: 501,
+        changed: revision::Revision::from_packed(501),
         items,
     }
-    .since(180);
+    .since(revision::Revision::from_packed(180));
     assert_eq!(delta.items.len(), 1);
     assert_eq!(delta.names.len(), 180);
 }
@@ -128,7 +135,7 @@
 #[case::from_nothing(&[("a", 1), ("b", 2)], &[])]
 fn after_delta_equals_newer_snapshot(#[case] newer: &[(&str, u64)], #[case] older: &[(&str, u64)]) {
     let build = |changed, items: &[(&str, u64)]| snapshot::Snapshot {
-        changed,
+        changed: revision::Revision::from_packed(changed),
         items: items.iter().map(|(n, r)| item(n, *r, 3)).collect(),
     };
     let (newer, older) = (
@@ -154,6 +161,10 @@
         tokio::time::sleep(std::time::Duration::from_millis(100)).await;
         drop(files);
         drop(waiting);
-        assert!(peers::fetch(address, 0, 0).await.is_some());
+        assert!(
+            peers::fetch(address, 0, revision::Revision::from_packed(0))
+                .await
+                .is_some()
+        );
     });
 }
--- a/crates/relay/tests/read_times.rs
+++ b/crates/relay/tests/read_times.rs
@@ -1,13 +1,14 @@
 //! Times at which stored objects were first read.
 
 use guavausher_core::name;
+use guavausher_core::relay::revision;
 use guavausher_core::time;
 use guavausher_relay::{read_times, snapshot};
 
 fn item(name: &str, revision: u64) -> snapshot::Item {
     snapshot::Item {
         name: name::Name::from(name),
-        revision,
+        revision: revision::Revision::from_packed(revision),
         body: Vec::new(),
     }
 }
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -30,6 +30,8 @@
 
 pub use engine::Log;
 
+/// Header with how often the store has returned from a copy; none before the first time.
+const STORE_ERA: &str = "store-era";
 /// Longest time that a watch waits.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(30);
 /// Maximum number of engines.
@@ -156,7 +158,11 @@
     if faults.late && site.delay_status(&path, &request) {
         return Err(reply::cut());
     }
-    let response = site.object(&path, &request).await;
+    let mut response = site.object(&path, &request).await;
+    let era = lock(&site.objects).era();
+    if era > 0 {
+        reply::set(&mut response, STORE_ERA, &era.to_string());
+    }
     match faults.lose && request.method() != http::Method::GET {
         true => Err(reply::cut()),
         false => Ok(response),
@@ -227,6 +233,9 @@
     }
 
     async fn watch(&self, kind: &str, since: u64, request: &request::Request) -> reply::Response {
+        if !lock(&self.objects).has_history(since) {
+            return reply::error(http::StatusCode::GONE, "no history since then");
+        }
         let wait = request::query(request, names::WAIT).parse().unwrap_or(0);
         let wait = time::Duration::from_millis(wait).min(MAX_WAIT);
         let mut changes = self.changes.subscribe();
@@ -354,6 +363,24 @@
         Ok(())
     }
 
+    /// Writes the entries of all engines that run again, as they do within two seconds.
+    fn rewrite_entries(&self) {
+        let engines = lock(&self.engines);
+        let present: Vec<_> = engines
+            .iter()
+            .map(|(name, running)| (name.clone(), running.entry.clone()))
+            .collect();
+        drop(engines);
+        let mut objects = lock(&self.objects);
+        for (name, entry) in present {
+            if entry.state == servers::State::Ready {
+                objects.set(names::SERVERS, &name, &raw(&entry));
+            }
+        }
+        drop(objects);
+        self.notify_watches();
+    }
+
     /// Drains an engine: its entry says so, and it completes what it is running.
     fn drain(&self, name: &str) -> bool {
         let mut engines = lock(&self.engines);
@@ -417,6 +444,14 @@
                 Err(response) => *response,
             },
             "kept" => reply::json(status, &lock(&self.late).len()),
+            "copy" => {
+                lock(&self.objects).keep_copy();
+                reply::done()
+            }
+            "return" if lock(&self.objects).return_from_copy() => {
+                self.rewrite_entries();
+                reply::done()
+            }
             "late" => {
                 self.execute_late();
                 reply::done()
--- a/crates/standins/src/site/objects.rs
+++ b/crates/standins/src/site/objects.rs
@@ -12,12 +12,23 @@
 /// Objects by kind and name, with their recent changes.
 #[derive(Default)]
 pub(super) struct Objects {
+    /// Times that the store has returned from a copy.
+    era: u64,
+    copy: Option<Copy>,
+    /// Revisions below which the history of this era does not reach.
+    first: u64,
     revision: u64,
     objects: collections::BTreeMap<Key, wire::Object>,
     history: collections::VecDeque<Change>,
     fence: u64,
 }
 
+/// The objects as they were at a moment.
+struct Copy {
+    revision: u64,
+    objects: collections::BTreeMap<Key, wire::Object>,
+}
+
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Key {
     kind: String,
@@ -48,6 +59,37 @@
         self.revision
     }
 
+    /// Returns how often the store has returned from a copy.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Keeps a copy of all objects.
+    pub fn keep_copy(&mut self) {
+        self.copy = Some(Copy {
+            revision: self.revision,
+            objects: self.objects.clone(),
+        });
+    }
+
+    /// Returns from the copy; what was written since is lost, and its revisions are given out again.
+    pub fn return_from_copy(&mut self) -> bool {
+        let Some(copy) = &self.copy else {
+            return false;
+        };
+        self.era += 1;
+        self.first = copy.revision;
+        self.revision = copy.revision;
+        self.objects = copy.objects.clone();
+        self.history.clear();
+        true
+    }
+
+    /// Returns `true` if the history since a revision is known.
+    pub fn has_history(&self, revision: u64) -> bool {
+        (self.first..=self.revision).contains(&revision)
+    }
+
     /// Records a fencing token; returns `true` if no higher one was seen.
     pub fn accept_fence(&mut self, fence: u64) -> bool {
         let is_accepted = fence >= self.fence;
