Test the time in which a change and a departure reach all of 9, 75, 87 and 295 instances

Cause: the bound of 2.2 s was that of the large deployment; the drain bound is 2 s at nine instances and 3 s at 75 and 87. Change: the bound of each size is what its drain bound leaves once a silent store is detected (1.1, 1.65, 1.65, 2.2 s), for changes of objects and for what engines say of themselves, with a tenth of all messages lost.

--- a/crates/core/tests/relay_fleet.rs
+++ b/crates/core/tests/relay_fleet.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use guavausher_core::relay::route::RetryPolicy;
-use guavausher_core::relay::{effect, event, group, member, state, subject};
+use guavausher_core::relay::{effect, event, group, member, state, subject, watch_timing};
 use relay_support::fleet::{Fleet, Network, STEP, Sent};
 use relay_support::{Instance, START, engine, engines, manifest, name, new_request, refused};
 use rstest::rstest;
@@ -25,6 +25,12 @@
 /// Bytes that an instance may send in a second for control to other failure domains.
 const MAX_FAR_BYTES: u64 = 2_048;
 
+/// Returns the part of a drain bound in seconds that is left once a silent store is detected.
+fn propagation_time(drain: u32) -> Duration {
+    let drain = Duration::from_secs(u64::from(drain));
+    drain - watch_timing::WatchTiming::for_drain(drain).timeout()
+}
+
 fn connected(size: usize, domains: usize, net: Network) -> Fleet {
     let mut fleet = Fleet::new(size, domains, net);
     fleet.run_for(CONNECT_TIME);
@@ -91,16 +97,50 @@
     assert_eq!(large.behind(5), 0);
 }
 
+/// From the first instance that knows of a change to the last one.
 #[rstest]
-#[case::grown(75, 3)]
-#[case::large(295, 5)]
-fn readers_ahead_spreads_a_change_in_time(#[case] size: usize, #[case] domains: usize) {
+#[case::small(9, 3, 2)]
+#[case::grown(75, 3, 3)]
+#[case::lakeshore(87, 3, 3)]
+#[case::large(295, 5, 4)]
+fn readers_ahead_spreads_a_change_in_time(
+    #[case] size: usize,
+    #[case] domains: usize,
+    #[case] drain: u32,
+) {
     let mut fleet = connected(size, domains, LOSSY);
     fleet.set_position(7, 5);
-    fleet.run_for(PROPAGATION_TIME);
+    fleet.run_for(propagation_time(drain));
     assert_eq!(fleet.behind(5), 0);
 }
 
+/// An engine that says it leaves gets nothing from any instance once all know it, without a list.
+#[rstest]
+#[case::small(9, 3, 2)]
+#[case::grown(75, 3, 3)]
+#[case::lakeshore(87, 3, 3)]
+#[case::large(295, 5, 4)]
+fn departures_spread_in_time(#[case] size: usize, #[case] domains: usize, #[case] drain: u32) {
+    let mut fleet = connected(size, domains, LOSSY);
+    let notice = event::Event::EngineNotice {
+        engine: relay_support::name("e0"),
+        incarnation: 1,
+        notice: event::Notice::Leaving,
+    };
+    let now = fleet.now();
+    fleet.instance(7).apply(now, notice);
+    fleet.run_for(propagation_time(drain));
+    let now = fleet.now();
+    for state in fleet.states() {
+        let mut available = state.fleet.available(now);
+        assert!(
+            available.all(|engine| engine.name.as_str() != "e0"),
+            "{}",
+            state.own.name
+        );
+    }
+}
+
 #[rstest]
 #[case::large(295, 5)]
 #[case::target(379, 5)]
