Let no process take a lease that another may hold since before the store returned

What callers saw: none yet; random histories of returns, pauses and restarts found two holders at a time within some 100 histories. Cause: a process that had just started found no lease in the copy and took it at once, while its holder of before the return acted on; a write in doubt across the return could also revive a lease.

--- a/crates/core/src/lease/state.rs
+++ b/crates/core/src/lease/state.rs
@@ -271,6 +271,7 @@
         let is_own = own.is_some();
         if let (Some(own), Some(uncertain), Some(version)) = (own, self.uncertain, version)
             && own.number >= uncertain.number
+            && now >= self.blocked_until
         {
             self.uncertain = None;
             self.extend(now, uncertain.sent, version, outputs);
--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -117,6 +117,13 @@
         self.translate(outputs)
     }
 
+    /// Takes the lease only after a whole term, since another process may hold one that the store has
+    /// lost.
+    pub fn wait_for_term(&mut self, now: time::Time) -> Vec<Action> {
+        let outputs = self.lease.restart(now);
+        self.translate(outputs)
+    }
+
     /// Returns the actions that are due.
     pub fn tick(&mut self, now: time::Time, state: &state::State) -> Vec<Action> {
         let joins_at = *self.joins_at.get_or_insert(now.after(JOIN_DELAY));
