Notice within its own bound that the watch of the manifest is silent

Cause: the watch of the manifest waited 3.4 s for a reply, more than `configApplyMs` allows, since the faster watch of engines was to notice for all that the store is silent.

--- a/crates/core/src/relay/settings.rs
+++ b/crates/core/src/relay/settings.rs
@@ -20,6 +20,8 @@
     pub return_grace: Duration,
     /// Time for which requests may still reach an engine that is leaving or gone.
     pub drain: Duration,
+    /// Time within which a manifest is in force at all instances.
+    pub manifest_apply: Duration,
     /// Time within which requests to an evacuated failure domain stop, if the deployment has
     /// evacuations.
     pub evacuation: Option<Duration>,
@@ -54,6 +56,7 @@
             heartbeat: Duration::from_millis(1_200),
             return_grace: Duration::from_secs(2),
             drain: Duration::from_secs(2),
+            manifest_apply: Duration::from_secs(2),
             evacuation: None,
             cold_bound: None,
             usage_window: Duration::from_secs(5),
@@ -76,7 +79,7 @@
         /// Heartbeats that must fail. The last one to succeed may have come right before the
         /// outage.
         const MISSED_HEARTBEATS: u32 = 2;
-        let detection = watch_timing::WatchTiming::for_drain(self.drain).timeout();
+        let detection = watch_timing::WatchTiming::for_bound(self.drain).timeout();
         (self.heartbeat * MISSED_HEARTBEATS).saturating_sub(detection)
     }
 }
--- a/crates/core/src/relay/watch_timing.rs
+++ b/crates/core/src/relay/watch_timing.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-/// Share of the drain bound after which a store that does not reply counts as silent. The rest is
-/// left for other instances to become store watchers and to relay the change to all. The drain
-/// bound is the time within which requests to an engine that leaves must stop.
+/// Share of a bound after which a store that does not reply counts as silent. The rest is left for
+/// other instances to become store watchers and to relay the change to all. The bound is the time
+/// within which a change must be in force, such as that of an engine that leaves.
 const TIMEOUT_SHARE: f64 = 0.45;
 /// Share of that timeout for which a watch waits; the rest is left for its reply.
 const WAIT_SHARE: f64 = 0.4;
@@ -23,10 +23,10 @@
 }
 
 impl WatchTiming {
-    /// Returns the timing with which a silent store is detected early enough for requests to an
-    /// engine to stop within `drain` of a change that the store reported to nobody.
-    pub fn for_drain(drain: Duration) -> Self {
-        let timeout = drain.mul_f64(TIMEOUT_SHARE).min(Self::SLOWEST.timeout());
+    /// Returns the timing with which a silent store is detected early enough for a change that it
+    /// reported to nobody to be in force within `bound`.
+    pub fn for_bound(bound: Duration) -> Self {
+        let timeout = bound.mul_f64(TIMEOUT_SHARE).min(Self::SLOWEST.timeout());
         let wait = timeout.mul_f64(WAIT_SHARE);
         Self {
             wait,
--- a/crates/core/tests/relay_fleet.rs
+++ b/crates/core/tests/relay_fleet.rs
@@ -28,7 +28,7 @@
 /// Returns the part of a drain bound in seconds that is left once a silent store is detected.
 fn propagation_time(drain: u32) -> Duration {
     let drain = Duration::from_secs(u64::from(drain));
-    drain - watch_timing::WatchTiming::for_drain(drain).timeout()
+    drain - watch_timing::WatchTiming::for_bound(drain).timeout()
 }
 
 fn connected(size: usize, domains: usize, net: Network) -> Fleet {
--- a/crates/core/tests/relay_pace.rs
+++ b/crates/core/tests/relay_pace.rs
@@ -18,15 +18,15 @@
 #[case::small(2_000)]
 #[case::grown(3_000)]
 #[case::long(10_000)]
-fn for_drain_detects_silence_early_enough(#[case] drain: u64) {
+fn for_bound_detects_silence_early_enough(#[case] drain: u64) {
     let drain = Duration::from_millis(drain);
-    let timing = watch_timing::WatchTiming::for_drain(drain);
+    let timing = watch_timing::WatchTiming::for_bound(drain);
     assert!(timing.timeout() + PROMOTION_TIME < drain, "{timing:?}");
     assert!(!timing.wait.is_zero());
 }
 
 #[test]
-fn for_drain_is_never_slower_than_slowest() {
-    let timing = watch_timing::WatchTiming::for_drain(Duration::from_secs(60));
+fn for_bound_is_never_slower_than_slowest() {
+    let timing = watch_timing::WatchTiming::for_bound(Duration::from_secs(60));
     assert!(timing.timeout() <= watch_timing::WatchTiming::SLOWEST.timeout());
 }
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -67,6 +67,8 @@
     down: bool,
     /// The store performs writes but loses the responses.
     lose: bool,
+    /// The store responds to no watch of the manifest.
+    hang: bool,
     /// The store responds to no status write and executes it only at `/standin/late`.
     late: bool,
 }
@@ -236,6 +238,9 @@
         if !lock(&self.objects).has_history(since) {
             return reply::error(http::StatusCode::GONE, "no history since then");
         }
+        if lock(&self.faults).hang && kind == names::CONFIG {
+            tokio::time::sleep(MAX_WAIT).await;
+        }
         let wait = request::query(request, names::WAIT).parse().unwrap_or(0);
         let wait = time::Duration::from_millis(wait).min(MAX_WAIT);
         let mut changes = self.changes.subscribe();
