--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -4,6 +4,8 @@
 //! may pass them on, and neither a duplicate message nor a restart of the instance that saw the
 //! crash changes the result.
 
+mod entry;
+
 use std::collections;
 use std::time::Duration;
 
@@ -23,8 +25,6 @@
 const RETENTION: Duration = Duration::from_secs(600);
 /// How long a crash is reported that has not led to a block.
 const REPORT_PERIOD: Duration = Duration::from_secs(15);
-/// How long before a crash a complete response shows that its cause is another one.
-const CREDIT_PERIOD: Duration = Duration::from_secs(2);
 /// Time that a cause which is not sure must have been found before it is blocked: two rounds of
 /// messages, in which instances learn what the others have seen of the same crashes.
 const SETTLING: Duration = Duration::from_millis(300);
@@ -37,8 +37,6 @@
 const MAX_ENTRIES: usize = 512;
 /// Maximum number of latest crashes remembered for one request or part.
 const MAX_CRASHES: usize = 32;
-/// Maximum number of crashes of one request or part in one message.
-const MAX_REPORTED_CRASHES: usize = 8;
 /// Maximum number of requests and parts with the most crashes in one message.
 const MAX_REPORTED_WORST: usize = 16;
 /// Maximum number of others in one message whose last crash this instance has seen itself.
@@ -59,7 +57,7 @@
 /// instances: what is popular runs at most of the engines that crash without being the cause.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
-    entries: collections::HashMap<subject::Subject, Entry>,
+    entries: collections::HashMap<subject::Subject, entry::Entry>,
     successes: successes::Successes,
     sites: moments::Sites,
     /// Probes of what is blocked.
@@ -78,32 +76,6 @@
     reporter: Option<name::Name>,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Entry {
-    crashes: collections::BTreeMap<u64, Crash>,
-    /// When this instance saw the last crash itself.
-    seen_at: Option<time::Time>,
-    /// When crashes were cleared last, which is reported for as long as a new crash.
-    cleared_at: Option<time::Time>,
-    /// Whether the store says that it is blocked.
-    is_saved: bool,
-    expiry: time::Time,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Crash {
-    at: time::Time,
-    is_cleared: bool,
-}
-
-/// What a report changed of one crash.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Update {
-    None,
-    Added,
-    Cleared,
-}
-
 /// A request or a part whose block has begun or ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Change {
@@ -186,13 +158,13 @@
     /// Returns `true` if a blocked subject is to be probed now.
     pub fn is_probe_due(&self, now: time::Time, subject: subject::Subject) -> bool {
         let entry = self.entries.get(&subject);
-        let last = entry.and_then(Entry::last_crashes);
+        let last = entry.and_then(entry::Entry::last_crashes);
         last.is_some_and(|last| self.probes.is_due(now, subject, last))
     }
 
     /// Returns `true` if no request with this subject must be sent.
     pub fn is_blocked(&self, now: time::Time, subject: subject::Subject) -> bool {
-        let is_live = |entry: &Entry| entry.expiry > now;
+        let is_live = |entry: &entry::Entry| entry.expiry > now;
         self.blocked.contains(&subject) && self.entries.get(&subject).is_some_and(is_live)
     }
 
@@ -371,8 +343,8 @@
         let mut added = Vec::new();
         for crash in reported.crashes.iter().take(MAX_CRASHES) {
             let update = entry.add(now, crash);
-            self.is_changed |= update != Update::None;
-            added.extend((update == Update::Added).then_some(crash.id));
+            self.is_changed |= update != entry::Update::None;
+            added.extend((update == entry::Update::Added).then_some(crash.id));
         }
         if !is_known || peer_data::replaces(expiry, entry.expiry) {
             entry.expiry = expiry;
@@ -420,85 +392,3 @@
         }
     }
 }
-
-impl Entry {
-    /// Adds a crash, or what was learned of a known one.
-    fn add(&mut self, now: time::Time, reported: &crash_report::Crash) -> Update {
-        let age = Duration::from_millis(reported.age_ms).min(RETENTION);
-        let at = now.before(age);
-        if let Some(crash) = self.crashes.get_mut(&reported.id) {
-            // A message takes time, so the earliest report is the most precise one.
-            crash.at = crash.at.min(at);
-            let is_new = reported.is_cleared && !crash.is_cleared;
-            crash.is_cleared |= reported.is_cleared;
-            return if is_new {
-                self.cleared_at = Some(now);
-                Update::Cleared
-            } else {
-                Update::None
-            };
-        }
-        if self.crashes.len() >= MAX_CRASHES {
-            let all = self.crashes.iter();
-            let oldest = all.min_by_key(|(id, crash)| (crash.at, **id));
-            match oldest.map(|(id, crash)| (*id, crash.at)) {
-                Some((id, oldest)) if oldest < at => drop(self.crashes.remove(&id)),
-                _ => return Update::None,
-            }
-        }
-        let is_cleared = reported.is_cleared;
-        self.crashes.insert(reported.id, Crash { at, is_cleared });
-        Update::Added
-    }
-
-    /// Clears the crashes that have another cause if an engine has responded completely at `at`;
-    /// returns `true` if there were any.
-    fn clear(&mut self, now: time::Time, at: time::Time) -> bool {
-        let latest = at.after(CREDIT_PERIOD);
-        let counted = self.crashes.values_mut().filter(|crash| !crash.is_cleared);
-        let excused = counted.filter(|crash| crash.at <= latest);
-        let is_any = excused.map(|crash| crash.is_cleared = true).count() > 0;
-        if is_any {
-            self.cleared_at = Some(now);
-        }
-        is_any
-    }
-
-    /// Returns the crashes that count.
-    fn counted(&self) -> impl Iterator<Item = u64> {
-        let counted = self.crashes.iter().filter(|(_, crash)| !crash.is_cleared);
-        counted.map(|(id, _)| *id)
-    }
-
-    /// Returns what decides when this is probed; `None` if no crash counts.
-    fn last_crashes(&self) -> Option<probes::LastCrashes> {
-        let counted = self.crashes.values().filter(|crash| !crash.is_cleared);
-        let mut times: Vec<_> = counted.map(|crash| crash.at).collect();
-        times.sort_unstable();
-        Some(probes::LastCrashes {
-            at: *times.last()?,
-            may_be_common: culprits::may_be_common(&times),
-        })
-    }
-
-    /// Returns when the last crash happened.
-    fn latest(&self) -> time::Time {
-        let all = self.crashes.values().map(|crash| crash.at);
-        all.max().unwrap_or_default()
-    }
-
-    fn to_report(&self, now: time::Time, subject: subject::Subject) -> crash_report::Suspect {
-        let crashes: Vec<_> = self.crashes.iter().collect();
-        let reported = peer_data::sample(now, &crashes, MAX_REPORTED_CRASHES);
-        let reported = reported.map(|(id, crash)| crash_report::Crash {
-            id: **id,
-            age_ms: crash.at.until(now).as_millis() as u64,
-            is_cleared: crash.is_cleared,
-        });
-        crash_report::Suspect {
-            subject,
-            crashes: reported.collect(),
-            remaining_ms: now.until(self.expiry).as_millis() as u64,
-        }
-    }
-}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -132,12 +132,12 @@
         if clock::now() >= self.request.deadline {
             return Some("deadline");
         }
-        let mut sight = half_close::look(self.caller);
-        if sight == half_close::Sight::HalfClosed {
+        let mut state = half_close::state(self.caller);
+        if state == half_close::CallerState::HalfClosed {
             tokio::time::sleep(half_close::PROBE_TIME).await;
-            sight = half_close::look(self.caller);
+            state = half_close::state(self.caller);
         }
-        (sight == half_close::Sight::Left).then_some("caller-left")
+        (state == half_close::CallerState::Left).then_some("caller-left")
     }
 
     async fn connect(&self) -> Option<connection::Connection> {
--- a/crates/relay/src/half_close.rs
+++ b/crates/relay/src/half_close.rs
@@ -24,9 +24,9 @@
 /// Zeros before the size of one chunk; with its digits, some clients read eight at most.
 const MAX_ZEROS: u8 = 4;
 
-/// What a look at a caller's socket shows, before anything is read from it.
+/// State of a caller's socket, as far as it is known without reading from it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Sight {
+pub(crate) enum CallerState {
     /// It is open, as far as is known.
     Open,
     /// The caller has closed its sending side, and perhaps its socket.
@@ -35,14 +35,14 @@
     Left,
 }
 
-/// Looks at a caller's socket.
-pub(crate) fn look(caller: &TcpStream) -> Sight {
+/// Returns the state of a caller's socket, closes that were not read yet included.
+pub(crate) fn state(caller: &TcpStream) -> CallerState {
     let mut byte = [mem::MaybeUninit::uninit()];
     match socket2::SockRef::from(caller).peek(&mut byte) {
-        Ok(0) => Sight::HalfClosed,
-        Ok(_) => Sight::Open,
-        Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => Sight::Open,
-        Err(_) => Sight::Left,
+        Ok(0) => CallerState::HalfClosed,
+        Ok(_) => CallerState::Open,
+        Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => CallerState::Open,
+        Err(_) => CallerState::Left,
     }
 }
 
