--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -395,12 +395,21 @@
         self.changed.notify_all();
     }
 
-    /// Writes an object as the operator or an engine does; returns `false` if the store is not up.
+    /// Writes an object as the operator or an engine does; returns `false` if the store is not up. An
+    /// engine's entry changes when more than `seq` changes.
     pub fn write(&self, kind: &str, name: &str, spec: &str) -> bool {
         let mut state = lock(&self.state);
         if matches!(state.modes[0], Mode::Busy | Mode::Silent) {
             return false;
         }
+        let known = state.objects.get_mut(&(kind.into(), name.into()));
+        if let Some(object) = known
+            && kind == "servers"
+            && without_seq(&object.spec) == without_seq(spec)
+        {
+            object.spec = spec.to_string();
+            return true;
+        }
         let status = state
             .objects
             .get(&(kind.into(), name.into()))
@@ -650,6 +659,12 @@
     }
 }
 
+/// Returns the members of an entry but `seq`.
+fn without_seq(entry: &str) -> Vec<(&str, &str)> {
+    let all = members(entry).into_iter();
+    all.filter(|(name, _)| *name != "seq").collect()
+}
+
 fn encode(name: &str, object: &Object) -> String {
     let Object {
         revision,
@@ -761,12 +776,17 @@
     seq: AtomicU64,
     is_draining: AtomicBool,
     is_gone: AtomicBool,
+    /// Until when it does not reach the store.
+    away_until: Mutex<Option<Instant>>,
     streams: Mutex<Vec<TcpStream>>,
 }
 
 impl Engine {
     /// Writes its entry into the store.
     fn write_entry(&self, store: &Store) -> bool {
+        if lock(&self.away_until).is_some_and(|until| Instant::now() < until) {
+            return false;
+        }
         let seq = self.seq.fetch_add(1, Ordering::Relaxed);
         let state = if self.is_draining.load(Ordering::Relaxed) {
             "draining"
@@ -781,6 +801,11 @@
         store.write("servers", &self.id, &spec)
     }
 
+    /// Does not reach the store until then.
+    pub fn stay_away(&self, until: Instant) {
+        *lock(&self.away_until) = Some(until);
+    }
+
     /// Says that it is leaving.
     pub fn drain(&self, store: &Store) {
         self.is_draining.store(true, Ordering::Relaxed);
@@ -850,6 +875,7 @@
             seq: AtomicU64::new(1),
             is_draining: AtomicBool::new(false),
             is_gone: AtomicBool::new(false),
+            away_until: Mutex::default(),
             streams: Mutex::default(),
         });
         let (all, served, work) = (self.clone(), engine.clone(), Arc::new(work));
