Report no usage window that an earlier era of the store may have had

Cause: windows that may have been reported in an era that the store has lost were known only to processes that lived through its return. A process that starts afterwards takes the first era that it reads for the only one, and the copy says neither that a report was made nor when it was written.

Why this works: the saved counts state the era in which they were saved and the windows before which reports may be lost. A holder that reads counts of another era, or none in a store with eras, reports no window that had ended by then, and says so in its own saved counts for the next one. On the same path: a holder that could not read the saved counts for 3 s reported without them; now it reads again.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -60,6 +60,7 @@
 pub mod rollouts;
 pub mod route;
 pub mod saved_block;
+pub mod saved_counts;
 pub mod scaling;
 pub mod service;
 pub mod settings;
--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -11,9 +11,9 @@
 use super::orders;
 use super::peers;
 use super::rollouts;
+use super::saved_counts;
 use super::scaling;
 use super::state;
-use super::usage_counts;
 use crate::lease;
 use crate::name;
 use crate::store;
@@ -43,7 +43,7 @@
     /// in the store.
     RestoreCounts,
     /// Writes the copy of the counts to the store.
-    SaveCounts(Vec<usage_counts::ProcessCounts>),
+    SaveCounts(saved_counts::SavedCounts),
     /// Deletes the committed counts of a window from the store.
     DeleteCounts {
         /// Number of the window.
@@ -75,6 +75,8 @@
     planner: scaling::Planner,
     /// Windows before this one whose counts the store may have lost after they were reported.
     lost_windows: u64,
+    /// Era of the store.
+    era: u64,
     /// Time from which this instance competes for the lease.
     joins_at: Option<time::Time>,
     /// Time of the next check of the rollouts.
@@ -93,6 +95,7 @@
             orders: orders::Orders::default(),
             planner: scaling::Planner::default(),
             lost_windows: 0,
+            era: 0,
             joins_at: None,
             next_rollouts: time::Time::default(),
             next_sweep: None,
@@ -109,9 +112,15 @@
         self.lease.leave();
     }
 
+    /// Learns the era of the store that is the first one for this process.
+    pub fn begin_era(&mut self, era: u64) {
+        self.era = era;
+    }
+
     /// Gives up the lease, since the store has returned from an older copy. Windows that had ended
     /// before may have been reported by others.
-    pub fn restart(&mut self, now: time::Time, state: &state::State) -> Vec<Action> {
+    pub fn restart(&mut self, now: time::Time, state: &state::State, era: u64) -> Vec<Action> {
+        self.era = era;
         self.lost_windows = state.window(now);
         let outputs = self.lease.restart(now);
         self.translate(outputs)
@@ -124,6 +133,25 @@
         self.translate(outputs)
     }
 
+    /// Records the copy of the usage counts that an earlier lease holder left in the store. If it is of
+    /// another era, or lost, windows that have ended may have been reported in that era, by processes
+    /// of which none is left.
+    pub fn handle_restored(
+        &mut self,
+        now: time::Time,
+        state: &state::State,
+        saved: Option<&saved_counts::SavedCounts>,
+    ) {
+        let is_new = self.era == 0 || state.settings.bootstrap;
+        let lost_windows = match saved {
+            Some(saved) if saved.era == self.era => saved.lost_windows,
+            None if is_new => 0,
+            _ => state.window(now),
+        };
+        self.lost_windows = self.lost_windows.max(lost_windows);
+        self.usage.mark_restored(now, self.lost_windows);
+    }
+
     /// Returns the actions that are due.
     pub fn tick(&mut self, now: time::Time, state: &state::State) -> Vec<Action> {
         let joins_at = *self.joins_at.get_or_insert(now.after(JOIN_DELAY));
@@ -179,7 +207,7 @@
         let actions: Vec<_> = outputs.into_iter().map(translate).collect();
         let changes_holder = |a: &Action| matches!(a, Action::Acquired { .. } | Action::Lost);
         if actions.iter().any(changes_holder) {
-            self.usage = std::mem::take(&mut self.usage).restarted(self.lost_windows);
+            self.usage = std::mem::take(&mut self.usage).restarted(self.era, self.lost_windows);
             self.orders = orders::Orders::default();
         }
         actions
--- a/crates/core/src/relay/duties/usage.rs
+++ b/crates/core/src/relay/duties/usage.rs
@@ -8,8 +8,8 @@
 
 use super::Action;
 use crate::name;
+use crate::relay::saved_counts;
 use crate::relay::state;
-use crate::relay::usage_counts;
 use crate::time;
 
 /// Time after the end of a window within which the last counts arrive from the own group.
@@ -22,7 +22,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(600);
 /// Time between two writes of the copy of the counts.
 const SAVE_INTERVAL: Duration = Duration::from_millis(700);
-/// Longest time that reports wait until the copy has been read.
+/// Time after which the copy is read again if it has not been read. Nothing is reported before: the
+/// copy says which windows may have been reported already.
 const RESTORE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Windows before the current one that a new holder reports, possibly again.
 const LOOK_BACK: u64 = 3;
@@ -62,6 +63,8 @@
     committed: collections::BTreeMap<u64, Counts>,
     /// Windows before this one are reported only with counts that this process has committed.
     lost_windows: u64,
+    /// Era of the store.
+    era: u64,
 }
 
 /// State of the copy of the counts in the store, which restores them after all processes ended at
@@ -71,19 +74,20 @@
     /// The copy has not been read yet.
     #[default]
     Unread,
-    /// The copy is being read; reports start at this time even without a reply.
+    /// The copy is being read, and is read again at this time.
     Reading(time::Time),
     /// The next write is due at this time, unless the counts still equal these, written last.
-    Idle(time::Time, Vec<usage_counts::ProcessCounts>),
+    Idle(time::Time, Option<saved_counts::SavedCounts>),
 }
 
 impl Usage {
-    /// Returns the state in which this process begins to hold the lease again. The store may have lost
-    /// the counts of windows before `lost_windows`.
-    pub(super) fn restarted(self, lost_windows: u64) -> Self {
+    /// Returns the state in which this process begins to hold the lease again in an era of the store,
+    /// which may have lost the counts of windows before `lost_windows`.
+    pub(super) fn restarted(self, era: u64, lost_windows: u64) -> Self {
         Self {
             committed: self.committed,
             lost_windows,
+            era,
             ..Self::default()
         }
     }
@@ -92,7 +96,7 @@
     pub(super) fn tick(&mut self, now: time::Time, state: &state::State) -> Vec<Action> {
         let mut actions = Vec::new();
         actions.extend(self.save(now, state));
-        if !self.is_restored(now) {
+        if !matches!(self.saved, Saved::Idle(..)) {
             return actions;
         }
         let current = state.window(now);
@@ -111,38 +115,34 @@
         actions
     }
 
-    /// Reads the copy of the counts once, and writes it whenever the counts have changed.
+    /// Reads the copy of the counts, then writes it whenever the counts have changed.
     fn save(&mut self, now: time::Time, state: &state::State) -> Option<Action> {
         match &self.saved {
-            Saved::Unread => {
+            Saved::Reading(retry_at) if now < *retry_at => None,
+            Saved::Unread | Saved::Reading(_) => {
                 self.saved = Saved::Reading(now.after(RESTORE_TIMEOUT));
                 Some(Action::RestoreCounts)
             }
-            Saved::Reading(deadline) if now < *deadline => None,
             Saved::Idle(next_at, _) if now < *next_at => None,
-            Saved::Reading(_) | Saved::Idle(..) => {
-                let current = state.window(now);
-                let counts = state
-                    .usage_counts
-                    .all_since(current.saturating_sub(LOOK_BACK));
-                let is_same = matches!(&self.saved, Saved::Idle(_, saved) if *saved == counts);
-                self.saved = Saved::Idle(now.after(SAVE_INTERVAL), counts.clone());
+            Saved::Idle(_, last) => {
+                let oldest = state.window(now).saturating_sub(LOOK_BACK);
+                let counts = saved_counts::SavedCounts {
+                    era: self.era,
+                    lost_windows: self.lost_windows,
+                    processes: state.usage_counts.all_since(oldest),
+                };
+                let is_same = last.as_ref() == Some(&counts);
+                self.saved = Saved::Idle(now.after(SAVE_INTERVAL), Some(counts.clone()));
                 (!is_same).then_some(Action::SaveCounts(counts))
             }
         }
     }
 
-    fn is_restored(&self, now: time::Time) -> bool {
-        match self.saved {
-            Saved::Unread => false,
-            Saved::Reading(deadline) => now >= deadline,
-            Saved::Idle(..) => true,
-        }
-    }
-
-    /// Records that the copy of the counts has been read.
-    pub fn mark_restored(&mut self, now: time::Time) {
-        self.saved = Saved::Idle(now, Vec::new());
+    /// Records that the copy of the counts has been read; the store may have lost the counts of windows
+    /// before `lost_windows`.
+    pub(super) fn mark_restored(&mut self, now: time::Time, lost_windows: u64) {
+        self.lost_windows = lost_windows;
+        self.saved = Saved::Idle(now, None);
     }
 
     fn advance(&mut self, now: time::Time, state: &state::State, window: u64) -> Option<Action> {
--- a/crates/core/tests/relay_duties.rs
+++ b/crates/core/tests/relay_duties.rs
@@ -9,7 +9,7 @@
 use guavausher_core::relay::duties::{self, Action, usage};
 use guavausher_core::relay::event::{self, Signal};
 use guavausher_core::relay::{
-    clock, engine, orders, rate_limit, rollouts, route, service, usage_counts,
+    clock, engine, orders, rate_limit, rollouts, route, saved_counts, service,
 };
 use guavausher_core::store;
 use guavausher_core::time;
@@ -34,13 +34,17 @@
     reports: Vec<usage::Counts>,
     orders: Vec<orders::Order>,
     committed: collections::BTreeMap<u64, usage::Counts>,
-    saved: Vec<usage_counts::ProcessCounts>,
+    saved: Option<saved_counts::SavedCounts>,
     version: u64,
     sweeps: u32,
     updates: Vec<rollouts::StatusUpdate>,
     /// The lease object in the store.
     lease: Option<store::Object>,
     is_store_up: bool,
+    /// Whether the store responds to the reads of the saved counts.
+    is_restoring: bool,
+    /// Reads of the saved counts.
+    reads: u32,
 }
 
 impl Holder {
@@ -50,12 +54,14 @@
             reports: Vec::new(),
             orders: Vec::new(),
             committed: collections::BTreeMap::new(),
-            saved: Vec::new(),
+            saved: None,
             version: 10,
             sweeps: 0,
             updates: Vec::new(),
             lease: None,
             is_store_up: true,
+            is_restoring: true,
+            reads: 0,
         }
     }
 
@@ -67,13 +73,15 @@
                     let reply = self.reply(&call);
                     actions.extend(self.duties.handle_reply(now, &reply));
                 }
+                Action::RestoreCounts if !self.is_restoring => self.reads += 1,
                 Action::RestoreCounts => {
-                    for tally in &self.saved {
-                        instance.state.usage_counts.merge(tally);
+                    for process in self.saved.iter().flat_map(|saved| &saved.processes) {
+                        instance.state.usage_counts.merge(process);
                     }
-                    self.duties.usage.mark_restored(now);
+                    let saved = self.saved.as_ref();
+                    self.duties.handle_restored(now, &instance.state, saved);
                 }
-                Action::SaveCounts(counts) => self.saved = counts,
+                Action::SaveCounts(counts) => self.saved = Some(counts),
                 Action::CommitCounts(counts) => {
                     let window = counts.window;
                     let committed = self.committed.entry(window).or_insert(counts).clone();
@@ -325,6 +333,83 @@
     assert_eq!(report.requests.get(&name("ward")), Some(&11));
 }
 
+/// Guards against a usage window that is reported twice with different counts: all processes ended
+/// around a return of the store, so that no new one knew what had been reported before (ONE).
+#[rstest]
+#[case::same_era(1, true, true)]
+#[case::later_era(2, true, false)]
+#[case::copy_without_counts(2, false, false)]
+fn usage_of_an_earlier_era_is_not_reported_again(
+    #[case] era: u64,
+    #[case] has_copy: bool,
+    #[case] is_reported: bool,
+) {
+    let mut before = Instance::serving(1, 2);
+    begin(&mut before, at(100), 0..5);
+    let window = before.state.window(at(200));
+    let mut holder = Holder::new("front-1");
+    holder.duties.begin_era(1);
+    for step in 1..20 {
+        holder.tick(at(step * 100), &mut before);
+    }
+    let mut after = Instance::serving(2, 2);
+    after.state.settings.bootstrap = false;
+    begin(&mut after, at(10_000), 0..3);
+    let later = after.state.window(at(10_000));
+    let mut next = Holder::new("front-2");
+    next.duties.begin_era(era);
+    next.saved = holder.saved.clone().filter(|_| has_copy);
+    for step in 80..240 {
+        next.tick(at(step * 100), &mut after);
+    }
+    let reported = |window| next.reports.iter().any(|r| r.window == window);
+    assert_eq!(reported(window), is_reported);
+    assert!(reported(later), "the window of the return and later ones");
+}
+
+/// A holder that knows what was lost ends before the windows of the earlier era are too old to be
+/// reported; the next one learns it from the saved counts.
+#[test]
+fn usage_that_one_holder_takes_for_lost_is_not_reported_by_the_next() {
+    let mut instance = Instance::serving(1, 2);
+    begin(&mut instance, at(100), 0..5);
+    let window = instance.state.window(at(200));
+    let mut holder = Holder::new("front-1");
+    holder.duties.restart(at(6_000), &instance.state, 2);
+    for step in 60..130 {
+        holder.tick(at(step * 100), &mut instance);
+    }
+    assert!(holder.saved.is_some());
+    let mut after = Instance::serving(2, 2);
+    let mut next = Holder::new("front-2");
+    next.duties.begin_era(2);
+    next.saved = holder.saved;
+    for step in 130..240 {
+        next.tick(at(step * 100), &mut after);
+    }
+    assert!(next.reports.iter().all(|r| r.window > window));
+}
+
+/// Guards against reports of a holder that has not learned from the saved counts what may have been
+/// reported before.
+#[test]
+fn usage_is_reported_only_once_the_saved_counts_are_read() {
+    let mut instance = Instance::serving(1, 2);
+    begin(&mut instance, at(100), 0..5);
+    let mut holder = Holder::new("front-1");
+    holder.is_restoring = false;
+    for step in 1..120 {
+        holder.tick(at(step * 100), &mut instance);
+    }
+    assert!(holder.reports.is_empty());
+    assert!(holder.reads > 1, "the saved counts are read again");
+    holder.is_restoring = true;
+    for step in 120..160 {
+        holder.tick(at(step * 100), &mut instance);
+    }
+    assert!(!holder.reports.is_empty());
+}
+
 fn begin(instance: &mut Instance, now: time::Time, ids: std::ops::Range<u64>) {
     for id in ids {
         instance.send(now, new_request(id, now, route::RetryPolicy::Stream, 1));
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -88,6 +88,8 @@
     log: sync::Arc<engine::Log>,
     orders: sync::Mutex<Vec<wire::ScalingOrder>>,
     reports: sync::Mutex<collections::BTreeMap<u64, wire::UsageReport>>,
+    /// Windows that were reported again with other counts.
+    contradictions: sync::Mutex<collections::BTreeSet<u64>>,
     faults: sync::Mutex<Faults>,
     late: sync::Mutex<Vec<LateWrite>>,
     /// Lists and watches by kind, also those that failed.
@@ -118,6 +120,7 @@
         log: sync::Arc::default(),
         orders: sync::Mutex::default(),
         reports: sync::Mutex::default(),
+        contradictions: sync::Mutex::default(),
         faults: sync::Mutex::default(),
         late: sync::Mutex::default(),
         reads: sync::Mutex::default(),
@@ -284,7 +287,7 @@
         match path {
             names::USAGE_REPORTS => match request::json::<wire::UsageReport>(request) {
                 Ok(usage) => {
-                    lock(&self.reports).insert(usage.window, usage);
+                    self.report(usage);
                     reply::done()
                 }
                 Err(response) => *response,
@@ -300,6 +303,16 @@
         }
     }
 
+    /// Records an accepted usage report.
+    fn report(&self, usage: wire::UsageReport) {
+        let mut reports = lock(&self.reports);
+        let known = reports.get(&usage.window);
+        if known.is_some_and(|known| known.counts != usage.counts) {
+            lock(&self.contradictions).insert(usage.window);
+        }
+        reports.insert(usage.window, usage);
+    }
+
     /// Starts or drains engines until their number is the ordered one.
     fn scale(&self, order: &wire::ScalingOrder) {
         let is_ordered = |running: &Running| {
@@ -441,6 +454,7 @@
             "reads" => reply::json(status, &*lock(&self.reads)),
             "orders" => reply::json(status, &*lock(&self.orders)),
             "reports" => reply::json(status, &*lock(&self.reports)),
+            "contradictions" => reply::json(status, &*lock(&self.contradictions)),
             "faults" => match request::json(request) {
                 Ok(faults) => {
                     *lock(&self.faults) = faults;
