Write a final status of a rollout only while an engine runs that serves after it

What callers saw: a service had moved to its new version and the store had confirmed it.

Cause: a version of which too little is known at the end of its time is rolled back, and nothing asked whether another version has an engine. A list from an older copy still has engines that have ended, for three heartbeats.

Why this works: at each final status the platform ends the engines of one version. It is now written only once an engine that serves after it is known to run: it has responded, or its entry has stood for four heartbeats, since it was listed, the last outage ended or the store returned. `running` sends requests to whatever is there. The same check covers `completed` and the reversal of a completed version. A status that only the store has lost is still written at once.

The simulated holder moved to relay_support, unchanged.

--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -4,6 +4,7 @@
 //! departed instances. [`Duties::tick`] returns the actions that are due. The driver performs
 //! them, checks [`Duties::fencing_token`] right before each call, and passes the results back.
 
+mod statuses;
 pub mod usage;
 
 use std::time::Duration;
@@ -167,16 +168,8 @@
         actions.extend(self.usage.tick(now, state));
         if now >= self.next_rollouts {
             self.next_rollouts = now.after(ROLLOUT_INTERVAL);
-            let updates = state
-                .rollouts
-                .status_updates(&state.settings, state.clock.unix_micros(now));
-            let reversals = reversals(now, state);
-            actions.extend(
-                updates
-                    .into_iter()
-                    .chain(reversals)
-                    .map(Action::UpdateRollout),
-            );
+            let updates = statuses::due(now, state);
+            actions.extend(updates.into_iter().map(Action::UpdateRollout));
         }
         let next_sweep = self
             .next_sweep
@@ -213,21 +206,3 @@
         actions
     }
 }
-
-/// Returns the status changes for completed versions that fail while another version has engines.
-/// Without one the status stays: once a version is rolled back, the platform drains its engines.
-fn reversals(now: time::Time, state: &state::State) -> Vec<rollouts::StatusUpdate> {
-    let has_other = |order: &&rollouts::Order| {
-        let mut engines = state.fleet.available(now);
-        engines.any(|e| e.service == order.service && e.version != order.target)
-    };
-    let failing = state.rollouts.failing().filter(has_other);
-    let updates = failing.map(|order| rollouts::StatusUpdate {
-        service: order.service.clone(),
-        target: order.target.clone(),
-        stage: rollouts::Stage::RolledBack,
-        deadline_micros: order.deadline_micros.unwrap_or_default(),
-        revision: order.revision,
-    });
-    updates.collect()
-}
--- a/crates/core/src/relay/engine_state.rs
+++ b/crates/core/src/relay/engine_state.rs
@@ -72,6 +72,10 @@
     silent_until: time::Time,
     /// When this instance sent it a request last.
     sent_at: Option<time::Time>,
+    /// When it was listed first.
+    pub listed_at: time::Time,
+    /// When it responded last.
+    pub responded_at: Option<time::Time>,
 }
 
 impl Health {
@@ -105,7 +109,8 @@
 }
 
 impl EngineState {
-    pub fn new(engine: engine::Engine) -> Self {
+    /// Returns the state of an engine that is listed for the first time.
+    pub fn new(now: time::Time, engine: engine::Engine) -> Self {
         Self {
             engine,
             own_load: load::Load::default(),
@@ -122,6 +127,8 @@
             pause_count: 0,
             silent_until: time::Time::default(),
             sent_at: None,
+            listed_at: now,
+            responded_at: None,
         }
     }
 
@@ -227,6 +234,7 @@
 
     pub fn record_response(&mut self, now: time::Time, is_success: bool) {
         self.health.record(now, is_success);
+        self.responded_at = Some(now);
         self.pause_count = 0;
         self.silent_until = time::Time::default();
     }
@@ -248,6 +256,7 @@
     }
 
     pub fn record_overload(&mut self, now: time::Time) {
+        self.responded_at = Some(now);
         self.paused_until = self.paused_until.max(now.after(FULL_PAUSE));
     }
 
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -5,6 +5,7 @@
 mod evacuate;
 mod probe;
 mod rates;
+mod running;
 
 pub use choose::{Choice, Limits, Unavailability};
 pub use rates::LimitInForce;
@@ -127,7 +128,7 @@
             change.crashed.extend(former);
             let is_leaving = engine.leaving;
             self.engines
-                .insert(name.clone(), engine_state::EngineState::new(engine));
+                .insert(name.clone(), engine_state::EngineState::new(now, engine));
             if !is_leaving {
                 change.started.push(name);
             }
--- a/crates/core/src/relay/outage.rs
+++ b/crates/core/src/relay/outage.rs
@@ -63,16 +63,23 @@
         };
     }
 
+    /// Returns when the last outage ended, or when the store returned from a copy; `None` if neither
+    /// is known.
+    pub const fn last_end(self) -> Option<time::Time> {
+        match self {
+            Self::Unknown => None,
+            Self::Watched { last_end } | Self::Unwatched { last_end, .. } => last_end,
+        }
+    }
+
     /// Returns until when an engine whose entry vanishes now is kept, or `None` if it is gone.
     ///
     /// Entries that expired during an outage are back within `lapse` of its end. Requests to an
     /// engine must stop within `drain` of the moment at which it is known to be gone.
     pub fn kept_until(self, now: time::Time, bounds: &settings::Settings) -> Option<time::Time> {
         let last_end = match self {
-            Self::Unknown => None,
-            Self::Watched { last_end } => last_end,
             Self::Unwatched { since, .. } if since.after(bounds.min_outage()) <= now => Some(now),
-            Self::Unwatched { last_end, .. } => last_end,
+            _ => self.last_end(),
         };
         let back = last_end?.after(bounds.return_grace);
         let limit = now.after(bounds.drain.mul_f64(KEEP_SHARE));
--- a/crates/core/src/relay/settings.rs
+++ b/crates/core/src/relay/settings.rs
@@ -73,6 +73,14 @@
 }
 
 impl Settings {
+    /// Returns the time within which the entry of an engine that has ended is gone, while the store
+    /// responds.
+    pub fn entry_expiry(&self) -> Duration {
+        /// Heartbeats until an entry expires, and one for the time that the change takes.
+        const HEARTBEATS: u32 = 4;
+        self.heartbeat * HEARTBEATS
+    }
+
     /// Returns the shortest store outage, counted from its detection, in which entries of engines
     /// expire.
     pub fn min_outage(&self) -> Duration {
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -9,6 +9,7 @@
 use super::caps;
 use super::clock;
 use super::effect;
+use super::engine;
 use super::evacuations;
 use super::failed_attempts;
 use super::fleet;
@@ -150,6 +151,13 @@
         self.peers.store_watchers_before(now, &self.own.name) < watcher_promotion::STORE_WATCHERS
     }
 
+    /// Returns the available engines that are known to run, also where the store has returned from an
+    /// older copy or this process has just started.
+    pub fn running_engines(&self, now: time::Time) -> impl Iterator<Item = &engine::Engine> {
+        let expiry = self.settings.entry_expiry();
+        self.fleet.running(now, self.outage.last_end(), expiry)
+    }
+
     /// Returns the present usage window.
     pub fn window(&self, now: time::Time) -> u64 {
         let length = self.settings.usage_window.as_micros().max(1) as u64;
--- a/crates/core/tests/relay_duties.rs
+++ b/crates/core/tests/relay_duties.rs
@@ -2,143 +2,15 @@
 
 mod relay_support;
 
-use std::collections;
 use std::time::Duration;
 
-use guavausher_core::lease;
-use guavausher_core::relay::duties::{self, Action, usage};
 use guavausher_core::relay::event::{self, Signal};
-use guavausher_core::relay::{
-    clock, engine, orders, rate_limit, rollouts, route, saved_counts, service,
-};
-use guavausher_core::store;
+use guavausher_core::relay::{clock, engine, orders, rate_limit, rollouts, route, service};
 use guavausher_core::time;
-use guavausher_core::verdict;
+use relay_support::holder::Holder;
 use relay_support::{EPOCH, Instance, START, at, engine, engines, manifest, name, new_request};
 use rstest::rstest;
 
-fn terms() -> lease::Timing {
-    lease::Timing {
-        term: Duration::from_secs(3),
-        renewal: Duration::from_millis(1_350),
-        retry: Duration::from_millis(400),
-        order_timeout: Duration::ZERO,
-        grace: Duration::ZERO,
-        rank_delay: Duration::from_millis(300),
-    }
-}
-
-/// A lease holder whose actions succeed, except for store calls while the store is down.
-struct Holder {
-    duties: duties::Duties,
-    reports: Vec<usage::Counts>,
-    orders: Vec<orders::Order>,
-    committed: collections::BTreeMap<u64, usage::Counts>,
-    saved: Option<saved_counts::SavedCounts>,
-    version: u64,
-    sweeps: u32,
-    updates: Vec<rollouts::StatusUpdate>,
-    /// The lease object in the store.
-    lease: Option<store::Object>,
-    is_store_up: bool,
-    /// Whether the store responds to the reads of the saved counts.
-    is_restoring: bool,
-    /// Reads of the saved counts.
-    reads: u32,
-}
-
-impl Holder {
-    fn new(owner: &str) -> Self {
-        Self {
-            duties: duties::Duties::new(terms(), name(owner), 1),
-            reports: Vec::new(),
-            orders: Vec::new(),
-            committed: collections::BTreeMap::new(),
-            saved: None,
-            version: 10,
-            sweeps: 0,
-            updates: Vec::new(),
-            lease: None,
-            is_store_up: true,
-            is_restoring: true,
-            reads: 0,
-        }
-    }
-
-    fn tick(&mut self, now: time::Time, instance: &mut Instance) {
-        let mut actions = self.duties.tick(now, &instance.state);
-        while let Some(next) = actions.pop() {
-            match next {
-                Action::Lease(call) => {
-                    let reply = self.reply(&call);
-                    actions.extend(self.duties.handle_reply(now, &reply));
-                }
-                Action::RestoreCounts if !self.is_restoring => self.reads += 1,
-                Action::RestoreCounts => {
-                    for process in self.saved.iter().flat_map(|saved| &saved.processes) {
-                        instance.state.usage_counts.merge(process);
-                    }
-                    let saved = self.saved.as_ref();
-                    self.duties.handle_restored(now, &instance.state, saved);
-                }
-                Action::SaveCounts(counts) => self.saved = Some(counts),
-                Action::CommitCounts(counts) => {
-                    let window = counts.window;
-                    let committed = self.committed.entry(window).or_insert(counts).clone();
-                    self.duties
-                        .usage
-                        .handle_commit(now, window, Some(committed));
-                }
-                Action::ReportCounts(counts) => {
-                    self.duties.usage.handle_report(now, counts.window, true);
-                    self.reports.push(counts);
-                }
-                Action::Order(order) => {
-                    self.duties
-                        .orders
-                        .record_outcome(now, &order, orders::Outcome::Accepted);
-                    self.orders.push(order);
-                }
-                Action::SweepMembers => self.sweeps += 1,
-                Action::UpdateRollout(update) => self.updates.push(update),
-                Action::DeleteCounts { .. } | Action::Acquired { .. } | Action::Lost => {}
-            }
-        }
-    }
-
-    fn reply(&mut self, call: &store::Call) -> store::Reply {
-        if !self.is_store_up {
-            return store::Reply::Failed(verdict::Verdict::MayHaveRun);
-        }
-        match call {
-            store::Call::Write { expected, .. }
-                if *expected != self.lease.as_ref().map(|lease| lease.version) =>
-            {
-                store::Reply::Conflict
-            }
-            store::Call::Write { body, .. } => {
-                self.version += 1;
-                self.lease = Some(store::Object {
-                    version: self.version,
-                    body: body.clone(),
-                });
-                store::Reply::Written(self.version)
-            }
-            _ => match &self.lease {
-                Some(lease) => store::Reply::Found(lease.clone()),
-                None => store::Reply::Missing,
-            },
-        }
-    }
-
-    /// Returns the count of the last order for a pool.
-    fn last_count(&self, domain: &str, spot: bool) -> Option<u32> {
-        let mut newest = self.orders.iter().rev();
-        let is_pool = |o: &&orders::Order| o.pool.domain == name(domain) && o.pool.spot == spot;
-        newest.find(is_pool).map(|o| o.count)
-    }
-}
-
 #[test]
 fn fencing_token_is_gone_when_the_lease_cannot_be_renewed() {
     let mut instance = Instance::serving(1, 1);
@@ -655,33 +527,6 @@
     assert_eq!(fewer == 0, is_kept, "{sent:?}");
 }
 
-/// A completed version that fails is rolled back while engines of another version are there. Without
-/// them the status stays, since the platform drains the engines of a version that is rolled back.
-#[rstest]
-#[case::other_version_has_engines(true)]
-#[case::no_other_version_has_engines(false)]
-fn completed_version_that_fails_is_rolled_back_to_engines_only(#[case] has_others: bool) {
-    let mut instance = Instance::serving(1, 2);
-    let mut holder = Holder::new("front-1");
-    let mut both: Vec<_> = (0..4).map(engine).collect();
-    both[2].version = name("v2");
-    both[3].version = name("v2");
-    let both = both.split_off(if has_others { 0 } else { 2 });
-    instance.apply(START, engines(both));
-    instance.apply(START, rollout(rollouts::Stage::Completed));
-    for _ in 0..20 {
-        let (model, r) = (name("model"), name("r"));
-        let rollouts = &mut instance.state.rollouts;
-        rollouts.record_response(&model, &r, &name("v2"), false);
-    }
-    for step in 0..20 {
-        holder.tick(at(step * 100), &mut instance);
-    }
-    let stages: Vec<_> = holder.updates.iter().map(|u| u.stage).collect();
-    assert_eq!(stages.contains(&rollouts::Stage::RolledBack), has_others);
-    assert_eq!(stages.is_empty(), !has_others);
-}
-
 fn evacuated(domains: &[&str]) -> event::Event {
     event::Event::Evacuations(domains.iter().map(|domain| name(domain)).collect())
 }
--- a/crates/core/tests/relay_support/mod.rs
+++ b/crates/core/tests/relay_support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod engines;
 pub mod fleet;
+pub mod holder;
 pub mod limits;
 pub mod outcome;
 pub mod plan;
