Take no response for complete whose connection was reset during the upload

Cause: the kernel reports a reset once. If the write of the request takes it, the next read returns the end of the connection, which ends a response without a length.

Why this works: the attempt notes that its write has failed, and an end of the connection after that counts as a reset. A broken pipe does not: the kernel reports it where the engine had closed regularly before.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -67,6 +67,8 @@
     has_first_event: cell::Cell<bool>,
     /// What followed from its silence, as it was logged last.
     silence: cell::Cell<Option<record::Silence>>,
+    /// Whether the engine's connection failed while the request was being sent.
+    has_failed: cell::Cell<bool>,
     pub response: cell::Cell<response_end::ResponseEnd>,
 }
 
@@ -84,6 +86,7 @@
             is_reported: cell::Cell::new(false),
             has_first_event: cell::Cell::new(false),
             silence: cell::Cell::new(None),
+            has_failed: cell::Cell::new(false),
             response: cell::Cell::default(),
         }
     }
@@ -203,6 +206,10 @@
             Ok(()) => is_sent.set(true),
             // If the engine closed early, its response may still be readable.
             Err(fault) => {
+                // The kernel reports a failure once; the reads that follow find the end of the
+                // connection. After a regular close of the engine it reports a broken pipe.
+                self.has_failed
+                    .set(fault.kind() != io::ErrorKind::BrokenPipe);
                 log::debug!(id:% = self.request.trace, fault:% = fault;
                     "request was not sent completely");
             }
@@ -224,6 +231,14 @@
         response_reader::BROKEN_RESPONSE
     }
 
+    /// Returns what has ended the response where a read has found the end of the connection.
+    pub fn end_of_connection(&self) -> response_end::Cause {
+        match self.has_failed.get() {
+            true => response_end::Cause::Reset,
+            false => response_end::Cause::Closed,
+        }
+    }
+
     /// Returns the signal for a complete response.
     pub fn whole(&self, status: u16) -> event::Signal {
         match self.response.get().cause {
--- a/crates/relay/src/engine_response.rs
+++ b/crates/relay/src/engine_response.rs
@@ -210,8 +210,10 @@
         let (stream, buffer) = (engine.stream, &mut *engine.buffer);
         let body = response_reader::read_body(stream, buffer, framing, limit, &mut charge).await;
         let body = body.map_err(|cause| self.broken(cause))?;
-        if framing == framing::Framing::Close && body.bytes.is_empty() {
-            return Err(self.broken(body.cause));
+        let is_cut = body.cause == response_end::Cause::Closed
+            && self.end_of_connection() != response_end::Cause::Closed;
+        if is_cut || framing == framing::Framing::Close && body.bytes.is_empty() {
+            return Err(self.broken(self.end_of_connection()));
         }
         self.set_cause(body.cause);
         Ok(body.bytes)
--- a/crates/relay/src/forward_body.rs
+++ b/crates/relay/src/forward_body.rs
@@ -76,7 +76,10 @@
             }
             match self.read_more(engine).await {
                 Ok(_) => {}
-                Err(response_end::Cause::Closed) => break response_end::Cause::Closed,
+                Err(response_end::Cause::Closed) => match self.end_of_connection() {
+                    response_end::Cause::Closed => break response_end::Cause::Closed,
+                    cause => return Err(self.broken(cause)),
+                },
                 Err(cause) => return Err(self.broken(cause)),
             }
         };
--- a/crates/relay/tests/support/answer.rs
+++ b/crates/relay/tests/support/answer.rs
@@ -1,5 +1,7 @@
 //! What a caller sees on a connection with one request, byte by byte until its end.
 
+use std::future;
+
 use tokio::io::AsyncReadExt as _;
 
 use super::Relay;
@@ -24,9 +26,23 @@
     ///
     /// Panics if there is more than one head in the bytes, or anything that is no response.
     pub async fn get(relay: &Relay, request: &str) -> Self {
+        Self::get_after(relay, request, future::ready(())).await
+    }
+
+    /// The same, but reads nothing until a condition holds.
+    ///
+    /// # Panics
+    ///
+    /// As [`Answer::get`].
+    pub async fn get_after(
+        relay: &Relay,
+        request: &str,
+        condition: impl future::Future<Output = ()>,
+    ) -> Self {
         let mut caller = relay.caller().await;
         let asked = request.replacen("X-Left", "Connection: close\r\nX-Left", 1);
         caller.send(&asked).await;
+        condition.await;
         let mut raw = Vec::new();
         let is_closed = caller.stream.read_to_end(&mut raw).await.is_ok();
         Self::parse(String::from_utf8(raw).unwrap(), is_closed)
--- a/crates/relay/tests/support/script.rs
+++ b/crates/relay/tests/support/script.rs
@@ -43,6 +43,9 @@
     Hang(String),
     /// Answers after the head, without reading the body.
     Early(String),
+    /// Answers after the head, without reading the body, and sends the other bytes again and again
+    /// until the relay takes no more of them for a while; then resets the connection.
+    EarlyReset(String, String),
     /// Sends bytes before it reads the body and others after it, and closes the connection if set.
     EarlyPart(String, String, bool),
     /// Sends bytes, and then others again and again until the connection is closed.
@@ -147,7 +150,7 @@
             body: Vec::new(),
         };
         let reply = script.borrow_mut().pop_front();
-        let is_early = matches!(reply, Some(Reply::Early(_)));
+        let is_early = matches!(reply, Some(Reply::Early(_) | Reply::EarlyReset(..)));
         let length = request.header("content-length");
         let length: usize = length.map_or(0, |l| l.parse().unwrap());
         let id = request.header("x-id").unwrap_or_default();
@@ -172,6 +175,17 @@
                 tokio::time::sleep(LIMIT).await;
                 return;
             }
+            Some(Reply::EarlyReset(t, more)) => {
+                const PAUSE: Duration = Duration::from_millis(200);
+                stream.write_all(&text(&t)).await.unwrap();
+                let more = text(&more);
+                let filled = async { while stream.write_all(&more).await.is_ok() {} };
+                let progress = served.flooded.clone();
+                let _ = tokio::time::timeout(PAUSE, filled).await;
+                progress.set(progress.get() + 1);
+                stream.set_zero_linger().unwrap();
+                return;
+            }
             Some(Reply::EarlyPart(_, rest, closes)) => {
                 stream.write_all(&text(&rest)).await.unwrap();
                 if closes {
