Reject responses with a status that HTTP does not define

What callers saw: a response with status 600 or 999 as one of the engine. One below 100 was taken for an interim response: the caller got the next response on the connection, or waited until its deadline (rule MIXED, reported of other systems with status 000).

Cause: the parser of heads takes any three digits; everything below 200 counted as interim.

Why this works: a head with a status outside 100 to 599, or with 101, is not valid, so the attempt ends at once as broken, and another engine is asked where the route allows it.

--- a/crates/relay/src/head.rs
+++ b/crates/relay/src/head.rs
@@ -4,6 +4,10 @@
 
 use crate::framing;
 
+/// Statuses that HTTP defines.
+const STATUSES: ops::RangeInclusive<u16> = 100..=599;
+/// Status of a response after which the connection carries another protocol, which nobody asks for.
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// Maximum number of headers in one head.
 const MAX_HEADERS: usize = 96;
 
@@ -47,6 +51,8 @@
 pub enum Fault {
     /// the head is not valid HTTP/1.1
     Malformed,
+    /// the status of the response is none of HTTP's, or switches to another protocol
+    Status,
     /// the head states the length of the body more than once or not as a number
     Ambiguous,
     /// the transfer coding of the body is not supported; only chunked over HTTP/1.1 is
@@ -96,9 +102,11 @@
     let httparse::Status::Complete(length) = status else {
         return Ok(None);
     };
-    let line = Line::Response {
-        status: parsed.code.unwrap_or(0),
-    };
+    let status = parsed.code.unwrap_or(0);
+    if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(Fault::Status);
+    }
+    let line = Line::Response { status };
     let is_http11 = parsed.version == Some(1);
     let head = build(bytes, length, line, is_http11, parsed.headers);
     Ok(Some(Parsed { head, length }))
--- a/crates/relay/tests/early_responses.rs
+++ b/crates/relay/tests/early_responses.rs
@@ -62,3 +62,32 @@
         assert!(is_same, "the engine got the body");
     });
 }
+
+/// Guards against a response whose status is none of HTTP's: callers got one with status 000 as a
+/// response of the engine. It is neither an interim response nor one that may be passed on (MIXED).
+#[rstest]
+fn response_with_an_invalid_status_is_not_passed_on(
+    #[values("/pay/", "/look/", "/stream/", "/resume/")] path: &str,
+    #[values("000", "001", "099", "101", "600", "999")] status: &str,
+    #[values(Framing::Length, Framing::Chunks, Framing::Close)] framing: Framing,
+    #[values(true, false)] has_body: bool,
+    #[values("close", "keep", "another response")] then: &str,
+) {
+    support::run(async {
+        let (head, body) = parts(200, framing);
+        let mut text = head.replacen("200", status, 1);
+        if has_body {
+            text += &body;
+        }
+        let reply = match then {
+            "close" => Reply::Close(text),
+            "keep" => Reply::Hang(text),
+            _ => Reply::Hang(text + &support::complete_response(200, "other")),
+        };
+        let engine = Engine::start(vec![reply]).await;
+        let relay = Relay::start(&[&engine]);
+        let answer = Answer::get(&relay, &request("POST", path, "r1", "x")).await;
+        assert_eq!(answer.summary(), "502");
+        assert_eq!(engine.runs(), 1);
+    });
+}
