--- a/crates/relay/tests/reset_responses.rs
+++ b/crates/relay/tests/reset_responses.rs
@@ -11,6 +11,8 @@
 
 const STAMPED: &str = "Word\r\nX-Id: {id}\r\nX-Stamp: s\r\n\r\n";
 const EVENT: &str = "data: e\n\n";
+/// Bytes after which a stream is between two events, wherever it is cut.
+const BLANK_LINES: &str = "\n";
 /// Bytes of a body that an engine does not take without reading it.
 const LONG: usize = 6 << 20;
 
@@ -23,8 +25,8 @@
     #[values(200, 404)] status: u16,
 ) {
     support::run(async {
-        let head = format!("HTTP/1.1 {status} {STAMPED}");
-        let reply = Reply::EarlyReset(head, EVENT.repeat(10_000));
+        let first = format!("HTTP/1.1 {status} {STAMPED}{EVENT}");
+        let reply = Reply::EarlyReset(first, BLANK_LINES.repeat(1 << 16));
         let engine = Engine::start(vec![reply]).await;
         let mut parts = support::parts(1);
         parts.limits.body = LONG;
