--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -65,6 +65,8 @@
 struct Faults {
     /// The store responds with 503.
     down: bool,
+    /// The store responds to nothing.
+    mute: bool,
     /// The store performs writes but loses the responses.
     lose: bool,
     /// The store responds to no watch of the manifest.
@@ -157,6 +159,10 @@
     }
     site.count_read(&path, &request);
     let faults = *lock(&site.faults);
+    if faults.mute {
+        tokio::time::sleep(MAX_WAIT).await;
+        return Err(reply::cut());
+    }
     if faults.down {
         return Ok(reply::failed());
     }
