Use engines of an older copy once their entries would have expired

Cause: an object that was not known right before a return is set aside until it has a new revision. The entries of those engines had lapsed just before, and an entry that is written again unchanged keeps its revision.

--- a/crates/core/src/relay/outage.rs
+++ b/crates/core/src/relay/outage.rs
@@ -63,6 +63,11 @@
         };
     }
 
+    /// Returns `true` if some instance watches the store.
+    pub const fn is_watched(self) -> bool {
+        matches!(self, Self::Watched { .. })
+    }
+
     /// Returns when the last outage ended, or when the store returned from a copy; `None` if neither
     /// is known.
     pub const fn last_end(self) -> Option<time::Time> {
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -158,6 +158,13 @@
         self.fleet.running(now, self.outage.last_end(), expiry)
     }
 
+    /// Returns `true` if entries of engines that have been listed since a time, and still are, have been
+    /// written again: those of engines that have ended would have expired by now.
+    pub fn are_entries_current(&self, now: time::Time, since: time::Time) -> bool {
+        let since = since.max(self.outage.last_end().unwrap_or_default());
+        self.outage.is_watched() && since.after(self.settings.entry_expiry()) <= now
+    }
+
     /// Returns the present usage window.
     pub fn window(&self, now: time::Time) -> u64 {
         let length = self.settings.usage_window.as_micros().max(1) as u64;
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -32,6 +32,8 @@
 
 /// Header with how often the store has returned from a copy; none before the first time.
 const STORE_ERA: &str = "store-era";
+/// Time without a heartbeat after which the entry of an engine is removed.
+const ENTRY_EXPIRY: time::Duration = time::Duration::from_millis(3_600);
 /// Longest time that a watch waits.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(30);
 /// Maximum number of engines.
@@ -405,6 +407,29 @@
         self.notify_watches();
     }
 
+    /// Removes the entries of engines that do not write them again, once they have expired.
+    async fn expire_entries(self: sync::Arc<Self>) {
+        tokio::time::sleep(ENTRY_EXPIRY).await;
+        let listed = lock(&self.objects).names(names::SERVERS);
+        for name in listed {
+            let engines = lock(&self.engines);
+            let engine = engines.get(&name);
+            let is_written = engine.is_some_and(|e| e.entry.state == servers::State::Ready);
+            drop(engines);
+            if !is_written {
+                lock(&self.objects).remove(names::SERVERS, &name);
+            }
+        }
+        self.notify_watches();
+    }
+
+    /// Removes the entry of an engine that goes on and writes it again after the next return.
+    fn lapse(&self, name: &str) -> bool {
+        let removed = lock(&self.objects).remove(names::SERVERS, name);
+        self.notify_watches();
+        removed.is_some()
+    }
+
     /// Drains an engine: its entry says so, and it completes what it is running.
     fn drain(&self, name: &str) -> bool {
         let mut engines = lock(&self.engines);
@@ -448,7 +473,7 @@
     }
 
     /// Handles a call that inspects or controls the site.
-    fn control(&self, what: &str, request: &request::Request) -> reply::Response {
+    fn control(self: &sync::Arc<Self>, what: &str, request: &request::Request) -> reply::Response {
         let name = request::query(request, "name");
         let span = request::query(request, "seconds").parse().unwrap_or(0.0);
         let span = time::Duration::try_from_secs_f64(span).unwrap_or_default();
@@ -475,6 +500,7 @@
             }
             "return" if lock(&self.objects).return_from_copy() => {
                 self.rewrite_entries();
+                tokio::spawn(self.clone().expire_entries());
                 reply::done()
             }
             "late" => {
@@ -486,6 +512,7 @@
                 reply::done()
             }
             "drain" if self.drain(&name) => reply::done(),
+            "lapse" if self.lapse(&name) => reply::done(),
             "crash" if self.crash(&name) => reply::done(),
             "remove" if self.remove_entry(&name) => reply::done(),
             "add" if self.add_like(&name) => reply::done(),
--- a/crates/standins/src/site/objects.rs
+++ b/crates/standins/src/site/objects.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Returns the names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let listed = self.objects.keys().filter(|key| key.kind == kind);
+        listed.map(|key| key.name.clone()).collect()
+    }
+
     /// Returns the changes of a kind after a revision.
     pub fn since(&self, kind: &str, revision: u64) -> wire::Watch {
         let later = self.history.iter().filter(|c| c.revision > revision);
@@ -119,9 +125,13 @@
         }
     }
 
-    /// Writes an object without a condition.
+    /// Writes an object without a condition; one that is the same keeps its revision.
     pub fn set(&mut self, kind: &str, name: &str, spec: &value::RawValue) {
         let key = key(kind, name);
+        let known = self.objects.get(&key).and_then(|o| o.spec.as_ref());
+        if known.is_some_and(|known| known.get() == spec.get()) {
+            return;
+        }
         let status = self.objects.get(&key).and_then(|o| o.status.clone());
         self.write(key, Some(spec.to_owned()), status);
     }
