--- a/crates/core/src/relay/revision.rs
+++ b/crates/core/src/relay/revision.rs
@@ -5,9 +5,9 @@
 
 use std::fmt;
 
-/// Bits of the number within an era. An era and a number together stay within what a reader of JSON
-/// keeps exactly.
-const NUMBER_BITS: u32 = 32;
+/// Bits of the number within an era. A number and the first thousands of eras together stay within what
+/// a reader of JSON keeps exactly.
+const NUMBER_BITS: u32 = 40;
 
 /// A revision of the store in one of its eras; the default comes before all others.
 ///
@@ -32,9 +32,14 @@
     /// Before anything has been read.
     pub const NONE: Self = Self(0);
 
-    /// Builds the revision with a number that the store has given out in an era.
-    pub const fn new(era: u64, number: u64) -> Self {
-        Self((era << NUMBER_BITS) + number)
+    /// Builds the revision with a number that the store has given out in an era; `None` if either is too
+    /// large.
+    pub const fn new(era: u64, number: u64) -> Option<Self> {
+        let is_valid = number >> NUMBER_BITS == 0 && era >> (u64::BITS - NUMBER_BITS) == 0;
+        match is_valid {
+            true => Some(Self((era << NUMBER_BITS) + number)),
+            false => None,
+        }
     }
 
     /// Builds a revision from the number that stands for it.
--- a/crates/core/tests/lease_return.rs
+++ b/crates/core/tests/lease_return.rs
@@ -141,11 +141,17 @@
         self.apply(index, outputs);
     }
 
+    /// Returns the revision of the lease's object, as the client of the store states it.
+    fn revision(&self) -> u64 {
+        let revision = revision::Revision::new(self.era, self.content.number);
+        revision.unwrap().packed()
+    }
+
     fn read(&self) -> store::Reply {
         match &self.content.body {
             None => store::Reply::Missing,
             Some(body) => store::Reply::Found(store::Object {
-                version: revision::Revision::new(self.era, self.content.number).packed(),
+                version: self.revision(),
                 body: body.clone(),
             }),
         }
@@ -157,7 +163,7 @@
         }
         self.content.number += 1;
         self.content.body = Some(body);
-        store::Reply::Written(revision::Revision::new(self.era, self.content.number).packed())
+        store::Reply::Written(self.revision())
     }
 
     fn check(&self) {
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -494,6 +494,11 @@
                 Err(response) => *response,
             },
             "kept" => reply::json(status, &lock(&self.late).len()),
+            "advance" => {
+                let revision = name.parse().unwrap_or(0);
+                lock(&self.objects).advance(revision);
+                reply::done()
+            }
             "copy" => {
                 lock(&self.objects).keep_copy();
                 reply::done()
--- a/crates/standins/src/site/objects.rs
+++ b/crates/standins/src/site/objects.rs
@@ -64,6 +64,11 @@
         self.era
     }
 
+    /// Goes on with the revisions after this one.
+    pub fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Keeps a copy of all objects.
     pub fn keep_copy(&mut self) {
         self.copy = Some(Copy {
