--- a/crates/core/src/relay/rollouts/sampling.rs
+++ b/crates/core/src/relay/rollouts/sampling.rs
@@ -6,7 +6,7 @@
 use std::collections;
 use std::hash::Hasher;
 
-use super::LAST_DECISION_AFTER;
+use super::rollout::LAST_DECISION_AFTER;
 use crate::name;
 use crate::relay::version_stats;
 
