Reject final statuses that HTTP does not define at the product's entry as well

What callers saw: an order was answered with status 101, 600 or 999 of a faulty upstream, as one that has run.

Cause: hyper passes on any status from 100 to 999 as that of an answer.

Evidence: the new test failed in 3 of 5 cases; 000 and 099 failed in hyper before.

Why this works: an answer outside 200 to 599 is none, so the request may have run, as with a broken head.

--- a/crates/node/src/entry/exchange.rs
+++ b/crates/node/src/entry/exchange.rs
@@ -111,7 +111,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the upstream closes the exchange before.
+    /// Fails if the upstream closes the exchange before, or states a status that is none.
     pub async fn answer(
         self,
         patience: &mut patience::Patience<'_>,
@@ -119,6 +119,10 @@
         offset: u32,
     ) -> Result<Open, Broken> {
         match patience.wait(limit, offset, self.head).await {
+            Ok(response) if !is_defined(response.status()) => Err(Broken {
+                verdict: self.sent.fail(),
+                died: false,
+            }),
             Ok(response) => Ok(Open {
                 sent: self.sent,
                 response,
@@ -132,6 +136,12 @@
     }
 }
 
+/// Returns `true` if HTTP defines a status as that of a final answer.
+fn is_defined(status: hyper::StatusCode) -> bool {
+    const FINAL: std::ops::RangeInclusive<u16> = 200..=599;
+    FINAL.contains(&status.as_u16())
+}
+
 /// Returns the id of a request or attempt of this process, unique over all processes.
 pub fn unique_id(writer: u64, number: u64) -> String {
     format!("{writer:x}-{number}")
--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -299,6 +299,30 @@
     assert_eq!(faulty.asked("k"), 1);
 }
 
+/// Guards against a status that HTTP does not define and that is passed on to the caller.
+#[rstest]
+#[case::zero("000")]
+#[case::below_interim("099")]
+#[case::switching_protocols("101")]
+#[case::above_failures("600")]
+#[case::highest("999")]
+fn order_answered_with_an_invalid_status_may_have_run(#[case] status: &'static str) {
+    let faulty = Faulty::start(move |_| {
+        Reply::closed(format!(
+            "HTTP/1.1 {status} Word\r\ncontent-length: 2\r\n\r\n{{}}"
+        ))
+    });
+    let fleet = fleet_with(&Plan::default(), "kiosk-0", &faulty);
+    let answer = fleet.order(0, "k");
+    assert_eq!(
+        (answer.status, answer.verdict()),
+        (502, "may-have-run"),
+        "{}",
+        answer.body
+    );
+    assert_eq!(faulty.asked("k"), 1);
+}
+
 /// A whole answer that has no length ends with its connection.
 #[rstest]
 #[case::json("application/json", "{\"a\":1}")]
