Count the time for which a missing engine is kept from when a peer was ahead

Cause: an engine whose entry has vanished with an outage is kept for up to two seconds, counted from when each instance learned of it. The bound counts from the first one that knows; in between lie a message, a wait for the store and a fetch.

Why this works: a list from a peer is as old as the moment since which that peer has been known to be ahead, and the outage ended no later. Both bounds count from there.

--- a/crates/core/src/relay/catch_up.rs
+++ b/crates/core/src/relay/catch_up.rs
@@ -86,6 +86,11 @@
         self.behind_since.map(|since| since.until(now))
     }
 
+    /// Returns since when this instance has known that it is behind, or `None` if it is not.
+    pub const fn behind_since(&self) -> Option<time::Time> {
+        self.behind_since
+    }
+
     /// Returns the next source to query, or `None` if none is due. `relies_on_peers` means that
     /// this instance does not watch the store, so it does not wait for the store first.
     pub fn next_source(
--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -44,6 +44,11 @@
     },
     /// The list of engines has changed.
     Engines(Vec<engine::Engine>),
+    /// The next list of engines comes from another instance.
+    PeerAhead {
+        /// Since when that instance has been known to be ahead.
+        since: time::Time,
+    },
     /// The evacuated failure domains have changed.
     Evacuations(Vec<name::Name>),
     /// The store has returned from an older copy.
@@ -85,6 +90,7 @@
             Self::Attempt { .. } => "attempt",
             Self::EngineNotice { .. } => "engine-notice",
             Self::Engines(_) => "engines",
+            Self::PeerAhead { .. } => "peer-ahead",
             Self::Evacuations(_) => "evacuations",
             Self::StoreReturned { .. } => "store-returned",
             Self::Watching(_) => "watching",
--- a/crates/core/src/relay/outage.rs
+++ b/crates/core/src/relay/outage.rs
@@ -77,17 +77,24 @@
         }
     }
 
-    /// Returns until when an engine whose entry vanishes now is kept, or `None` if it is gone.
+    /// Returns until when an engine whose entry vanishes now is kept, or `None` if it is gone. Some
+    /// instance has known the list without it since `known` at the latest.
     ///
-    /// Entries that expired during an outage are back within `lapse` of its end. Requests to an
-    /// engine must stop within `drain` of the moment at which it is known to be gone.
-    pub fn kept_until(self, now: time::Time, bounds: &settings::Settings) -> Option<time::Time> {
+    /// Entries that expired during an outage are back within `return_grace` of its end. Requests to an
+    /// engine must stop within `drain` of the moment at which any instance knows that it is gone.
+    pub fn kept_until(
+        self,
+        now: time::Time,
+        known: time::Time,
+        bounds: &settings::Settings,
+    ) -> Option<time::Time> {
         let last_end = match self {
-            Self::Unwatched { since, .. } if since.after(bounds.min_outage()) <= now => Some(now),
+            Self::Unwatched { since, .. } if since.after(bounds.min_outage()) <= now => Some(known),
             _ => self.last_end(),
         };
-        let back = last_end?.after(bounds.return_grace);
-        let limit = now.after(bounds.drain.mul_f64(KEEP_SHARE));
+        // Whoever has a list has watched the store.
+        let back = last_end?.min(known).after(bounds.return_grace);
+        let limit = known.after(bounds.drain.mul_f64(KEEP_SHARE));
         Some(back.min(limit)).filter(|until| now < *until)
     }
 }
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -47,6 +47,7 @@
             notice,
         } => engines::apply_notice(state, now, engine, incarnation, notice),
         event::Event::Engines(list) => engines::replace(state, now, list),
+        event::Event::PeerAhead { since } => state.ahead_since = Some(since),
         event::Event::Evacuations(domains) => evacuations::replace(state, now, domains),
         event::Event::StoreReturned { era } => apply_return(state, now, era),
         event::Event::Watching(is_watching) => set_watching(state, now, is_watching),
--- a/crates/core/src/relay/reduce/engines.rs
+++ b/crates/core/src/relay/reduce/engines.rs
@@ -15,7 +15,8 @@
 /// Applies a new list of engines.
 pub(super) fn replace(state: &mut state::State, now: time::Time, list: Vec<engine::Engine>) {
     state.suspects.record_engines(now, &list);
-    let kept = state.outage.kept_until(now, &state.settings);
+    let known = state.ahead_since.take().unwrap_or(now);
+    let kept = state.outage.kept_until(now, known, &state.settings);
     let change = state.fleet.replace(now, list, kept);
     for crashed in &change.crashed {
         crashes::record_crash(state, now, &crashed.name, crashed.incarnation);
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -88,6 +88,8 @@
     pub era: u64,
     /// Whether any instance watches the store.
     pub outage: outage::Outage,
+    /// Since when the instance that the next list of engines comes from has been known to be ahead.
+    pub(super) ahead_since: Option<time::Time>,
     /// When this instance becomes a store watcher.
     pub watcher_promotion: watcher_promotion::WatcherPromotion,
     pub(super) out: Vec<effect::Effect>,
@@ -127,6 +129,7 @@
             watching: false,
             era: 0,
             outage: outage::Outage::default(),
+            ahead_since: None,
             watcher_promotion: watcher_promotion::WatcherPromotion::default(),
             out: Vec::new(),
         }
--- a/crates/core/tests/relay_reduce.rs
+++ b/crates/core/tests/relay_reduce.rs
@@ -444,6 +444,36 @@
     other.send(at(5_800), new_request(1, at(5_800), RetryPolicy::Stream, 1));
 }
 
+/// Guards against an engine that gets requests for too long after an instance has acknowledged that it
+/// is gone: others that learned it later kept it from then on (DRAIN).
+#[rstest]
+#[case::at_once(None, 6_200, 6_450)]
+#[case::ahead_for_a_while(Some(4_500), 6_100, 6_250)]
+#[case::ahead_for_long(Some(4_100), 5_700, 5_850)]
+fn engine_expired_in_store_outage_kept_from_when_a_peer_was_ahead(
+    #[case] since: Option<u64>,
+    #[case] kept: u64,
+    #[case] gone: u64,
+) {
+    let mut watching = Instance::serving(0, 1);
+    watching.apply(START, event::Event::Watching(true));
+    let mut other = Instance::serving(1, 1);
+    other.receive(START, watching.digest(START));
+    watching.apply(at(100), event::Event::Watching(false));
+    other.receive(at(150), watching.digest(at(150)));
+    watching.apply(at(4_000), event::Event::Watching(true));
+    other.receive(at(4_400), watching.digest(at(4_400)));
+    if let Some(since) = since {
+        let since = at(since);
+        other.apply(at(4_700), event::Event::PeerAhead { since });
+    }
+    other.apply(at(4_700), engines(Vec::new()));
+    other.send(at(kept), new_request(1, at(kept), RetryPolicy::Stream, 1));
+    other.signal(at(kept), 1, Signal::Whole { status: 200 });
+    let late = event::Event::Arrived(new_request(2, at(gone), RetryPolicy::Stream, 1));
+    assert!(refused(&other.apply(at(gone), late)).is_some());
+}
+
 #[rstest]
 #[case::silent(Signal::Stalled)]
 #[case::unreachable(Signal::Unsent)]
