--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -299,6 +299,33 @@
     assert_eq!(faulty.asked("k"), 1);
 }
 
+/// Guards against a part of an answer that looks whole: the upstream resets the connection while the
+/// order is still being written.
+#[rstest]
+#[case::ok("200 OK")]
+#[case::client_error("409 Conflict")]
+#[case::server_error("500 Internal Server Error")]
+fn order_reset_while_it_is_sent_may_have_run(#[case] status: &'static str) {
+    /// Slightly below the longest body that an entry takes.
+    const BODY_BYTES: usize = 1_000_000;
+    let faulty = Faulty::start(move |_| Reply {
+        bytes: format!("HTTP/1.1 {status}\r\ncontent-type: text/plain\r\n\r\nabc"),
+        reset: true,
+    });
+    let fleet = fleet_with(&Plan::default(), "kiosk-0", &faulty);
+    let body = format!(r#"{{"candle":"{}"}}"#, "x".repeat(BODY_BYTES));
+    let headers = [("x-workspace", "kiosks"), ("idempotency-key", "k")];
+    let caller = fleet.entries[0].caller;
+    let answer = fleet::call("POST", caller, "/v1/candle", &headers, &body).expect("an answer");
+    assert_eq!(
+        (answer.status, answer.verdict()),
+        (502, "may-have-run"),
+        "{}",
+        answer.body
+    );
+    assert_eq!(faulty.asked("k"), 1);
+}
+
 /// Guards against a status that HTTP does not define and that is passed on to the caller.
 #[rstest]
 #[case::zero("000")]
