Show the reset during an upload on responses that are short or buffered

Here the engine reads the request on a thread of its own and resets the connection, so that the write meets the reset on most tries, as it was reported: the caller got the part at once as a complete response. The engine stops reading after a while: with all of the request read it waited for more, and the relay for it until the deadline (504, as it should).

--- a/crates/relay/tests/reset_responses.rs
+++ b/crates/relay/tests/reset_responses.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::time::Duration;
+use std::io::{Read as _, Write as _};
+use std::net;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use support::answer::Answer;
@@ -48,3 +51,49 @@
         );
     });
 }
+
+/// Guards against the same where the response is buffered before it is passed on. The engine reads the
+/// request on a thread of its own, so that the write meets the reset on most tries (MIXED).
+#[rstest]
+fn failure_reset_while_the_request_is_sent_never_looks_complete(
+    #[values("/pay/", "/look/", "/stream/", "/resume/")] path: &str,
+    #[values(404, 500)] status: u16,
+) {
+    /// Tries, since the read may meet the reset first.
+    const TRIES: u64 = 25;
+    support::run(async {
+        for number in 0..TRIES {
+            let address = reset_after(status, Duration::from_micros(200 + 100 * number));
+            let engine = Engine::at(address);
+            let mut parts = support::parts(1);
+            parts.limits.body = LONG;
+            let relay = Relay::with(parts, &[&engine]);
+            let request = request("POST", path, "r1", &"x".repeat(LONG));
+            let answer = Answer::get(&relay, &request).await;
+            let is_own = answer.status == 502;
+            assert!(!answer.is_whole || is_own, "{}", answer.summary());
+        }
+    });
+}
+
+/// Starts an engine that sends a part of a response, reads the request for a while and resets the
+/// connection.
+fn reset_after(status: u16, reading: Duration) -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        // All of the request may have been read before the reset is due.
+        stream.set_read_timeout(Some(reading)).unwrap();
+        let mut bytes = vec![0; 64 << 10];
+        let _ = stream.read(&mut bytes);
+        let part = format!("HTTP/1.1 {status} {STAMPED}{EVENT}").replace("{id}", "r1");
+        stream.write_all(part.as_bytes()).unwrap();
+        let end = Instant::now() + reading;
+        while Instant::now() < end && stream.read(&mut bytes).is_ok_and(|count| count > 0) {}
+        socket2::SockRef::from(&stream)
+            .set_linger(Some(Duration::ZERO))
+            .unwrap();
+    });
+    address
+}
