--- a/crates/core/src/relay/duties.rs
+++ b/crates/core/src/relay/duties.rs
@@ -113,7 +113,7 @@
         self.lease.leave();
     }
 
-    /// Learns the era of the store that is the first one for this process.
+    /// Learns the era of the store, before the duties begin or restart in it.
     pub fn begin_era(&mut self, era: u64) {
         self.era = era;
     }
