Read the store where nobody confirms what an instance knows

Cause: of 69 or 87 instances three watch the store for all. If it falls silent to them at the moment of a change, they notice within 1.35 s, the others learn of it (0.45 s), the next three begin after 0.6 s and may be cut off too, each further three after 0.6 s more, and then the change still has to reach all. Heartbeats do not help, since an instance that is cut off from the store goes on sending them.

Every message now states when the store last confirmed the sender's objects of each kind; whoever has the same objects passes that time on as it is. An instance whose objects nobody has confirmed for 0.4 of the bound reads the store itself, whoever watches. The times are those of the common clock and not ages, since ages that each counts anew would never grow old among instances that are all cut off. They stand behind the positions, so the layout of messages is the same and older builds read them.

--- a/crates/core/src/relay/catch_up.rs
+++ b/crates/core/src/relay/catch_up.rs
@@ -126,6 +126,17 @@
         Some(source)
     }
 
+    /// Records a query of the store that is not due to a peer that is ahead; returns `false` if one is
+    /// under way.
+    pub fn begin_store_query(&mut self, now: time::Time) -> bool {
+        self.pending.retain(|(_, at)| at.after(QUERY_TIMEOUT) > now);
+        let is_idle = !self.is_pending(&Source::Store);
+        if is_idle {
+            self.pending.push((Source::Store, now));
+        }
+        is_idle
+    }
+
     /// Records the end of a query and whether it succeeded.
     pub fn record_result(&mut self, now: time::Time, source: &Source, succeeded: bool) {
         self.pending.retain(|(pending, _)| pending != source);
--- a/crates/core/src/relay/message.rs
+++ b/crates/core/src/relay/message.rs
@@ -72,7 +72,7 @@
 ) -> Vec<Outgoing> {
     let recipients = state.recipients(now, number);
     let as_delegate = state.delegate_recipients(now, number);
-    let positions = || positions.to_vec();
+    let positions = || state.confirmations.append_to(positions);
     let addresses = report_recipients(&recipients, &as_delegate);
     let limits = rate_limits(state, now, &addresses);
     let crashes = crash_report(state, now, &addresses);
--- a/crates/core/src/relay/peers/readers.rs
+++ b/crates/core/src/relay/peers/readers.rs
@@ -4,6 +4,7 @@
 
 use super::Peers;
 use crate::name;
+use crate::relay::confirmation;
 use crate::relay::position;
 use crate::relay::revision;
 use crate::time;
@@ -17,6 +18,8 @@
     pub address: net::SocketAddr,
     /// How far it has read.
     pub position: position::Position,
+    /// When the store last confirmed its objects, in microseconds of true time, if it says so.
+    pub confirmed: Option<u64>,
 }
 
 impl Peers {
@@ -47,6 +50,20 @@
         same.fold(own.revision, |most, position| most.max(position.revision))
     }
 
+    /// Returns when the store last confirmed to each instance with the same objects of a kind as this
+    /// one that they are its objects, in microseconds of true time.
+    pub fn confirmations(
+        &self,
+        now: time::Time,
+        kind: usize,
+        own: position::Position,
+    ) -> impl Iterator<Item = u64> {
+        let same = self
+            .readers(now, kind)
+            .filter(move |reader| reader.position.content_hash == own.content_hash);
+        same.filter_map(|reader| reader.confirmed)
+    }
+
     /// Returns the instances that send messages here directly, with how far they have read a kind
     /// of object.
     fn readers(&self, now: time::Time, kind: usize) -> impl Iterator<Item = Reader<'_>> {
@@ -55,6 +72,7 @@
             name: &p.digest.heartbeat.sender,
             address: p.digest.address,
             position: p.position(kind),
+            confirmed: confirmation::decode(&p.digest.heartbeat.positions, kind),
         });
         let delegates = self
             .groups
@@ -63,6 +81,7 @@
                 name: &summary.sender,
                 address: summary.address,
                 position: summary.positions.get(kind).copied().unwrap_or_default(),
+                confirmed: confirmation::decode(&summary.positions, kind),
             });
         members.chain(delegates)
     }
--- a/crates/core/src/relay/state.rs
+++ b/crates/core/src/relay/state.rs
@@ -5,9 +5,11 @@
 use std::collections;
 use std::net;
 use std::sync;
+use std::time::Duration;
 
 use super::caps;
 use super::clock;
+use super::confirmation;
 use super::effect;
 use super::engine;
 use super::evacuations;
@@ -20,6 +22,7 @@
 use super::member;
 use super::outage;
 use super::peers;
+use super::position;
 use super::retry_budget;
 use super::rollouts;
 use super::settings;
@@ -84,6 +87,8 @@
     pub leaving: bool,
     /// Whether this instance watches the store.
     pub watching: bool,
+    /// When the store last confirmed what this instance knows.
+    pub confirmations: confirmation::Confirmations,
     /// Era of the store in which this instance has read it last.
     pub era: u64,
     /// Whether any instance watches the store.
@@ -127,6 +132,7 @@
             slot_usage: slot_usage::SlotUsage::default(),
             leaving: false,
             watching: false,
+            confirmations: confirmation::Confirmations::default(),
             era: 0,
             outage: outage::Outage::default(),
             ahead_since: None,
@@ -168,6 +174,28 @@
         self.outage.is_watched() && since.after(self.settings.entry_expiry()) <= now
     }
 
+    /// Records that the objects of a kind that this instance knows were those of the store at a time.
+    pub fn confirm(&mut self, now: time::Time, kind: usize, at: time::Time) {
+        let unix = self.clock.unix_micros(now);
+        let at = self.clock.unix_micros(at);
+        self.confirmations.record(unix, kind, at);
+    }
+
+    /// Returns how long ago the objects of a kind, which this instance has read up to `own`, were last
+    /// confirmed by the store, to this instance or to others.
+    pub fn confirmation_age(
+        &mut self,
+        now: time::Time,
+        kind: usize,
+        own: position::Position,
+    ) -> Option<Duration> {
+        let unix = self.clock.unix_micros(now);
+        for at in self.peers.confirmations(now, kind, own) {
+            self.confirmations.record(unix, kind, at);
+        }
+        self.confirmations.age(unix, kind)
+    }
+
     /// Returns the present usage window.
     pub fn window(&self, now: time::Time) -> u64 {
         let length = self.settings.usage_window.as_micros().max(1) as u64;
--- a/crates/core/tests/relay_support/fleet.rs
+++ b/crates/core/tests/relay_support/fleet.rs
@@ -8,6 +8,7 @@
 use guavausher_core::relay::{effect, event, member, message, position, revision, state};
 use guavausher_core::time;
 
+use super::store_reader::StoreReader;
 use super::{Instance, at, engine, engines, manifest};
 
 /// Duration of a step in milliseconds.
@@ -46,6 +47,7 @@
     fetch: Option<(u64, position::Position)>,
     is_up: bool,
     sent: Sent,
+    reader: StoreReader,
 }
 
 pub struct Fleet {
@@ -61,6 +63,17 @@
     incarnation: u64,
     /// Effects of ticks, by instance, since they were last taken.
     effects: Vec<(usize, Vec<effect::Effect>)>,
+    /// The store, if the instances read it.
+    store: Option<Store>,
+}
+
+/// The store that a fleet reads.
+#[derive(Clone, Copy, Debug)]
+pub struct Store {
+    /// Revision of the last change.
+    pub changed: u64,
+    /// Time within which a change must be in force.
+    pub bound: Duration,
 }
 
 impl Fleet {
@@ -77,6 +90,7 @@
             domains,
             incarnation: 1,
             effects: Vec::new(),
+            store: None,
         };
         for index in 0..size {
             let instance = fleet.build(index);
@@ -85,6 +99,7 @@
                 fetch: None,
                 is_up: true,
                 sent: Sent::default(),
+                reader: StoreReader::new(&instance.state.own.name),
                 instance,
             };
             fleet.indexes.insert(node.instance.state.own.address, index);
@@ -209,6 +224,30 @@
         self.states().filter(|state| state.watching).count()
     }
 
+    /// Lets the instances read the store from now on; changes must be in force within `bound`.
+    pub fn read_store(&mut self, bound: Duration) {
+        self.store = Some(Store { changed: 1, bound });
+    }
+
+    /// Changes the store and returns the revision of the change.
+    pub fn change_store(&mut self) -> u64 {
+        let store = self.store.as_mut().unwrap();
+        store.changed += 1;
+        store.changed
+    }
+
+    /// Cuts instances off from the store, which is silent to them from now on.
+    pub fn cut_from_store(&mut self, which: impl Fn(&state::State) -> bool) {
+        for node in &mut self.nodes {
+            node.reader.is_cut |= which(&node.instance.state);
+        }
+    }
+
+    /// Returns how often the instances have read the store for want of a confirmation.
+    pub fn store_reads(&self) -> u64 {
+        self.nodes.iter().map(|node| node.reader.reads).sum()
+    }
+
     /// Returns the number of running instances that have not read up to this change.
     pub fn behind(&self, changed: u64) -> usize {
         let up = self.nodes.iter().filter(|node| node.is_up);
@@ -239,6 +278,11 @@
                 let effects = self.nodes[index].instance.apply(now, event::Event::Tick);
                 self.effects.push((index, effects));
                 self.catch_up(index);
+                if let Some(store) = self.store {
+                    let node = &mut self.nodes[index];
+                    node.reader
+                        .step(now, &mut node.instance, &mut node.positions, store);
+                }
             }
             if (self.step + index as u64).is_multiple_of(ROUND_STEPS) {
                 self.send(index);
--- a/crates/core/tests/relay_support/mod.rs
+++ b/crates/core/tests/relay_support/mod.rs
@@ -8,6 +8,7 @@
 pub mod outcome;
 pub mod plan;
 pub mod prompts;
+pub mod store_reader;
 
 use std::sync;
 use std::time::Duration;
