--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of a process.
 
+pub mod labels;
+
 use std::sync;
 use std::time::Duration;
 
@@ -15,145 +17,35 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0,
 ];
 
-/// Labels of a request's outcome.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct Outcome {
-    /// `answered`, `refused`, `cut` or `abandoned`.
-    pub outcome: &'static str,
-    /// Reason code of a refusal.
-    pub reason: &'static str,
-}
-
-/// Labels of an attempt's outcome.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct AttemptEnd {
-    /// Outcome of the attempt.
-    pub ending: &'static str,
-}
-
-/// Labels of an engine notice.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct Notice {
-    /// `leaving`, `hold` or `limit`.
-    pub word: &'static str,
-    /// `answer`, `list`, `peer` or `expiry`.
-    pub source: &'static str,
-}
-
-/// Label of the effect of a rate limit on a request.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct Limited {
-    /// `placed-elsewhere` or `refused`.
-    pub outcome: &'static str,
-}
-
-/// Labels of the number of engines.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-struct Engines {
-    service: String,
-    standing: &'static str,
-}
-
-/// Label of the number of blocked requests and parts of prompts.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct Blocked {
-    /// `request` or `part`.
-    pub kind: &'static str,
-}
-
-/// Label of a workspace.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-struct Workspace {
-    workspace: String,
-}
-
-/// Labels of a call to the platform.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct Call {
-    /// Name of the call.
-    pub call: &'static str,
-    /// HTTP status, or 0 without a reply.
-    pub status: u16,
-}
-
-/// Labels of a response that ended although it was begun.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct Truncated {
-    /// What ended its last attempt.
-    pub ended_by: &'static str,
-    /// Why no other attempt continued it.
-    pub no_retry: &'static str,
-}
-
-/// Label of a service.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct Service {
-    /// Name of the service.
-    pub service: String,
-}
-
-/// Label of a kind of event.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct Event {
-    /// Kind of the event.
-    pub event: &'static str,
-}
-
-/// Label of a kind of stored objects.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct Kind {
-    /// Name of the kind.
-    pub kind: &'static str,
-}
-
-/// Labels of the end of an engine's response.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct EngineResponse {
-    /// `length`, `chunks` or `close`; empty without a complete head.
-    pub framing: &'static str,
-    /// `complete`, `closed`, `reset`, `within-event`, `invalid`, `too-long` or `no-room`; empty if it had not
-    /// ended.
-    pub end: &'static str,
-}
-
-/// Labels of an attempt's silence.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, encoding::EncodeLabelSet)]
-pub struct Silence {
-    /// The limit that was exceeded: `first-byte` or `gap`.
-    pub limit: &'static str,
-    /// Why no other engine gets the request as well; empty if one does.
-    pub no_retry: &'static str,
-}
-
 /// Metrics of a process; clones share their values.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     /// Requests by outcome.
-    pub requests: family::Family<Outcome, counter::Counter>,
+    pub requests: family::Family<labels::Outcome, counter::Counter>,
     /// Attempts by outcome.
-    pub attempts: family::Family<AttemptEnd, counter::Counter>,
+    pub attempts: family::Family<labels::AttemptEnd, counter::Counter>,
     /// Calls to the platform.
-    pub calls: family::Family<Call, counter::Counter>,
+    pub calls: family::Family<labels::Call, counter::Counter>,
     /// Engine notices by source.
-    pub notices: family::Family<Notice, counter::Counter>,
+    pub notices: family::Family<labels::Notice, counter::Counter>,
     /// Probes of blocked requests and parts of prompts.
-    pub probes: family::Family<Blocked, counter::Counter>,
+    pub probes: family::Family<labels::Blocked, counter::Counter>,
     /// Requests on which the rate limit of an engine had an effect.
-    pub limited: family::Family<Limited, counter::Counter>,
+    pub limited: family::Family<labels::Limited, counter::Counter>,
     /// Responses that ended although they were begun.
-    pub truncated: family::Family<Truncated, counter::Counter>,
+    pub truncated: family::Family<labels::Truncated, counter::Counter>,
     /// Ends of engines' responses.
-    pub engine_responses: family::Family<EngineResponse, counter::Counter>,
+    pub engine_responses: family::Family<labels::EngineResponse, counter::Counter>,
     /// Silences of attempts.
-    pub silences: family::Family<Silence, counter::Counter>,
+    pub silences: family::Family<labels::Silence, counter::Counter>,
     /// Requests refused although an engine of their service had a free slot.
-    pub refused_beside_free: family::Family<Service, counter::Counter>,
+    pub refused_beside_free: family::Family<labels::Service, counter::Counter>,
     /// Seconds of work on events, by kind.
-    pub event_time: family::Family<Event, counter::Counter<f64, sync::atomic::AtomicU64>>,
+    pub event_time: family::Family<labels::Event, counter::Counter<f64, sync::atomic::AtomicU64>>,
     /// Seconds by which timers fire late.
     pub timer_lag: histogram::Histogram,
     /// Stored objects that are skipped.
-    pub skipped: family::Family<Kind, gauge::Gauge>,
+    pub skipped: family::Family<labels::Kind, gauge::Gauge>,
     /// Requests in progress.
     pub in_progress: gauge::Gauge,
     /// Version of the manifest in force.
@@ -197,19 +89,23 @@
 impl Metrics {
     /// Counts the end of a request.
     pub fn count_request(&self, outcome: &'static str, reason: &'static str, took: Duration) {
-        let labels = Outcome { outcome, reason };
+        let labels = labels::Outcome { outcome, reason };
         self.requests.get_or_create(&labels).inc();
         self.duration.observe(took.as_secs_f64());
     }
 
     /// Counts the end of an attempt.
     pub fn count_attempt(&self, ending: &'static str) {
-        self.attempts.get_or_create(&AttemptEnd { ending }).inc();
+        self.attempts
+            .get_or_create(&labels::AttemptEnd { ending })
+            .inc();
     }
 
     /// Counts a call to the platform.
     pub fn count_call(&self, call: &'static str, status: u16) {
-        self.calls.get_or_create(&Call { call, status }).inc();
+        self.calls
+            .get_or_create(&labels::Call { call, status })
+            .inc();
     }
 
     /// Counts an engine notice.
@@ -220,53 +116,59 @@
             effect::Source::Peer => "peer",
             effect::Source::Expiry => "expiry",
         };
-        self.notices.get_or_create(&Notice { word, source }).inc();
+        self.notices
+            .get_or_create(&labels::Notice { word, source })
+            .inc();
     }
 
     /// Counts a probe of a blocked request or part of prompts.
     pub fn count_probe(&self, kind: &'static str) {
-        self.probes.get_or_create(&Blocked { kind }).inc();
+        self.probes.get_or_create(&labels::Blocked { kind }).inc();
     }
 
     /// Counts a request on which the rate limit of an engine had an effect.
     pub fn count_limited(&self, outcome: &'static str) {
-        self.limited.get_or_create(&Limited { outcome }).inc();
+        self.limited
+            .get_or_create(&labels::Limited { outcome })
+            .inc();
     }
 
     /// Counts the work on an event.
     pub fn count_event(&self, event: &'static str, took: Duration) {
-        let labels = Event { event };
+        let labels = labels::Event { event };
         let time = self.event_time.get_or_create(&labels);
         time.inc_by(took.as_secs_f64());
     }
 
     /// Counts a response that ended although it was begun.
     pub fn count_truncated(&self, ended_by: &'static str, no_retry: &'static str) {
-        let labels = Truncated { ended_by, no_retry };
+        let labels = labels::Truncated { ended_by, no_retry };
         self.truncated.get_or_create(&labels).inc();
     }
 
     /// Counts the end of an engine's response.
     pub fn count_engine_response(&self, framing: &'static str, end: &'static str) {
-        let labels = EngineResponse { framing, end };
+        let labels = labels::EngineResponse { framing, end };
         self.engine_responses.get_or_create(&labels).inc();
     }
 
     /// Counts a request that was refused although an engine of its service had a free slot.
     pub fn count_refused_beside_free(&self, service: &name::Name) {
         let service = service.to_string();
-        let labels = Service { service };
+        let labels = labels::Service { service };
         self.refused_beside_free.get_or_create(&labels).inc();
     }
 
     /// Sets how many stored objects of a kind are skipped.
     pub fn set_skipped(&self, kind: &'static str, count: usize) {
-        self.skipped.get_or_create(&Kind { kind }).set(count as i64);
+        self.skipped
+            .get_or_create(&labels::Kind { kind })
+            .set(count as i64);
     }
 
     /// Counts a silence of an attempt.
     pub fn count_silence(&self, limit: &'static str, no_retry: &'static str) {
-        let labels = Silence { limit, no_retry };
+        let labels = labels::Silence { limit, no_retry };
         self.silences.get_or_create(&labels).inc();
     }
 
@@ -360,17 +262,17 @@
             "Time between two writes of a response to the caller",
             self.write_gaps.clone(),
         );
-        let failing: family::Family<Service, gauge::Gauge> = family::Family::default();
+        let failing: family::Family<labels::Service, gauge::Gauge> = family::Family::default();
         for order in state.rollouts.failing() {
             let service = order.service.to_string();
-            failing.get_or_create(&Service { service }).set(1);
+            failing.get_or_create(&labels::Service { service }).set(1);
         }
         registry.register(
             "failing_completed_versions",
             "1 for a service whose completed rollout led to a version that fails here",
             failing,
         );
-        let engines: family::Family<Engines, gauge::Gauge> = family::Family::default();
+        let engines: family::Family<labels::Engines, gauge::Gauge> = family::Family::default();
         for engine in state.fleet.all() {
             let service = engine.service.to_string();
             let standing = match state.fleet.hold_end(now, engine) {
@@ -379,14 +281,14 @@
                 None if state.fleet.rate_limit(now, engine).is_some() => "limited",
                 None => "open",
             };
-            let labels = Engines { service, standing };
+            let labels = labels::Engines { service, standing };
             engines.get_or_create(&labels).inc();
         }
         registry.register("engines", "Engines by service and status", engines);
-        let blocked: family::Family<Blocked, gauge::Gauge> = family::Family::default();
+        let blocked: family::Family<labels::Blocked, gauge::Gauge> = family::Family::default();
         for suspect in state.suspects.blocked(now) {
             let kind = suspect.kind();
-            blocked.get_or_create(&Blocked { kind }).inc();
+            blocked.get_or_create(&labels::Blocked { kind }).inc();
         }
         registry.register(
             "blocked",
@@ -421,10 +323,12 @@
             "Share of the workspace caps that this process may use",
             share,
         );
-        let spent: family::Family<Workspace, counter::Counter> = family::Family::default();
+        let spent: family::Family<labels::Workspace, counter::Counter> = family::Family::default();
         for (workspace, units) in state.caps.spent() {
             let workspace = workspace.to_string();
-            spent.get_or_create(&Workspace { workspace }).inc_by(units);
+            spent
+                .get_or_create(&labels::Workspace { workspace })
+                .inc_by(units);
         }
         registry.register("cap_units", "Units admitted by workspace", spent);
         let dropped: counter::Counter = counter::Counter::default();
