--- a/crates/core/tests/relay_confirmations.rs
+++ b/crates/core/tests/relay_confirmations.rs
@@ -109,6 +109,20 @@
     assert!(reads <= MAX_READS, "{reads}");
 }
 
+/// What the messages carry in addition stays within the budget between failure domains.
+#[test]
+fn append_to_costs_little_between_domains() {
+    const SECONDS: u64 = 3;
+    /// Bytes that an instance may send in a second for control to other failure domains.
+    const MAX_FAR_BYTES: u64 = 2_048;
+    let mut fleet = following(295, 5, Duration::from_secs(4));
+    fleet.take_sent();
+    fleet.run_for(Duration::from_secs(SECONDS));
+    let far: u64 = fleet.take_sent().iter().map(|sent| sent.far_bytes).sum();
+    let mean = far / fleet.size() as u64 / SECONDS;
+    assert!(mean <= MAX_FAR_BYTES, "{mean} bytes a second");
+}
+
 /// The share of the bound at which a first read is due, with the spread of the instances.
 #[rstest]
 #[case::confirmed(Some(790), false)]
