Review case 12: a request that crashes engines outlives the processes that saw it

All fronts are killed after every second copy of the request; what is known of two crashes is in memory alone, so each new set of processes lets it crash two more engines.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 cargo build --release --locked --package guavausher-standins --bins
 mkdir -p target/review-3
-for name in put flood; do
+for name in put flood crash_again half_bad; do
   rustc --edition 2024 -O -o "target/review-3/$name" "review/standins-3/$name.rs"
 done
