--- a/review/standins-3/half_bad.rs
+++ b/review/standins-3/half_bad.rs
@@ -1,4 +1,4 @@
-//! A new version fails every second request of a route with few requests. Exit status: 1 if the rule was
+//! A new version fails every third request of a route with few requests. Exit status: 1 if the rule was
 //! broken, 0 if it held, 2 if the case could not run.
 //!
 //! The deployment and its stand-ins are those of the first review.
@@ -32,8 +32,8 @@
 const DURATION: Duration = Duration::from_secs(12);
 /// Orders a second on the route that both versions serve.
 const PAY_RATE: f64 = 20.0;
-/// Orders a second on the route of which the new version fails every second request.
-const BOOK_RATE: f64 = 1.2;
+/// Orders a second on the route of which the new version fails every third request.
+const BOOK_RATE: f64 = 2.0;
 /// `rollbackMs`.
 const ROLLBACK: Duration = Duration::from_millis(5_000);
 /// Bad answers after which no request may be sent later than `rollbackMs`.
@@ -75,7 +75,7 @@
         version: String::from("v2"),
         status: match has_trouble {
             true => |request| match request.path() {
-                "/book/1" if !BOOKED.fetch_add(1, Ordering::Relaxed).is_multiple_of(2) => 500,
+                "/book/1" if BOOKED.fetch_add(1, Ordering::Relaxed) % 3 == 1 => 500,
                 _ => 200,
             },
             false => |_| 200,
