--- a/review/standins-3/flood.rs
+++ b/review/standins-3/flood.rs
@@ -2,18 +2,31 @@
 //!
 //! Engines, ordinary callers and the crowd are threads of this process. Exit status: 0 if each stream
 //! that was answered was whole or was seen to be cut, 1 if not, 2 if the case could not run.
+//!
+//! The fronts and the store are those of the first review.
+
+#![allow(dead_code)]
 
+#[path = "../standins/http.rs"]
 mod http;
+#[path = "../standins/json.rs"]
+mod json;
+#[path = "../standins/site.rs"]
+mod site;
+#[path = "../standins/store.rs"]
+mod store;
+mod wire;
 
 use std::io::{Read, Write};
 use std::net;
 use std::process;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use http::Connection;
+use site::{Record, Site};
+use wire::Connection;
 
 /// Events of each stream.
 const EVENTS: u32 = 40;
@@ -37,8 +50,17 @@
 /// Time before the crowd comes.
 const CALM_TIME: Duration = Duration::from_secs(4);
 
+const MANIFEST: &str = "{\"version\":1,\"routes\":[{\"name\":\"ask\",\"host\":\"site.example\",\
+    \"pathPrefix\":\"/ask/\",\"kind\":\"streaming\",\"timeoutMs\":10000,\"goalMs\":2000,\
+    \"service\":\"model\",\"maxAttempts\":2,\"resumable\":true,\"gapGoalMs\":500}],\
+    \"services\":[{\"name\":\"model\",\"maxConnections\":370,\"engine\":{\"slots\":64}}],\
+    \"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
+    \"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"ward\",\"apiKeys\":[\"secret\"]}]}";
+/// Settings of the smallest machines of the site, which replace those of the same name.
+const SETTINGS: &str = "limits.memoryMb=120\nlimits.maxFds=3075\n";
+
 struct Shared {
-    record: Mutex<std::fs::File>,
+    log: Arc<Record>,
     start: Instant,
     broken: AtomicU64,
     whole: AtomicU64,
@@ -49,8 +71,7 @@
 
 impl Shared {
     fn record(&self, text: &str) {
-        let at = self.start.elapsed().as_secs_f64();
-        let _ = writeln!(self.record.lock().unwrap(), "{at:8.3} {text}");
+        self.log.add(text);
     }
 }
 
@@ -65,15 +86,21 @@
 }
 
 fn main() {
-    let words: Vec<String> = std::env::args().skip(1).collect();
-    let [store, front, trouble, record] = &words[..] else {
-        eprintln!("usage: flood STORE FRONT TROUBLE RECORD");
-        process::exit(2);
-    };
-    let store: net::SocketAddr = store.parse().expect("address of the store");
-    let front: net::SocketAddr = front.parse().expect("address of the front");
+    process::exit(match run() {
+        Ok(status) => status,
+        Err(fault) => {
+            eprintln!("the case could not run: {fault}");
+            2
+        }
+    });
+}
+
+/// Runs the case and returns its exit status.
+fn run() -> std::io::Result<i32> {
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let mut site = Site::start(SETTINGS)?;
     let shared = Arc::new(Shared {
-        record: Mutex::new(std::fs::File::create(record).expect("record")),
+        log: Record::create()?,
         start: Instant::now(),
         broken: AtomicU64::new(0),
         whole: AtomicU64::new(0),
@@ -84,24 +111,19 @@
     for number in 1..=3 {
         let name = format!("streamer-{number}");
         let address = start_engine(&name, &shared);
-        let entry = format!(
-            "{{\"metadata\":{{\"name\":\"{name}\"}},\"spec\":{{\"service\":\"model\",\
-             \"address\":\"{address}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":64,\
-             \"state\":\"ready\",\"coldLeftMs\":0,\"born\":{number},\"seq\":1}}}}"
-        );
-        let added = http::call(store, "POST", "/guavausher/objects/servers", &entry);
-        if !matches!(added, Ok((200..=299, _))) {
-            eprintln!("engine was not added: {added:?}");
-            process::exit(2);
-        }
+        site.store
+            .set("servers", &name, &site::entry("model", "v1", address, 64));
     }
+    site.store.set("config", "main", MANIFEST);
+    site.launch()?;
+    let front = site.fronts[0].front;
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
             let shared = shared.clone();
             thread::spawn(move || run_caller(&shared, front, caller))
         })
         .collect();
-    if trouble == "1" {
+    if has_trouble {
         thread::sleep(CALM_TIME);
         let crowd = shared.clone();
         thread::spawn(move || run_crowd(&crowd, front));
@@ -116,11 +138,11 @@
         format!("streams: whole {whole}, seen to be cut {cut}, refused {refused}, WRONG {broken}");
     shared.record(&result);
     println!("{result}");
-    process::exit(match (broken, whole) {
+    Ok(match (broken, whole) {
         (0, 0) => 2,
         (0, _) => 0,
         _ => 1,
-    });
+    })
 }
 
 /// Starts an engine on a free port.
--- a/review/standins-3/wire.rs
+++ b/review/standins-3/wire.rs
@@ -141,22 +141,3 @@
         self.stream.write_all(bytes)
     }
 }
-
-/// Makes a call with a JSON body and returns the status and the body of the response.
-pub fn call(
-    address: net::SocketAddr,
-    method: &str,
-    path: &str,
-    body: &str,
-) -> io::Result<(u16, String)> {
-    let mut connection = Connection::connect(address, Duration::from_secs(3))?;
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: store\r\nConnection: close\r\n\
-         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    connection.send(request.as_bytes())?;
-    let head = connection.head()?;
-    let body = connection.body(&head)?;
-    Ok((head.status(), String::from_utf8_lossy(&body).into_owned()))
-}
