Log what a status of a rollout rests on

The line 'rollout status written' now has the field 'outcomes': errors and responses of both versions by route. No decision changes.

--- a/crates/core/src/relay/duties/statuses.rs
+++ b/crates/core/src/relay/duties/statuses.rs
@@ -29,6 +29,7 @@
             stage: rollouts::Stage::RolledBack,
             deadline_micros: order.deadline_micros.unwrap_or_default(),
             revision: order.revision,
+            outcomes: rollouts::Outcomes::default(),
         })
 }
 
--- a/crates/core/src/relay/rollouts.rs
+++ b/crates/core/src/relay/rollouts.rs
@@ -11,6 +11,7 @@
 mod completed;
 mod evidence;
 mod order;
+mod outcomes;
 mod rollout;
 mod sampling;
 mod status_update;
@@ -18,6 +19,7 @@
 
 pub use arrival::Arrival;
 pub use order::{Order, Stage};
+pub use outcomes::Outcomes;
 pub use status_update::StatusUpdate;
 pub use version_filter::VersionFilter;
 
--- a/crates/core/src/relay/rollouts/rollout.rs
+++ b/crates/core/src/relay/rollouts/rollout.rs
@@ -5,6 +5,7 @@
 use super::completed;
 use super::evidence;
 use super::order;
+use super::outcomes;
 use super::sampling;
 use super::status_update;
 use crate::name;
@@ -144,6 +145,7 @@
             stage,
             deadline_micros: deadline,
             revision: self.order.revision,
+            outcomes: outcomes::Outcomes(pairs),
         })
     }
 
--- a/crates/core/src/relay/rollouts/status_update.rs
+++ b/crates/core/src/relay/rollouts/status_update.rs
@@ -1,6 +1,7 @@
 //! Changes of the status of a rollout.
 
 use super::order;
+use super::outcomes;
 use crate::name;
 
 /// A change of a rollout's status that the lease holder writes.
@@ -16,4 +17,6 @@
     pub deadline_micros: u64,
     /// Revision of the object on which the change is based; the write is conditional on it.
     pub revision: u64,
+    /// What the change rests on.
+    pub outcomes: outcomes::Outcomes,
 }
