--- a/crates/core/src/relay/rollouts.rs
+++ b/crates/core/src/relay/rollouts.rs
@@ -14,7 +14,9 @@
 mod outcomes;
 mod rollout;
 mod sampling;
+mod sequential;
 mod status_update;
+mod tally;
 mod version_filter;
 
 pub use arrival::Arrival;
@@ -29,7 +31,6 @@
 use super::canary_samples;
 use super::settings;
 use super::usage_counts;
-use super::version_stats;
 use crate::name;
 
 /// Share of the allowed canary share that is used.
@@ -77,8 +78,7 @@
             return VersionFilter::default();
         };
         let target = Some(rollout.order.target.clone());
-        let pairs = rollout.pairs();
-        let is_bad = rollout::is_bad(&pairs);
+        let is_bad = rollout.is_bad();
         let exclude = VersionFilter {
             excluded: target.clone(),
             allows_excluded: match rollout.order.stage {
@@ -102,6 +102,9 @@
         if arrival.is_retry || is_bad {
             return exclude;
         }
+        let sum = rollout.sum();
+        let unknown = tally::Tally::default();
+        let tally = rollout.tallies.get(arrival.route).unwrap_or(&unknown);
         let view = sampling::View {
             route: arrival.route,
             phase: sampling::phase(arrival.instance, arrival.service, arrival.route),
@@ -110,9 +113,10 @@
             slack: settings.canary_slack,
             elapsed: rollout.elapsed(arrival.micros),
             scale: arrival.scale,
-            sum: &rollout::sum(&pairs),
-            pair: pairs.get(arrival.route).copied().unwrap_or_default(),
-            routes: pairs.len(),
+            sum: &sum,
+            pair: tally.pair,
+            needed: sequential::Weights::new(tally.pair.old, sum.old).needed(tally),
+            routes: rollout.tallies.len(),
         };
         match rollout.sampler.takes(&view) {
             true => only,
@@ -129,10 +133,11 @@
         version: &name::Name,
         is_success: bool,
     ) -> Option<bool> {
-        let stats = self.stats_mut(service, route, version)?;
-        stats.responses += 1;
-        stats.errors += u32::from(!is_success);
         let rollout = self.rollouts.get_mut(service)?;
+        rollout.record(route, version, |stats| {
+            stats.responses += 1;
+            stats.errors += u32::from(!is_success);
+        });
         let is_target = rollout.order.target == *version;
         let completed = rollout.completed.as_mut().filter(|_| is_target)?;
         completed.record(route, is_success)
@@ -147,25 +152,13 @@
         took: Duration,
         expected: Duration,
     ) {
-        if let Some(stats) = self.stats_mut(service, route, version) {
-            stats.record_first_event(took, expected);
+        if let Some(rollout) = self.rollouts.get_mut(service) {
+            rollout.record(route, version, |stats| {
+                stats.record_first_event(took, expected);
+            });
         }
     }
 
-    fn stats_mut(
-        &mut self,
-        service: &name::Name,
-        route: &name::Name,
-        version: &name::Name,
-    ) -> Option<&mut version_stats::VersionStats> {
-        let rollout = self.rollouts.get_mut(service)?;
-        let pair = rollout.own.entry(route.clone()).or_default();
-        Some(match *version == rollout.order.target {
-            true => &mut pair.new,
-            false => &mut pair.old,
-        })
-    }
-
     /// Merges the stats that a process of another instance reports.
     pub fn merge(
         &mut self,
@@ -183,7 +176,7 @@
                 .map_or(0, |known| sample_count(known));
             let has_capacity = rollout.others.len() < MAX_PROCESSES || known > 0;
             if sample_count(&matching) > known && has_capacity {
-                rollout.others.insert(from.clone(), matching);
+                rollout.replace_report(from, matching);
             }
         }
     }
--- a/crates/core/src/relay/rollouts/rollout.rs
+++ b/crates/core/src/relay/rollouts/rollout.rs
@@ -7,7 +7,9 @@
 use super::order;
 use super::outcomes;
 use super::sampling;
+use super::sequential;
 use super::status_update;
+use super::tally;
 use crate::name;
 use crate::relay::canary_samples;
 use crate::relay::revision;
@@ -40,6 +42,8 @@
     pub own: collections::BTreeMap<name::Name, version_stats::Pair>,
     /// Stats that each process reports; those of ended processes are kept.
     pub others: collections::BTreeMap<usage_counts::Process, Vec<canary_samples::CanarySamples>>,
+    /// Stats of all instances by route.
+    pub tallies: collections::BTreeMap<name::Name, tally::Tally>,
 }
 
 impl Rollout {
@@ -72,6 +76,7 @@
                 completed: None,
                 own: collections::BTreeMap::new(),
                 others: collections::BTreeMap::new(),
+                tallies: collections::BTreeMap::new(),
             },
         };
         let completed = match rollout.order.stage {
@@ -124,13 +129,12 @@
         let is_after = |share: f64| {
             micros >= deadline.saturating_sub((duration as f64 * (1.0 - share)) as u64)
         };
-        let pairs = self.pairs();
         let stage = if self.is_lost {
             self.order.stage
-        } else if is_bad(&pairs) {
+        } else if self.is_bad() {
             order::Stage::RolledBack
         } else if is_after(COMPLETE_AFTER)
-            && self.may_complete(&pairs, share, micros, is_after(LAST_DECISION_AFTER))
+            && self.may_complete(share, micros, is_after(LAST_DECISION_AFTER))
         {
             order::Stage::Completed
         } else if is_after(ROLL_BACK_AFTER) {
@@ -145,53 +149,95 @@
             stage,
             deadline_micros: deadline,
             revision: self.order.revision,
-            outcomes: outcomes::Outcomes(pairs),
+            outcomes: outcomes::Outcomes(self.pairs()),
         })
     }
 
     /// Returns `true` if the new version has enough responses to pass.
-    fn may_complete(
-        &self,
-        pairs: &collections::BTreeMap<name::Name, version_stats::Pair>,
-        share: f64,
-        micros: u64,
-        is_last: bool,
-    ) -> bool {
-        let sum = sum(pairs);
+    fn may_complete(&self, share: f64, micros: u64, is_last: bool) -> bool {
+        let sum = self.sum();
         let duration = self.order.duration.as_micros() as f64;
         let observed = micros.saturating_sub(self.seen_micros) as f64;
         let is_known =
             observed >= duration * MIN_OBSERVED || sum.new.responses >= version_stats::MIN_TIMED;
-        let mut routes = pairs.values().map(|pair| evidence::of_route(pair, share));
+        let count = self.tallies.len();
+        let mut routes = self
+            .tallies
+            .values()
+            .map(|tally| evidence::of_route(tally, sum.old, count, share));
         is_known
             && evidence::is_enough(&sum, share)
             && routes.all(|evidence| match evidence {
                 evidence::Evidence::Sufficient => true,
-                evidence::Evidence::TooQuiet => is_last,
-                evidence::Evidence::Missing | evidence::Evidence::OnlyErrors => false,
+                evidence::Evidence::Undecided => is_last,
+                evidence::Evidence::Missing | evidence::Evidence::Suspect => false,
             })
     }
 
-    /// Returns the stats of all instances by route.
-    pub fn pairs(&self) -> collections::BTreeMap<name::Name, version_stats::Pair> {
-        let mut pairs = self.own.clone();
-        for reported in self.others.values().flatten() {
-            let pair = pairs.entry(reported.route.clone()).or_default();
-            *pair = *pair + reported.pair;
+    /// Records an outcome of a version at this process.
+    pub fn record(
+        &mut self,
+        route: &name::Name,
+        version: &name::Name,
+        change: impl Fn(&mut version_stats::VersionStats),
+    ) {
+        let is_target = *version == self.order.target;
+        let tally = self.tallies.entry(route.clone()).or_default();
+        let own = self.own.entry(route.clone()).or_default();
+        for pair in [own, &mut tally.pair] {
+            change(match is_target {
+                true => &mut pair.new,
+                false => &mut pair.old,
+            });
         }
-        pairs
+        tally.mark();
     }
-}
 
-/// Returns `true` if the new version is bad on all routes together or on one of them.
-pub(super) fn is_bad(pairs: &collections::BTreeMap<name::Name, version_stats::Pair>) -> bool {
-    version_stats::is_bad(&sum(pairs)) || pairs.values().any(version_stats::is_bad)
-}
+    /// Replaces what another process has reported.
+    pub fn replace_report(
+        &mut self,
+        from: &usage_counts::Process,
+        report: Vec<canary_samples::CanarySamples>,
+    ) {
+        let mut changes: collections::BTreeMap<_, [version_stats::Pair; 2]> =
+            collections::BTreeMap::new();
+        for later in &report {
+            changes.entry(later.route.clone()).or_default()[1] = later.pair;
+        }
+        let earlier = self.others.insert(from.clone(), report);
+        for earlier in earlier.into_iter().flatten() {
+            changes.entry(earlier.route).or_default()[0] = earlier.pair;
+        }
+        for (route, [earlier, later]) in changes {
+            let tally = self.tallies.entry(route).or_default();
+            tally.replace(earlier, later);
+        }
+    }
 
-/// Returns the stats of all routes together.
-pub(super) fn sum(
-    pairs: &collections::BTreeMap<name::Name, version_stats::Pair>,
-) -> version_stats::Pair {
-    let all = pairs.values();
-    all.fold(version_stats::Pair::default(), |sum, pair| sum + *pair)
+    /// Returns the stats of all instances by route.
+    fn pairs(&self) -> collections::BTreeMap<name::Name, version_stats::Pair> {
+        let all = self.tallies.iter();
+        all.map(|(route, tally)| (route.clone(), tally.pair))
+            .collect()
+    }
+
+    /// Returns the stats of all routes together.
+    pub fn sum(&self) -> version_stats::Pair {
+        let all = self.tallies.values().map(|tally| tally.pair);
+        all.fold(version_stats::Pair::default(), |sum, pair| sum + pair)
+    }
+
+    /// Returns `true` if the new version is bad on all routes together or on one of them.
+    pub fn is_bad(&self) -> bool {
+        let sum = self.sum();
+        let count = self.tallies.len();
+        let is_bad_on = |tally: &tally::Tally| {
+            let weights = sequential::Weights::new(tally.pair.old, sum.old);
+            version_stats::is_slow(&tally.pair)
+                || weights.judge(tally, count) == sequential::Finding::Bad
+        };
+        version_stats::is_slow(&sum)
+            || sequential::Weights::new(sum.old, sum.old).is_bad(sum.new)
+            || self.tallies.values().any(is_bad_on)
+    }
 }
--- a/crates/core/src/relay/rollouts/sampling.rs
+++ b/crates/core/src/relay/rollouts/sampling.rs
@@ -23,7 +23,7 @@
 const MIN_TARGET: f64 = 1.0;
 /// Factor for requests that end without a response that counts.
 const SURPLUS: f64 = 1.5;
-/// Largest share of a route's requests once the new version has responded there.
+/// Largest share of a route's requests while all responses of the new version there are sound.
 const MAX_ROUTE_SHARE: f64 = 0.5;
 /// Responses of the old version from which all requests of a route may go to the new one.
 const MIN_COMPARED: u32 = 2;
@@ -59,6 +59,8 @@
     pub sum: &'a version_stats::Pair,
     /// Known responses on the route of the request.
     pub pair: version_stats::Pair,
+    /// Further responses that would show that the new version is sound on it, if more are needed.
+    pub needed: Option<f64>,
     /// Number of routes with known responses.
     pub routes: usize,
 }
@@ -105,21 +107,22 @@
         }
         let allowance = (self.max_share * MAX_SHARE - self.share) * all + slack;
         let target = allowance / self.routes.max(1) as f64;
-        let target = target.clamp(MIN_TARGET, f64::from(version_stats::MIN_RESPONSES));
         let (new, old) = (self.pair.new, self.pair.old);
-        let is_unproven = new.responses == 0 || new.has_only_errors();
-        let missing = target - self.scaled(new);
-        let missing = if is_unproven {
-            missing.max(1.0)
-        } else {
-            missing
+        let Some(needed) = self.needed else {
+            return 0.0;
+        };
+        // What is in doubt is not divided among the routes.
+        let is_unproven = new.responses == 0 || new.errors > 0;
+        let missing = match is_unproven {
+            true => needed,
+            false => needed.min(target.max(MIN_TARGET) - self.scaled(new)),
         };
         if missing <= 0.0 {
             return 0.0;
         }
         let known = self.scaled(new) + self.scaled(old);
         let expected = known / elapsed * (LAST_DECISION_AFTER - elapsed);
-        let max = match new.responses == 0 && old.started() >= MIN_COMPARED {
+        let max = match is_unproven && old.started() >= MIN_COMPARED {
             true => 1.0,
             false => MAX_ROUTE_SHARE,
         };
--- a/crates/core/src/relay/version_stats.rs
+++ b/crates/core/src/relay/version_stats.rs
@@ -20,6 +20,10 @@
 const TOLERATED_DELAY_RATIO: f64 = 1.3;
 /// Standard errors by which a delay must exceed the tolerated ratio.
 const MIN_STANDARD_ERRORS: f64 = 2.8;
+/// First events of each version from which a version may be slow at the last decision.
+const MIN_DOUBTED: u32 = 4;
+/// Standard errors by which its delay must exceed the tolerated ratio then.
+const DOUBTED_STANDARD_ERRORS: f64 = 2.2;
 /// Lower bound for the variance of the logarithm of a delay, so that a few delays that happen to
 /// be alike prove nothing.
 const MIN_VARIANCE: f64 = 0.1;
@@ -83,6 +87,32 @@
     }
 }
 
+impl std::ops::Sub for VersionStats {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self {
+            responses: self.responses.saturating_sub(other.responses),
+            errors: self.errors.saturating_sub(other.errors),
+            timed: self.timed.saturating_sub(other.timed),
+            ratio_sum: self.ratio_sum.saturating_sub(other.ratio_sum),
+            log_sum: self.log_sum.saturating_sub(other.log_sum),
+            square_sum: self.square_sum.saturating_sub(other.square_sum),
+        }
+    }
+}
+
+impl std::ops::Sub for Pair {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self {
+            new: self.new - other.new,
+            old: self.old - other.old,
+        }
+    }
+}
+
 impl VersionStats {
     /// Records a first event with its actual and its expected delay.
     pub fn record_first_event(&mut self, took: Duration, expected: Duration) {
@@ -139,20 +169,31 @@
         && new.errors >= MIN_ERRORS
         && f64::from(new.errors) > expected + MIN_DEVIATIONS * deviation
         && f64::from(new.errors) / responses > old_rate + MIN_EXCESS;
-    is_failing || is_slow(&new, &old)
+    is_failing || is_slow(pair)
 }
 
 /// Returns `true` if first events come later than chance explains. A few that are much later on one
 /// route show it as well as many that are a little later.
-fn is_slow(new: &VersionStats, old: &VersionStats) -> bool {
+pub fn is_slow(pair: &Pair) -> bool {
+    let (new, old) = (&pair.new, &pair.old);
     if new.timed < MIN_COMPARED || old.timed < MIN_TIMED {
         return false;
     }
     let is_much_slower =
         new.timed >= MIN_TIMED && new.mean_ratio() > MAX_DELAY_RATIO * old.mean_ratio();
+    is_much_slower || excess_delay(new, old) > MIN_STANDARD_ERRORS
+}
+
+/// Returns `true` if a slow version would explain the few first events better than a good one.
+pub fn may_be_slow(pair: &Pair) -> bool {
+    let (new, old) = (&pair.new, &pair.old);
+    let is_timed = new.timed >= MIN_DOUBTED && old.timed >= MIN_DOUBTED;
+    is_timed && excess_delay(new, old) > DOUBTED_STANDARD_ERRORS
+}
+
+/// Returns by how many standard errors the delays of the new version exceed the tolerated ratio.
+fn excess_delay(new: &VersionStats, old: &VersionStats) -> f64 {
     let variance = new.variance().max(old.variance());
     let error = (variance / f64::from(new.timed) + variance / f64::from(old.timed)).sqrt();
-    is_much_slower
-        || new.mean_log() - old.mean_log() - TOLERATED_DELAY_RATIO.ln()
-            > MIN_STANDARD_ERRORS * error
+    (new.mean_log() - old.mean_log() - TOLERATED_DELAY_RATIO.ln()) / error
 }
--- a/crates/core/tests/relay_rollouts.rs
+++ b/crates/core/tests/relay_rollouts.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use guavausher_core::relay::event::{self, Signal};
-use guavausher_core::relay::{effect, engine, rollouts, route, settings, usage_counts};
+use guavausher_core::relay::{effect, engine, rollouts, route, settings};
 use guavausher_core::time;
 use relay_support::{
-    EPOCH, Instance, START, at, engine, engines, name, new_request, refused, sent,
+    EPOCH, Instance, START, at, engine, engines, name, new_request, refused, sent, trial,
 };
 use rstest::rstest;
 
@@ -451,88 +451,6 @@
     assert_eq!(stage_at(&rollouts, 10_600), last);
 }
 
-/// Instances that report to each other during a rollout, with their requests.
-struct Trial {
-    instances: Vec<rollouts::Rollouts>,
-    requests: u64,
-    exposed: u64,
-    noise: u64,
-}
-
-impl Trial {
-    fn new(instances: usize) -> Self {
-        Self {
-            instances: (0..instances).map(|_| ordered(0)).collect(),
-            requests: 0,
-            exposed: 0,
-            noise: instances as u64,
-        }
-    }
-
-    fn request(&mut self, millis: u64, route: &str, is_bad: bool) {
-        self.noise = self.noise.wrapping_mul(0x5851_f42d_4c95_7f2d) + 1;
-        let count = self.instances.len();
-        let index = (self.noise >> 33) as usize % count;
-        let own = name(&format!("front-{index}"));
-        let (service, route) = (name("model"), name(route));
-        let arrival = rollouts::Arrival {
-            service: &service,
-            route: &route,
-            is_retry: false,
-            micros: EPOCH + millis * 1_000,
-            instance: &own,
-            scale: 1.0,
-        };
-        let instance = &mut self.instances[index];
-        let filter = instance.version_filter(&settings::Settings::default(), arrival);
-        let is_new = filter.only.is_some();
-        let version = name(if is_new { "v2" } else { "v1" });
-        instance.record_response(&service, &route, &version, !(is_new && is_bad));
-        self.requests += 1;
-        self.exposed += u64::from(is_new);
-    }
-
-    fn exchange(&mut self) {
-        let stats: Vec<_> = self.instances.iter().map(|i| i.local_stats()).collect();
-        for (index, stats) in stats.iter().enumerate() {
-            let process = usage_counts::Process {
-                name: name(&format!("front-{index}")),
-                incarnation: 1,
-            };
-            let others = self.instances.iter_mut().enumerate();
-            let others = others.filter(|(other, _)| *other != index);
-            others.for_each(|(_, other)| other.merge(&process, stats));
-        }
-    }
-}
-
-/// Runs a rollout with these rates of requests a second by route, on the last of which a bad version
-/// fails; returns the stage that follows.
-fn play(trial: &mut Trial, rates: &[f64], is_bad: bool) -> rollouts::Stage {
-    const STEP: u64 = 10;
-    const EXCHANGE: u64 = 300;
-    let mut due: Vec<_> = (0..rates.len())
-        .map(|r| r as f64 / rates.len() as f64)
-        .collect();
-    for millis in (0..12_000).step_by(STEP as usize) {
-        for (route, rate) in rates.iter().enumerate() {
-            due[route] += rate * STEP as f64 / 1_000.0;
-            while due[route] >= 1.0 {
-                due[route] -= 1.0;
-                let is_bad = is_bad && route + 1 == rates.len();
-                trial.request(millis, &format!("r{route}"), is_bad);
-            }
-        }
-        if millis % EXCHANGE == 0 {
-            trial.exchange();
-            if let Some(stage) = stage_at(&trial.instances[0], millis) {
-                return stage;
-            }
-        }
-    }
-    rollouts::Stage::Running
-}
-
 /// A version that fails all requests of one quiet route was completed, since the route got no
 /// responses of it or too few to be judged.
 #[rstest]
@@ -546,16 +464,26 @@
     #[case] rates: &[f64],
 ) {
     for is_bad in [true, false] {
-        let mut trial = Trial::new(instances);
-        let stage = play(&mut trial, rates, is_bad);
+        let sound = |rate: &f64| trial::Route {
+            rate: *rate,
+            fault: trial::Fault::Every(0),
+        };
+        let mut plan = trial::Plan {
+            instances,
+            duration: DURATION,
+            routes: rates.iter().map(sound).collect(),
+            usual: 0.0,
+            seed: instances as u64,
+        };
+        let last = plan.routes.last_mut().unwrap();
+        last.fault = trial::Fault::Every(u64::from(is_bad));
+        let outcome = trial::play(&plan);
         let expected = match is_bad {
             true => rollouts::Stage::RolledBack,
             false => rollouts::Stage::Completed,
         };
-        assert_eq!(stage, expected, "bad: {is_bad}");
-        let allowed = trial.requests / 10 + 50;
-        let (exposed, requests) = (trial.exposed, trial.requests);
-        assert!(exposed <= allowed, "{exposed} of {requests}, bad: {is_bad}");
+        assert_eq!(outcome.stage, expected, "bad: {is_bad}");
+        assert!(outcome.is_within_exposure(), "{outcome:?}, bad: {is_bad}");
     }
 }
 
--- a/crates/core/tests/relay_support/mod.rs
+++ b/crates/core/tests/relay_support/mod.rs
@@ -9,6 +9,7 @@
 pub mod plan;
 pub mod prompts;
 pub mod store_reader;
+pub mod trial;
 
 use std::sync;
 use std::time::Duration;
