--- a/crates/core/src/relay/culprits.rs
+++ b/crates/core/src/relay/culprits.rs
@@ -39,6 +39,26 @@
 }
 
 impl Evidence {
+    /// Returns the crashes that count against each request and part, without those among many others at the
+    /// same moment, and of several with the same cause only the first.
+    pub fn attributed(
+        &self,
+    ) -> collections::BTreeMap<subject::Subject, collections::BTreeSet<u64>> {
+        let times = self.times();
+        let counted = self.counted.iter();
+        let counted = counted.filter(|(_, own)| !own.is_empty());
+        counted
+            .map(|(subject, own)| (*subject, self.distinct(attributable(own, &times))))
+            .collect()
+    }
+
+    /// Returns when engines crashed, in order.
+    fn times(&self) -> Vec<time::Time> {
+        let mut times: Vec<_> = self.all.values().copied().collect();
+        times.sort_unstable();
+        times
+    }
+
     /// Replaces crashes with the same cause by the first of them.
     fn distinct(&self, crashes: collections::BTreeSet<u64>) -> collections::BTreeSet<u64> {
         let first = |id| *self.duplicates.get(&id).unwrap_or(&id);
@@ -79,8 +99,7 @@
 
 /// Returns the requests and parts that explain enough crashes to be blocked.
 pub fn find(evidence: &Evidence) -> collections::BTreeMap<subject::Subject, Certainty> {
-    let mut times: Vec<_> = evidence.all.values().copied().collect();
-    times.sort_unstable();
+    let times = evidence.times();
     let candidates = evidence.counted.iter();
     let candidates = candidates.filter(|(subject, own)| own.len() >= subject.crash_limit());
     let mut unexplained: collections::BTreeMap<_, _> = candidates
--- a/crates/core/src/relay/event.rs
+++ b/crates/core/src/relay/event.rs
@@ -14,7 +14,7 @@
 use super::rate_limit;
 use super::request;
 use super::rollouts;
-use super::saved_block;
+use super::saved_suspect;
 use super::summary;
 use crate::name;
 use crate::time;
@@ -76,8 +76,8 @@
     CrashReport(crash_report::CrashReport),
     /// Another instance's report of bids for probes has arrived.
     Bids(Vec<probes::Bid>),
-    /// The blocks that are kept in the store have been read.
-    SavedBlocks(Vec<saved_block::SavedBlock>),
+    /// What the store keeps of crashes has been read.
+    SavedSuspects(Vec<saved_suspect::SavedSuspect>),
     /// Time has passed.
     Tick,
 }
@@ -103,7 +103,7 @@
             Self::RateLimits(_) => "rate-limits",
             Self::CrashReport(_) => "crash-report",
             Self::Bids(_) => "bids",
-            Self::SavedBlocks(_) => "saved-blocks",
+            Self::SavedSuspects(_) => "saved-suspects",
             Self::Tick => "tick",
         }
     }
--- a/crates/core/src/relay/reduce.rs
+++ b/crates/core/src/relay/reduce.rs
@@ -65,7 +65,7 @@
         event::Event::RateLimits(reported) => rate_limits::merge(state, now, &reported),
         event::Event::CrashReport(report) => crashes::merge(state, now, &report),
         event::Event::Bids(bids) => probes::merge(state, now, &bids),
-        event::Event::SavedBlocks(saved) => crashes::restore(state, now, &saved),
+        event::Event::SavedSuspects(saved) => crashes::restore(state, now, &saved),
         event::Event::Tick => tick(state, now),
     }
     waiting::start_waiting(state, now);
--- a/crates/core/src/relay/reduce/crashes.rs
+++ b/crates/core/src/relay/reduce/crashes.rs
@@ -5,7 +5,7 @@
 use crate::relay::effect;
 use crate::relay::failed_attempts;
 use crate::relay::fleet;
-use crate::relay::saved_block;
+use crate::relay::saved_suspect;
 use crate::relay::state;
 use crate::relay::subject;
 use crate::time;
@@ -97,11 +97,11 @@
     update_blocked(state, now);
 }
 
-/// Adopts the blocks that are kept in the store.
+/// Adopts what is known of crashes in the store.
 pub(super) fn restore(
     state: &mut state::State,
     now: time::Time,
-    saved: &[saved_block::SavedBlock],
+    saved: &[saved_suspect::SavedSuspect],
 ) {
     let micros = state.clock.unix_micros(now);
     state.suspects.restore(now, micros, saved);
@@ -152,7 +152,7 @@
 fn update_blocked(state: &mut state::State, now: time::Time) {
     for change in state.suspects.update_blocked(now) {
         let peer = state.suspects.reporter().cloned();
-        state.suspects.own_blocks += u64::from(change.is_blocked && peer.is_none());
+        state.suspects.own_evidence += u64::from(change.is_blocked && peer.is_none());
         state
             .out
             .push(effect::Effect::SuspectChanged { change, peer });
--- a/crates/core/src/relay/reduce/probes.rs
+++ b/crates/core/src/relay/reduce/probes.rs
@@ -44,8 +44,8 @@
     let wait = state.peers.propagation_delay() * WAIT_FACTOR;
     let can_wait = now.after(wait + MIN_TIME_LEFT) < request.deadline;
     let waiting = can_wait.then_some(id);
-    let probes = &mut state.suspects.probes;
-    probes.bid(now, subject, &state.own.name, wait, waiting);
+    let suspects = &mut state.suspects;
+    suspects.bid(now, subject, &state.own.name, wait, waiting);
     can_wait
 }
 
--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -15,7 +15,7 @@
 use super::moments;
 use super::peer_data;
 use super::probes;
-use super::saved_block;
+use super::saved_suspect;
 use super::subject;
 use super::successes;
 use crate::name;
@@ -43,12 +43,14 @@
 const MAX_REPORTED_OWN: usize = 32;
 /// Maximum number of blocked subjects that are kept in the store, so that the object stays small.
 const MAX_SAVED: usize = 32;
+/// Maximum number of others that are kept there, those with the most and latest crashes first.
+const MAX_SAVED_OTHERS: usize = 128;
 /// Maximum number of crashes of each.
 const MAX_SAVED_CRASHES: usize = 8;
 /// Maximum number of further ones in one message, sent in rotation.
 const MAX_REPORTED_OTHERS: usize = 16;
 
-/// Used in place of an instance's name for blocks that were kept in the store.
+/// Used in place of an instance's name for crashes that were kept in the store.
 const STORE: &str = "store";
 
 /// Requests and parts of prompts under which engines crashed.
@@ -65,8 +67,11 @@
     blocked: collections::BTreeSet<subject::Subject>,
     /// Since when each of the present causes has been found.
     found_at: collections::BTreeMap<subject::Subject, time::Time>,
-    /// Number of blocks that this instance has decided by what it has seen itself.
-    pub own_blocks: u64,
+    /// Number of crashes that this instance has seen itself, of blocks that it has decided by them and of its
+    /// bids for probes.
+    pub own_evidence: u64,
+    /// Number of decisions on what is blocked.
+    decisions: u64,
     /// Whether it is to be decided anew what is blocked: crashes have been added or cleared, or a cause
     /// is not settled.
     is_changed: bool,
@@ -121,6 +126,8 @@
             return 0;
         };
         entry.seen_at = Some(now);
+        let is_counted = entry.counted().any(|id| id == crash.id);
+        self.own_evidence += u64::from(is_counted);
         entry.counted().count()
     }
 
@@ -155,6 +162,27 @@
         blocked.next().is_none().then_some(first)
     }
 
+    /// Enters a bid of an instance for the next probe, with the request that waits for it. The probe is to be
+    /// known to the store before it is sent: a kill right after it would otherwise allow another one.
+    pub fn bid(
+        &mut self,
+        now: time::Time,
+        subject: subject::Subject,
+        instance: &str,
+        wait: Duration,
+        request: Option<u64>,
+    ) {
+        self.own_evidence += 1;
+        self.probes.bid(now, subject, instance, wait, request);
+    }
+
+    /// Returns numbers that change with what is kept in the store: of decisions, and of probes of what is
+    /// blocked.
+    pub fn version(&self, now: time::Time) -> (u64, u32) {
+        let probes = self.blocked(now).map(|s| self.probes.sent(now, s));
+        (self.decisions, probes.sum())
+    }
+
     /// Returns `true` if a blocked subject is to be probed now.
     pub fn is_probe_due(&self, now: time::Time, subject: subject::Subject) -> bool {
         let entry = self.entries.get(&subject);
@@ -205,6 +233,7 @@
             return Vec::new();
         }
         self.is_changed = false;
+        self.decisions += 1;
         self.next_decision = self.next_decision.max(now).after(DECISION_INTERVAL);
         let found = culprits::find(&self.evidence(now));
         let mut blocked = self.settled(now, &found);
@@ -253,41 +282,65 @@
         settled
     }
 
-    /// Returns what is blocked as it is kept in the store, in a fixed order; `to_micros` converts a
-    /// time to microseconds since the Unix epoch.
+    /// Returns what is kept in the store, in a fixed order: first what is blocked, then what crashes count
+    /// against that no other cause explains. `to_micros` converts a time to microseconds since the Unix epoch.
     pub fn save(
         &self,
         now: time::Time,
         to_micros: impl Fn(time::Time) -> u64,
-    ) -> Vec<saved_block::SavedBlock> {
+    ) -> Vec<saved_suspect::SavedSuspect> {
         let blocked = self.blocked(now).take(MAX_SAVED);
-        let saved = blocked.filter_map(|subject| {
+        let blocked = blocked.filter_map(|subject| {
             let entry = self.entries.get(&subject)?;
-            let counted = entry.crashes.iter().filter(|(_, crash)| !crash.is_cleared);
-            let mut crashes: Vec<_> = counted.map(|(id, crash)| (crash.at, *id)).collect();
-            crashes.sort_unstable_by(|a, b| b.cmp(a));
-            crashes.truncate(MAX_SAVED_CRASHES);
-            let crashes = crashes.into_iter().map(|(at, id)| saved_block::SavedCrash {
-                id,
-                at_micros: to_micros(at),
-            });
-            Some(saved_block::SavedBlock {
-                subject,
-                crashes: crashes.collect(),
-                round: self.probes.round(subject),
-                probes: self.probes.sent(now, subject),
-            })
+            let crashes = entry.counted().collect();
+            Some((subject, true, entry, crashes))
+        });
+        let others = self.unblocked_evidence(now);
+        let others = others
+            .into_iter()
+            .map(|(subject, entry, crashes)| (subject, false, entry, crashes));
+        let saved = blocked.chain(others);
+        saved
+            .map(
+                |(subject, is_blocked, entry, crashes)| saved_suspect::SavedSuspect {
+                    subject,
+                    crashes: entry.newest(&crashes, MAX_SAVED_CRASHES, &to_micros),
+                    is_blocked,
+                    round: self.probes.round(subject),
+                    probes: self.probes.sent(now, subject),
+                },
+            )
+            .collect()
+    }
+
+    /// Returns the crashes that count against what is not blocked, those with the most first. Crashes with a
+    /// common cause are left out: where they happened is not known to a process that reads them.
+    fn unblocked_evidence(
+        &self,
+        now: time::Time,
+    ) -> Vec<(subject::Subject, &entry::Entry, collections::BTreeSet<u64>)> {
+        let evidence = self.evidence(now);
+        let attributed = evidence.attributed();
+        let others = attributed.into_iter().filter_map(|(subject, crashes)| {
+            let entry = self.entries.get(&subject)?;
+            let is_kept = !crashes.is_empty() && !self.is_blocked(now, subject);
+            is_kept.then_some((subject, entry, crashes))
+        });
+        let mut others: Vec<_> = others.collect();
+        others.sort_by_cached_key(|(subject, entry, crashes)| {
+            (std::cmp::Reverse((crashes.len(), entry.latest())), *subject)
         });
-        saved.collect()
+        others.truncate(MAX_SAVED_OTHERS);
+        others
     }
 
-    /// Adopts blocks that are kept in the store; `micros` is the present time since the Unix epoch.
-    pub fn restore(&mut self, now: time::Time, micros: u64, saved: &[saved_block::SavedBlock]) {
+    /// Adopts what is kept in the store; `micros` is the present time since the Unix epoch.
+    pub fn restore(&mut self, now: time::Time, micros: u64, saved: &[saved_suspect::SavedSuspect]) {
         if !saved.is_empty() {
             self.reporter = Some(name::Name::from(STORE));
         }
-        for block in saved.iter().take(MAX_SAVED) {
-            let crashes = block.crashes.iter().take(MAX_SAVED_CRASHES);
+        for suspect in saved.iter().take(MAX_SAVED + MAX_SAVED_OTHERS) {
+            let crashes = suspect.crashes.iter().take(MAX_SAVED_CRASHES);
             let crashes = crashes.map(|crash| crash_report::Crash {
                 id: crash.id,
                 age_ms: micros.saturating_sub(crash.at_micros) / 1_000,
@@ -298,16 +351,17 @@
                 continue;
             };
             let reported = crash_report::Suspect {
-                subject: block.subject,
+                subject: suspect.subject,
                 crashes,
                 remaining_ms: (RETENTION.as_millis() as u64).saturating_sub(age_ms),
             };
             self.merge_one(now, &reported);
-            if let Some(entry) = self.entries.get_mut(&block.subject) {
+            let entry = self.entries.get_mut(&suspect.subject);
+            if let Some(entry) = entry.filter(|_| suspect.is_blocked) {
                 self.is_changed |= !std::mem::replace(&mut entry.is_saved, true);
-                self.probes
-                    .restore(now, block.subject, block.round, block.probes);
             }
+            self.probes
+                .restore(now, suspect.subject, suspect.round, suspect.probes);
         }
     }
 
--- a/crates/core/src/relay/suspects/entry.rs
+++ b/crates/core/src/relay/suspects/entry.rs
@@ -7,6 +7,7 @@
 use crate::relay::culprits;
 use crate::relay::peer_data;
 use crate::relay::probes;
+use crate::relay::saved_suspect;
 use crate::relay::subject;
 use crate::time;
 
@@ -92,6 +93,26 @@
         counted.map(|(id, _)| *id)
     }
 
+    /// Returns the newest of these crashes as they are kept in the store.
+    pub fn newest(
+        &self,
+        ids: &collections::BTreeSet<u64>,
+        count: usize,
+        to_micros: impl Fn(time::Time) -> u64,
+    ) -> Vec<saved_suspect::SavedCrash> {
+        let crashes = self.crashes.iter().filter(|(id, _)| ids.contains(id));
+        let mut crashes: Vec<_> = crashes.map(|(id, crash)| (crash.at, *id)).collect();
+        crashes.sort_unstable_by(|a, b| b.cmp(a));
+        crashes.truncate(count);
+        let saved = crashes
+            .into_iter()
+            .map(|(at, id)| saved_suspect::SavedCrash {
+                id,
+                at_micros: to_micros(at),
+            });
+        saved.collect()
+    }
+
     /// Returns what decides when this is probed; `None` if no crash counts.
     pub fn last_crashes(&self) -> Option<probes::LastCrashes> {
         let counted = self.crashes.values().filter(|crash| !crash.is_cleared);
--- a/crates/core/tests/relay_probes.rs
+++ b/crates/core/tests/relay_probes.rs
@@ -225,7 +225,7 @@
 /// What is blocked is blocked again, with its probes counted, by what the store has kept. Guards
 /// against three more engines that crash after a kill of all instances.
 #[test]
-fn saved_blocks_restored() {
+fn saved_suspects_restored() {
     let mut before = blocked();
     arrive(&mut before, at(0), 1);
     let sent_probe = before.apply(at(1_700), TICK);
@@ -236,9 +236,9 @@
     assert_eq!(saved.len(), 1);
     assert_eq!((saved[0].crashes.len(), saved[0].probes), (3, 1));
     let mut after = Instance::serving(1, 6);
-    after.apply(now, event::Event::SavedBlocks(saved.clone()));
+    after.apply(now, event::Event::SavedSuspects(saved.clone()));
     assert!(after.state.suspects.is_blocked(now, CRASHER));
-    assert_eq!(after.state.suspects.own_blocks, 0);
+    assert_eq!(after.state.suspects.own_evidence, 0);
     let effects = arrive(&mut after, at(5_000), 2);
     assert!(
         refused(&effects).is_some(),
@@ -251,7 +251,7 @@
 
 /// Saved blocks expire with their last crash.
 #[test]
-fn saved_blocks_expire() {
+fn saved_suspects_expire() {
     let before = blocked();
     let clock = &before.state.clock;
     let saved = before
@@ -260,7 +260,7 @@
         .save(at(0), |at| clock.unix_micros(at));
     let mut after = Instance::serving(1, 6);
     let late = at(595_000);
-    after.apply(late, event::Event::SavedBlocks(saved));
+    after.apply(late, event::Event::SavedSuspects(saved));
     assert!(!after.state.suspects.is_blocked(late, CRASHER));
 }
 
--- a/crates/core/tests/relay_support/engines.rs
+++ b/crates/core/tests/relay_support/engines.rs
@@ -8,6 +8,7 @@
 use guavausher_core::relay::{effect, engine, event, request, route};
 use guavausher_core::time;
 
+use super::crash_store::CrashStore;
 use super::fleet::{Fleet, Network, STEP};
 use super::outcome::{Outcome, Run};
 use super::plan::{CrashEffect, Failures, Plan};
@@ -63,6 +64,13 @@
     kinds: collections::HashMap<(usize, u64), Kind>,
     /// Step at which each instance started.
     starts: Vec<u64>,
+    /// What keeps the crashes, if the plan has a store.
+    store: Option<CrashStore>,
+    /// Submissions of the crashing request.
+    submissions: u64,
+    /// Step of the next kill, and the number of kills so far.
+    next_kill: Option<u64>,
+    kills: u64,
     step: u64,
     last_id: u64,
     random: u64,
@@ -85,6 +93,10 @@
             engines: engines.collect(),
             kinds: collections::HashMap::new(),
             starts: vec![0; instances],
+            store: plan.store.map(|store| CrashStore::new(store, instances)),
+            submissions: 0,
+            next_kill: None,
+            kills: 0,
             step: 0,
             last_id: 0,
             random: plan.seed,
@@ -116,8 +128,11 @@
         if plan.restart_interval > 0 && self.step.is_multiple_of(plan.restart_interval) {
             self.restart_instance((self.step / plan.restart_interval) as usize % self.fleet.size());
         }
+        self.use_store();
+        self.kill_when_due();
         if plan.interval > 0 && self.step.is_multiple_of(plan.interval) {
             self.arrive(CRASHING_REQUEST, Kind::Crashing);
+            self.plan_kill();
         }
         for (number, part) in plan.parts.iter().enumerate() {
             if part.is_due(self.step) {
@@ -254,7 +269,9 @@
     fn arrive(&mut self, fingerprint: u64, kind: Kind) {
         self.last_id += 1;
         let (now, id) = (self.fleet.now(), self.last_id);
-        let index = self.draw_ready();
+        let Some(index) = self.draw_ready() else {
+            return;
+        };
         let request = request::Request {
             fingerprint,
             parts: self.prompt(kind),
@@ -279,17 +296,69 @@
         }
     }
 
-    /// Draws an instance that callers can reach.
-    fn draw_ready(&mut self) -> usize {
+    /// Draws an instance that callers can reach; `None` if there is none.
+    fn draw_ready(&mut self) -> Option<usize> {
+        let is_ready = |start: &u64| *start == 0 || start + READY_STEPS <= self.step;
+        if !self.starts.iter().any(is_ready) {
+            return None;
+        }
         loop {
             let index = (self.draw() % self.fleet.size() as u64) as usize;
             if self.starts[index] == 0 || self.starts[index] + READY_STEPS <= self.step {
-                return index;
+                return Some(index);
             }
         }
     }
 
+    /// Plans a kill after enough submissions of the crashing request.
+    fn plan_kill(&mut self) {
+        self.submissions += 1;
+        let kills = self.plan.kills.filter(|kills| {
+            self.kills < kills.count && self.submissions.is_multiple_of(kills.submissions)
+        });
+        self.next_kill = kills
+            .map(|kills| self.step + kills.delay)
+            .or(self.next_kill);
+    }
+
+    fn kill_when_due(&mut self) {
+        let Some(kills) = self
+            .plan
+            .kills
+            .filter(|_| self.next_kill == Some(self.step))
+        else {
+            return;
+        };
+        self.next_kill = None;
+        self.fleet.drop_messages();
+        let first = self.kills as usize % kills.divisor;
+        self.kills += 1;
+        for index in (first..self.fleet.size()).step_by(kills.divisor) {
+            self.restart_instance(index);
+        }
+    }
+
+    /// Lets the instances call the store.
+    fn use_store(&mut self) {
+        let Some(mut store) = self.store.take() else {
+            return;
+        };
+        let now = self.fleet.now();
+        for index in 0..self.fleet.size() {
+            let state = &self.fleet.instance(index).state;
+            if let Some(read) = store.step(self.step, now, index, state) {
+                let effects = self.apply(index, now, read);
+                self.perform(index, effects);
+            }
+        }
+        self.outcome.store_calls = store.calls;
+        self.store = Some(store);
+    }
+
     fn restart_instance(&mut self, index: usize) {
+        if let Some(store) = &mut self.store {
+            store.restart(index);
+        }
         self.fleet.restart_one(index);
         self.starts[index] = self.step;
         for engine in &mut self.engines {
--- a/crates/core/tests/relay_support/fleet.rs
+++ b/crates/core/tests/relay_support/fleet.rs
@@ -200,6 +200,11 @@
         node.positions = vec![position::Position::default()];
     }
 
+    /// Loses the messages on their way: they reach nobody before killed instances have started again.
+    pub fn drop_messages(&mut self) {
+        self.in_flight.clear();
+    }
+
     /// Partitions one failure domain from the others, or none.
     pub fn partition(&mut self, domain: Option<usize>) {
         self.partitioned = domain.map(|number| name::Name::from(format!("d{number}")));
--- a/crates/core/tests/relay_support/mod.rs
+++ b/crates/core/tests/relay_support/mod.rs
@@ -1,6 +1,7 @@
 //! Builders for the tests of `core::relay`.
 #![allow(dead_code)]
 
+pub mod crash_store;
 pub mod engines;
 pub mod fleet;
 pub mod holder;
--- a/crates/core/tests/relay_support/outcome.rs
+++ b/crates/core/tests/relay_support/outcome.rs
@@ -33,6 +33,8 @@
     pub part_crashes: collections::BTreeMap<usize, Vec<u64>>,
     /// Requests with each crashing part that were refused as suspect.
     pub part_blocked: collections::BTreeMap<usize, u64>,
+    /// Calls of the store for what is known of crashes.
+    pub store_calls: u64,
 }
 
 impl Outcome {
@@ -66,6 +68,17 @@
         Duration::from_millis(longest * STEP)
     }
 
+    /// Returns the number of runs of the crashing request later than `after` the third crash, sent by
+    /// instances that had run for as long.
+    pub fn late_runs_in_touch(&self, after: Duration) -> usize {
+        let steps = after.as_millis() as u64 / STEP;
+        let Some(third) = self.crashes.get(2) else {
+            return 0;
+        };
+        let is_late = |run: &&Run| run.at > third + steps && run.at >= run.since + steps;
+        self.runs.iter().filter(is_late).count()
+    }
+
     /// Returns the number of runs of the crashing request later than `after` the third crash.
     pub fn late_runs(&self, after: Duration) -> usize {
         let steps = after.as_millis() as u64 / STEP;
--- a/crates/core/tests/relay_support/plan.rs
+++ b/crates/core/tests/relay_support/plan.rs
@@ -43,10 +43,36 @@
     pub engine_domains: usize,
     /// Steps for which an engine runs each sound request; 0 for some steps.
     pub run_steps: u64,
+    /// Kills of instances between two submissions of the crashing request.
+    pub kills: Option<Kills>,
+    /// The store that keeps what is known of crashes.
+    pub store: Option<CrashStore>,
     /// Seed of all draws.
     pub seed: u64,
 }
 
+/// Instances that are killed and start again at once.
+#[derive(Clone, Copy, Debug)]
+pub struct Kills {
+    /// Submissions of the crashing request before each kill.
+    pub submissions: u64,
+    /// Steps from the last of them to the kill.
+    pub delay: u64,
+    /// Number of kills.
+    pub count: u64,
+    /// One of so many instances is killed, in rotation; 1 for all.
+    pub divisor: usize,
+}
+
+/// How the store responds.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashStore {
+    /// Steps from the request for a write or a first read to its effect.
+    pub latency: u64,
+    /// Steps, from the first to the last, at which it does not respond.
+    pub outage: (u64, u64),
+}
+
 /// Engines that crash for no reason in their requests.
 #[derive(Clone, Copy, Debug)]
 pub struct Failures {
@@ -70,6 +96,8 @@
         failure_count: u64::MAX,
         engine_domains: 1,
         run_steps: 0,
+        kills: None,
+        store: None,
         seed: 1,
     };
 
