--- a/crates/relay/src/forward_body.rs
+++ b/crates/relay/src/forward_body.rs
@@ -59,11 +59,14 @@
         let mut pending = BytesMut::new();
         let mut charge = budget::Charge::new(&self.runtime.budget);
         let end = loop {
-            let is_valid = self.take_pieces(engine, response, &mut body, length, &mut pending);
-            let held = pending.capacity() + engine.buffer.capacity() + body.held();
+            // What is taken counts as sent: another engine continues after it. So there must be room first.
+            let taken = body.held() + engine.buffer.len();
+            let held = body.held() + engine.buffer.capacity() + taken.max(pending.capacity());
             if held > FREE_BYTES && !charge.grow_to(held) {
                 return Err(self.broken(response_end::Cause::NoRoom));
             }
+            let is_valid = self.take_pieces(engine, response, &mut body, length, &mut pending);
+            let held = pending.capacity() + engine.buffer.capacity() + body.held();
             charge.grow_always(held);
             if body.is_done() {
                 break response_end::Cause::Complete;
