Probe again soon what was probed while most engines ended (Starved)

Cause: the crash that ended the probe counted against the common part of the prompts, and the next probe was due 60 s later, although the other engines, which did not run the part, had crashed at the same moment.

In the reducer the second probe was sent 61.6 s after the loss (`probe_lost_with_most_engines_followed_soon` failed before, bound 6.5 s).

Why it works: engines that end together with the probe's and never ran the subject show another cause. Then the second probe is due after a second. There are two probes at most, as before, so no further engine is at risk.

--- a/crates/core/src/relay/moments.rs
+++ b/crates/core/src/relay/moments.rs
@@ -18,6 +18,10 @@
 const MIN_CRASHES: usize = 3;
 /// One of so many engines of a service must run elsewhere for it to be known whether others crash.
 const ELSEWHERE_DIVISOR: usize = 3;
+/// Time within which entries of engines that crashed together leave the list: they expire with their own heartbeats.
+const LEAVING_SPAN: Duration = Duration::from_secs(2);
+/// Lowest number of other engines that show, by ending with one, that the cause is none of its requests.
+const MIN_OTHERS: usize = 2;
 /// How long an engine that is no longer listed is remembered.
 const RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of incarnations remembered; those that left first are evicted.
@@ -35,6 +39,8 @@
     service: name::Name,
     domain: name::Name,
     version: name::Name,
+    /// When it was listed first.
+    listed_at: time::Time,
     /// When it was no longer listed.
     left_at: Option<time::Time>,
 }
@@ -50,7 +56,8 @@
         }
         for engine in listed {
             let id = crash_report::crash_id(&engine.name, engine.incarnation);
-            self.sites.insert(id, Site::new(engine));
+            let listed_at = self.sites.get(&id).map_or(now, |site| site.listed_at);
+            self.sites.insert(id, Site::new(engine, listed_at));
         }
         let is_recent = |site: &Site| site.left_at.is_none_or(|at| at.after(RETENTION) > now);
         self.sites.retain(|_, site| is_recent(site));
@@ -81,6 +88,29 @@
         duplicates
     }
 
+    /// Returns `true` if the engine of a crash left the list together with at least half of the other engines of its
+    /// service. Those for which `is_own` holds, by the identifiers of their crashes, are left out.
+    pub fn left_with_others(&self, crash: u64, is_own: impl Fn(u64) -> bool) -> bool {
+        let Some(site) = self.sites.get(&crash) else {
+            return false;
+        };
+        let Some(left_at) = site.left_at else {
+            return false;
+        };
+        let start = left_at.before(LEAVING_SPAN);
+        let end = left_at.after(LEAVING_SPAN);
+        let others = self.sites.iter().filter(|(id, other)| {
+            let was_listed = other.listed_at < start && other.left_at.is_none_or(|at| at >= start);
+            other.service == site.service && was_listed && **id != crash && !is_own(**id)
+        });
+        let (mut all, mut left) = (0, 0);
+        for (_, other) in others {
+            all += 1;
+            left += usize::from(other.left_at.is_some_and(|at| at <= end));
+        }
+        left >= MIN_OTHERS && left * 2 >= all
+    }
+
     /// Groups crashes by what their engines have in common.
     fn groups(&self, ordered: &[(time::Time, u64)], of: Trait) -> Groups {
         let mut engines: collections::HashMap<_, usize> = collections::HashMap::new();
@@ -150,12 +180,13 @@
 }
 
 impl Site {
-    fn new(engine: &engine::Engine) -> Self {
+    fn new(engine: &engine::Engine, listed_at: time::Time) -> Self {
         Self {
             engine: engine.name.clone(),
             service: engine.service.clone(),
             domain: engine.domain.clone(),
             version: engine.version.clone(),
+            listed_at,
             left_at: None,
         }
     }
--- a/crates/core/src/relay/probes.rs
+++ b/crates/core/src/relay/probes.rs
@@ -10,7 +10,8 @@
 use super::subject;
 use crate::time;
 
-/// Time from the last crash to the first probe if the crashes may have a common cause.
+/// Time from the last crash to the first probe if the crashes may have a common cause, and to the second one if the
+/// crash under the first has one.
 const EARLY_DELAY: Duration = Duration::from_secs(1);
 /// The same, and after one probe, from the last crash or probe.
 const DELAYS: [Duration; MAX_PROBES] = [Duration::from_secs(10), Duration::from_secs(60)];
@@ -125,6 +126,8 @@
     pub at: time::Time,
     /// Whether they may have a common cause other than the subject.
     pub may_be_common: bool,
+    /// Whether most engines that did not run the subject ended together with the last one.
+    pub ended_with_others: bool,
 }
 
 impl Probes {
@@ -135,8 +138,10 @@
         let Some(delay) = DELAYS.get(sent as usize).copied() else {
             return false;
         };
+        let is_after_probe = round.is_some_and(|round| round.at < last.at);
         let delay = match sent {
             0 if last.may_be_common => EARLY_DELAY,
+            1 if last.ended_with_others && is_after_probe => EARLY_DELAY,
             _ => delay,
         };
         let after_round = round.map(|round| match round.result {
--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -185,9 +185,28 @@
 
     /// Returns `true` if a blocked subject is to be probed now.
     pub fn is_probe_due(&self, now: time::Time, subject: subject::Subject) -> bool {
-        let entry = self.entries.get(&subject);
-        let last = entry.and_then(entry::Entry::last_crashes);
-        last.is_some_and(|last| self.probes.is_due(now, subject, last))
+        let Some(entry) = self.entries.get(&subject) else {
+            return false;
+        };
+        let Some(last) = entry.last_crashes() else {
+            return false;
+        };
+        if self.probes.is_due(now, subject, last) {
+            return true;
+        }
+        let together = probes::LastCrashes {
+            ended_with_others: true,
+            ..last
+        };
+        // Whether it has is looked up only where it matters: that takes time with many engines.
+        self.probes.is_due(now, subject, together) && self.ended_with_others(entry)
+    }
+
+    /// Returns `true` if the engine that crashed last ended together with most of those that did not run the subject.
+    fn ended_with_others(&self, entry: &entry::Entry) -> bool {
+        let is_own = |id| entry.crashes.contains_key(&id);
+        let last = entry.last_id();
+        last.is_some_and(|last| self.sites.left_with_others(last, is_own))
     }
 
     /// Returns `true` if no request with this subject must be sent.
--- a/crates/core/src/relay/suspects/entry.rs
+++ b/crates/core/src/relay/suspects/entry.rs
@@ -121,9 +121,17 @@
         Some(probes::LastCrashes {
             at: *times.last()?,
             may_be_common: culprits::may_be_common(&times),
+            ended_with_others: false,
         })
     }
 
+    /// Returns the identifier of the last crash that counts.
+    pub fn last_id(&self) -> Option<u64> {
+        let counted = self.crashes.iter().filter(|(_, crash)| !crash.is_cleared);
+        let last = counted.max_by_key(|(id, crash)| (crash.at, **id));
+        last.map(|(id, _)| *id)
+    }
+
     /// Returns when the last crash happened.
     pub fn latest(&self) -> time::Time {
         let all = self.crashes.values().map(|crash| crash.at);
--- a/crates/core/tests/relay_probes.rs
+++ b/crates/core/tests/relay_probes.rs
@@ -109,6 +109,102 @@
     assert!(probes[1] - probes[0] >= 60_000);
 }
 
+/// Which engines crash beside that of a probe.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Loss {
+    /// So many others at the same moment.
+    Others(usize),
+    /// All others, some seconds before.
+    OthersBefore,
+}
+
+/// Time from the moment at which engines crash under a probe until their new incarnations are listed, in milliseconds.
+const LISTED_AGAIN: u64 = 4_500;
+
+/// Sends the first probe of six engines and loses engines while it runs, and again under each further probe. Returns
+/// when the next probes are sent in 400 s, in milliseconds after the first loss.
+fn next_probes(loss: Loss) -> Vec<u64> {
+    const FIRST_LOSS: u64 = 15_000;
+    /// Time that a probe runs until its engine crashes, in milliseconds.
+    const RUN: u64 = 3_000;
+    let mut instance = Instance::serving(0, 6);
+    let mut listed: Vec<_> = (0..6).map(engine).collect();
+    instance.apply(at(10_000), report(11_000));
+    arrive(&mut instance, at(10_000), 1);
+    let effects = instance.apply(at(11_700), TICK);
+    let mut probe = Some((1, sent(&effects).expect("the first probe")));
+    let mut lost_at = FIRST_LOSS;
+    let mut sent_at = Vec::new();
+    for now in (11_800..400_000).step_by(100) {
+        if loss == Loss::OthersBefore && now == FIRST_LOSS - RUN {
+            let (_, ran) = probe.as_ref().expect("the first probe runs");
+            lose(&mut listed, ran, 5);
+            listed
+                .iter_mut()
+                .filter(|e| e.name == *ran)
+                .for_each(|e| e.incarnation -= 1);
+            instance.apply(at(now), engines(listed.clone()));
+        }
+        if let Some((id, ran)) = probe.take_if(|_| now == lost_at) {
+            instance.signal(at(now), id, Signal::Broken { unanswered: true });
+            let others = match loss {
+                Loss::Others(count) => count,
+                Loss::OthersBefore => 0,
+            };
+            lose(&mut listed, &ran, others);
+        }
+        if now == lost_at + LISTED_AGAIN {
+            instance.apply(at(now), engines(listed.clone()));
+        }
+        let mut effects = arrive(&mut instance, at(now), 10 + now);
+        effects.extend(instance.apply(at(now), TICK));
+        for effect in effects {
+            if let effect::Effect::Send { request, dispatch } = effect {
+                sent_at.push(now - FIRST_LOSS);
+                probe = Some((request, dispatch.choice.engine));
+                lost_at = now + RUN;
+            }
+        }
+    }
+    sent_at
+}
+
+/// Starts an engine and so many others anew.
+fn lose(listed: &mut [engine::Engine], ran: &str, others: usize) {
+    let (own, rest): (Vec<_>, Vec<_>) = listed.iter_mut().partition(|e| &*e.name == ran);
+    let lost = own.into_iter().chain(rest.into_iter().take(others));
+    lost.for_each(|engine| engine.incarnation += 1);
+}
+
+/// Review case 12: all engines of a service crashed again while a probe ran, and its sound requests were refused for a
+/// minute (Starved).
+#[test]
+fn probe_lost_with_most_engines_followed_soon() {
+    /// Time from the crash until engines are listed again, and for a bid, in milliseconds.
+    const SOON: u64 = LISTED_AGAIN + 2_000;
+    for others in 3..6 {
+        let sent_at = next_probes(Loss::Others(others));
+        assert!(sent_at[0] <= SOON, "{others}: {sent_at:?}");
+    }
+}
+
+/// Guards against probes that follow each other soon although the request may be the cause.
+#[rstest]
+#[case::alone(Loss::Others(0))]
+#[case::with_one(Loss::Others(1))]
+#[case::after_the_others(Loss::OthersBefore)]
+fn probe_lost_with_few_engines_followed_late(#[case] loss: Loss) {
+    let sent_at = next_probes(loss);
+    assert!(sent_at[0] >= 60_000, "{sent_at:?}");
+}
+
+/// Guards against more than two probes, whatever crashes with them.
+#[test]
+fn probes_lost_with_most_engines_end_after_two() {
+    let sent_at = next_probes(Loss::Others(5));
+    assert_eq!(sent_at.len(), 1, "{sent_at:?}");
+}
+
 /// Guards against a block that stays since its probe could not be sent.
 #[test]
 fn probe_that_reached_no_engine_does_not_count() {
