Tests of kept crashes: a store that answers conflicts, as the real one

The stand-in for the store in `relay_crasher_kills` merged what instances wrote, so that no write could meet a newer object. It now replaces the object on a write with the revision that the instance knows, and answers others with the object, which the instance adopts and writes again; an instance with nothing to add makes no call. That is what `SavedSuspects` does.

No check or bound is changed.

--- a/crates/core/tests/relay_support/crash_store.rs
+++ b/crates/core/tests/relay_support/crash_store.rs
@@ -1,8 +1,6 @@
 //! A store that keeps what instances know of crashes.
 
-use std::collections;
-
-use guavausher_core::relay::{event, saved_suspect, state, subject};
+use guavausher_core::relay::{event, saved_suspect, state};
 use guavausher_core::time;
 
 use super::plan;
@@ -11,9 +9,12 @@
 const RETRY_STEPS: u64 = 20;
 
 /// What one instance has read and written.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Client {
     is_read: bool,
+    /// Revision of the object that it knows, and its content.
+    revision: u64,
+    known: Vec<saved_suspect::SavedSuspect>,
     /// Number of its own crashes and blocks that it has written.
     written: u64,
     /// Step at which its call has its effect.
@@ -23,7 +24,8 @@
 /// The object in the store, and the instances that use it.
 pub struct CrashStore {
     plan: plan::CrashStore,
-    object: collections::BTreeMap<subject::Subject, saved_suspect::SavedSuspect>,
+    object: Vec<saved_suspect::SavedSuspect>,
+    revision: u64,
     clients: Vec<Client>,
     /// Calls that had an effect.
     pub calls: u64,
@@ -33,7 +35,8 @@
     pub fn new(plan: plan::CrashStore, instances: usize) -> Self {
         Self {
             plan,
-            object: collections::BTreeMap::new(),
+            object: Vec::new(),
+            revision: 0,
             clients: vec![Client::default(); instances],
             calls: 0,
         }
@@ -52,8 +55,13 @@
         index: usize,
         state: &state::State,
     ) -> Option<event::Event> {
-        let client = &mut self.clients[index];
         let own = state.suspects.own_evidence;
+        let saved = state.suspects.save(now, |at| state.clock.unix_micros(at));
+        let client = &mut self.clients[index];
+        if client.is_read && own > client.written && !saved_suspect::adds(&saved, &client.known) {
+            client.written = own;
+            client.due = None;
+        }
         if client.due.is_none() && (!client.is_read || own > client.written) {
             client.due = Some(step + self.plan.latency);
         }
@@ -67,29 +75,23 @@
             return None;
         }
         self.calls += 1;
-        if client.is_read {
-            client.written = own;
-            let saved = state.suspects.save(now, |at| state.clock.unix_micros(at));
-            saved.into_iter().for_each(|suspect| self.merge(suspect));
+        if client.is_read && client.revision == self.revision {
+            self.object = saved;
+            self.revision += 1;
+            client.adopt(self.revision, &self.object);
             return None;
         }
+        // A conflict is answered with the object, and the write is repeated at once.
+        client.due = client.is_read.then_some(step);
         client.is_read = true;
-        let object = self.object.values().cloned().collect();
-        Some(event::Event::SavedSuspects(object))
+        client.adopt(self.revision, &self.object);
+        Some(event::Event::SavedSuspects(self.object.clone()))
     }
+}
 
-    fn merge(&mut self, new: saved_suspect::SavedSuspect) {
-        let Some(known) = self.object.get_mut(&new.subject) else {
-            self.object.insert(new.subject, new);
-            return;
-        };
-        for crash in new.crashes {
-            if known.crashes.iter().all(|other| other.id != crash.id) {
-                known.crashes.push(crash);
-            }
-        }
-        known.is_blocked |= new.is_blocked;
-        known.round = known.round.max(new.round);
-        known.probes = known.probes.max(new.probes);
+impl Client {
+    fn adopt(&mut self, revision: u64, object: &[saved_suspect::SavedSuspect]) {
+        self.revision = revision;
+        self.known = object.to_vec();
     }
 }
