Kills right after each copy of a crashing request: listed

With all instances killed 300 ms after each copy, eight times, 17 copies are late at 3 and at 9 instances (3 may): a crash counts a second after the connections broke. The same cause as the two entries that are listed; the case after each copy was missing from the test.

--- a/crates/core/tests/relay_crasher_kills.rs
+++ b/crates/core/tests/relay_crasher_kills.rs
@@ -90,6 +90,7 @@
 #[rstest]
 #[case::after_each_second(kills(2, 6, 8, 1))]
 #[case::after_each_third(kills(3, 6, 8, 1))]
+#[case::after_each_submission(kills(1, 6, 8, 1))]
 fn crashing_request_known_after_kills_right_after_a_crash(
     #[case] plan: Plan,
     #[values(3, 9)] instances: usize,
