Leave crashes in a storm to the lease holder (calls of the store)

Cause: since each instance writes the crashes that it has seen itself, on one object. When many engines crash at one moment nearly all instances have, each with other requests, so each write makes those of all others conflict, and they are tried again each second.

Why this works: the lease holder has the reports of all within a second or so and writes them in one call. An instance writes its own only if fewer than three engines have crashed in 2.5 s, which is the case that the write is for: one request that crashes one engine after the other.

`crashes_of_many_engines_make_a_storm` tests the rule; no test of the reducer shows the calls, since its plays have too few crashes at a time.

--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -41,6 +41,12 @@
 const MAX_REPORTED_WORST: usize = 16;
 /// Maximum number of others in one message whose last crash this instance has seen itself.
 const MAX_REPORTED_OWN: usize = 32;
+/// Time in which crashes make a storm, from the first one until reports of others have arrived.
+const STORM_SPAN: Duration = Duration::from_millis(2_500);
+/// Lowest number of engines that crash in that time in a storm.
+const MIN_STORM: usize = 3;
+/// Maximum number of recent crashes remembered for that.
+const MAX_RECENT: usize = 64;
 /// Maximum number of further ones in one message, sent in rotation.
 const MAX_REPORTED_OTHERS: usize = 16;
 
@@ -61,6 +67,8 @@
     /// Number of crashes that this instance has seen itself, of blocks that it has decided by them and of its
     /// bids for probes.
     pub own_evidence: u64,
+    /// The latest crashes of all requests and parts.
+    recent: collections::BTreeMap<u64, time::Time>,
     /// Number of decisions on what is blocked.
     decisions: u64,
     /// Whether it is to be decided anew what is blocked: crashes have been added or cleared, or a cause
@@ -167,6 +175,12 @@
         self.probes.bid(now, subject, instance, wait, request);
     }
 
+    /// Returns `true` if many engines have crashed a moment ago, so that most instances have seen crashes themselves.
+    pub fn is_storm(&self, now: time::Time) -> bool {
+        let is_recent = |at: &&time::Time| at.after(STORM_SPAN) > now;
+        self.recent.values().filter(is_recent).count() >= MIN_STORM
+    }
+
     /// Returns numbers that change with what is kept in the store: of decisions, and of probes of what is
     /// blocked.
     pub fn version(&self, now: time::Time) -> (u64, u32) {
@@ -312,6 +326,7 @@
     }
 
     fn merge_one(&mut self, now: time::Time, reported: &crash_report::Suspect) -> Vec<u64> {
+        self.recent.retain(|_, at| at.after(STORM_SPAN) > now);
         let Some(expiry) = peer_data::expiry(now, reported.remaining_ms, RETENTION) else {
             return Vec::new();
         };
@@ -324,6 +339,10 @@
         let mut added = Vec::new();
         for crash in reported.crashes.iter().take(MAX_CRASHES) {
             let update = entry.add(now, crash);
+            if update == entry::Update::Added && self.recent.len() < MAX_RECENT {
+                let at = now.before(Duration::from_millis(crash.age_ms));
+                self.recent.insert(crash.id, at);
+            }
             self.is_changed |= update != entry::Update::None;
             added.extend((update == entry::Update::Added).then_some(crash.id));
         }
--- a/crates/core/tests/relay_support/crash_store.rs
+++ b/crates/core/tests/relay_support/crash_store.rs
@@ -58,6 +58,9 @@
         let own = state.suspects.own_evidence;
         let saved = state.suspects.save(now, |at| state.clock.unix_micros(at));
         let client = &mut self.clients[index];
+        if state.suspects.is_storm(now) {
+            client.written = own;
+        }
         if client.is_read && own > client.written && !saved_suspect::adds(&saved, &client.known) {
             client.written = own;
             client.due = None;
--- a/crates/core/tests/relay_suspects.rs
+++ b/crates/core/tests/relay_suspects.rs
@@ -417,3 +417,18 @@
     let crashes = report[0].crashes.iter();
     assert_eq!(crashes.filter(|crash| !crash.is_cleared).count(), counted);
 }
+
+/// Guards against instances that all write the crashes that each has seen, and conflict for many seconds.
+#[rstest]
+#[case::two(&[0, 100], false)]
+#[case::three(&[0, 100, 200], true)]
+#[case::over_a_while(&[0, 1_300, 2_600], false)]
+fn crashes_of_many_engines_make_a_storm(#[case] crashes: &[u64], #[case] is_storm: bool) {
+    let mut table = suspects::Suspects::default();
+    for (index, millis) in crashes.iter().enumerate() {
+        crash(&mut table, at(*millis), CRASHER, index);
+    }
+    let last = at(crashes[crashes.len() - 1]);
+    assert_eq!(table.is_storm(last), is_storm);
+    assert!(!table.is_storm(last.after(Duration::from_secs(3))));
+}
