--- a/crates/core/tests/relay_support/crash_store.rs
+++ b/crates/core/tests/relay_support/crash_store.rs
@@ -5,8 +5,10 @@
 
 use super::plan;
 
-/// Steps between two attempts of a call.
+/// Steps between two attempts of a call, and between two writes of the lease holder.
 const RETRY_STEPS: u64 = 20;
+/// Index of the instance that holds the lease.
+const HOLDER: usize = 0;
 
 /// What one instance has read and written.
 #[derive(Clone, Debug, Default)]
@@ -19,6 +21,8 @@
     written: u64,
     /// Step at which its call has its effect.
     due: Option<u64>,
+    /// Step of its last call.
+    called: u64,
 }
 
 /// The object in the store, and the instances that use it.
@@ -61,6 +65,11 @@
         if state.suspects.is_storm(now) {
             client.written = own;
         }
+        let is_next = step >= client.called + RETRY_STEPS;
+        let is_behind = saved_suspect::adds(&saved, &client.known);
+        if client.is_read && client.due.is_none() && index == HOLDER && is_next && is_behind {
+            client.due = Some(step + self.plan.latency);
+        }
         if client.is_read && own > client.written && !saved_suspect::adds(&saved, &client.known) {
             client.written = own;
             client.due = None;
@@ -78,6 +87,7 @@
             return None;
         }
         self.calls += 1;
+        client.called = step;
         if client.is_read && client.revision == self.revision {
             self.object = saved;
             self.revision += 1;
